--- /dev/null
+++ b/crates/apricotroute/src/cli.rs
@@ -0,0 +1,443 @@
+//! The command line: arguments, help and exit codes.
+
+use std::{ffi, net, path, process, sync, sync::atomic, thread, time};
+
+use error_stack::ResultExt as _;
+use serde_json::Value;
+use state::{boot, id, name};
+
+use crate::{demo, error, instance, load, logs, remote, standin, status};
+
+const HELP: &str = "\
+apricotroute: a dispatcher for tasks shorter than a second
+
+  serve --settings FILE          run one instance until SIGTERM or SIGINT
+  check FILE                     check a bootstrap file
+  demo                           run one job on an instance inside this process
+  submit --to IP:PORT FILE       submit a job file and print its answer
+  job --to IP:PORT show ID       say how a job stands; `cancel ID` cancels it
+  settings --to IP:PORT get PATH read settings; also `set PATH JSON` and `log`
+  status --to IP:PORT            groups, members, upstreams, shares and queues
+  load --to IP:PORT[,...]        open-loop load with response times over the ideal
+  upstream --to IP:PORT[,...]    a stand-in upstream for trials and tests
+
+`apricotroute COMMAND --help` tells more. Exit code 2: the arguments or a file are at fault.
+";
+
+const SERVE: &str = "\
+apricotroute serve --settings FILE
+
+Runs one instance in the foreground. SIGTERM and SIGINT let everything in progress end first;
+a second signal does not shorten that, `drain_ms` of the file bounds it.
+";
+
+const CHECK: &str = "\
+apricotroute check FILE
+
+Checks a bootstrap file. Exit code 0, or 2 with every fault by its JSON path, line and reason.
+";
+
+const DEMO: &str = "\
+apricotroute demo
+
+Runs one instance with stand-in upstreams inside this process, submits one job and prints its
+answer as JSON.
+";
+
+const SUBMIT: &str = "\
+apricotroute submit --to IP:PORT [--job ID] FILE
+
+Submits the job in FILE (`-` = standard input) at an instance's client address. Without an id in
+FILE or --job a fresh one is minted for the zone in --zone NAME. Prints the answer.
+Exit code 0 = complete, 1 = failed, 3 = not run, 4 = unknown.
+";
+
+const JOB: &str = "\
+apricotroute job --to IP:PORT (show|cancel) ID
+
+Says how a job stands, or cancels it, at an instance's client address.
+Exit code 0 = complete, running or cancelled, 1 = failed, 3 = not run, 4 = unknown.
+";
+
+const SETTINGS: &str = "\
+apricotroute settings --to IP:PORT get [PATH]
+apricotroute settings --to IP:PORT set PATH JSON [--base N] [--change UUID]
+apricotroute settings --to IP:PORT log
+
+Reads and changes the settings tree at an instance's operator address. `/` is the root. JSON is an
+object of overrides; null removes one. With --base the change counts only if the tree still has
+that version. A resend with the same --change gets the first outcome.
+";
+
+const STATUS: &str = "\
+apricotroute status --to IP:PORT [--json]
+
+Shows groups, leaders, members, upstreams, shares and queues at an instance's operator address.
+";
+
+const UPSTREAM: &str = "\
+apricotroute upstream --to IP:PORT[,IP:PORT...] [options]
+
+  --name NAME          name (default u1)
+  --service PATH       service (default polish-board)
+  --zone NAME          availability zone (default west)
+  --listen IP:PORT     address for tasks (default 127.0.0.1:0)
+  --slots N            tasks at a time (default 8)
+  --service-ms N       service time (default 50)
+  --tail N             one in N tasks takes ten times as long (default 0 = none)
+  --mode MODE          answer, fail, hang or refuse (default answer)
+  --log FILE           append each start before the task runs
+  --cores X --memory-mb N --accelerators N   declared room of one slot
+
+Runs a stand-in upstream until SIGTERM, which makes it leave first.
+";
+
+/// The arguments of one command.
+type Arguments = pico_args::Arguments;
+
+/// What a command ends with.
+type Ended = error::Result<process::ExitCode>;
+
+/// Exit code for faults of arguments and files.
+const USAGE: u8 = 2;
+
+/// Runs the command line.
+pub fn run(arguments: Vec<ffi::OsString>) -> process::ExitCode {
+    let mut arguments = Arguments::from_vec(arguments);
+    let command = arguments.subcommand().unwrap_or_default();
+    let (help, run): (&str, fn(Arguments) -> Ended) = match command.as_deref() {
+        None => return no_command(arguments),
+        Some("serve") => (SERVE, serve),
+        Some("check") => (CHECK, check),
+        Some("demo") => (DEMO, demo),
+        Some("submit") => (SUBMIT, submit),
+        Some("job") => (JOB, job),
+        Some("settings") => (SETTINGS, settings),
+        Some("status") => (STATUS, show_status),
+        Some("load") => (load::HELP, run_load),
+        Some("upstream") => (UPSTREAM, upstream),
+        Some(other) => {
+            eprintln!("apricotroute: no command {other:?}; see apricotroute --help");
+            return process::ExitCode::from(USAGE);
+        }
+    };
+    if arguments.contains(["-h", "--help"]) {
+        print!("{help}");
+        return process::ExitCode::SUCCESS;
+    }
+    run(arguments).unwrap_or_else(|report| {
+        eprintln!("apricotroute: {}", error::line(&report));
+        process::ExitCode::from(USAGE)
+    })
+}
+
+fn no_command(mut arguments: Arguments) -> process::ExitCode {
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return process::ExitCode::SUCCESS;
+    }
+    if arguments.contains(["-V", "--version"]) {
+        println!("apricotroute {}", env!("CARGO_PKG_VERSION"));
+        return process::ExitCode::SUCCESS;
+    }
+    match arguments.finish().first() {
+        Some(other) => eprintln!("apricotroute: unknown argument {}", other.display()),
+        None => eprintln!("apricotroute: no command; see apricotroute --help"),
+    }
+    process::ExitCode::from(USAGE)
+}
+
+/// The value of a required option.
+pub fn required(arguments: &mut Arguments, key: &'static str) -> error::Result<String> {
+    arguments
+        .value_from_str(key)
+        .change_context_lazy(|| error::Error::new("read argument", key))
+}
+
+/// The value of an option, or its default.
+pub fn option<T: std::str::FromStr>(
+    arguments: &mut Arguments,
+    key: &'static str,
+    default: T,
+) -> error::Result<T>
+where
+    T::Err: std::fmt::Display,
+{
+    let value = arguments.opt_value_from_str(key);
+    let value = value.change_context_lazy(|| error::Error::new("read argument", key))?;
+    Ok(value.unwrap_or(default))
+}
+
+/// The next argument without a name.
+fn free(arguments: &mut Arguments, name: &'static str) -> error::Result<String> {
+    let value = arguments.free_from_str();
+    value.change_context_lazy(|| error::Error::new("read argument", name))
+}
+
+/// Refuses whatever is left.
+pub fn finish(arguments: Arguments) -> error::Result<()> {
+    match arguments.finish().first() {
+        None => Ok(()),
+        Some(other) => Err(error_stack::Report::new(error::Error::new(
+            "unknown argument",
+            other.display(),
+        ))),
+    }
+}
+
+fn read_boot(path: &path::Path) -> error::Result<Result<boot::Boot, process::ExitCode>> {
+    let text = demo::read(path)?;
+    Ok(boot::Boot::parse(&text).map_err(|faults| {
+        for fault in faults {
+            eprintln!("{}: {fault}", path.display());
+        }
+        process::ExitCode::from(USAGE)
+    }))
+}
+
+fn check(mut arguments: Arguments) -> Ended {
+    let file = free(&mut arguments, "FILE")?;
+    finish(arguments)?;
+    Ok(match read_boot(path::Path::new(&file))? {
+        Ok(_) => {
+            println!("{file}: ok");
+            process::ExitCode::SUCCESS
+        }
+        Err(code) => code,
+    })
+}
+
+fn serve(mut arguments: Arguments) -> Ended {
+    let file = required(&mut arguments, "--settings")?;
+    finish(arguments)?;
+    let boot = match read_boot(path::Path::new(&file))? {
+        Ok(boot) => boot,
+        Err(code) => return Ok(code),
+    };
+    let (log, guard) = logs::logger(&boot.log, boot.instance.as_str());
+    let ended = signals()?;
+    let instance = instance::Instance::start(&boot, log)?;
+    wait(&ended);
+    instance.stop();
+    drop(guard);
+    Ok(process::ExitCode::SUCCESS)
+}
+
+/// A flag that SIGTERM and SIGINT set.
+fn signals() -> error::Result<sync::Arc<atomic::AtomicBool>> {
+    let flag = sync::Arc::new(atomic::AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register(signal, sync::Arc::clone(&flag))
+            .change_context_lazy(|| error::Error::new("register signal", signal))?;
+    }
+    Ok(flag)
+}
+
+fn wait(flag: &atomic::AtomicBool) {
+    const PAUSE: time::Duration = time::Duration::from_millis(50);
+    while !flag.load(atomic::Ordering::Relaxed) {
+        thread::sleep(PAUSE);
+    }
+}
+
+fn demo(arguments: Arguments) -> Ended {
+    finish(arguments)?;
+    println!("{}", demo::run()?);
+    Ok(process::ExitCode::SUCCESS)
+}
+
+fn submit(mut arguments: Arguments) -> Ended {
+    let remote = remote::Remote::new(&required(&mut arguments, "--to")?);
+    let job: Option<String> = arguments
+        .opt_value_from_str("--job")
+        .change_context_lazy(|| error::Error::new("read argument", "--job"))?;
+    let zone: String = option(&mut arguments, "--zone", "west".to_owned())?;
+    let file = free(&mut arguments, "FILE")?;
+    finish(arguments)?;
+    let text = if file == "-" {
+        std::io::read_to_string(std::io::stdin())
+            .change_context_lazy(|| error::Error::new("read", "standard input"))?
+    } else {
+        demo::read(path::Path::new(&file))?
+    };
+    let mut body: Value = serde_json::from_str(&text)
+        .change_context_lazy(|| error::Error::new("read job file", &file))?;
+    if let Some(map) = body.as_object_mut() {
+        if let Some(job) = job {
+            map.insert("job".to_owned(), job.into());
+        } else if !map.contains_key("job") {
+            let job = id::JobId::mint(&name::Name::new(&zone)).to_string();
+            map.insert("job".to_owned(), job.into());
+        }
+    }
+    let answer = remote.post("/v1/jobs", body.to_string().as_bytes())?;
+    println!("{}", answer.body);
+    Ok(state_code(&answer))
+}
+
+/// The exit code for the state of a job.
+fn state_code(answer: &remote::Answer) -> process::ExitCode {
+    const FAILED: u8 = 1;
+    const NOT_RUN: u8 = 3;
+    const UNKNOWN: u8 = 4;
+    let code = match answer.json()["state"].as_str() {
+        Some("complete" | "running") => 0,
+        Some("failed") => FAILED,
+        Some("not_run") => NOT_RUN,
+        _ => UNKNOWN,
+    };
+    process::ExitCode::from(code)
+}
+
+fn job(mut arguments: Arguments) -> Ended {
+    let remote = remote::Remote::new(&required(&mut arguments, "--to")?);
+    let action = free(&mut arguments, "show|cancel")?;
+    let job = free(&mut arguments, "ID")?;
+    finish(arguments)?;
+    let path = format!("/v1/jobs/{job}");
+    let answer = match action.as_str() {
+        "show" => remote.get(&path)?,
+        "cancel" => remote.delete(&path)?,
+        _ => {
+            return Err(error_stack::Report::new(error::Error::new(
+                "unknown action",
+                action,
+            )));
+        }
+    };
+    println!("{}", answer.body);
+    Ok(state_code(&answer))
+}
+
+fn settings(mut arguments: Arguments) -> Ended {
+    let remote = remote::Remote::new(&required(&mut arguments, "--to")?);
+    let base: Option<u64> = arguments
+        .opt_value_from_str("--base")
+        .change_context_lazy(|| error::Error::new("read argument", "--base"))?;
+    let change: String = option(&mut arguments, "--change", uuid::Uuid::now_v7().to_string())?;
+    let action = free(&mut arguments, "get|set|log")?;
+    let answer = match action.as_str() {
+        "get" => {
+            let path = arguments
+                .opt_free_from_str::<String>()
+                .ok()
+                .flatten()
+                .unwrap_or_default();
+            finish(arguments)?;
+            remote.get(&format!("/v1/settings/{}", path.trim_matches('/')))?
+        }
+        "set" => {
+            let path = free(&mut arguments, "PATH")?;
+            let json = free(&mut arguments, "JSON")?;
+            finish(arguments)?;
+            let values: Value = serde_json::from_str(&json)
+                .change_context_lazy(|| error::Error::new("read JSON", &json))?;
+            let body = serde_json::json!({"base": base, "change": change, "values": values});
+            let path = format!("/v1/settings/{}", path.trim_matches('/'));
+            remote.put(&path, body.to_string().as_bytes())?
+        }
+        "log" => {
+            finish(arguments)?;
+            remote.get("/v1/changes")?
+        }
+        _ => {
+            return Err(error_stack::Report::new(error::Error::new(
+                "unknown action",
+                action,
+            )));
+        }
+    };
+    println!("{}", answer.body);
+    Ok(plain_code(&answer))
+}
+
+fn plain_code(answer: &remote::Answer) -> process::ExitCode {
+    if answer.status == 200 {
+        process::ExitCode::SUCCESS
+    } else {
+        state_code(answer)
+    }
+}
+
+fn show_status(mut arguments: Arguments) -> Ended {
+    let remote = remote::Remote::new(&required(&mut arguments, "--to")?);
+    let json = arguments.contains("--json");
+    finish(arguments)?;
+    let answer = remote.get("/v1/status")?;
+    if json || answer.status != 200 {
+        println!("{}", answer.body);
+    } else {
+        print!("{}", status::text(&answer.json()));
+    }
+    Ok(plain_code(&answer))
+}
+
+fn run_load(mut arguments: Arguments) -> Ended {
+    let options = load::options(&mut arguments)?;
+    finish(arguments)?;
+    println!("{}", load::run(&options)?);
+    Ok(process::ExitCode::SUCCESS)
+}
+
+fn upstream(mut arguments: Arguments) -> Ended {
+    let options = upstream_options(&mut arguments)?;
+    finish(arguments)?;
+    let ended = signals()?;
+    let fault = || error::Error::new("start runtime of", "the upstream");
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .change_context_lazy(fault)?;
+    let upstream = standin::Standin::start(options, &sync::Arc::new(runtime))?;
+    println!("{}", upstream.address());
+    upstream.announce(|| ended.load(atomic::Ordering::Relaxed));
+    upstream.drain();
+    Ok(process::ExitCode::SUCCESS)
+}
+
+fn upstream_options(arguments: &mut Arguments) -> error::Result<standin::Options> {
+    let fault = |key: &'static str| move || error::Error::new("read argument", key);
+    let to = required(arguments, "--to")?;
+    let mode: String = option(arguments, "--mode", "answer".to_owned())?;
+    let mode = match mode.as_str() {
+        "answer" => standin::Mode::Answer,
+        "fail" => standin::Mode::Fail,
+        "hang" => standin::Mode::Hang,
+        "refuse" => standin::Mode::Refuse,
+        _ => {
+            return Err(error_stack::Report::new(error::Error::new(
+                "unknown mode",
+                mode,
+            )));
+        }
+    };
+    let cores = arguments
+        .opt_value_from_str("--cores")
+        .change_context_lazy(fault("--cores"))?;
+    let memory = arguments
+        .opt_value_from_str("--memory-mb")
+        .change_context_lazy(fault("--memory-mb"))?;
+    let accelerators = arguments
+        .opt_value_from_str("--accelerators")
+        .change_context_lazy(fault("--accelerators"))?;
+    Ok(standin::Options {
+        name: option(arguments, "--name", "u1".to_owned())?,
+        service: option(arguments, "--service", "polish-board".to_owned())?,
+        zone: option(arguments, "--zone", "west".to_owned())?,
+        listen: option(
+            arguments,
+            "--listen",
+            net::SocketAddr::from(([127, 0, 0, 1], 0)),
+        )?,
+        to: to.split(',').map(str::to_owned).collect(),
+        slots: option(arguments, "--slots", 8)?,
+        time: time::Duration::from_millis(option(arguments, "--service-ms", 50)?),
+        tail: option(arguments, "--tail", 0)?,
+        mode,
+        log: arguments
+            .opt_value_from_str("--log")
+            .change_context_lazy(fault("--log"))?,
+        room: (cores, memory, accelerators),
+    })
+}
--- /dev/null
+++ b/crates/apricotroute/src/control.rs
@@ -0,0 +1,488 @@
+//! The control thread: it alone owns the core. Everybody else talks to it through a bounded
+//! channel and hears of state through a [`View`].
+
+use std::{collections, sync, sync::atomic, thread, time};
+
+use coord::{
+    core::{self, Event, Output, Reply},
+    group, message, queue,
+    time::Now,
+};
+use link::{metric, peer, pool, span, task, trace};
+use state::{name, tree};
+
+use crate::store;
+
+/// Inputs that wait for the control thread at most.
+const INPUTS: usize = 65_536;
+/// Inputs taken before outputs are sent.
+const BATCH: usize = 512;
+/// Most calls to upstreams at a time.
+pub const MAX_CALLS: usize = 2_048;
+
+/// Takes the reply to a ticket. It runs on the control thread and must not block.
+pub type ReplyFn = Box<dyn FnOnce(Reply) + Send>;
+type Inspect = Box<dyn FnOnce(&core::Core, Now) + Send>;
+
+enum Input {
+    Event(Event),
+    Ask(core::Ticket, Event, ReplyFn),
+    Inspect(Inspect),
+}
+
+/// What other threads may read without asking.
+#[derive(Debug, Default)]
+pub struct View {
+    tree: sync::RwLock<sync::Arc<tree::Tree>>,
+    ready: atomic::AtomicBool,
+    drained: atomic::AtomicBool,
+}
+
+impl View {
+    /// The settings tree in force here.
+    pub fn tree(&self) -> sync::Arc<tree::Tree> {
+        match self.tree.read() {
+            Ok(tree) => sync::Arc::clone(&tree),
+            Err(poisoned) => sync::Arc::clone(&poisoned.into_inner()),
+        }
+    }
+
+    /// Whether the instance can serve.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Whether everything in progress has ended after a drain.
+    pub fn is_drained(&self) -> bool {
+        self.drained.load(atomic::Ordering::Relaxed)
+    }
+
+    fn set_tree(&self, tree: &tree::Tree) {
+        if let Ok(mut held) = self.tree.write() {
+            *held = sync::Arc::new(tree.clone());
+        }
+    }
+}
+
+/// A handle on the control thread.
+#[derive(Clone, Debug)]
+pub struct Control {
+    sender: crossbeam_channel::Sender<Input>,
+    tickets: sync::Arc<atomic::AtomicU64>,
+    view: sync::Arc<View>,
+    clock: Clock,
+}
+
+/// The clocks of this process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: time::Instant,
+}
+
+impl Clock {
+    /// Monotonic time counts from here.
+    pub fn new() -> Self {
+        Self {
+            start: time::Instant::now(),
+        }
+    }
+
+    /// Both clocks now.
+    pub fn now(&self) -> Now {
+        let wall = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+        Now::new(self.mono(), wall.map_or(0, |wall| wall.as_millis() as u64))
+    }
+
+    /// The monotonic clock, microseconds. It never reads 0.
+    pub fn mono(&self) -> u64 {
+        self.start.elapsed().as_micros() as u64 + 1
+    }
+}
+
+/// What the control thread works with.
+#[derive(Debug)]
+pub struct Parts {
+    /// What the instance is.
+    pub config: core::Config,
+    /// What it had stored.
+    pub recovered: group::Recovered,
+    /// Streams to the other instances.
+    pub outbox: peer::Outbox,
+    /// The data folder, if there is one.
+    pub store: Option<store::Store>,
+    /// Threads for calls to upstreams.
+    pub pool: sync::Arc<pool::Pool>,
+    /// Where spans go.
+    pub spans: span::Spans,
+    /// Where logs go.
+    pub log: slog::Logger,
+}
+
+/// The channel to a control thread that does not run yet.
+#[derive(Debug)]
+pub struct Channel {
+    receiver: crossbeam_channel::Receiver<Input>,
+}
+
+impl Control {
+    /// A handle and the channel that the thread is to be started with.
+    pub fn new(clock: Clock) -> (Self, Channel) {
+        let (sender, receiver) = crossbeam_channel::bounded(INPUTS);
+        let (tickets, view) = (sync::Arc::default(), sync::Arc::default());
+        (
+            Self {
+                sender,
+                tickets,
+                view,
+                clock,
+            },
+            Channel { receiver },
+        )
+    }
+
+    /// Starts the thread.
+    pub fn start(&self, channel: Channel, parts: Parts) {
+        let control = self.clone();
+        let run = move || Thread::new(control, channel, parts).run();
+        if let Err(e) = thread::Builder::new().name("control".to_owned()).spawn(run) {
+            eprintln!("control: no thread: {e}");
+        }
+    }
+
+    /// What may be read without asking.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Asks for something; gives the reply function back if the control thread is overwhelmed.
+    pub fn ask(
+        &self,
+        event: impl FnOnce(core::Ticket) -> Event,
+        reply: ReplyFn,
+    ) -> Result<(), ReplyFn> {
+        let ticket = self.tickets.fetch_add(1, atomic::Ordering::Relaxed);
+        match self
+            .sender
+            .try_send(Input::Ask(ticket, event(ticket), reply))
+        {
+            Ok(()) => Ok(()),
+            Err(e) => match e.into_inner() {
+                Input::Ask(_, _, reply) => Err(reply),
+                Input::Event(_) | Input::Inspect(_) => Ok(()),
+            },
+        }
+    }
+
+    /// Tells of something; false if the control thread is overwhelmed.
+    pub fn offer(&self, event: Event) -> bool {
+        self.sender.try_send(Input::Event(event)).is_ok()
+    }
+
+    /// Tells of something that must not be lost; waits if the control thread is overwhelmed.
+    pub fn tell(&self, event: Event) {
+        // The channel is open as long as the process runs.
+        drop(self.sender.send(Input::Event(event)));
+    }
+
+    /// Runs `read` on the core and waits for what it gives.
+    pub fn inspect<T: Send + 'static>(
+        &self,
+        read: impl FnOnce(&core::Core, Now) -> T + Send + 'static,
+    ) -> Option<T> {
+        const PATIENCE: time::Duration = time::Duration::from_secs(2);
+        let (sender, receiver) = crossbeam_channel::bounded(1);
+        let inspect: Inspect = Box::new(move |core, now| drop(sender.send(read(core, now))));
+        self.sender.try_send(Input::Inspect(inspect)).ok()?;
+        receiver.recv_timeout(PATIENCE).ok()
+    }
+}
+
+impl peer::Inbox for Inbox {
+    fn deliver(&self, from: &name::Name, body: bytes::Bytes) -> bool {
+        let Ok(body) = postcard::from_bytes::<message::Body>(&body) else {
+            return false;
+        };
+        self.control.offer(Event::Peer(from.clone(), body));
+        true
+    }
+
+    fn knows(&self, name: &name::Name) -> bool {
+        self.known.contains(name)
+    }
+}
+
+/// Hands messages of other instances to the control thread.
+#[derive(Debug)]
+pub struct Inbox {
+    /// The control thread.
+    pub control: Control,
+    /// The other instances.
+    pub known: collections::BTreeSet<name::Name>,
+}
+
+struct Thread {
+    control: Control,
+    receiver: crossbeam_channel::Receiver<Input>,
+    core: core::Core,
+    replies: collections::HashMap<core::Ticket, ReplyFn>,
+    batches: collections::BTreeMap<name::Name, Vec<bytes::Bytes>>,
+    saves: store::Saves,
+    outbox: peer::Outbox,
+    store: Option<crossbeam_channel::Sender<store::Saves>>,
+    pool: sync::Arc<pool::Pool>,
+    caller: task::Caller,
+    spans: span::Spans,
+    log: slog::Logger,
+    seen: Seen,
+}
+
+/// What was logged last.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Seen {
+    ready: bool,
+    members: String,
+    journal: String,
+    settings: String,
+    ejections: u64,
+    expelled: u64,
+}
+
+impl Thread {
+    fn new(control: Control, channel: Channel, parts: Parts) -> Self {
+        let now = control.clock.now();
+        let core = core::Core::new(parts.config, parts.recovered, now);
+        control.view.set_tree(core.tree());
+        let report = control.clone();
+        let saved = move |number| report.tell(Event::Saved(number));
+        let store = parts.store.map(|store| store.run(parts.log.clone(), saved));
+        Self {
+            control,
+            receiver: channel.receiver,
+            core,
+            replies: collections::HashMap::new(),
+            batches: collections::BTreeMap::new(),
+            saves: Vec::new(),
+            outbox: parts.outbox,
+            store,
+            pool: parts.pool,
+            caller: task::Caller::new(),
+            spans: parts.spans,
+            log: parts.log,
+            seen: Seen::default(),
+        }
+    }
+
+    fn run(mut self) {
+        const TICK: time::Duration = time::Duration::from_micros(core::TICK);
+        let mut tick = time::Instant::now();
+        loop {
+            let wait = tick.saturating_duration_since(time::Instant::now());
+            match self.receiver.recv_timeout(wait) {
+                Ok(input) => {
+                    self.take(input);
+                    for _ in 0..BATCH {
+                        let Ok(input) = self.receiver.try_recv() else {
+                            break;
+                        };
+                        self.take(input);
+                    }
+                }
+                Err(crossbeam_channel::RecvTimeoutError::Timeout) => {}
+                Err(crossbeam_channel::RecvTimeoutError::Disconnected) => return,
+            }
+            if time::Instant::now() >= tick {
+                tick = time::Instant::now() + TICK;
+                self.take(Input::Event(Event::Tick));
+                self.observe();
+            }
+            self.flush();
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        let now = self.control.clock.now();
+        let event = match input {
+            Input::Event(event) => event,
+            Input::Ask(ticket, event, reply) => {
+                self.replies.insert(ticket, reply);
+                event
+            }
+            Input::Inspect(inspect) => return inspect(&self.core, now),
+        };
+        for output in self.core.handle(event, now) {
+            self.put(output);
+        }
+    }
+
+    fn put(&mut self, output: Output) {
+        match output {
+            Output::Send(to, body) => self.send(to, &body),
+            Output::Save(number, save) => self.saves.push((number, save)),
+            Output::Start(start) => self.start(start),
+            Output::Stop(stop) => self.stop(stop),
+            Output::Reply(ticket, reply) => {
+                if let Some(waiting) = self.replies.remove(&ticket) {
+                    waiting(reply);
+                }
+            }
+            Output::Settings => self.control.view.set_tree(self.core.tree()),
+            Output::Drained => self
+                .control
+                .view
+                .drained
+                .store(true, atomic::Ordering::Relaxed),
+        }
+    }
+
+    fn send(&mut self, to: name::Name, body: &message::Body) {
+        let bytes = coord::machine::encode(body);
+        metric::count_message(body.kind(), bytes.len());
+        self.batches.entry(to).or_default().push(bytes);
+    }
+
+    fn flush(&mut self) {
+        for (to, bodies) in std::mem::take(&mut self.batches) {
+            self.outbox.send(&to, bodies);
+        }
+        if !self.saves.is_empty() {
+            let saves = std::mem::take(&mut self.saves);
+            if let Some(store) = &self.store {
+                // A store that stopped is never heard of again, which is what its voter needs.
+                drop(store.send(saves));
+            }
+        }
+    }
+
+    fn start(&mut self, start: core::Start) {
+        let (control, caller) = (self.control.clone(), self.caller.clone());
+        let spans = self.spans.clone();
+        self.pool.run(move || {
+            let done = call(&caller, &spans, control.clock, start);
+            control.tell(Event::Done(done));
+        });
+    }
+
+    fn stop(&self, stop: core::Stop) {
+        let caller = self.caller.clone();
+        self.pool
+            .run(move || caller.stop(stop.address.as_str(), &task_id(&stop.task)));
+    }
+
+    /// Publishes and logs what has changed.
+    fn observe(&mut self) {
+        let ready = self.core.is_ready();
+        self.control
+            .view
+            .ready
+            .store(ready, atomic::Ordering::Relaxed);
+        let seen = Seen {
+            ready,
+            members: self.core.members().join(" "),
+            journal: self.core.journal_leader(),
+            settings: self.core.settings_leader(),
+            ejections: self.core.fleet().ejections(),
+            expelled: self.core.counts().expelled,
+        };
+        if seen == self.seen {
+            return;
+        }
+        let former = std::mem::replace(&mut self.seen, seen);
+        let seen = &self.seen;
+        if former.ready != seen.ready {
+            slog::info!(self.log, "control: Readiness changed."; "ready" => seen.ready);
+        }
+        if former.members != seen.members {
+            slog::info!(self.log, "journal: Members changed."; "members" => &seen.members);
+        }
+        if former.journal != seen.journal {
+            slog::info!(self.log, "journal: Leader changed."; "leader" => &seen.journal);
+        }
+        if former.settings != seen.settings {
+            slog::info!(self.log, "settings: Leader changed."; "leader" => &seen.settings);
+        }
+        if former.expelled < seen.expelled {
+            slog::warn!(self.log, "journal: Expelled a silent instance.");
+        }
+        if former.ejections < seen.ejections {
+            slog::warn!(
+                self.log,
+                "upstreams: Ejected one that fails what it starts."
+            );
+        }
+    }
+}
+
+/// Calls an upstream, unless the lease is over by now.
+fn call(
+    caller: &task::Caller,
+    spans: &span::Spans,
+    clock: Clock,
+    start: core::Start,
+) -> core::Done {
+    let began = time::SystemTime::now();
+    let parent = start.trace.as_str().parse::<trace::Context>().ok();
+    let context = parent.map_or_else(trace::Context::new, |parent| parent.child());
+    let now = clock.mono();
+    let left = time::Duration::from_micros(start.deadline.saturating_sub(now));
+    let finish = if now >= start.lease || left.is_zero() {
+        core::Finish::Unsent
+    } else {
+        let task = task::Task {
+            address: start.address.to_string(),
+            id: task_id(&start.task),
+            body: start.body,
+            content: start.content.to_string(),
+            left,
+            span: context,
+        };
+        finish(caller.start(&task))
+    };
+    spans.record(span::Span {
+        context,
+        parent,
+        name: "task",
+        side: span::Side::Client,
+        start: began,
+        notes: vec![
+            ("task", task_id(&start.task)),
+            ("upstream", start.upstream.to_string()),
+            ("end", end_name(&finish).to_owned()),
+        ],
+    });
+    let took = clock.mono() - now;
+    let (task, attempt, upstream) = (start.task, start.attempt, start.upstream);
+    core::Done {
+        task,
+        attempt,
+        upstream,
+        took,
+        finish,
+    }
+}
+
+fn finish(end: task::End) -> core::Finish {
+    match end {
+        task::End::Answer(body, content) => {
+            let content = name::Name::new(&content);
+            core::Finish::Answer(message::Answer { body, content })
+        }
+        task::End::NotRun => core::Finish::Full,
+        task::End::Unreached(_) => core::Finish::Unreached,
+        task::End::Failed(why) => core::Finish::Failed(why),
+    }
+}
+
+fn end_name(finish: &core::Finish) -> &'static str {
+    match finish {
+        core::Finish::Answer(_) => "answer",
+        core::Finish::Full => "full",
+        core::Finish::Unreached => "unreached",
+        core::Finish::Unsent => "unsent",
+        core::Finish::Failed(_) => "failed",
+    }
+}
+
+/// `JOB/INDEX`.
+pub fn task_id(task: &queue::Task) -> String {
+    format!("{}/{}", task.job, task.index)
+}
--- /dev/null
+++ b/crates/apricotroute/src/instance.rs
@@ -0,0 +1,192 @@
+//! One running instance: listeners, streams, the control thread and their end.
+
+use std::{collections, sync, thread, time};
+
+use coord::{core::Event, member};
+use error_stack::ResultExt as _;
+use link::{http, metric, peer, pool, span};
+use state::boot;
+
+use crate::{client, control, error, operator, status, store};
+
+/// Threads of the runtime under the listeners and streams.
+const RUNTIME_THREADS: usize = 2;
+/// Most threads that read and write JSON.
+const MAX_READERS: usize = 32;
+
+/// A running instance.
+#[derive(Debug)]
+pub struct Instance {
+    runtime: tokio::runtime::Runtime,
+    control: control::Control,
+    client: http::Listener,
+    operator: http::Listener,
+    spans: span::Spans,
+    log: slog::Logger,
+    drain: time::Duration,
+}
+
+impl Instance {
+    /// Starts an instance.
+    pub fn start(boot: &boot::Boot, log: slog::Logger) -> error::Result<Self> {
+        let fault = |step| error::Error::new(step, &boot.instance);
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(RUNTIME_THREADS)
+            .thread_name("traffic")
+            .enable_all()
+            .build()
+            .change_context_lazy(|| fault("start runtime of"))?;
+        let spans = match &boot.traces.file {
+            Some(path) => span::Spans::to_file(path, boot.instance.as_str())
+                .change_context_lazy(|| fault("open spans of"))?,
+            None => span::Spans::none(),
+        };
+        let life = u64::from(rand::random::<u32>().max(1));
+        let store = open_store(boot, life, &log)?;
+        let (control, channel) = control::Control::new(control::Clock::new());
+        let config = config(boot, life, store.as_ref());
+        let known = boot
+            .peers
+            .iter()
+            .map(|peer| peer.instance.clone())
+            .collect();
+        let inbox = sync::Arc::new(control::Inbox {
+            control: control.clone(),
+            known,
+        });
+        peer::Server::open(&runtime, boot.peer, &boot.instance, inbox)
+            .change_context_lazy(|| fault("start"))?;
+        let mut outbox = peer::Outbox::new();
+        for peer in &boot.peers {
+            outbox = outbox.with_peer(&runtime, &boot.instance, &peer.instance, peer.peer);
+        }
+        let calls = sync::Arc::new(pool::Pool::new("task", control::MAX_CALLS));
+        let readers = sync::Arc::new(pool::Pool::new("reader", MAX_READERS));
+        let recovered = store
+            .as_ref()
+            .map(store::Store::recovered)
+            .unwrap_or_default();
+        let parts = control::Parts {
+            config,
+            recovered,
+            outbox,
+            store,
+            pool: calls,
+            spans: spans.clone(),
+            log: log.clone(),
+        };
+        control.start(channel, parts);
+        if let Ok(metrics) = metric::Metrics::new() {
+            status::watch(metric::install(metrics), &control);
+        }
+        let client = client::Client {
+            instance: boot.instance.clone(),
+            zone: boot.zone.clone(),
+            control: control.clone(),
+            pool: sync::Arc::clone(&readers),
+            spans: spans.clone(),
+        };
+        let client = http::Listener::open(&runtime, boot.client, sync::Arc::new(client))
+            .change_context_lazy(|| fault("start"))?;
+        let (instance, pool) = (boot.instance.clone(), readers);
+        let operator = operator::Operator {
+            instance,
+            control: control.clone(),
+            pool,
+        };
+        let operator = http::Listener::open(&runtime, boot.operator, sync::Arc::new(operator))
+            .change_context_lazy(|| fault("start"))?;
+        slog::info!(log, "instance: Started.";
+            "client" => %client.address(), "operator" => %operator.address(), "life" => life);
+        let drain = time::Duration::from_millis(boot.drain_ms);
+        Ok(Self {
+            runtime,
+            control,
+            client,
+            operator,
+            spans,
+            log,
+            drain,
+        })
+    }
+
+    /// Where clients and upstreams reach it.
+    pub fn client(&self) -> std::net::SocketAddr {
+        self.client.address()
+    }
+
+    /// Where operators reach it.
+    pub fn operator(&self) -> std::net::SocketAddr {
+        self.operator.address()
+    }
+
+    /// Ends gracefully: everything in progress is finished and answered first.
+    pub fn stop(self) {
+        const STEP: time::Duration = time::Duration::from_millis(10);
+        const FAREWELL: time::Duration = time::Duration::from_secs(2);
+        slog::info!(self.log, "instance: Draining.");
+        self.control.tell(Event::Drain);
+        let until = time::Instant::now() + self.drain;
+        while !self.control.view().is_drained() && time::Instant::now() < until {
+            thread::sleep(STEP);
+        }
+        if !self.control.view().is_drained() {
+            let cut = self
+                .control
+                .inspect(|core, _| core.in_progress())
+                .unwrap_or_default();
+            slog::warn!(self.log, "instance: Drain bound reached."; "cut" => cut.join(" "));
+        }
+        self.client.close();
+        self.operator.close();
+        let until = time::Instant::now() + FAREWELL;
+        while self.client.connections() > 0 && time::Instant::now() < until {
+            thread::sleep(STEP);
+        }
+        // Let the last messages to the other instances leave.
+        thread::sleep(STEP * 5);
+        self.spans.flush();
+        slog::info!(self.log, "instance: Stopped.");
+        self.runtime.shutdown_background();
+    }
+}
+
+fn open_store(
+    boot: &boot::Boot,
+    life: u64,
+    log: &slog::Logger,
+) -> error::Result<Option<store::Store>> {
+    let Some(folder) = &boot.folder else {
+        return Ok(None);
+    };
+    let store = store::Store::open(folder, &boot.instance, life)?;
+    if store.torn > 0 {
+        slog::warn!(log, "store: Cut an unfinished write."; "bytes" => store.torn);
+    }
+    slog::info!(log, "store: Opened."; "life" => store.life, "entries" => store.entries());
+    Ok(Some(store))
+}
+
+fn config(boot: &boot::Boot, life: u64, store: Option<&store::Store>) -> coord::core::Config {
+    let me = member::Instance {
+        name: boot.instance.clone(),
+        zone: boot.zone.clone(),
+        disk: boot.folder.is_some(),
+    };
+    let peers = boot.peers.iter().map(|peer| member::Instance {
+        name: peer.instance.clone(),
+        zone: peer.zone.clone(),
+        disk: peer.disk,
+    });
+    let all: collections::BTreeSet<_> = peers.chain([me.clone()]).collect();
+    let disk = store.map(|store| store.life);
+    let (all, trial, seed) = (all.into_iter().collect(), boot.trial, rand::random());
+    coord::core::Config {
+        me,
+        life,
+        disk,
+        all,
+        trial,
+        seed,
+    }
+}
--- /dev/null
+++ b/crates/apricotroute/src/logs.rs
@@ -0,0 +1,37 @@
+//! Structured logs.
+
+use std::io;
+
+use slog::Drain as _;
+use state::boot;
+
+/// A logger for the given settings, and the guard that writes out the rest when dropped.
+pub fn logger(log: &boot::Log, instance: &str) -> (slog::Logger, slog_async::AsyncGuard) {
+    let level = match log.level {
+        boot::Level::Error => slog::Level::Error,
+        boot::Level::Warning => slog::Level::Warning,
+        boot::Level::Info => slog::Level::Info,
+        boot::Level::Debug => slog::Level::Debug,
+    };
+    let (drain, guard) = match log.form {
+        boot::Form::Json => {
+            let json = slog_json::Json::new(io::stderr())
+                .add_default_keys()
+                .build();
+            slog_async::Async::new(json.fuse()).build_with_guard()
+        }
+        boot::Form::Text => {
+            let plain = slog_term::PlainSyncDecorator::new(io::stderr());
+            let text = slog_term::FullFormat::new(plain).build();
+            slog_async::Async::new(text.fuse()).build_with_guard()
+        }
+    };
+    let drain = slog::LevelFilter::new(drain, level).fuse();
+    let logger = slog::Logger::root(drain, slog::o!("instance" => instance.to_owned()));
+    (logger, guard)
+}
+
+/// A logger that drops everything.
+pub fn none() -> slog::Logger {
+    slog::Logger::root(slog::Discard, slog::o!())
+}
--- /dev/null
+++ b/crates/apricotroute/src/main.rs
@@ -0,0 +1,22 @@
+//! The `apricotroute` command: one binary for instances, operators, trials and tests.
+
+mod cli;
+mod client;
+mod control;
+mod demo;
+mod error;
+mod instance;
+mod load;
+mod logs;
+mod operator;
+mod remote;
+mod reply;
+mod standin;
+mod status;
+mod store;
+
+use std::process;
+
+fn main() -> process::ExitCode {
+    cli::run(std::env::args_os().skip(1).collect())
+}
--- /dev/null
+++ b/crates/apricotroute/src/operator.rs
@@ -0,0 +1,226 @@
+//! The operator side: settings, status, health and metrics.
+
+use std::sync;
+
+use coord::core::{Event, Reply};
+use link::{
+    http::{self, Request, Responder, Response},
+    metric, pool,
+};
+use serde_json::{Map, Value, json};
+use state::{name, tree};
+
+use crate::{client, control, reply};
+
+/// Answers operators.
+#[derive(Clone, Debug)]
+pub struct Operator {
+    /// Name of the instance.
+    pub instance: name::Name,
+    /// The control thread.
+    pub control: control::Control,
+    /// Threads that read and write JSON.
+    pub pool: sync::Arc<pool::Pool>,
+}
+
+impl http::Handler for Operator {
+    fn handle(&self, request: Request, responder: Responder) {
+        let operator = self.clone();
+        self.pool.run(move || operator.route(&request, responder));
+    }
+
+    fn fault(&self, fault: http::Fault) -> Response {
+        reply::fault(fault, self.instance.as_str())
+    }
+}
+
+impl Operator {
+    fn route(&self, request: &Request, responder: Responder) {
+        let path = request.path.as_str();
+        let settings = path.strip_prefix("/v1/settings");
+        match (request.method.as_str(), path) {
+            ("GET", "/healthz") => responder.send(Response::text(200, "alive\n")),
+            ("GET", "/readyz") => responder.send(client::readiness(&self.control)),
+            ("GET", "/metrics") => responder.send(metrics()),
+            ("GET", "/v1/status") => responder.send(self.status()),
+            ("GET", "/v1/changes") => responder.send(self.changes()),
+            ("GET", _) if settings.is_some() => {
+                responder.send(self.show(settings.unwrap_or_default()));
+            }
+            ("PUT", _) if settings.is_some() => {
+                self.change(settings.unwrap_or_default(), request, responder);
+            }
+            _ if settings.is_some() => {
+                responder.send(self.bad(405, "find route", "the path takes no such method"));
+            }
+            _ => responder.send(self.bad(404, "find route", "no such path")),
+        }
+    }
+
+    fn bad(&self, status: u16, step: &str, why: &str) -> Response {
+        reply::bad(status, step, why, self.instance.as_str())
+    }
+
+    fn status(&self) -> Response {
+        match self.control.inspect(coord::Core::status) {
+            Some(status) => Response::json(200, serde_json::to_vec(&status).unwrap_or_default()),
+            None => reply::overwhelmed(self.instance.as_str()),
+        }
+    }
+
+    fn show(&self, path: &str) -> Response {
+        let path = path.trim_matches('/');
+        if let Some(why) = tree::path_fault(path) {
+            return self.bad(400, "read path", why);
+        }
+        let tree = self.control.view().tree();
+        let Some(effective) = tree.effective(path) else {
+            return self.bad(404, "read settings", &format!("{path} was never set"));
+        };
+        let mut values = Map::new();
+        let mut from = Map::new();
+        for (key, found) in effective {
+            values.insert(key.to_owned(), found.value);
+            let origin = if found.origin.is_empty() {
+                "/".to_owned()
+            } else {
+                found.origin
+            };
+            from.insert(key.to_owned(), origin.into());
+        }
+        let version = tree.version();
+        let body = json!({"path": path, "version": version, "values": values, "from": from});
+        Response::json(200, body.to_string())
+    }
+
+    fn changes(&self) -> Response {
+        let tree = self.control.view().tree();
+        let line = |record: &tree::Record| {
+            let (outcome, version) = match record.outcome {
+                tree::Outcome::Accepted(version) => ("accepted", version),
+                tree::Outcome::Conflict(version) => ("conflict", version),
+            };
+            let values: Value = serde_json::from_str(&record.change.values).unwrap_or_default();
+            json!({
+                "change": record.change.change.to_string(),
+                "path": record.change.path.as_str(),
+                "base": record.change.base,
+                "values": values,
+                "outcome": outcome,
+                "version": version,
+            })
+        };
+        let list: Vec<_> = tree.records().map(line).collect();
+        Response::json(
+            200,
+            json!({"version": tree.version(), "changes": list}).to_string(),
+        )
+    }
+
+    fn change(&self, path: &str, request: &Request, responder: Responder) {
+        let change = match self.read_change(path, request) {
+            Ok(change) => change,
+            Err(response) => return responder.send(*response),
+        };
+        let peer = self.instance.clone();
+        let respond: control::ReplyFn = Box::new(move |reply| {
+            responder.send(changed(&reply, peer.as_str()));
+        });
+        if let Err(respond) = self
+            .control
+            .ask(|ticket| Event::Change(ticket, change), respond)
+        {
+            respond(Reply::Untold("the instance has too much to do".to_owned()));
+        }
+    }
+
+    fn read_change(&self, path: &str, request: &Request) -> Result<tree::Change, Box<Response>> {
+        const LARGEST: usize = 64 << 10;
+        let bad = |status, step: &str, why: &str| Box::new(self.bad(status, step, why));
+        let path = path.trim_matches('/');
+        if let Some(why) = tree::path_fault(path) {
+            return Err(bad(400, "read path", why));
+        }
+        if request.body.len() > LARGEST {
+            return Err(bad(413, "read change", "the change is too large"));
+        }
+        let body = proto::json::Change::parse(&request.body)
+            .map_err(|e| bad(400, e.step(), &e.to_string()))?;
+        let change = match body.change.as_deref() {
+            None => uuid::Uuid::now_v7(),
+            Some(text) => uuid::Uuid::try_parse(text)
+                .map_err(|e| bad(400, "read change", &format!("change: {e}")))?,
+        };
+        let faults = tree::value_faults(&body.values);
+        if !faults.is_empty() {
+            return Err(Box::new(self.refuse_values(&faults)));
+        }
+        let values = Value::Object(body.values).to_string();
+        Ok(tree::Change {
+            change,
+            base: body.base,
+            path: name::Name::new(path),
+            values,
+        })
+    }
+
+    /// A refusal that names every bad key.
+    fn refuse_values(&self, faults: &[(String, String)]) -> Response {
+        let list: Vec<_> = faults
+            .iter()
+            .map(|(key, why)| format!("{key}: {why}"))
+            .collect();
+        let keys: Map<String, Value> = faults
+            .iter()
+            .map(|(key, why)| (key.clone(), why.clone().into()))
+            .collect();
+        let body = json!({
+            "state": reply::NOT_RUN,
+            "error": list.join("; "),
+            "step": "check settings",
+            "peer": self.instance.as_str(),
+            "keys": keys,
+        });
+        Response::json(422, body.to_string())
+    }
+}
+
+fn changed(reply: &Reply, peer: &str) -> Response {
+    match reply {
+        Reply::Changed(tree::Outcome::Accepted(version)) => {
+            Response::json(200, json!({"version": version}).to_string())
+        }
+        Reply::Changed(tree::Outcome::Conflict(version)) => {
+            let body = json!({
+                "state": reply::NOT_RUN,
+                "error": "another change came first",
+                "step": "change settings",
+                "peer": peer,
+                "version": version,
+            });
+            Response::json(409, body.to_string())
+        }
+        Reply::Untold(why) => {
+            let (state, step) = (reply::UNKNOWN, "change settings");
+            reply::Fail {
+                status: 503,
+                state,
+                error: why,
+                step,
+                peer,
+                retry_ms: 0,
+            }
+            .response()
+        }
+        Reply::Verdict(_) | Reply::Cancelled | Reply::Lease(_) | Reply::Withdrawn => {
+            Response::text(500, "no such reply\n")
+        }
+    }
+}
+
+fn metrics() -> Response {
+    let text = metric::metrics()
+        .map(metric::Metrics::text)
+        .unwrap_or_default();
+    Response::text(200, text)
+}
--- /dev/null
+++ b/crates/apricotroute/src/reply.rs
@@ -0,0 +1,208 @@
+//! Responses of the client and operator interfaces.
+
+use coord::message::{Answer, Refusal, Verdict};
+use link::http::{Fault, Response};
+use serde_json::value::RawValue;
+
+/// State of a submission, as the `State` header and the `state` key name it.
+const STATE: &str = "State";
+/// State of an answer to anything that starts no task.
+pub const NOT_RUN: &str = "not_run";
+/// State of an answer that cannot tell.
+pub const UNKNOWN: &str = "unknown";
+
+/// An error with the step and the peer at which it arose.
+#[derive(Clone, Debug)]
+pub struct Fail<'a> {
+    /// HTTP status.
+    pub status: u16,
+    /// `failed`, `not_run` or `unknown`.
+    pub state: &'static str,
+    /// What went wrong.
+    pub error: &'a str,
+    /// Step at which it did.
+    pub step: &'a str,
+    /// Instance at which it did.
+    pub peer: &'a str,
+    /// When to come back, milliseconds; 0 = it would not help.
+    pub retry_ms: u64,
+}
+
+impl Fail<'_> {
+    /// The response that says so.
+    pub fn response(&self) -> Response {
+        let retry = (self.retry_ms > 0).then_some(self.retry_ms);
+        let body = proto::json::Error {
+            state: self.state.to_owned(),
+            error: self.error.to_owned(),
+            step: self.step.to_owned(),
+            peer: self.peer.to_owned(),
+            retry_after_ms: retry,
+        };
+        let text = serde_json::to_vec(&body).unwrap_or_default();
+        let response = Response::json(self.status, text).with_header(STATE, self.state);
+        match retry {
+            Some(ms) => response.with_header("Retry-After", ms.div_ceil(1_000).to_string()),
+            None => response,
+        }
+    }
+}
+
+/// A malformed request.
+pub fn bad(status: u16, step: &str, error: &str, peer: &str) -> Response {
+    Fail {
+        status,
+        state: NOT_RUN,
+        error,
+        step,
+        peer,
+        retry_ms: 0,
+    }
+    .response()
+}
+
+/// The response to a request that never became whole.
+pub fn fault(fault: Fault, peer: &str) -> Response {
+    let (status, error) = match fault {
+        Fault::TooLarge => (413, "the body is too large"),
+        Fault::TooSlow => (408, "the body did not arrive in time"),
+        Fault::Broken => (400, "the body broke off"),
+        Fault::Crowded => (503, "too many bodies are being read"),
+    };
+    bad(status, "read body", error, peer)
+}
+
+/// The response when the control thread has more to do than it may put off.
+pub fn overwhelmed(peer: &str) -> Response {
+    const RETRY_MS: u64 = 200;
+    let error = "the instance has too much to do";
+    let (status, state, step) = (503, NOT_RUN, "queue request");
+    Fail {
+        status,
+        state,
+        error,
+        step,
+        peer,
+        retry_ms: RETRY_MS,
+    }
+    .response()
+}
+
+/// The response to a submission.
+pub fn verdict(verdict: &Verdict, job: &str, raw: bool, peer: &str) -> Response {
+    match verdict {
+        Verdict::Complete(answers) if raw => whole(answers),
+        Verdict::Complete(answers) => complete(answers, job),
+        Verdict::Running => {
+            let body = proto::json::Running {
+                state: "running",
+                job: job.to_owned(),
+            };
+            let text = serde_json::to_vec(&body).unwrap_or_default();
+            Response::json(202, text).with_header(STATE, "running")
+        }
+        Verdict::Failed { why, late } => {
+            let status = if *late { 504 } else { 502 };
+            let (state, step) = ("failed", "run job");
+            Fail {
+                status,
+                state,
+                error: why,
+                step,
+                peer,
+                retry_ms: 0,
+            }
+            .response()
+        }
+        Verdict::NotRun {
+            kind,
+            why,
+            retry_ms,
+        } => {
+            let (status, step) = (refusal_status(*kind), refusal_step(*kind));
+            let retry_ms = *retry_ms;
+            Fail {
+                status,
+                state: NOT_RUN,
+                error: why,
+                step,
+                peer,
+                retry_ms,
+            }
+            .response()
+        }
+        Verdict::Unknown { why } => {
+            let step = "find job";
+            Fail {
+                status: 503,
+                state: UNKNOWN,
+                error: why,
+                step,
+                peer,
+                retry_ms: 0,
+            }
+            .response()
+        }
+    }
+}
+
+fn refusal_status(kind: Refusal) -> u16 {
+    match kind {
+        Refusal::Malformed => 400,
+        Refusal::NoService | Refusal::NoJob => 404,
+        Refusal::Conflict => 409,
+        Refusal::TooLarge => 413,
+        Refusal::Impossible => 422,
+        Refusal::Quota => 429,
+        Refusal::Overload | Refusal::NoUpstream | Refusal::Draining | Refusal::Expired => 503,
+    }
+}
+
+fn refusal_step(kind: Refusal) -> &'static str {
+    match kind {
+        Refusal::Malformed | Refusal::TooLarge => "check job",
+        Refusal::NoService | Refusal::NoJob | Refusal::Conflict => "look up job",
+        Refusal::Impossible | Refusal::NoUpstream => "place job",
+        Refusal::Quota | Refusal::Overload | Refusal::Draining => "admit job",
+        Refusal::Expired => "queue job",
+    }
+}
+
+/// The upstream's answer to a request, as it came.
+fn whole(answers: &[Answer]) -> Response {
+    let answer = answers.first();
+    let body = answer.map(|answer| answer.body.clone()).unwrap_or_default();
+    let content = answer
+        .map(|answer| answer.content.to_string())
+        .unwrap_or_default();
+    let response = Response {
+        status: 200,
+        content,
+        headers: Vec::new(),
+        body,
+    };
+    response.with_header(STATE, "complete")
+}
+
+fn complete(answers: &[Answer], job: &str) -> Response {
+    let answers: Vec<_> = answers.iter().map(raw_json).collect();
+    let answers = answers.iter().map(AsRef::as_ref).collect();
+    let body = proto::json::Complete {
+        state: "complete",
+        job: job.to_owned(),
+        answers,
+    };
+    match serde_json::to_vec(&body) {
+        Ok(text) => Response::json(200, text).with_header(STATE, "complete"),
+        Err(e) => Response::text(500, e.to_string()),
+    }
+}
+
+/// An answer as JSON: as it is if it is JSON, else as a string.
+fn raw_json(answer: &Answer) -> Box<RawValue> {
+    if let Ok(raw) = serde_json::from_slice::<Box<RawValue>>(&answer.body) {
+        return raw;
+    }
+    let text = String::from_utf8_lossy(&answer.body);
+    serde_json::value::to_raw_value(&text).unwrap_or_else(|_| RawValue::NULL.to_owned())
+}
--- /dev/null
+++ b/crates/apricotroute/tests/whole_path.rs
@@ -0,0 +1,67 @@
+//! A job from submission to its whole answer, by separate processes.
+
+mod harness;
+
+use harness::{Plan, SERVICE, check::Answers, job, mint, post};
+use serde_json::json;
+
+#[test]
+fn large_job() {
+    let cluster = Plan::new(3).start();
+    cluster.create_service();
+    let upstreams = [
+        cluster.upstream("u1", "west", &[0], &[]),
+        cluster.upstream("u2", "west", &[1], &[]),
+    ];
+    cluster.wait_upstreams("west", 2);
+
+    let id = mint("west");
+    let spec = job(&id, 220, 20_000);
+    let (status, first) = cluster.submit(0, &spec);
+    assert_eq!(
+        (status, &first["state"]),
+        (200, &json!("complete")),
+        "{first}"
+    );
+    let mut answers = Answers::default();
+    answers.note(&id, 220, &first);
+
+    // The same id at another instance: the same answer, and no second start.
+    for at in [1, 2, 0] {
+        let (status, again) = cluster.submit(at, &spec);
+        assert_eq!(status, 200, "{again}");
+        assert_eq!(again["answers"], first["answers"]);
+        answers.note(&id, 220, &again);
+    }
+    let starts: usize = upstreams
+        .iter()
+        .map(|upstream| upstream.starts().len())
+        .sum();
+    assert_eq!(starts, 220);
+    answers.judge(&upstreams);
+
+    // Other content under the same id is another matter.
+    let (status, body) = cluster.submit(1, &job(&id, 3, 20_000));
+    assert_eq!((status, &body["state"]), (409, &json!("not_run")), "{body}");
+}
+
+#[test]
+fn all_requests() {
+    let cluster = Plan::new(1).start();
+    cluster.create_service();
+    let _upstream = cluster.upstream("u1", "west", &[0], &[]);
+    cluster.wait_upstreams("west", 1);
+    let to = cluster.nodes[0].client;
+    for idempotent in ["true", "false"] {
+        let response = ureq::post(format!("http://{to}/v1/requests/{SERVICE}"))
+            .header("Content-Type", "text/plain")
+            .header("Idempotent", idempotent)
+            .send("price: 7")
+            .unwrap();
+        assert_eq!(response.headers()["state"], "complete");
+        assert_eq!(response.headers()["content-type"], "text/plain");
+        assert_eq!(response.into_body().read_to_string().unwrap(), "price: 7");
+    }
+    let (status, body) = post(to, "/v1/requests/nowhere", &json!(1));
+    assert_eq!((status, &body["state"]), (404, &json!("not_run")));
+}
--- /dev/null
+++ b/crates/coord/src/core.rs
@@ -0,0 +1,905 @@
+//! The core: all decisions of one instance. Events go in with the time, effects come out.
+
+use std::collections;
+
+use rand::{SeedableRng as _, rngs};
+use state::{boot, id, name, table, tree, upstream};
+
+use crate::{
+    cache, calls, fleet, group,
+    job::Job,
+    machine,
+    member::{self, Instance},
+    message::{self, Body, Refusal, Spec, Verdict},
+    queue, raft, retry,
+    time::{self, Now},
+};
+
+/// An instance of the zone that was silent this long is expelled, microseconds. It must be longer
+/// than a lease by more than a message takes.
+pub const EXPEL: u64 = 1_500 * time::MS;
+/// Between two calls of [`Event::Tick`], microseconds.
+pub const TICK: u64 = 20 * time::MS;
+/// Between two messages about renewed upstream leases, microseconds.
+const RENEWALS: u64 = 250 * time::MS;
+/// Between two rounds of forgetting, microseconds.
+const PRUNE: u64 = 1_000 * time::MS;
+/// Forgetting waits this much longer than the retention, milliseconds.
+const PRUNE_MARGIN_MS: u64 = 60_000;
+
+const SETTINGS_TIMING: raft::Timing = raft::Timing {
+    heartbeat: 400 * time::MS,
+    election: 1_200 * time::MS,
+    lease: 1_000 * time::MS,
+};
+const JOURNAL_TIMING: raft::Timing = raft::Timing {
+    heartbeat: 150 * time::MS,
+    election: 600 * time::MS,
+    lease: 500 * time::MS,
+};
+
+/// Number under which the embedder waits for a reply.
+pub type Ticket = u64;
+
+/// What an instance is.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// This instance.
+    pub me: Instance,
+    /// Incarnation of the process.
+    pub life: u64,
+    /// Incarnation of the data folder, if there is one.
+    pub disk: Option<u64>,
+    /// All instances, this one included.
+    pub all: Vec<Instance>,
+    /// Decisions replaced by their baselines.
+    pub trial: boot::Trial,
+    /// Seed of all random choices.
+    pub seed: u64,
+}
+
+/// What happens to an instance.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// A message of another instance.
+    Peer(name::Name, Body),
+    /// The change with this number, and all before it, are on disk.
+    Saved(u64),
+    /// A client submits a job or a request.
+    Submit(Ticket, Spec),
+    /// A client asks how a job stands.
+    Show(Ticket, id::JobId),
+    /// A client cancels a job.
+    Cancel(Ticket, id::JobId),
+    /// An upstream announces itself or renews its lease.
+    Announce(Ticket, upstream::Upstream),
+    /// An upstream withdraws.
+    Withdraw(Ticket, name::Name),
+    /// A started task came back.
+    Done(Done),
+    /// An operator changes the settings.
+    Change(Ticket, tree::Change),
+    /// Finish what is in progress and take nothing new.
+    Drain,
+}
+
+/// A task that is to be started.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Start {
+    /// The task.
+    pub task: queue::Task,
+    /// Number of the attempt.
+    pub attempt: u64,
+    /// The upstream.
+    pub upstream: name::Name,
+    /// Its address.
+    pub address: name::Name,
+    /// Payload.
+    pub body: bytes::Bytes,
+    /// Content type of the payload.
+    pub content: name::Name,
+    /// When the answer is too late, on the monotonic clock.
+    pub deadline: u64,
+    /// The task must not be started after this, on the monotonic clock.
+    pub lease: u64,
+    /// W3C trace context.
+    pub trace: name::Name,
+}
+
+/// A started task that came back.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Done {
+    /// The task.
+    pub task: queue::Task,
+    /// Number of the attempt.
+    pub attempt: u64,
+    /// The upstream.
+    pub upstream: name::Name,
+    /// Time from start to end, microseconds.
+    pub took: u64,
+    /// How it ended.
+    pub finish: Finish,
+}
+
+/// How an attempt at a task ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Finish {
+    /// The upstream's whole answer.
+    Answer(message::Answer),
+    /// It is proved that the upstream did not start it: it refused for want of room.
+    Full,
+    /// It is proved that the upstream did not start it: it was never reached.
+    Unreached,
+    /// It was not sent, because the lease was over.
+    Unsent,
+    /// It ran and failed, or may have run.
+    Failed(String),
+}
+
+/// A task that is no longer wanted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stop {
+    /// The task.
+    pub task: queue::Task,
+    /// Number of the attempt.
+    pub attempt: u64,
+    /// Address of the upstream.
+    pub address: name::Name,
+}
+
+/// An answer to the embedder.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// How a submission ended, or stands.
+    Verdict(Verdict),
+    /// The cancellation was taken.
+    Cancelled,
+    /// The upstream's lease, milliseconds.
+    Lease(u64),
+    /// The upstream is withdrawn.
+    Withdrawn,
+    /// How a settings change ended.
+    Changed(tree::Outcome),
+    /// Whether the settings change was or will be accepted cannot be told.
+    Untold(String),
+}
+
+/// What an instance does.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send a message.
+    Send(name::Name, Body),
+    /// Store a change and report it with [`Event::Saved`].
+    Save(u64, raft::Save),
+    /// Start a task and report its end with [`Event::Done`].
+    Start(Start),
+    /// Tell an upstream that a task is not wanted; best effort.
+    Stop(Stop),
+    /// Answer a ticket.
+    Reply(Ticket, Reply),
+    /// The settings tree has changed.
+    Settings,
+    /// Everything in progress has ended; the process may exit.
+    Drained,
+}
+
+/// What was counted since the start.
+#[derive(Clone, Debug, Default, serde::Serialize)]
+#[expect(missing_docs, reason = "the names say what is counted")]
+pub struct Counts {
+    pub submitted: u64,
+    pub completed: u64,
+    pub failed: u64,
+    pub unknown: u64,
+    pub refused: collections::BTreeMap<&'static str, u64>,
+    pub starts: u64,
+    pub moved: u64,
+    pub retries: u64,
+    pub hedges: u64,
+    pub stops: u64,
+    pub forwards: u64,
+    pub asked_loans: u64,
+    pub borrowed: u64,
+    pub rejected: u64,
+    pub expelled: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct Pending {
+    pub(crate) tickets: Vec<Ticket>,
+    pub(crate) command: bytes::Bytes,
+    pub(crate) retry: u64,
+    pub(crate) until: u64,
+}
+
+/// Per service: its queue, observed times, retry budget and what is known of idle slots elsewhere.
+#[derive(Debug, Default)]
+pub(crate) struct Service {
+    pub(crate) queue: queue::Queue,
+    pub(crate) times: crate::health::Times,
+    pub(crate) budget: retry::Budget,
+    pub(crate) asked: u64,
+    pub(crate) asking: Option<name::Name>,
+    pub(crate) turn: usize,
+    pub(crate) dry: u64,
+    pub(crate) pause: u64,
+}
+
+/// All decisions of one instance.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent facts, not states of one thing"
+)]
+#[derive(Debug)]
+pub struct Core {
+    pub(crate) config: Config,
+    pub(crate) settings: group::Group<machine::Settings>,
+    pub(crate) journal: group::Group<machine::Journal>,
+    pub(crate) witness: collections::BTreeMap<name::Name, group::Group<machine::Journal>>,
+    pub(crate) jobs: collections::HashMap<id::JobId, Job>,
+    pub(crate) due: collections::BTreeSet<(u64, id::JobId)>,
+    pub(crate) services: collections::BTreeMap<name::Name, Service>,
+    pub(crate) dirty: collections::BTreeSet<name::Name>,
+    pub(crate) fleet: fleet::Fleet,
+    pub(crate) answers: cache::Answers,
+    pub(crate) calls: calls::Calls,
+    pub(crate) heard: collections::HashMap<name::Name, u64>,
+    pub(crate) rng: rngs::SmallRng,
+    pub(crate) attempts: u64,
+    pub(crate) counts: Counts,
+    pub(crate) out: Vec<Output>,
+    pub(crate) draining: bool,
+    changes: collections::BTreeMap<uuid::Uuid, Pending>,
+    renewals: collections::BTreeMap<u32, u64>,
+    renew_at: u64,
+    prune_at: u64,
+    duty_at: u64,
+    asked_table: bool,
+    pub(crate) leaving: collections::BTreeSet<name::Member>,
+    left: Option<u64>,
+    drained: bool,
+    ready: bool,
+    leased: u64,
+}
+
+impl Core {
+    /// An instance that starts at `now` from what it had stored.
+    pub fn new(config: Config, recovered: group::Recovered, now: Now) -> Self {
+        let settings = settings_group(&config).with_recovered(recovered, now.mono);
+        let journal = journal_group(&config, &config.me.zone);
+        let witness = witnessed(&config);
+        let witness = witness.into_iter().map(|zone| {
+            let group = journal_group(&config, &zone);
+            (zone, group)
+        });
+        Self {
+            settings,
+            journal,
+            witness: witness.collect(),
+            jobs: collections::HashMap::new(),
+            due: collections::BTreeSet::new(),
+            services: collections::BTreeMap::new(),
+            dirty: collections::BTreeSet::new(),
+            fleet: fleet::Fleet::new(config.trial, config.seed),
+            answers: cache::Answers::default(),
+            calls: calls::Calls::default(),
+            heard: collections::HashMap::new(),
+            rng: rngs::SmallRng::seed_from_u64(config.seed),
+            attempts: 0,
+            counts: Counts::default(),
+            out: Vec::new(),
+            draining: false,
+            changes: collections::BTreeMap::new(),
+            renewals: collections::BTreeMap::new(),
+            renew_at: 0,
+            prune_at: 0,
+            duty_at: 0,
+            asked_table: false,
+            leaving: collections::BTreeSet::new(),
+            left: None,
+            drained: false,
+            ready: false,
+            leased: now.mono,
+            config,
+        }
+    }
+
+    /// Takes one event and gives its effects.
+    pub fn handle(&mut self, event: Event, now: Now) -> Vec<Output> {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Peer(from, body) => self.on_peer(&from, body, now),
+            Event::Saved(number) => self.settings.saved(number, now.mono),
+            Event::Submit(ticket, spec) => self.on_submit(ticket, spec, now),
+            Event::Show(ticket, job) => self.show(calls::Waiter::Ticket(ticket), &job, false, now),
+            Event::Cancel(ticket, job) => self.cancel(calls::Waiter::Ticket(ticket), &job, now),
+            Event::Announce(ticket, info) => self.announce(ticket, info, now),
+            Event::Withdraw(ticket, name) => self.withdraw(ticket, &name, now),
+            Event::Done(done) => self.on_done(done, now),
+            Event::Change(ticket, change) => self.change(ticket, &change, now),
+            Event::Drain => self.draining = true,
+        }
+        self.settle(now);
+        std::mem::take(&mut self.out)
+    }
+
+    /// The settings tree, as far as this instance has it.
+    pub fn tree(&self) -> &tree::Tree {
+        &self.settings.machine().tree
+    }
+
+    /// Whether the instance can serve: it has joined its zone's journal and holds the settings.
+    pub fn is_ready(&self) -> bool {
+        self.ready && !self.draining
+    }
+
+    /// Jobs that this instance works on.
+    pub fn in_progress(&self) -> Vec<String> {
+        self.jobs.keys().map(ToString::to_string).collect()
+    }
+
+    /// What was counted since the start.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// The upstreams as this instance sees them.
+    pub fn fleet(&self) -> &fleet::Fleet {
+        &self.fleet
+    }
+
+    pub(crate) fn table(&self) -> &table::Table {
+        &self.journal.machine().table
+    }
+
+    pub(crate) fn zone(&self) -> &name::Name {
+        &self.config.me.zone
+    }
+
+    pub(crate) fn send(&mut self, to: &name::Name, body: Body) {
+        self.out.push(Output::Send(to.clone(), body));
+    }
+
+    /// Whether this instance may start tasks of journaled jobs.
+    pub(crate) fn has_lease(&self, now: u64) -> bool {
+        self.journal.lease(now) > now && self.table().is_live(self.journal.me())
+    }
+
+    /// Since when the lease is missing, if it is.
+    pub(crate) fn unleased(&self, now: u64) -> u64 {
+        now.saturating_sub(self.leased)
+    }
+
+    /// The other instances of this zone that are in.
+    pub(crate) fn neighbours(&self) -> Vec<name::Name> {
+        let others = self
+            .table()
+            .live()
+            .filter(|member| member.name != self.config.me.name);
+        others.map(|member| member.name.clone()).collect()
+    }
+
+    pub(crate) fn propose(&mut self, command: &table::Command, now: Now) {
+        self.journal.propose(&machine::encode(command), now.mono);
+    }
+
+    pub(crate) fn count_refusal(&mut self, kind: Refusal) {
+        *self.counts.refused.entry(kind.name()).or_default() += 1;
+    }
+
+    fn tick(&mut self, now: Now) {
+        self.settings.tick(now);
+        self.journal.tick(now);
+        for group in self.witness.values_mut() {
+            group.tick(now);
+        }
+        if self.has_lease(now.mono) {
+            self.leased = now.mono;
+        }
+        self.update_ready(now);
+        self.duties(now);
+        self.tick_jobs(now);
+        self.tick_calls(now);
+        self.tick_changes(now);
+        self.tick_upstreams(now);
+        self.tick_drain(now);
+        self.prune(now);
+        let waiting = self
+            .services
+            .iter()
+            .filter(|(_, service)| !service.queue.is_empty());
+        self.dirty.extend(waiting.map(|(name, _)| name.clone()));
+    }
+
+    fn update_ready(&mut self, now: Now) {
+        let formed = self.journal.formation().is_some_and(|f| now.wall >= f.at);
+        let no_voters = member::settings_seats(&self.config.all).is_empty();
+        let holds = no_voters || self.settings.raft().is_some_and(|raft| raft.commit() > 0);
+        self.ready |= formed && holds && self.has_lease(now.mono);
+    }
+
+    /// What the leader of the journal does: let instances in and expel those that are silent.
+    fn duties(&mut self, now: Now) {
+        const PAUSE: u64 = 100 * time::MS;
+        if now.mono < self.duty_at || !self.journal.is_leader() {
+            return;
+        }
+        self.duty_at = now.mono + PAUSE;
+        for command in self.due_members(now.mono) {
+            if matches!(command, table::Command::Expel(_)) {
+                self.counts.expelled += 1;
+            }
+            self.propose(&command, now);
+        }
+    }
+
+    fn due_members(&self, now: u64) -> Vec<table::Command> {
+        let Some(raft) = self.journal.raft() else {
+            return Vec::new();
+        };
+        let Some(since) = raft.leads_since().filter(|_| raft.is_settled()) else {
+            return Vec::new();
+        };
+        let me = self.journal.me();
+        let at_home = |name: &name::Name| {
+            self.config
+                .all
+                .iter()
+                .any(|i| i.name == *name && i.zone == self.config.me.zone)
+        };
+        let fresh = |heard: u64| now < heard + EXPEL;
+        let mut commands = Vec::new();
+        if !self.table().is_live(me) && self.left.is_none() {
+            commands.push(table::Command::Enter(me.clone()));
+        }
+        for (peer, progress) in raft.peers() {
+            let caught_up = progress.matched >= raft.commit();
+            let new = !self.table().is_live(peer) && at_home(&peer.name);
+            if new && caught_up && fresh(progress.heard) && !self.is_leaving(peer) {
+                commands.push(table::Command::Enter(peer.clone()));
+            }
+        }
+        let heard = |member: &name::Member| {
+            let peer = raft.peers().find(|(peer, _)| *peer == member);
+            peer.map_or(since, |(_, progress)| progress.heard)
+                .max(since)
+        };
+        let silent = self.table().live().filter(|m| *m != me && !fresh(heard(m)));
+        commands.extend(silent.cloned().map(table::Command::Expel));
+        commands
+    }
+
+    /// An instance that said good-bye is not let in again while it shuts down.
+    fn is_leaving(&self, member: &name::Member) -> bool {
+        self.leaving.contains(member)
+    }
+
+    fn on_peer(&mut self, from: &name::Name, body: Body, now: Now) {
+        if !self
+            .config
+            .all
+            .iter()
+            .any(|instance| instance.name == *from)
+        {
+            self.counts.rejected += 1;
+            return;
+        }
+        self.heard.insert(from.clone(), now.mono);
+        match body {
+            Body::Form(group, life, form) => self.on_form(from, &group, life, &form, now),
+            Body::Raft(group, route, raft) => self.on_raft(from, &group, route, raft, now),
+            Body::Propose(group, route, command) => {
+                self.on_propose(from, &group, route, command, now);
+            }
+            Body::Job(job) => self.on_job(from, job, now),
+            Body::Table(news) => self.on_table(from, news, now),
+            Body::Loan(loan) => self.on_loan(from, loan, now),
+            Body::Ping(true) => self.send(from, Body::Ping(false)),
+            Body::Ping(false) => {}
+        }
+    }
+
+    fn on_form(
+        &mut self,
+        from: &name::Name,
+        group: &message::Group,
+        life: u64,
+        form: &message::Form,
+        now: Now,
+    ) {
+        let from = name::Member::new(from, life);
+        match group {
+            message::Group::Settings => self.settings.on_form(&from, form, now),
+            message::Group::Journal(zone) => match self.journal_of(zone) {
+                Some(journal) => journal.on_form(&from, form, now),
+                None => self.counts.rejected += 1,
+            },
+        }
+    }
+
+    fn on_raft(
+        &mut self,
+        from: &name::Name,
+        group: &message::Group,
+        route: message::Route,
+        raft: message::Raft,
+        now: Now,
+    ) {
+        let taken = match group {
+            message::Group::Settings => self.settings.on_raft(from, route, raft, now.mono),
+            message::Group::Journal(zone) => match self.journal_of(zone) {
+                Some(journal) => journal.on_raft(from, route, raft, now.mono),
+                None => false,
+            },
+        };
+        self.counts.rejected += u64::from(!taken);
+    }
+
+    fn on_propose(
+        &mut self,
+        from: &name::Name,
+        group: &message::Group,
+        route: message::Route,
+        command: bytes::Bytes,
+        now: Now,
+    ) {
+        match group {
+            message::Group::Settings => {
+                self.settings.on_propose(from, route, command, now.mono);
+            }
+            message::Group::Journal(zone) => {
+                if let Some(journal) = self.journal_of(zone) {
+                    journal.on_propose(from, route, command, now.mono);
+                }
+            }
+        }
+    }
+
+    fn journal_of(&mut self, zone: &name::Name) -> Option<&mut group::Group<machine::Journal>> {
+        if *zone == self.config.me.zone {
+            return Some(&mut self.journal);
+        }
+        self.witness.get_mut(zone)
+    }
+
+    /// Moves effects of the groups on until nothing more follows from them.
+    fn settle(&mut self, now: Now) {
+        loop {
+            let settings = self.settings.take();
+            let journal = self.journal.take();
+            let quiet = settings.effects.is_empty() && journal.effects.is_empty();
+            let whole = settings.restored || journal.restored || journal.lost;
+            self.settle_settings(settings, now);
+            self.settle_journal(journal, now);
+            self.dispatch_dirty(now);
+            if quiet && !whole {
+                break;
+            }
+        }
+        // Whatever the last round has put on its way.
+        let settings = self.settings.take();
+        self.settle_settings(settings, now);
+        let journal = self.journal.take();
+        self.settle_journal(journal, now);
+        for group in self.witness.values_mut() {
+            let sends = group.take().sends;
+            self.out
+                .extend(sends.into_iter().map(|(to, body)| Output::Send(to, body)));
+        }
+    }
+
+    fn settle_settings(&mut self, out: group::Output<machine::Changed>, now: Now) {
+        self.out.extend(
+            out.saves
+                .into_iter()
+                .map(|(number, save)| Output::Save(number, save)),
+        );
+        self.out.extend(
+            out.sends
+                .into_iter()
+                .map(|(to, body)| Output::Send(to, body)),
+        );
+        if !out.effects.is_empty() || out.restored {
+            self.out.push(Output::Settings);
+        }
+        for effect in out.effects {
+            self.tell_change(effect.change, effect.outcome);
+        }
+        if out.restored {
+            let known: Vec<_> = self.changes.keys().copied().collect();
+            for change in known {
+                if let Some(outcome) = self.tree().outcome(change) {
+                    self.tell_change(change, outcome);
+                }
+            }
+            self.tick_changes(now);
+        }
+    }
+
+    fn settle_journal(&mut self, out: group::Output<table::Effect>, now: Now) {
+        self.out.extend(
+            out.sends
+                .into_iter()
+                .map(|(to, body)| Output::Send(to, body)),
+        );
+        if out.lost {
+            self.journal.machine_mut().table = table::Table::new();
+            self.lose_jobs(now);
+            self.ready = false;
+        }
+        if out.restored || out.lost {
+            self.on_members(now);
+            self.review_jobs(now);
+        }
+        for effect in out.effects {
+            match effect {
+                table::Effect::Members => self.on_members(now),
+                table::Effect::Admitted(job, owner) => self.on_admitted(&job, &owner, now),
+                table::Effect::Known(job, owner) => self.on_known(&job, &owner, now),
+                table::Effect::Limited(job, owner, retry) => {
+                    self.on_limited(&job, &owner, retry, now);
+                }
+                table::Effect::Ended(job, outcome) => self.on_ended(&job, outcome, now),
+                // The owner proposes again once it is in.
+                table::Effect::Refused(..) => {}
+            }
+        }
+    }
+
+    fn on_members(&mut self, now: Now) {
+        let me = self.journal.me().clone();
+        let live: Vec<_> = self.table().live().cloned().collect();
+        let rank = live.iter().position(|member| *member == me);
+        self.fleet
+            .set_rank(rank.map(|rank| (rank as u32, live.len() as u32)));
+        let names: collections::BTreeSet<_> = live.iter().map(|m| m.name.clone()).collect();
+        self.fleet.keep_loans(|name| names.contains(name));
+        if rank.is_some() && !self.asked_table {
+            self.asked_table = true;
+            for to in self.neighbours() {
+                self.send(&to, Body::Table(message::Table::Ask));
+            }
+        }
+        if self.left.is_some() && rank.is_none() {
+            self.drained = true;
+        }
+        self.dirty.extend(self.services.keys().cloned());
+        if self.has_lease(now.mono) {
+            self.leased = now.mono;
+        }
+    }
+
+    fn announce(&mut self, ticket: Ticket, mut info: upstream::Upstream, now: Now) {
+        let lease = self
+            .tree()
+            .policy_at(info.service.as_str())
+            .upstream_lease_ms;
+        let held = self
+            .fleet
+            .table()
+            .get(info.name.as_str())
+            .map_or(0, |held| held.info.stamp);
+        info.stamp = now.wall.max(held + 1);
+        let stamp = info.stamp;
+        let changed = self.fleet.put(info.clone(), now.after(lease));
+        self.dirty.insert(info.service.clone());
+        if changed {
+            let news = message::Table::Changed(vec![(info, lease)]);
+            for to in self.neighbours() {
+                self.send(&to, Body::Table(news.clone()));
+            }
+        } else {
+            self.renewals.insert(id::short(info.name.as_str()), stamp);
+        }
+        self.out.push(Output::Reply(ticket, Reply::Lease(lease)));
+    }
+
+    fn withdraw(&mut self, ticket: Ticket, name: &name::Name, now: Now) {
+        if let Some(held) = self.fleet.table().get(name.as_str()) {
+            let mut info = held.info.clone();
+            info.phase = upstream::Phase::Gone;
+            self.announce(ticket, info, now);
+            self.out.pop();
+        }
+        self.out.push(Output::Reply(ticket, Reply::Withdrawn));
+    }
+
+    fn on_table(&mut self, from: &name::Name, news: message::Table, now: Now) {
+        match news {
+            message::Table::Changed(list) => {
+                for (info, left) in list {
+                    self.dirty.insert(info.service.clone());
+                    self.fleet.put(info, now.after(left));
+                }
+            }
+            message::Table::Renewed(list) => {
+                let renew = |(short, stamp, left): &(u32, u64, u32)| {
+                    self.fleet
+                        .renew(*short, *stamp, now.after(u64::from(*left)))
+                };
+                let known = list.iter().map(renew).filter(|known| *known).count();
+                if known < list.len() {
+                    self.send(from, Body::Table(message::Table::Ask));
+                }
+            }
+            message::Table::Ask => {
+                let left = |l: &upstream::Leased| l.until.saturating_sub(now.mono) / time::MS;
+                let list: Vec<_> = self
+                    .fleet
+                    .table()
+                    .iter()
+                    .map(|l| (l.info.clone(), left(l)))
+                    .collect();
+                if !list.is_empty() {
+                    self.send(from, Body::Table(message::Table::Changed(list)));
+                }
+            }
+        }
+    }
+
+    fn tick_upstreams(&mut self, now: Now) {
+        if now.mono < self.renew_at || self.renewals.is_empty() {
+            return;
+        }
+        self.renew_at = now.mono + RENEWALS;
+        let renewals = std::mem::take(&mut self.renewals);
+        let held = |(short, stamp): (u32, u64)| {
+            let found = self
+                .fleet
+                .table()
+                .iter()
+                .find(|l| l.info.stamp == stamp && id::short(l.info.name.as_str()) == short);
+            let left = found?.until.saturating_sub(now.mono) / time::MS;
+            Some((short, stamp, left as u32))
+        };
+        let list: Vec<_> = renewals.into_iter().filter_map(held).collect();
+        for to in self.neighbours() {
+            self.send(&to, Body::Table(message::Table::Renewed(list.clone())));
+        }
+    }
+
+    fn change(&mut self, ticket: Ticket, change: &tree::Change, now: Now) {
+        const PATIENCE: u64 = 4_000 * time::MS;
+        if let Some(outcome) = self.tree().outcome(change.change) {
+            self.out
+                .push(Output::Reply(ticket, Reply::Changed(outcome)));
+            return;
+        }
+        let command = machine::encode(change);
+        let until = now.mono + PATIENCE;
+        let fresh = Pending {
+            tickets: Vec::new(),
+            command,
+            retry: 0,
+            until,
+        };
+        let pending = self.changes.entry(change.change).or_insert(fresh);
+        pending.tickets.push(ticket);
+        pending.until = until;
+        self.tick_changes(now);
+    }
+
+    fn tick_changes(&mut self, now: Now) {
+        const RETRY: u64 = 400 * time::MS;
+        let mut over = Vec::new();
+        for (id, pending) in &mut self.changes {
+            if now.mono >= pending.until {
+                over.push(*id);
+            } else if now.mono >= pending.retry && self.settings.propose(&pending.command, now.mono)
+            {
+                pending.retry = now.mono + RETRY;
+            }
+        }
+        for id in over {
+            let pending = self.changes.remove(&id);
+            for ticket in pending.into_iter().flat_map(|pending| pending.tickets) {
+                let why = "no quorum of the settings group can be reached".to_owned();
+                self.out.push(Output::Reply(ticket, Reply::Untold(why)));
+            }
+        }
+    }
+
+    fn tell_change(&mut self, change: uuid::Uuid, outcome: tree::Outcome) {
+        let pending = self.changes.remove(&change);
+        for ticket in pending.into_iter().flat_map(|pending| pending.tickets) {
+            self.out
+                .push(Output::Reply(ticket, Reply::Changed(outcome)));
+        }
+    }
+
+    /// Once nothing is in progress: hand over leadership and shares, then report.
+    fn tick_drain(&mut self, now: Now) {
+        const FAREWELL: u64 = 1_000 * time::MS;
+        if !self.draining || !self.jobs.is_empty() || !self.calls.is_empty() {
+            return;
+        }
+        match self.left {
+            None => {
+                self.left = Some(now.mono);
+                let me = self.journal.me().clone();
+                for to in self.neighbours() {
+                    let left = message::Job::Leaving { life: me.life };
+                    self.send(&to, Body::Job(left));
+                }
+                self.propose(&table::Command::Expel(me), now);
+            }
+            Some(since) if self.drained || now.mono > since + FAREWELL => {
+                self.journal.hand_over(now.mono);
+                self.settings.hand_over(now.mono);
+                self.out.push(Output::Drained);
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn prune(&mut self, now: Now) {
+        if now.mono < self.prune_at {
+            return;
+        }
+        self.prune_at = now.mono + PRUNE;
+        self.fleet.prune(now.mono);
+        let longest = self.tree().longest_retention();
+        let before = now.wall.saturating_sub(longest + PRUNE_MARGIN_MS);
+        self.journal.machine_mut().table.prune(before);
+        for group in self.witness.values_mut() {
+            group.machine_mut().table.prune(before);
+        }
+        self.answers.prune(before);
+        for service in self.services.values_mut() {
+            service.queue.prune();
+        }
+    }
+}
+
+fn settings_group(config: &Config) -> group::Group<machine::Settings> {
+    let seats = member::settings_seats(&config.all);
+    let me = &config.me.name;
+    let votes = seats.contains(me) && config.disk.is_some();
+    let life = if votes { config.disk } else { None };
+    let group = group::Config {
+        group: message::Group::Settings,
+        me: name::Member::new(me, life.unwrap_or(config.life)),
+        others: others(config, &seats),
+        seats,
+        timing: SETTINGS_TIMING,
+        durable: votes,
+    };
+    group::Group::new(group, machine::Settings::default(), config.seed ^ 1)
+}
+
+fn journal_group(config: &Config, zone: &name::Name) -> group::Group<machine::Journal> {
+    let seats = member::journal_seats(&config.all, zone);
+    let home = config
+        .all
+        .iter()
+        .filter(|i| i.zone == *zone && !seats.contains(&i.name));
+    let group = group::Config {
+        group: message::Group::Journal(zone.clone()),
+        me: name::Member::new(&config.me.name, config.life),
+        others: home.map(|i| i.name.clone()).collect(),
+        seats,
+        timing: JOURNAL_TIMING,
+        durable: false,
+    };
+    group::Group::new(group, machine::Journal::default(), config.seed ^ 2)
+}
+
+fn others(config: &Config, seats: &[name::Name]) -> Vec<name::Name> {
+    let rest = config
+        .all
+        .iter()
+        .filter(|instance| !seats.contains(&instance.name));
+    rest.map(|instance| instance.name.clone()).collect()
+}
+
+/// Other zones in whose journal this instance votes.
+fn witnessed(config: &Config) -> Vec<name::Name> {
+    let zones = member::zones(&config.all)
+        .into_iter()
+        .filter(|zone| *zone != config.me.zone);
+    let votes =
+        |zone: &name::Name| member::journal_seats(&config.all, zone).contains(&config.me.name);
+    zones.filter(votes).collect()
+}
--- /dev/null
+++ b/crates/coord/src/group.rs
@@ -0,0 +1,648 @@
+//! One member's part in one replicated group: formation, agreement, the state machine, and the
+//! upkeep of seats whose instance came back with another incarnation.
+
+use std::collections;
+
+use state::name;
+
+use crate::{
+    entry::{Load, Voters},
+    form,
+    message::{self, Form, Formation, Route},
+    raft::{self, Raft, Save, Timing},
+    time,
+};
+
+/// Allowance for the difference between two wall clocks, in milliseconds.
+pub const SKEW_MS: u64 = 1_000;
+/// Log entries kept for slow followers when a snapshot covers them.
+const KEPT_ENTRIES: u64 = 2_048;
+/// Applied entries after which the log is compacted.
+const COMPACT_EVERY: u64 = 4_096;
+/// A follower that does not vote is dropped when not heard of for this long, microseconds.
+const DROP_LEARNER: u64 = 10_000 * time::MS;
+/// Between two questions of a member that lost its leader, microseconds.
+const SEARCH: u64 = 300 * time::MS;
+
+/// A replicated state machine.
+pub trait Machine {
+    /// What a command changed.
+    type Effect;
+
+    /// Applies one committed command.
+    fn apply(&mut self, command: &[u8]) -> Vec<Self::Effect>;
+
+    /// Encodes the whole state.
+    fn snapshot(&self) -> bytes::Bytes;
+
+    /// Replaces the whole state.
+    fn restore(&mut self, state: &[u8]);
+}
+
+/// What does not change in the life of a group's member.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The group.
+    pub group: message::Group,
+    /// This member.
+    pub me: name::Member,
+    /// Instances that vote.
+    pub seats: Vec<name::Name>,
+    /// Every other instance that may belong to the group.
+    pub others: Vec<name::Name>,
+    /// Intervals.
+    pub timing: Timing,
+    /// Whether entries are stored before they count.
+    pub durable: bool,
+}
+
+/// Effects of the last calls.
+#[derive(Debug)]
+pub struct Output<E> {
+    /// Messages.
+    pub sends: Vec<(name::Name, message::Body)>,
+    /// Changes to store, with the number that [`Group::saved`] is to be called with.
+    pub saves: Vec<(u64, Save)>,
+    /// What committed commands changed.
+    pub effects: Vec<E>,
+    /// Whether the whole state was replaced.
+    pub restored: bool,
+    /// Whether the member left a formation and all that it knew of it.
+    pub lost: bool,
+}
+
+impl<E> Default for Output<E> {
+    fn default() -> Self {
+        let (sends, saves, effects) = (Vec::new(), Vec::new(), Vec::new());
+        Self {
+            sends,
+            saves,
+            effects,
+            restored: false,
+            lost: false,
+        }
+    }
+}
+
+/// What a durable member had stored.
+#[derive(Clone, Debug, Default)]
+pub struct Recovered {
+    /// Its formation, if it belonged to one.
+    pub formation: Option<Formation>,
+    /// State of its engine.
+    pub stored: raft::Stored,
+    /// Commit index.
+    pub commit: u64,
+    /// The encoded state machine at the snapshot.
+    pub state: Option<bytes::Bytes>,
+}
+
+#[derive(Debug)]
+struct Joined {
+    formation: Formation,
+    raft: Raft,
+    applied: u64,
+    search: u64,
+}
+
+#[derive(Debug)]
+enum Stage {
+    Seeking(form::Seeker),
+    Joined(Box<Joined>),
+}
+
+/// A member of a group.
+#[derive(Debug)]
+pub struct Group<M: Machine> {
+    config: Config,
+    stage: Stage,
+    machine: M,
+    lives: collections::BTreeMap<name::Name, u64>,
+    issued: u64,
+    done: u64,
+    marks: collections::VecDeque<(u64, u64, u64)>,
+    held: collections::VecDeque<(u64, name::Name, message::Body)>,
+    refused: u64,
+    seed: u64,
+    out: Output<M::Effect>,
+}
+
+impl<M: Machine> Group<M> {
+    /// A member that belongs to no formation yet.
+    pub fn new(config: Config, machine: M, seed: u64) -> Self {
+        let seeker = form::Seeker::new(config.me.clone(), config.seats.clone());
+        Self {
+            config,
+            stage: Stage::Seeking(seeker),
+            machine,
+            lives: collections::BTreeMap::new(),
+            issued: 0,
+            done: 0,
+            marks: collections::VecDeque::new(),
+            held: collections::VecDeque::new(),
+            refused: 0,
+            seed,
+            out: Output::default(),
+        }
+    }
+
+    /// A member that starts from what it had stored.
+    #[must_use]
+    pub fn with_recovered(mut self, recovered: Recovered, now: u64) -> Self {
+        let Some(formation) = recovered.formation else {
+            return self;
+        };
+        if let Some(state) = &recovered.state {
+            self.machine.restore(state);
+        }
+        let base = recovered.stored.log.base();
+        let mut raft = self.engine(recovered.stored, now);
+        raft.recover(recovered.commit);
+        self.stage = Stage::Joined(Box::new(Joined {
+            formation,
+            raft,
+            applied: base,
+            search: 0,
+        }));
+        self.drain(now);
+        self.out.effects.clear();
+        self
+    }
+
+    /// Takes the effects collected so far.
+    pub fn take(&mut self) -> Output<M::Effect> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// The state machine.
+    pub fn machine(&self) -> &M {
+        &self.machine
+    }
+
+    /// The state machine, for changes that every member makes by itself.
+    pub fn machine_mut(&mut self) -> &mut M {
+        &mut self.machine
+    }
+
+    /// This member.
+    pub fn me(&self) -> &name::Member {
+        &self.config.me
+    }
+
+    /// The formation that this member belongs to.
+    pub fn formation(&self) -> Option<Formation> {
+        self.joined().map(|joined| joined.formation)
+    }
+
+    /// The engine, once the member belongs to a formation.
+    pub fn raft(&self) -> Option<&Raft> {
+        self.joined().map(|joined| &joined.raft)
+    }
+
+    /// Whether this member leads.
+    pub fn is_leader(&self) -> bool {
+        self.raft().is_some_and(Raft::is_leader)
+    }
+
+    /// Whether a leader is known and was heard from lately.
+    pub fn has_leader(&self, now: u64) -> bool {
+        self.raft().is_some_and(|raft| raft.has_leader(now))
+    }
+
+    /// End of this member's lease on its own clock; 0 without one.
+    pub fn lease(&self, now: u64) -> u64 {
+        self.raft().map_or(0, |raft| raft.lease(now))
+    }
+
+    /// Messages refused so far: wrong formation or incarnation.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: time::Now) {
+        match &mut self.stage {
+            Stage::Seeking(_) => self.seek(now),
+            Stage::Joined(joined) => {
+                joined.raft.tick(now.mono);
+                let orphan = !joined.raft.has_leader(now.mono);
+                if orphan && joined.raft.commit() == 0 {
+                    // The formation never came to be; another one may have.
+                    self.leave();
+                } else if orphan {
+                    self.search(now.mono);
+                } else {
+                    self.repair(now.mono);
+                }
+            }
+        }
+        self.drain(now.mono);
+    }
+
+    /// Proposes a command, here or at the leader; false if none is known.
+    pub fn propose(&mut self, command: &bytes::Bytes, now: u64) -> bool {
+        let Stage::Joined(joined) = &mut self.stage else {
+            return false;
+        };
+        let route = |to: u64| Route {
+            formation: joined.formation,
+            from: self.config.me.life,
+            to,
+        };
+        if joined.raft.is_leader() {
+            joined.raft.propose(Load::Command(command.clone()), now);
+            self.drain(now);
+            return true;
+        }
+        let Some(leader) = joined.raft.leader().filter(|_| joined.raft.has_leader(now)) else {
+            return false;
+        };
+        let group = self.config.group.clone();
+        let body = message::Body::Propose(group, route(leader.life), command.clone());
+        self.out.sends.push((leader.name.clone(), body));
+        true
+    }
+
+    /// Gives up leadership to another member, if this one leads.
+    pub fn hand_over(&mut self, now: u64) {
+        if let Stage::Joined(joined) = &mut self.stage {
+            joined.raft.hand_over(now);
+            self.drain(now);
+        }
+    }
+
+    /// The change with this number, and all before it, are stored.
+    pub fn saved(&mut self, number: u64, now: u64) {
+        self.done = self.done.max(number);
+        while let Some((at, index, term)) = self.marks.front().copied()
+            && at <= self.done
+        {
+            self.marks.pop_front();
+            if let Stage::Joined(joined) = &mut self.stage {
+                joined.raft.synced(index, term, now);
+            }
+        }
+        while let Some((at, ..)) = self.held.front()
+            && *at <= self.done
+        {
+            if let Some((_, to, body)) = self.held.pop_front() {
+                self.out.sends.push((to, body));
+            }
+        }
+        self.drain(now);
+    }
+
+    /// Takes a message about formation.
+    pub fn on_form(&mut self, from: &name::Member, form: &Form, now: time::Now) {
+        self.lives.insert(from.name.clone(), from.life);
+        match form {
+            Form::Probe => self.on_probe(from, now.mono),
+            Form::Found(found) => {
+                if let Stage::Seeking(seeker) = &mut self.stage {
+                    seeker.hear(from, *found, now.mono);
+                }
+            }
+            Form::Ask(formation) => {
+                if let Stage::Seeking(seeker) = &mut self.stage {
+                    seeker.hear(from, None, now.mono);
+                    self.send_form(&from.name, Form::Grant(*formation));
+                }
+            }
+            Form::Grant(formation) => {
+                if let Stage::Seeking(seeker) = &mut self.stage {
+                    seeker.granted(from, *formation, now.mono);
+                    self.seek(now);
+                }
+            }
+        }
+        self.abandon();
+        self.drain(now.mono);
+    }
+
+    /// Takes a message of agreement; false if it was refused.
+    pub fn on_raft(
+        &mut self,
+        from: &name::Name,
+        route: Route,
+        body: message::Raft,
+        now: u64,
+    ) -> bool {
+        let from = name::Member::new(from, route.from);
+        if route.to == self.config.me.life && self.formation() != Some(route.formation) {
+            self.adopt(route.formation, &body, now);
+        }
+        let Stage::Joined(joined) = &mut self.stage else {
+            self.refused += 1;
+            return false;
+        };
+        if route.to != self.config.me.life || joined.formation != route.formation {
+            self.refused += 1;
+            return false;
+        }
+        joined.raft.step(&from, body, now);
+        self.drain(now);
+        true
+    }
+
+    /// Takes a command that another member proposes; false if it was refused.
+    pub fn on_propose(
+        &mut self,
+        from: &name::Name,
+        route: Route,
+        command: bytes::Bytes,
+        now: u64,
+    ) -> bool {
+        let from = name::Member::new(from, route.from);
+        let Stage::Joined(joined) = &mut self.stage else {
+            return false;
+        };
+        if joined.formation != route.formation || route.to != self.config.me.life {
+            self.refused += 1;
+            return false;
+        }
+        if joined.raft.propose(Load::Command(command), now).is_none() {
+            return false;
+        }
+        joined.raft.hurry(&from);
+        self.drain(now);
+        true
+    }
+
+    fn joined(&self) -> Option<&Joined> {
+        match &self.stage {
+            Stage::Joined(joined) => Some(joined),
+            Stage::Seeking(_) => None,
+        }
+    }
+
+    fn engine(&self, stored: raft::Stored, now: u64) -> Raft {
+        let config = &self.config;
+        Raft::new(
+            config.me.clone(),
+            config.timing,
+            config.durable,
+            stored,
+            now,
+            self.seed,
+        )
+    }
+
+    fn seek(&mut self, now: time::Now) {
+        let Stage::Seeking(seeker) = &mut self.stage else {
+            return;
+        };
+        let formation = Formation {
+            at: now.wall + SKEW_MS,
+            by: self.config.me.life,
+        };
+        match seeker.next(now.mono, formation) {
+            form::Next::Wait => {}
+            form::Next::Probe => self.probe(),
+            form::Next::Ask(formation, seats) => {
+                for seat in &seats {
+                    self.send_form(seat, Form::Ask(formation));
+                }
+            }
+            form::Next::Found(formation, voters) => self.found(formation, voters, now.mono),
+        }
+    }
+
+    fn found(&mut self, formation: Formation, voters: Voters, now: u64) {
+        self.save(Save::Formed(formation, voters.clone()));
+        let Config {
+            me,
+            timing,
+            durable,
+            ..
+        } = &self.config;
+        let raft = Raft::found(me.clone(), *timing, *durable, voters, now, self.seed);
+        self.stage = Stage::Joined(Box::new(Joined {
+            formation,
+            raft,
+            applied: 0,
+            search: 0,
+        }));
+    }
+
+    /// Joins the formation that a leader's message comes from, if this member belongs to none,
+    /// or to one that is older and has no leader any more.
+    fn adopt(&mut self, formation: Formation, body: &message::Raft, now: u64) {
+        if !matches!(
+            body,
+            message::Raft::Append { .. } | message::Raft::Snapshot { .. }
+        ) {
+            return;
+        }
+        if let Stage::Joined(joined) = &self.stage {
+            let stale = !joined.raft.has_leader(now) && joined.formation < formation;
+            // What was durably agreed is never replaced by a later formation.
+            if !stale || (self.config.durable && joined.raft.commit() > 0) {
+                return;
+            }
+            self.leave();
+        }
+        let voters = Voters::default();
+        self.save(Save::Formed(formation, voters.clone()));
+        let raft = self.engine(raft::Stored::default(), now);
+        self.stage = Stage::Joined(Box::new(Joined {
+            formation,
+            raft,
+            applied: 0,
+            search: 0,
+        }));
+    }
+
+    fn leave(&mut self) {
+        let config = &self.config;
+        let seeker = form::Seeker::new(config.me.clone(), config.seats.clone());
+        self.stage = Stage::Seeking(seeker);
+        self.marks.clear();
+        self.held.clear();
+        self.save(Save::Reset);
+        self.out.lost = true;
+    }
+
+    /// Leaves a formation that can never have a majority again, because too many of its voters
+    /// came back without their memory.
+    fn abandon(&mut self) {
+        if self.config.durable {
+            return;
+        }
+        let Some(joined) = self.joined() else { return };
+        let voters = joined.raft.voters();
+        let me = &self.config.me;
+        let alive = |seat: &&name::Member| {
+            let life = if seat.name == me.name {
+                Some(&me.life)
+            } else {
+                self.lives.get(&seat.name)
+            };
+            seat.life != 0 && life.is_none_or(|life| *life == seat.life)
+        };
+        let alive = voters.0.iter().filter(alive).count();
+        if !voters.0.is_empty() && alive < voters.quorum() && !joined.raft.is_leader() {
+            self.leave();
+        }
+    }
+
+    fn on_probe(&mut self, from: &name::Member, now: u64) {
+        let found = self.formation();
+        match &mut self.stage {
+            Stage::Seeking(seeker) => seeker.hear(from, None, now),
+            Stage::Joined(joined) => joined.raft.add_learner(from, now),
+        }
+        self.send_form(&from.name, Form::Found(found));
+    }
+
+    fn search(&mut self, now: u64) {
+        let Stage::Joined(joined) = &mut self.stage else {
+            return;
+        };
+        if now >= joined.search {
+            joined.search = now + SEARCH;
+            self.probe();
+        }
+    }
+
+    fn probe(&mut self) {
+        let me = &self.config.me.name;
+        let all = self.config.seats.iter().chain(&self.config.others);
+        let others: Vec<_> = all.filter(|name| *name != me).cloned().collect();
+        for to in &others {
+            self.send_form(to, Form::Probe);
+        }
+    }
+
+    /// Gives seats to the present lives of their instances, once these hold all that is committed.
+    fn repair(&mut self, now: u64) {
+        let Stage::Joined(joined) = &mut self.stage else {
+            return;
+        };
+        let raft = &mut joined.raft;
+        if !raft.is_leader() {
+            return;
+        }
+        let silent = |(m, p): (&name::Member, &raft::Progress)| {
+            (now > p.heard + DROP_LEARNER && !raft.voters().holds(m)).then(|| m.clone())
+        };
+        for member in raft.peers().filter_map(silent).collect::<Vec<_>>() {
+            raft.drop_learner(&member);
+        }
+        if !raft.is_settled() {
+            return;
+        }
+        let commit = raft.commit();
+        let fit = |(m, p): (&name::Member, &raft::Progress)| {
+            let other = raft.voters().seat(&m.name).is_some_and(|seat| seat != m);
+            (other && p.matched >= commit).then(|| m.clone())
+        };
+        let fit = raft.peers().find_map(fit);
+        if let Some(member) = fit {
+            let voters = raft.voters().with_life(&member);
+            raft.propose(Load::Voters(voters), now);
+        }
+    }
+
+    fn send_form(&mut self, to: &name::Name, form: Form) {
+        let body = message::Body::Form(self.config.group.clone(), self.config.me.life, form);
+        self.out.sends.push((to.clone(), body));
+    }
+
+    fn save(&mut self, save: Save) {
+        if self.config.durable {
+            self.issued += 1;
+            self.out.saves.push((self.issued, save));
+        }
+    }
+
+    /// Moves the engine's effects on.
+    fn drain(&mut self, now: u64) {
+        let Stage::Joined(joined) = &mut self.stage else {
+            return;
+        };
+        let mut out = joined.raft.take();
+        let formation = joined.formation;
+        if let Some(state) = out.restored.take() {
+            self.machine.restore(&state);
+            joined.applied = joined.raft.log().base();
+            self.out.restored = true;
+        }
+        for entry in out.committed.drain(..) {
+            if let Load::Command(command) = &entry.load {
+                self.out.effects.extend(self.machine.apply(command));
+            }
+            joined.applied = entry.index;
+        }
+        for save in out.saves.drain(..) {
+            if let Save::Entry(entry) = &save
+                && self.config.durable
+            {
+                self.marks
+                    .push_back((self.issued + 1, entry.index, entry.term));
+            }
+            self.save(save);
+        }
+        for (to, body) in out.sends.drain(..) {
+            self.send(formation, &to, body);
+        }
+        self.catch_up(&out.behind, now);
+        self.compact();
+    }
+
+    fn send(&mut self, formation: Formation, to: &name::Member, body: message::Raft) {
+        let route = Route {
+            formation,
+            from: self.config.me.life,
+            to: to.life,
+        };
+        let free = raft::is_free(&body) || self.done >= self.issued;
+        let body = message::Body::Raft(self.config.group.clone(), route, body);
+        if free {
+            self.out.sends.push((to.name.clone(), body));
+        } else {
+            self.held.push_back((self.issued, to.name.clone(), body));
+        }
+    }
+
+    fn catch_up(&mut self, behind: &[name::Member], now: u64) {
+        if behind.is_empty() {
+            return;
+        }
+        let state = self.machine.snapshot();
+        let Stage::Joined(joined) = &mut self.stage else {
+            return;
+        };
+        for member in behind {
+            joined.raft.send_snapshot(member, state.clone(), now);
+        }
+        let formation = joined.formation;
+        for (to, body) in joined.raft.take().sends {
+            self.send(formation, &to, body);
+        }
+    }
+
+    fn compact(&mut self) {
+        let Stage::Joined(joined) = &mut self.stage else {
+            return;
+        };
+        let raft = &mut joined.raft;
+        if joined.applied < raft.log().base() + COMPACT_EVERY {
+            return;
+        }
+        if self.config.durable {
+            let index = joined.applied;
+            let term = raft.log().term(index).unwrap_or_default();
+            let voters = raft.voters_at(index);
+            let state = self.machine.snapshot();
+            raft.compact(KEPT_ENTRIES);
+            self.save(Save::Snapshot {
+                index,
+                term,
+                voters,
+                state,
+            });
+        } else {
+            raft.compact(KEPT_ENTRIES);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coord/src/jobs.rs
@@ -0,0 +1,537 @@
+//! The life cycle of jobs at this instance: submission, admission, end.
+
+use std::sync;
+
+use state::{id, name, table};
+
+use crate::{
+    calls::Waiter,
+    core::{Core, Output, Stop, Ticket},
+    job::{Ending, Job, Phase, Slot},
+    limit,
+    message::{self, Body, Refusal, Spec, Verdict},
+    queue::Task,
+    time::{self, Now},
+};
+
+/// Between two proposals of the same command, microseconds.
+const REPROPOSE: u64 = 300 * time::MS;
+/// A submission waits this long for a lease, microseconds; longer than an election takes.
+const HOLD: u64 = 2_500 * time::MS;
+/// An answer waits this long for its copies, microseconds.
+const COPY_PATIENCE: u64 = 200 * time::MS;
+/// A running job without contact to the journal is given up after this, microseconds.
+const LOST_CONTACT: u64 = 5_000 * time::MS;
+
+impl Core {
+    pub(crate) fn on_submit(&mut self, ticket: Ticket, spec: Spec, now: Now) {
+        self.counts.submitted += 1;
+        self.submit(Waiter::Ticket(ticket), spec, now);
+    }
+
+    pub(crate) fn submit(&mut self, waiter: Waiter, spec: Spec, now: Now) {
+        let journaled = !(spec.raw && spec.idempotent);
+        if !journaled {
+            self.submit_direct(waiter, spec, now);
+        } else if spec.job.zone() == self.zone() {
+            self.submit_here(waiter, spec, now);
+        } else {
+            self.forward(waiter, spec, now);
+        }
+    }
+
+    /// An idempotent request: no journal, so it is served even without a lease.
+    fn submit_direct(&mut self, waiter: Waiter, spec: Spec, now: Now) {
+        if self.jobs.contains_key(&spec.job) {
+            let verdict = Verdict::refuse(Refusal::Conflict, "the id is in use", 0);
+            return self.reply(waiter, verdict);
+        }
+        let job = spec.job.clone();
+        if self.enlist(waiter, spec, 0, now) {
+            self.begin(&job, now);
+        }
+    }
+
+    fn submit_here(&mut self, waiter: Waiter, spec: Spec, now: Now) {
+        let digest = spec.digest();
+        if let Some(job) = self.jobs.get_mut(&spec.job) {
+            if job.digest != digest {
+                return self.reply(waiter, conflict());
+            }
+            if let Phase::Ending(ending) = &job.phase
+                && ending.outcome != table::Outcome::Complete
+            {
+                let verdict = ending.verdict.clone();
+                return self.reply(waiter, verdict);
+            }
+            job.waiters.push(waiter);
+            return;
+        }
+        if let Err(verdict) = self.check_age(&spec, now) {
+            return self.reply(waiter, verdict);
+        }
+        let known = self.table().get(&spec.job);
+        if known.is_some_and(|entry| entry.outcome != Some(table::Outcome::NotRun)) {
+            let until = now.after(spec.left_ms);
+            return self.attach(waiter, &spec.job, Some(digest), until, now);
+        }
+        let job = spec.job.clone();
+        if self.enlist(waiter, spec, digest, now) {
+            self.admit(&job, now);
+        }
+    }
+
+    /// Takes a submission on, unless limits forbid it.
+    fn enlist(&mut self, waiter: Waiter, spec: Spec, digest: table::Digest, now: Now) -> bool {
+        let policy = match self.screen(&spec, now) {
+            Ok(policy) => policy,
+            Err(verdict) => {
+                self.reply(waiter, verdict);
+                return false;
+            }
+        };
+        let deadline = now.after(limit::deadline_ms(&spec, &policy));
+        let id = spec.job.clone();
+        let mut job = Job::new(sync::Arc::new(spec), digest, deadline, policy);
+        job.waiters.push(waiter);
+        self.due.insert((deadline, id.clone()));
+        self.jobs.insert(id, job);
+        true
+    }
+
+    fn admit(&mut self, id: &id::JobId, now: Now) {
+        if self.unleased(now.mono) > HOLD {
+            return self.give_up(id, &Verdict::unknown("the zone's journal is out of reach"));
+        }
+        let owner = self.journal.me().clone();
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.retry = now.mono + REPROPOSE;
+        let claim = limit::claim(&job.spec, &job.policy, now);
+        let command = table::Command::Admit {
+            job: id.clone(),
+            digest: job.digest,
+            owner,
+            claim,
+        };
+        self.propose(&command, now);
+    }
+
+    /// Drops a job that is not admitted, and answers for it.
+    fn give_up(&mut self, id: &id::JobId, verdict: &Verdict) {
+        if let Some(job) = self.remove(id) {
+            for waiter in job.waiters {
+                self.reply(waiter, verdict.clone());
+            }
+        }
+    }
+
+    pub(crate) fn remove(&mut self, id: &id::JobId) -> Option<Job> {
+        let job = self.jobs.remove(id)?;
+        self.due.remove(&(job.deadline, id.clone()));
+        Some(job)
+    }
+
+    pub(crate) fn on_admitted(&mut self, id: &id::JobId, owner: &name::Member, now: Now) {
+        let admitting = self
+            .jobs
+            .get(id)
+            .is_some_and(|job| matches!(job.phase, Phase::Admitting));
+        if owner != self.journal.me() {
+            if admitting {
+                self.yield_to_owner(id, now);
+            }
+        } else if admitting {
+            self.begin(id, now);
+        } else if !self.jobs.contains_key(id) {
+            // Its submission was given up while the admission was on its way.
+            self.propose_end(id, table::Outcome::NotRun, now);
+        }
+    }
+
+    pub(crate) fn on_known(&mut self, id: &id::JobId, proposer: &name::Member, now: Now) {
+        let mine = proposer == self.journal.me();
+        let admitting = self
+            .jobs
+            .get(id)
+            .is_some_and(|job| matches!(job.phase, Phase::Admitting));
+        let owned = self.table().get(id).and_then(|entry| entry.owner.as_ref());
+        if mine && admitting && owned != Some(self.journal.me()) {
+            self.yield_to_owner(id, now);
+        }
+    }
+
+    pub(crate) fn on_limited(&mut self, id: &id::JobId, owner: &name::Member, retry: u64, _: Now) {
+        let admitting = self
+            .jobs
+            .get(id)
+            .is_some_and(|job| matches!(job.phase, Phase::Admitting));
+        if owner == self.journal.me() && admitting {
+            let verdict = Verdict::refuse(Refusal::Quota, "the team is at its quota", retry);
+            self.give_up(id, &verdict);
+        }
+    }
+
+    /// Somebody else owns the job: everybody who waits here waits for the owner's answer.
+    fn yield_to_owner(&mut self, id: &id::JobId, now: Now) {
+        let Some(job) = self.remove(id) else { return };
+        for waiter in job.waiters {
+            self.attach(waiter, id, Some(job.digest), job.deadline, now);
+        }
+        if job.cancelled {
+            self.cancel(Waiter::Nobody, id, now);
+        }
+    }
+
+    /// Answers for a job that the journal knows, now or when it ends.
+    pub(crate) fn attach(
+        &mut self,
+        waiter: Waiter,
+        id: &id::JobId,
+        digest: Option<table::Digest>,
+        until: u64,
+        now: Now,
+    ) {
+        let Some(entry) = self.table().get(id).cloned() else {
+            return self.reply(
+                waiter,
+                Verdict::unknown("the journal does not know the job"),
+            );
+        };
+        if digest.is_some_and(|digest| digest != entry.digest) {
+            return self.reply(waiter, conflict());
+        }
+        match entry.outcome {
+            None => self.attach_open(waiter, id, entry.owner, until, now),
+            Some(table::Outcome::Complete) => match self.answers.get(id).cloned() {
+                Some(answers) => self.reply(waiter, Verdict::Complete(answers)),
+                None => self.fetch(waiter, id, now),
+            },
+            Some(table::Outcome::Failed) => self.reply(waiter, Verdict::failed("the job failed")),
+            Some(table::Outcome::NotRun) => self.reply(waiter, not_started()),
+        }
+    }
+
+    fn attach_open(
+        &mut self,
+        waiter: Waiter,
+        id: &id::JobId,
+        owner: Option<name::Member>,
+        until: u64,
+        now: Now,
+    ) {
+        match owner {
+            Some(owner) if owner != *self.journal.me() => {
+                self.await_owner(waiter, id, &owner.name, until, now);
+            }
+            _ => match self.jobs.get_mut(id) {
+                Some(job) => job.waiters.push(waiter),
+                // Owned here and not worked on: no task of it was or will be started.
+                None => self.reply(waiter, not_started()),
+            },
+        }
+    }
+
+    /// Puts the tasks of an admitted job into the queue.
+    fn begin(&mut self, id: &id::JobId, now: Now) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.cancelled {
+            return self.finish(
+                id,
+                table::Outcome::Failed,
+                &Verdict::failed("cancelled"),
+                now,
+            );
+        }
+        job.phase = Phase::Running;
+        let service = self.services.entry(job.spec.service.clone()).or_default();
+        for index in 0..job.spec.tasks.len() as u32 {
+            let task = Task {
+                job: id.clone(),
+                index,
+            };
+            service
+                .queue
+                .push(job.spec.team.as_ref(), job.deadline, task);
+        }
+        self.dirty.insert(job.spec.service.clone());
+    }
+
+    /// Ends a job: nothing of it starts any more, what runs is told to stop.
+    pub(crate) fn finish(
+        &mut self,
+        id: &id::JobId,
+        outcome: table::Outcome,
+        verdict: &Verdict,
+        now: Now,
+    ) {
+        self.halt(id);
+        let copies = match verdict {
+            Verdict::Complete(answers) => self.copy_answers(id, answers),
+            _ => 0,
+        };
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        self.due.remove(&(job.deadline, id.clone()));
+        let patience = now.mono + COPY_PATIENCE;
+        let committed = !job.journaled;
+        job.retry = now.mono + REPROPOSE;
+        let waiters = match outcome {
+            // The answer goes out once the journal holds it.
+            table::Outcome::Complete => smallvec::SmallVec::new(),
+            table::Outcome::Failed | table::Outcome::NotRun => std::mem::take(&mut job.waiters),
+        };
+        let ending = Ending {
+            outcome,
+            verdict: verdict.clone(),
+            committed,
+            copies,
+            patience,
+        };
+        job.phase = Phase::Ending(ending);
+        for waiter in waiters {
+            self.reply(waiter, verdict.clone());
+        }
+        if committed {
+            self.conclude(id, now);
+        } else {
+            self.propose_end(id, outcome, now);
+        }
+    }
+
+    fn propose_end(&mut self, id: &id::JobId, outcome: table::Outcome, now: Now) {
+        let owner = self.journal.me().clone();
+        self.propose(
+            &table::Command::End {
+                job: id.clone(),
+                owner,
+                outcome,
+            },
+            now,
+        );
+    }
+
+    /// Takes waiting tasks out of the queue and tells upstreams to stop running ones.
+    fn halt(&mut self, id: &id::JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if let Some(service) = self.services.get_mut(&job.spec.service) {
+            for index in 0..job.slots.len() as u32 {
+                service.queue.remove(&Task {
+                    job: id.clone(),
+                    index,
+                });
+            }
+        }
+        let attempts: Vec<_> = job
+            .attempts()
+            .map(|(index, a)| (index, a.clone()))
+            .collect();
+        for slot in &mut job.slots {
+            if matches!(slot, Slot::Running(_)) {
+                *slot = Slot::Waiting;
+            }
+        }
+        for (index, attempt) in attempts {
+            let task = Task {
+                job: id.clone(),
+                index,
+            };
+            self.stop(task, &attempt);
+        }
+    }
+
+    pub(crate) fn stop(&mut self, task: Task, attempt: &crate::job::Attempt) {
+        self.counts.stops += 1;
+        let (number, address) = (attempt.number, attempt.address.clone());
+        self.out.push(Output::Stop(Stop {
+            task,
+            attempt: number,
+            address,
+        }));
+    }
+
+    fn copy_answers(&mut self, id: &id::JobId, answers: &[message::Answer]) -> usize {
+        let Some(job) = self.jobs.get(id).filter(|job| job.journaled) else {
+            return 0;
+        };
+        let wanted = job.policy.answer_copies as usize;
+        self.answers.put(id, answers.to_vec());
+        let mut peers = self.neighbours();
+        let count = peers.len();
+        if count > 0 {
+            peers.rotate_left(id::short(&id.to_string()) as usize % count);
+        }
+        peers.truncate(wanted);
+        for to in &peers {
+            let copy = message::Job::Copy {
+                job: id.clone(),
+                answers: answers.to_vec(),
+            };
+            self.send(to, Body::Job(copy));
+        }
+        peers.len()
+    }
+
+    pub(crate) fn on_copied(&mut self, id: &id::JobId, now: Now) {
+        if let Some(Job {
+            phase: Phase::Ending(ending),
+            ..
+        }) = self.jobs.get_mut(id)
+        {
+            ending.copies = ending.copies.saturating_sub(1);
+            self.conclude(id, now);
+        }
+    }
+
+    /// Lets a job go once the journal holds its end and the copies are there, or are late.
+    fn conclude(&mut self, id: &id::JobId, now: Now) {
+        let Some(Job {
+            phase: Phase::Ending(ending),
+            ..
+        }) = self.jobs.get(id)
+        else {
+            return;
+        };
+        if !ending.committed || (ending.copies > 0 && now.mono < ending.patience) {
+            return;
+        }
+        let verdict = ending.verdict.clone();
+        self.give_up(id, &verdict);
+    }
+
+    pub(crate) fn on_ended(&mut self, id: &id::JobId, outcome: table::Outcome, now: Now) {
+        self.calls.note_end(id, now.mono);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        match &mut job.phase {
+            Phase::Admitting if outcome == table::Outcome::NotRun => {}
+            Phase::Admitting => self.yield_to_owner(id, now),
+            Phase::Ending(ending) if ending.outcome == outcome => {
+                ending.committed = true;
+                self.conclude(id, now);
+            }
+            // Ended by the others: this instance was taken for dead.
+            Phase::Running | Phase::Ending(_) => {
+                self.halt(id);
+                self.give_up(
+                    id,
+                    &Verdict::failed("the owner lost contact to the zone's journal"),
+                );
+            }
+        }
+    }
+
+    /// After the whole table was replaced: every job goes by what the table says now.
+    pub(crate) fn review_jobs(&mut self, now: Now) {
+        let ids: Vec<_> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            let Some(entry) = self.table().get(&id).cloned() else {
+                continue;
+            };
+            if let Some(outcome) = entry.outcome {
+                self.on_ended(&id, outcome, now);
+            } else if let Some(owner) = entry.owner {
+                self.on_admitted(&id, &owner, now);
+            }
+        }
+    }
+
+    /// The journal is gone: its jobs can never be proved to have run or not.
+    pub(crate) fn lose_jobs(&mut self, _: Now) {
+        let ids: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.journaled)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            self.halt(&id);
+            self.give_up(&id, &Verdict::unknown("the zone's journal was lost"));
+        }
+    }
+
+    pub(crate) fn tick_jobs(&mut self, now: Now) {
+        while let Some((deadline, id)) = self.due.first().cloned()
+            && deadline <= now.mono
+        {
+            self.due.pop_first();
+            self.on_deadline(&id, now);
+        }
+        let lost = self.unleased(now.mono) > LOST_CONTACT;
+        let mut again = Vec::new();
+        for (id, job) in &self.jobs {
+            let pending = !matches!(job.phase, Phase::Running);
+            let lonely = lost && job.journaled && !job.waiters.is_empty();
+            let hedged = !job.journaled && job.policy.hedge_quantile > 0.0;
+            if lonely || hedged || (pending && now.mono >= job.retry) {
+                again.push(id.clone());
+            }
+        }
+        for id in again {
+            self.revisit(&id, lost, now);
+        }
+    }
+
+    fn revisit(&mut self, id: &id::JobId, lost: bool, now: Now) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        match &job.phase {
+            Phase::Admitting => self.admit(id, now),
+            Phase::Ending(ending) if ending.committed => self.conclude(id, now),
+            Phase::Ending(ending) => {
+                let outcome = ending.outcome;
+                job.retry = now.mono + REPROPOSE;
+                self.propose_end(id, outcome, now);
+            }
+            Phase::Running if !job.journaled => self.hedge(id, now),
+            Phase::Running => {}
+        }
+        if lost && let Some(job) = self.jobs.get_mut(id).filter(|job| job.journaled) {
+            let waiters = std::mem::take(&mut job.waiters);
+            for waiter in waiters {
+                let why = "the owner lost contact to the zone's journal";
+                self.reply(waiter, Verdict::unknown(why));
+            }
+        }
+    }
+
+    fn on_deadline(&mut self, id: &id::JobId, now: Now) {
+        let Some(job) = self.jobs.get(id) else { return };
+        match job.phase {
+            Phase::Admitting if !self.has_lease(now.mono) => {
+                self.give_up(id, &Verdict::unknown("the zone's journal is out of reach"));
+            }
+            Phase::Admitting => self.give_up(id, &not_started()),
+            Phase::Running if job.ran == 0 => {
+                self.finish(id, table::Outcome::NotRun, &not_started(), now);
+            }
+            Phase::Running => {
+                let why = "the deadline has passed".to_owned();
+                let verdict = Verdict::Failed { why, late: true };
+                self.finish(id, table::Outcome::Failed, &verdict, now);
+            }
+            Phase::Ending(_) => {}
+        }
+    }
+}
+
+fn conflict() -> Verdict {
+    Verdict::refuse(Refusal::Conflict, "the id was used for other content", 0)
+}
+
+fn not_started() -> Verdict {
+    const RETRY_MS: u64 = 100;
+    Verdict::refuse(
+        Refusal::Expired,
+        "no task was started before the deadline",
+        RETRY_MS,
+    )
+}
--- /dev/null
+++ b/crates/coord/src/lib.rs
@@ -0,0 +1,25 @@
+//! Pure decisions.
+pub mod cache;
+mod calls;
+pub mod core;
+pub mod entry;
+pub mod fleet;
+pub mod form;
+pub mod group;
+pub mod health;
+mod job;
+mod jobs;
+mod limit;
+pub mod log;
+pub mod machine;
+pub mod member;
+pub mod message;
+pub mod place;
+pub mod queue;
+pub mod raft;
+pub mod retry;
+mod run;
+pub mod share;
+pub mod status;
+pub mod time;
+pub use core::Core;
--- /dev/null
+++ b/crates/coord/src/limit.rs
@@ -0,0 +1,172 @@
+//! Admission: whether a submission is taken at all, decided for the whole job at once.
+
+use rand::RngExt as _;
+use state::{name, table, tree};
+
+use crate::{
+    core::Core,
+    fleet, group,
+    message::{Refusal, Spec, Verdict},
+    time::{self, Now},
+};
+
+/// Shortest time after which a refused client is told to come back, milliseconds.
+const MIN_RETRY_MS: u64 = 50;
+/// Longest one.
+const MAX_RETRY_MS: u64 = 30_000;
+
+impl Core {
+    /// Whether an id of this age can be told from one that ran before.
+    pub(crate) fn check_age(&self, spec: &Spec, now: Now) -> Result<(), Verdict> {
+        let policy = self.tree().policy_at(spec.service.as_str());
+        self.check_minted(spec.job.minted(), policy.retention_ms, now)?;
+        if spec.job.minted() > now.wall + group::SKEW_MS {
+            let ahead = spec.job.minted() - now.wall;
+            let why = format!("the id is {ahead} ms ahead of this instance's clock");
+            return Err(Verdict::refuse(Refusal::Malformed, why, 0));
+        }
+        Ok(())
+    }
+
+    pub(crate) fn check_minted(
+        &self,
+        minted: u64,
+        retention: u64,
+        now: Now,
+    ) -> Result<(), Verdict> {
+        let Some(formation) = self.journal.formation() else {
+            return Err(Verdict::unknown(
+                "the instance has not joined its zone's journal",
+            ));
+        };
+        if minted < formation.at {
+            return Err(Verdict::unknown("the id is older than the zone's journal"));
+        }
+        if minted + retention < now.wall || minted < self.table().floor() {
+            return Err(Verdict::unknown("the id is older than the retention"));
+        }
+        Ok(())
+    }
+
+    /// Whether the submission is taken; gives the settings in force for it.
+    pub(crate) fn screen(&mut self, spec: &Spec, now: Now) -> Result<tree::Policy, Verdict> {
+        if self.draining {
+            return Err(Verdict::refuse(
+                Refusal::Draining,
+                "the instance is shutting down",
+                100,
+            ));
+        }
+        let Some(policy) = self.tree().policy(spec.service.as_str()) else {
+            let why = format!("service {} was never set", spec.service);
+            return Err(Verdict::refuse(Refusal::NoService, why, 0));
+        };
+        if spec.tasks.is_empty() {
+            return Err(Verdict::refuse(
+                Refusal::Malformed,
+                "a job needs at least one task",
+                0,
+            ));
+        }
+        if spec.tasks.len() as u64 > policy.max_tasks {
+            let why = format!("{} tasks, at most {}", spec.tasks.len(), policy.max_tasks);
+            return Err(Verdict::refuse(Refusal::TooLarge, why, 0));
+        }
+        if let Some(claim) = claim(spec, &policy, now)
+            && claim.flight > 0
+            && claim.tasks > claim.flight
+        {
+            let why = format!("the team may have {} tasks in flight", claim.flight);
+            return Err(Verdict::refuse(Refusal::Quota, why, 0));
+        }
+        self.check_reach(spec, &policy, now)?;
+        if self.config.trial.limits {
+            self.check_room(spec, &policy, now)?;
+        }
+        Ok(policy)
+    }
+
+    fn check_reach(&self, spec: &Spec, policy: &tree::Policy, now: Now) -> Result<(), Verdict> {
+        match self.fleet.reach(&spec.service, &spec.needs, now.mono) {
+            fleet::Reach::Open => Ok(()),
+            fleet::Reach::Unfit => {
+                let why = "no upstream of the service could hold such a task";
+                Err(Verdict::refuse(Refusal::Impossible, why, 0))
+            }
+            fleet::Reach::Nobody | fleet::Reach::Closed => {
+                let why = "no upstream of the service is serving";
+                let retry = policy.upstream_lease_ms / 3;
+                Err(Verdict::refuse(Refusal::NoUpstream, why, retry))
+            }
+        }
+    }
+
+    /// Refuses what does not fit the queue, or could not be answered in time as far as observed.
+    fn check_room(&mut self, spec: &Spec, policy: &tree::Policy, now: Now) -> Result<(), Verdict> {
+        let room = self.fleet.room(&spec.service, now.mono);
+        let left = deadline_ms(spec, policy) * time::MS;
+        let Some(service) = self.services.get(&spec.service) else {
+            return Ok(());
+        };
+        let count = spec.tasks.len() as u64;
+        let queued = service.queue.len() as u64;
+        // Slots that idle peers would lend count as long as none has refused lately.
+        let dry = now.mono < service.dry || self.neighbours().is_empty();
+        let slots = u64::from(if dry { room.allowed } else { room.total }).max(1);
+        let mean = service.times.mean().unwrap_or(0);
+        let free = if dry {
+            u64::from(room.free)
+        } else {
+            slots.saturating_sub(queued)
+        };
+        if queued + count > policy.max_queue + free {
+            let over = (queued + count).saturating_sub(policy.max_queue);
+            let why = format!("{queued} tasks wait, at most {}", policy.max_queue);
+            let retry = self.retry_after(over * mean / slots);
+            return Err(Verdict::refuse(Refusal::Overload, why, retry));
+        }
+        let deadline = now.mono + left;
+        let ahead = service.queue.ahead(spec.team.as_ref(), deadline) as u64;
+        let Some(typical) = service.times.quantile(0.5) else {
+            return Ok(());
+        };
+        let wait = (ahead + count).saturating_sub(free) * mean / slots;
+        if wait + typical > left {
+            let why = "the deadline cannot be met by the service times observed";
+            let retry = self.retry_after((wait + typical).saturating_sub(left));
+            return Err(Verdict::refuse(Refusal::Overload, why, retry));
+        }
+        Ok(())
+    }
+
+    /// Milliseconds for a wait in microseconds, with jitter so that clients do not come together.
+    fn retry_after(&mut self, wait: u64) -> u64 {
+        let ms = (wait / time::MS).clamp(MIN_RETRY_MS, MAX_RETRY_MS);
+        self.rng.random_range(ms..=ms + ms / 2)
+    }
+}
+
+/// Time that a submission has, milliseconds.
+pub(crate) fn deadline_ms(spec: &Spec, policy: &tree::Policy) -> u64 {
+    let asked = if spec.left_ms == 0 {
+        policy.deadline_ms
+    } else {
+        spec.left_ms
+    };
+    asked.min(policy.max_deadline_ms)
+}
+
+/// What a submission takes of its team's quota, if one is set.
+pub(crate) fn claim(spec: &Spec, policy: &tree::Policy, now: Now) -> Option<table::Claim> {
+    let team = spec.team.as_ref()?;
+    if policy.team_in_flight == 0 && policy.team_rate == 0 {
+        return None;
+    }
+    Some(table::Claim {
+        account: name::Name::new(&format!("{} {team}", spec.service)),
+        tasks: spec.tasks.len() as u32,
+        flight: policy.team_in_flight as u32,
+        rate: policy.team_rate as u32,
+        at: now.wall,
+    })
+}
--- /dev/null
+++ b/crates/coord/src/log.rs
@@ -0,0 +1,102 @@
+//! The in-memory part of a replicated log: entries after the last snapshot.
+
+use std::collections;
+
+use crate::entry;
+
+/// Entries from `base + 1` on; everything up to `base` is in the snapshot.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Log {
+    base: u64,
+    base_term: u64,
+    entries: collections::VecDeque<entry::Entry>,
+}
+
+impl Log {
+    /// An empty log that follows a snapshot.
+    pub fn new(base: u64, base_term: u64) -> Self {
+        Self {
+            base,
+            base_term,
+            entries: collections::VecDeque::new(),
+        }
+    }
+
+    /// Index of the last entry that was compacted away.
+    pub fn base(&self) -> u64 {
+        self.base
+    }
+
+    /// Term at [`Self::base`].
+    pub fn base_term(&self) -> u64 {
+        self.base_term
+    }
+
+    /// Index of the last entry.
+    pub fn last(&self) -> u64 {
+        self.base + self.entries.len() as u64
+    }
+
+    /// Term of the last entry.
+    pub fn last_term(&self) -> u64 {
+        self.entries
+            .back()
+            .map_or(self.base_term, |entry| entry.term)
+    }
+
+    /// Term of the entry at `index`, if it is still known.
+    pub fn term(&self, index: u64) -> Option<u64> {
+        if index == self.base {
+            return Some(self.base_term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    /// The entry at `index`.
+    pub fn get(&self, index: u64) -> Option<&entry::Entry> {
+        let at = index.checked_sub(self.base + 1)?;
+        self.entries.get(at as usize)
+    }
+
+    /// Entries from `from` on, at most `count` of them.
+    pub fn slice(&self, from: u64, count: usize) -> Vec<entry::Entry> {
+        let skip = from.saturating_sub(self.base + 1) as usize;
+        self.entries
+            .iter()
+            .skip(skip)
+            .take(count)
+            .cloned()
+            .collect()
+    }
+
+    /// Entries of `(from, to]`.
+    pub fn range(&self, from: u64, to: u64) -> Vec<entry::Entry> {
+        self.slice(from + 1, to.saturating_sub(from) as usize)
+    }
+
+    /// All entries, oldest first.
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = &entry::Entry> {
+        self.entries.iter()
+    }
+
+    /// Appends one entry.
+    pub fn push(&mut self, entry: entry::Entry) {
+        debug_assert_eq!(entry.index, self.last() + 1, "entries follow one another");
+        self.entries.push_back(entry);
+    }
+
+    /// Drops the entry at `index` and all after it.
+    pub fn truncate(&mut self, index: u64) {
+        let keep = index.saturating_sub(self.base + 1) as usize;
+        self.entries.truncate(keep);
+    }
+
+    /// Drops entries up to `index`, which a snapshot now covers.
+    pub fn compact(&mut self, index: u64) {
+        let Some(term) = self.term(index) else { return };
+        let drop = index.saturating_sub(self.base) as usize;
+        self.entries.drain(..drop);
+        self.base = index;
+        self.base_term = term;
+    }
+}
--- /dev/null
+++ b/crates/coord/src/run.rs
@@ -0,0 +1,371 @@
+//! Starting tasks: dispatch, their ends, retries, hedges and borrowed slots.
+
+use state::{id, name, table};
+
+use crate::{
+    core::{Core, Done, Finish, Output, Start},
+    fleet,
+    job::{Attempt, Phase, Slot},
+    message::{self, Body, Verdict},
+    queue::Task,
+    time::{self, Now},
+};
+
+/// Tasks at the head of a queue that are passed over when none fits a free slot.
+const LOOK_AHEAD: usize = 8;
+/// Most slots asked for in one message.
+const MAX_ASK: u32 = 64;
+/// An unanswered question for slots counts as refused after this, microseconds.
+const ASK_PATIENCE: u64 = 300 * time::MS;
+/// Shortest and longest pause after every peer has refused to lend, microseconds.
+const DRY: (u64, u64) = (50 * time::MS, 1_000 * time::MS);
+
+impl Core {
+    pub(crate) fn dispatch_dirty(&mut self, now: Now) {
+        for service in std::mem::take(&mut self.dirty) {
+            self.dispatch(&service, now);
+        }
+    }
+
+    fn dispatch(&mut self, service: &name::Name, now: Now) {
+        let lease = if self.has_lease(now.mono) {
+            self.journal.lease(now.mono)
+        } else {
+            0
+        };
+        let mut passed = Vec::new();
+        while passed.len() < LOOK_AHEAD && self.fleet.room(service, now.mono).free > 0 {
+            let queue = self
+                .services
+                .get_mut(service)
+                .map(|service| &mut service.queue);
+            let Some(task) = queue.and_then(crate::queue::Queue::pop) else {
+                break;
+            };
+            if !self.start(&task, lease, None, now) {
+                passed.push(task);
+            }
+        }
+        for task in passed {
+            self.put_back(task);
+        }
+        let waiting = self
+            .services
+            .get(service)
+            .is_some_and(|s| !s.queue.is_empty());
+        if waiting {
+            self.ask_slots(service, now);
+        }
+    }
+
+    fn put_back(&mut self, task: Task) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        if let Some(service) = self.services.get_mut(&job.spec.service) {
+            service
+                .queue
+                .put_back(job.spec.team.as_ref(), job.deadline, task);
+        }
+    }
+
+    /// Starts one attempt at a task; false if no upstream may take it now.
+    fn start(&mut self, task: &Task, lease: u64, avoid: Option<&name::Name>, now: Now) -> bool {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return true;
+        };
+        if job.journaled && lease <= now.mono {
+            return false;
+        }
+        let spec = &job.spec;
+        let Some(upstream) = self.fleet.pick(&spec.service, &spec.needs, avoid, now.mono) else {
+            return false;
+        };
+        let Some(address) = self.fleet.start(&upstream) else {
+            return false;
+        };
+        self.attempts += 1;
+        let number = self.attempts;
+        let start = Start {
+            task: task.clone(),
+            attempt: number,
+            upstream: upstream.clone(),
+            address: address.clone(),
+            body: spec
+                .tasks
+                .get(task.index as usize)
+                .cloned()
+                .unwrap_or_default(),
+            content: spec.content.clone(),
+            deadline: job.deadline,
+            lease: if job.journaled { lease } else { u64::MAX },
+            trace: spec.trace.clone(),
+        };
+        let attempt = Attempt {
+            number,
+            upstream,
+            address,
+            since: now.mono,
+        };
+        job.ran += 1;
+        match &mut job.slots[task.index as usize] {
+            Slot::Running(attempts) => attempts.push(attempt),
+            slot => *slot = Slot::Running(smallvec::smallvec![attempt]),
+        }
+        self.counts.starts += 1;
+        self.out.push(Output::Start(start));
+        true
+    }
+
+    pub(crate) fn on_done(&mut self, done: Done, now: Now) {
+        let end = match &done.finish {
+            Finish::Answer(_) => fleet::End::Answered(done.took),
+            Finish::Full => fleet::End::Full,
+            Finish::Unsent => fleet::End::Neutral,
+            Finish::Unreached | Finish::Failed(_) => fleet::End::Failed,
+        };
+        let service = self
+            .fleet
+            .table()
+            .get(done.upstream.as_str())
+            .map(|l| &l.info.service);
+        self.dirty.extend(service.cloned());
+        let wanted = self.take_attempt(&done);
+        // A task that was told to stop says nothing about its upstream by failing.
+        let told = !wanted && end == fleet::End::Failed;
+        self.fleet.finish(
+            &done.upstream,
+            if told { fleet::End::Neutral } else { end },
+            now.mono,
+        );
+        if !wanted {
+            return;
+        }
+        match done.finish {
+            Finish::Answer(answer) => self.on_answer(&done.task, answer, done.took, now),
+            Finish::Full | Finish::Unreached | Finish::Unsent => self.on_unstarted(&done.task),
+            Finish::Failed(why) => self.on_failure(&done.task, &done.upstream, &why, now),
+        }
+    }
+
+    /// Takes an attempt out of its job; false if the job does not wait for it.
+    fn take_attempt(&mut self, done: &Done) -> bool {
+        let Some(job) = self.jobs.get_mut(&done.task.job) else {
+            return false;
+        };
+        let slot = job.slots.get_mut(done.task.index as usize);
+        let Some(Slot::Running(attempts)) = slot else {
+            return false;
+        };
+        let before = attempts.len();
+        attempts.retain(|attempt| attempt.number != done.attempt);
+        before > attempts.len() && matches!(job.phase, Phase::Running)
+    }
+
+    fn on_answer(&mut self, task: &Task, answer: message::Answer, took: u64, now: Now) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let slot = &mut job.slots[task.index as usize];
+        let others = match std::mem::replace(slot, Slot::Done(answer)) {
+            Slot::Running(attempts) => attempts,
+            Slot::Waiting | Slot::Done(_) => smallvec::SmallVec::new(),
+        };
+        job.open -= 1;
+        let complete = job.open == 0;
+        let answers = if complete { job.answers() } else { Vec::new() };
+        if let Some(service) = self.services.get_mut(&job.spec.service) {
+            service.times.note(took);
+            service.budget.earn(job.policy.retry_budget);
+        }
+        for attempt in &others {
+            self.stop(task.clone(), attempt);
+        }
+        if complete {
+            let verdict = Verdict::Complete(answers);
+            self.finish(&task.job, table::Outcome::Complete, &verdict, now);
+        }
+    }
+
+    /// It is proved that the attempt started nothing, so the task may go elsewhere.
+    fn on_unstarted(&mut self, task: &Task) {
+        self.counts.moved += 1;
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        job.ran -= 1;
+        let slot = &mut job.slots[task.index as usize];
+        if matches!(slot, Slot::Running(attempts) if attempts.is_empty()) {
+            *slot = Slot::Waiting;
+            let (team, deadline) = (job.spec.team.clone(), job.deadline);
+            if let Some(service) = self.services.get_mut(&job.spec.service) {
+                service.queue.push(team.as_ref(), deadline, task.clone());
+            }
+        }
+    }
+
+    fn on_failure(&mut self, task: &Task, upstream: &name::Name, why: &str, now: Now) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let slot = &mut job.slots[task.index as usize];
+        if matches!(slot, Slot::Running(attempts) if !attempts.is_empty()) {
+            // A hedge of it is still under way.
+            return;
+        }
+        let retryable = !job.journaled && now.mono < job.deadline;
+        let budget = self
+            .services
+            .get_mut(&job.spec.service)
+            .map(|service| &mut service.budget);
+        if retryable && budget.is_some_and(crate::retry::Budget::spend) {
+            *slot = Slot::Waiting;
+            self.counts.retries += 1;
+            if !self.start(task, u64::MAX, Some(upstream), now) {
+                self.put_back(task.clone());
+            }
+            return;
+        }
+        let why = format!("task {} at {upstream}: {why}", task.index);
+        self.finish(
+            &task.job,
+            table::Outcome::Failed,
+            &Verdict::failed(why),
+            now,
+        );
+    }
+
+    /// Starts a second attempt at a request that takes longer than the quantile set for it.
+    pub(crate) fn hedge(&mut self, id: &id::JobId, now: Now) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let Some(service) = self.services.get_mut(&job.spec.service) else {
+            return;
+        };
+        let Some(limit) = service.times.quantile(job.policy.hedge_quantile) else {
+            return;
+        };
+        let late = |(index, attempt): (u32, &Attempt)| {
+            let alone = matches!(&job.slots[index as usize], Slot::Running(a) if a.len() == 1);
+            (alone && now.mono > attempt.since + limit).then(|| (index, attempt.upstream.clone()))
+        };
+        let late: Vec<_> = job.attempts().filter_map(late).collect();
+        for (index, upstream) in late {
+            let budget = self
+                .services
+                .get_mut(&job_service(self, id))
+                .map(|s| &mut s.budget);
+            if !budget.is_some_and(crate::retry::Budget::spend) {
+                return;
+            }
+            let task = Task {
+                job: id.clone(),
+                index,
+            };
+            if self.start(&task, u64::MAX, Some(&upstream), now) {
+                self.counts.hedges += 1;
+            }
+        }
+    }
+
+    /// Asks one peer after the other for idle slots, one message at a time.
+    fn ask_slots(&mut self, service: &name::Name, now: Now) {
+        let peers = self.neighbours();
+        let trial = self.config.trial;
+        if peers.is_empty() || !trial.borrow || !trial.shares {
+            return;
+        }
+        let Some(entry) = self.services.get_mut(service) else {
+            return;
+        };
+        let waits = entry.asking.is_some() && now.mono < entry.asked + ASK_PATIENCE;
+        if waits || now.mono < entry.dry {
+            return;
+        }
+        let to = peers[entry.turn % peers.len()].clone();
+        entry.asking = Some(to.clone());
+        entry.asked = now.mono;
+        let count = (entry.queue.len() as u32).min(MAX_ASK);
+        self.counts.asked_loans += 1;
+        self.send(
+            &to,
+            Body::Loan(message::Loan::Ask {
+                service: service.clone(),
+                count,
+            }),
+        );
+    }
+
+    pub(crate) fn on_loan(&mut self, from: &name::Name, loan: message::Loan, now: Now) {
+        match loan {
+            message::Loan::Ask { service, count } => {
+                let busy = self
+                    .services
+                    .get(&service)
+                    .is_some_and(|s| !s.queue.is_empty());
+                let member = self.neighbours().contains(from);
+                let count = if busy || !member { 0 } else { count };
+                let slots = self.fleet.lend(from, &service, count, now.mono);
+                self.send(from, Body::Loan(message::Loan::Grant { service, slots }));
+            }
+            message::Loan::Grant { service, slots } => self.on_grant(from, &service, &slots, now),
+            message::Loan::Return { slots } => {
+                self.fleet.returned(from, &slots);
+                self.dirty.extend(self.services.keys().cloned());
+            }
+        }
+    }
+
+    fn on_grant(
+        &mut self,
+        from: &name::Name,
+        service: &name::Name,
+        slots: &[(name::Name, u32)],
+        now: Now,
+    ) {
+        let peers = self.neighbours().len().max(1);
+        let Some(entry) = self.services.get_mut(service) else {
+            return;
+        };
+        if entry.asking.as_ref() != Some(from) {
+            return self.send(
+                from,
+                Body::Loan(message::Loan::Return {
+                    slots: slots.to_vec(),
+                }),
+            );
+        }
+        entry.asking = None;
+        if slots.is_empty() {
+            entry.turn += 1;
+            if entry.turn.is_multiple_of(peers) {
+                entry.pause = (entry.pause * 2).clamp(DRY.0, DRY.1);
+                entry.dry = now.mono + entry.pause;
+            }
+        } else {
+            entry.pause = 0;
+            self.counts.borrowed += slots
+                .iter()
+                .map(|(_, count)| u64::from(*count))
+                .sum::<u64>();
+            let asked = entry.asked;
+            self.fleet.borrow(from, slots, asked);
+        }
+        self.dirty.insert(service.clone());
+    }
+
+    /// Gives back borrowed slots that are idle.
+    pub(crate) fn return_slots(&mut self) {
+        if self.fleet.loans().total() == 0 {
+            return;
+        }
+        for (to, slots) in self.fleet.give_back() {
+            self.send(&to, Body::Loan(message::Loan::Return { slots }));
+        }
+    }
+}
+
+fn job_service(core: &Core, id: &id::JobId) -> name::Name {
+    core.jobs
+        .get(id)
+        .map_or_else(|| name::Name::new(""), |job| job.spec.service.clone())
+}
--- /dev/null
+++ b/crates/link/src/metric.rs
@@ -0,0 +1,123 @@
+//! Metrics by `opentelemetry`, shown as Prometheus text.
+
+use std::sync;
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, MeterProvider as _, ObservableGauge},
+};
+use opentelemetry_sdk::metrics as sdk;
+use prometheus::Encoder as _;
+
+use crate::error;
+
+/// The instruments of a process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: prometheus::Registry,
+    provider: sdk::SdkMeterProvider,
+    messages: Counter<u64>,
+    bytes: Counter<u64>,
+    over: Histogram<f64>,
+}
+
+static METRICS: sync::OnceLock<Metrics> = sync::OnceLock::new();
+
+/// Values that are read when metrics are asked for: name, labels, value.
+pub type Reading = (&'static str, Vec<(&'static str, String)>, f64);
+
+impl Metrics {
+    /// Sets up the instruments.
+    ///
+    /// # Errors
+    ///
+    /// The exporter refuses its registry.
+    ///
+    /// ```
+    /// assert!(link::metric::Metrics::new().is_ok());
+    /// ```
+    pub fn new() -> Result<Self, error::Error> {
+        let registry = prometheus::Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .map_err(|e| error::Error::new("set up metrics", "registry", e))?;
+        let provider = sdk::SdkMeterProvider::builder()
+            .with_reader(exporter)
+            .build();
+        let meter = provider.meter("apricotroute");
+        let bounds = vec![
+            0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0,
+        ];
+        Ok(Self {
+            messages: meter.u64_counter("peer_messages").build(),
+            bytes: meter.u64_counter("peer_bytes").build(),
+            over: meter
+                .f64_histogram("over_ideal_ms")
+                .with_boundaries(bounds)
+                .build(),
+            registry,
+            provider,
+        })
+    }
+
+    /// Adds a gauge whose values are read when they are asked for.
+    pub fn watch(
+        &self,
+        name: &'static str,
+        read: impl Fn() -> Vec<Reading> + Send + Sync + 'static,
+    ) -> ObservableGauge<f64> {
+        let meter = self.provider.meter("apricotroute");
+        let gauge = meter
+            .f64_observable_gauge(name)
+            .with_callback(move |observer| {
+                for (_, labels, value) in read().into_iter().filter(|(other, ..)| *other == name) {
+                    let labels: Vec<_> = labels
+                        .into_iter()
+                        .map(|(key, value)| KeyValue::new(key, value))
+                        .collect();
+                    observer.observe(value, &labels);
+                }
+            });
+        gauge.build()
+    }
+
+    /// All metrics as Prometheus text.
+    pub fn text(&self) -> String {
+        let mut text = Vec::new();
+        let encoder = prometheus::TextEncoder::new();
+        match encoder.encode(&self.registry.gather(), &mut text) {
+            Ok(()) => String::from_utf8_lossy(&text).into_owned(),
+            Err(e) => format!("# {e}\n"),
+        }
+    }
+}
+
+/// The instruments of this process, once [`install`] was called.
+pub fn metrics() -> Option<&'static Metrics> {
+    METRICS.get()
+}
+
+/// Makes `metrics` the instruments of this process; the first call counts.
+pub fn install(metrics: Metrics) -> &'static Metrics {
+    METRICS.get_or_init(|| metrics)
+}
+
+/// Counts a message between instances by its kind.
+pub fn count_message(kind: &'static str, bytes: usize) {
+    if let Some(metrics) = metrics() {
+        let labels = [KeyValue::new("kind", kind)];
+        metrics.messages.add(1, &labels);
+        metrics.bytes.add(bytes as u64, &labels);
+    }
+}
+
+/// Notes by how much an answer was later than its longest task, milliseconds.
+pub fn note_over(service: &str, ms: f64) {
+    if let Some(metrics) = metrics() {
+        metrics
+            .over
+            .record(ms, &[KeyValue::new("service", service.to_owned())]);
+    }
+}
--- /dev/null
+++ b/crates/proto/src/lib.rs
@@ -0,0 +1,28 @@
+//! What crosses the borders of an instance: messages between instances and JSON for clients,
+//! upstreams and operators.
+//!
+//! ```
+//! let text = r#"{"job": "west-0190b6c4-7e2a-7c3e-8a54-000000000001", "service": "polish-board",
+//!                "deadline_ms": 500, "idempotent": false, "tasks": [{"payload": 7}]}"#;
+//! let job = proto::json::Job::parse(text.as_bytes()).unwrap();
+//! assert_eq!(job.tasks.len(), 1);
+//! ```
+
+pub mod error;
+pub mod json;
+#[rustfmt::skip]
+#[allow(
+    clippy::all,
+    clippy::pedantic,
+    clippy::allow_attributes_without_reason,
+    clippy::clone_on_ref_ptr,
+    clippy::empty_structs_with_brackets,
+    missing_docs,
+    reason = "generated code"
+)]
+pub mod peer;
+
+pub use error::Error;
+
+/// Version of the protocol between instances.
+pub const VERSION: u32 = 1;
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,35 @@
+//! State that an instance keeps: names and ids, the settings tree, the journal table, the table
+//! of upstreams, and the durable log that the settings tree is stored in.
+//!
+//! Nothing here opens a socket, reads a clock or starts a thread. The only I/O is in [`folder`]
+//! and [`wal`], which own the files of one data folder.
+//!
+//! ```
+//! use state::{JobId, Tree};
+//!
+//! let id: JobId = "west-0190b6c4-7e2a-7c3e-8a54-000000000001".parse().unwrap();
+//! assert_eq!(id.zone().as_str(), "west");
+//!
+//! let tree = Tree::new();
+//! assert_eq!(tree.version(), 0);
+//! assert!(tree.effective("polish-board").is_none(), "a path exists once it was set");
+//! ```
+
+pub mod boot;
+pub mod error;
+pub mod folder;
+pub mod id;
+pub mod key;
+pub mod locate;
+pub mod name;
+pub mod table;
+pub mod tree;
+pub mod upstream;
+pub mod wal;
+
+pub use boot::Boot;
+pub use error::Error;
+pub use id::JobId;
+pub use name::{Member, Name};
+pub use table::Table;
+pub use tree::Tree;
--- /dev/null
+++ b/crates/state/src/locate.rs
@@ -0,0 +1,110 @@
+//! JSON values that know the line they stand on, for faults that an operator can find.
+
+use std::{collections, fmt};
+
+use serde_json::{Value, value::RawValue};
+
+/// One fault of a file: where it is and what is wrong.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fault {
+    /// Line in the file, from 1.
+    pub line: usize,
+    /// JSON path, such as `$.peers[0].disk`.
+    pub path: String,
+    /// The reason.
+    pub why: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} (line {}): {}", self.path, self.line, self.why)
+    }
+}
+
+/// A JSON value inside a text, with its path.
+#[derive(Clone, Debug)]
+pub struct Located<'a> {
+    text: &'a str,
+    raw: &'a RawValue,
+    path: String,
+}
+
+impl<'a> Located<'a> {
+    /// Parses a whole text.
+    ///
+    /// # Errors
+    ///
+    /// The text is not JSON; the fault names the line.
+    ///
+    /// ```
+    /// let fault = state::locate::Located::parse("{\n\"a\": }").unwrap_err();
+    /// assert_eq!(fault.line, 2);
+    /// ```
+    pub fn parse(text: &'a str) -> Result<Self, Fault> {
+        match serde_json::from_str(text) {
+            Ok(raw) => Ok(Self {
+                text,
+                raw,
+                path: "$".to_owned(),
+            }),
+            Err(e) => Err(Fault {
+                line: e.line(),
+                path: "$".to_owned(),
+                why: e.to_string(),
+            }),
+        }
+    }
+
+    /// A fault at this value.
+    pub fn fault(&self, why: impl Into<String>) -> Fault {
+        Fault {
+            line: self.line(),
+            path: self.path.clone(),
+            why: why.into(),
+        }
+    }
+
+    /// The value itself.
+    pub fn value(&self) -> Value {
+        serde_json::from_str(self.raw.get()).unwrap_or_default()
+    }
+
+    /// Members of the object, or nothing if it is none.
+    pub fn members(&self) -> Option<collections::BTreeMap<String, Self>> {
+        let map: collections::BTreeMap<String, &'a RawValue> =
+            serde_json::from_str(self.raw.get()).ok()?;
+        let child = |(key, raw): (String, &'a RawValue)| {
+            let path = format!("{}.{key}", self.path);
+            (
+                key,
+                Self {
+                    text: self.text,
+                    raw,
+                    path,
+                },
+            )
+        };
+        Some(map.into_iter().map(child).collect())
+    }
+
+    /// Items of the array, or nothing if it is none.
+    pub fn items(&self) -> Option<Vec<Self>> {
+        let list: Vec<&'a RawValue> = serde_json::from_str(self.raw.get()).ok()?;
+        let child = |(at, raw): (usize, &'a RawValue)| {
+            let path = format!("{}[{at}]", self.path);
+            Self {
+                text: self.text,
+                raw,
+                path,
+            }
+        };
+        Some(list.into_iter().enumerate().map(child).collect())
+    }
+
+    fn line(&self) -> usize {
+        let start = self.text.as_ptr().addr();
+        let offset = self.raw.get().as_ptr().addr().saturating_sub(start);
+        let before = &self.text.as_bytes()[..offset.min(self.text.len())];
+        before.split(|byte| *byte == b'\n').count()
+    }
+}
