--- a/crates/coord/src/calls.rs
+++ b/crates/coord/src/calls.rs
@@ -63,6 +63,12 @@
 }
 
 impl Calls {
+    /// No calls. Numbers start from the incarnation, so that an answer to a former life of this
+    /// instance is never taken for the answer to another call.
+    pub(crate) fn new(life: u64) -> Self {
+        Self { next: life << 32, ..Self::default() }
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.map.is_empty()
     }
@@ -125,21 +131,28 @@
 
     /// Passes a submission to its home zone.
     pub(crate) fn forward(&mut self, waiter: Waiter, spec: Spec, now: Now) {
-        self.forward_beyond(waiter, spec, Vec::new(), now);
+        let left = if spec.left_ms == 0 {
+            self.tree().policy_at(spec.service.as_str()).deadline_ms
+        } else {
+            spec.left_ms
+        };
+        self.forward_beyond(waiter, spec, Vec::new(), now.after(left) + GRACE, now);
     }
 
-    fn forward_beyond(&mut self, waiter: Waiter, spec: Spec, tried: Vec<name::Name>, now: Now) {
+    fn forward_beyond(
+        &mut self,
+        waiter: Waiter,
+        mut spec: Spec,
+        tried: Vec<name::Name>,
+        until: u64,
+        now: Now,
+    ) {
         let Some(to) = self.pick_peer(spec.job.zone(), &tried, now) else {
             let why = format!("zone {} is out of reach", spec.job.zone());
             return self.reply(waiter, Verdict::unknown(why));
         };
         self.counts.forwards += 1;
-        let left = if spec.left_ms == 0 {
-            self.tree().policy_at(spec.service.as_str()).deadline_ms
-        } else {
-            spec.left_ms
-        };
-        let until = now.after(left) + GRACE;
+        spec.left_ms = (until.saturating_sub(now.mono + GRACE) / time::MS).max(1);
         let kind = Kind::Forward(Box::new(spec.clone()), tried);
         let call = self.call(waiter, kind, &spec.job, &to, until, now);
         self.send(&to, Body::Job(message::Job::Forward { call, spec }));
@@ -171,12 +184,15 @@
         now: Now,
     ) {
         let call = self.call(waiter, Kind::Await, job, owner, until + GRACE, now);
-        let body = message::Job::Await {
-            call,
-            job: job.clone(),
-            wait: true,
-        };
-        self.send(owner, Body::Job(body));
+        // A former life of this very instance has nothing to tell: the journal will expel it.
+        if *owner != self.config.me.name {
+            let body = message::Job::Await {
+                call,
+                job: job.clone(),
+                wait: true,
+            };
+            self.send(owner, Body::Job(body));
+        }
     }
 
     /// Asks the neighbours for the answers of a job that is complete.
@@ -343,6 +359,10 @@
             (Kind::Await, Verdict::Running) => {
                 return self.attach(call.waiter, &call.job, None, call.until, now);
             }
+            // An instance that was asked before may have taken it in the meantime.
+            (Kind::Forward(_, tried), Verdict::NotRun { .. }) if !tried.is_empty() => {
+                Verdict::unknown("an instance of its zone that did not answer may run it")
+            }
             (_, verdict) => verdict,
         };
         self.reply(call.waiter, verdict);
@@ -410,7 +430,7 @@
         match call.kind {
             Kind::Forward(spec, mut tried) if silent && now.mono < call.until => {
                 tried.push(call.to);
-                self.forward_beyond(call.waiter, *spec, tried, now);
+                self.forward_beyond(call.waiter, *spec, tried, call.until, now);
             }
             Kind::Await if call.ended.is_some() => {
                 self.attach(call.waiter, &call.job, None, call.until, now);
--- a/crates/coord/src/core.rs
+++ b/crates/coord/src/core.rs
@@ -258,6 +258,7 @@
     duty_at: u64,
     asked_table: bool,
     pub(crate) leaving: collections::BTreeSet<name::Member>,
+    members: collections::BTreeSet<name::Member>,
     left: Option<u64>,
     drained: bool,
     ready: bool,
@@ -284,7 +285,7 @@
             dirty: collections::BTreeSet::new(),
             fleet: fleet::Fleet::new(config.trial, config.seed),
             answers: cache::Answers::default(),
-            calls: calls::Calls::default(),
+            calls: calls::Calls::new(config.life),
             heard: collections::HashMap::new(),
             rng: rngs::SmallRng::seed_from_u64(config.seed),
             attempts: 0,
@@ -298,6 +299,7 @@
             duty_at: 0,
             asked_table: false,
             leaving: collections::BTreeSet::new(),
+            members: collections::BTreeSet::new(),
             left: None,
             drained: false,
             ready: false,
@@ -420,43 +422,62 @@
         self.ready |= formed && holds && self.has_lease(now.mono);
     }
 
-    /// What the leader of the journal does: let instances in and expel those that are silent.
+    /// What the leader of a journal does: let instances in and expel those that are silent.
     fn duties(&mut self, now: Now) {
         const PAUSE: u64 = 100 * time::MS;
-        if now.mono < self.duty_at || !self.journal.is_leader() {
+        if now.mono < self.duty_at {
             return;
         }
         self.duty_at = now.mono + PAUSE;
-        for command in self.due_members(now.mono) {
-            if matches!(command, table::Command::Expel(_)) {
-                self.counts.expelled += 1;
-            }
+        let home = self.config.me.zone.clone();
+        let commands = self.due_members(&self.journal, &home, now.mono);
+        for command in commands {
+            self.counts.expelled += u64::from(matches!(command, table::Command::Expel(_)));
             self.propose(&command, now);
         }
+        for (zone, mut journal) in std::mem::take(&mut self.witness) {
+            for command in self.due_members(&journal, &zone, now.mono) {
+                journal.propose(&machine::encode(&command), now.mono);
+            }
+            // A witness leads only as long as the zone itself has nobody who can.
+            let seats = self
+                .config
+                .all
+                .iter()
+                .filter(|instance| instance.zone == zone);
+            let seats: Vec<_> = seats.map(|instance| instance.name.clone()).collect();
+            journal.hand_over_to(&seats, now.mono);
+            self.witness.insert(zone, journal);
+        }
     }
 
-    fn due_members(&self, now: u64) -> Vec<table::Command> {
-        let Some(raft) = self.journal.raft() else {
+    fn due_members(
+        &self,
+        journal: &group::Group<machine::Journal>,
+        zone: &name::Name,
+        now: u64,
+    ) -> Vec<table::Command> {
+        let Some(raft) = journal.raft() else {
             return Vec::new();
         };
         let Some(since) = raft.leads_since().filter(|_| raft.is_settled()) else {
             return Vec::new();
         };
-        let me = self.journal.me();
+        let (me, table) = (journal.me(), &journal.machine().table);
         let at_home = |name: &name::Name| {
             self.config
                 .all
                 .iter()
-                .any(|i| i.name == *name && i.zone == self.config.me.zone)
+                .any(|i| i.name == *name && i.zone == *zone)
         };
         let fresh = |heard: u64| now < heard + EXPEL;
         let mut commands = Vec::new();
-        if !self.table().is_live(me) && self.left.is_none() {
+        if at_home(&me.name) && !table.is_live(me) && self.left.is_none() {
             commands.push(table::Command::Enter(me.clone()));
         }
         for (peer, progress) in raft.peers() {
             let caught_up = progress.matched >= raft.commit();
-            let new = !self.table().is_live(peer) && at_home(&peer.name);
+            let new = !table.is_live(peer) && at_home(&peer.name);
             if new && caught_up && fresh(progress.heard) && !self.is_leaving(peer) {
                 commands.push(table::Command::Enter(peer.clone()));
             }
@@ -466,7 +487,7 @@
             peer.map_or(since, |(_, progress)| progress.heard)
                 .max(since)
         };
-        let silent = self.table().live().filter(|m| *m != me && !fresh(heard(m)));
+        let silent = table.live().filter(|m| *m != me && !fresh(heard(m)));
         commands.extend(silent.cloned().map(table::Command::Expel));
         commands
     }
@@ -654,8 +675,14 @@
         let rank = live.iter().position(|member| *member == me);
         self.fleet
             .set_rank(rank.map(|rank| (rank as u32, live.len() as u32)));
-        let names: collections::BTreeSet<_> = live.iter().map(|m| m.name.clone()).collect();
-        self.fleet.keep_loans(|name| names.contains(name));
+        // A loan ends with the life of either side, also if the next life is there already.
+        let stay: collections::BTreeSet<_> = live
+            .iter()
+            .filter(|m| self.members.contains(*m))
+            .map(|m| m.name.clone())
+            .collect();
+        self.fleet.keep_loans(|name| stay.contains(name));
+        self.members = live.into_iter().collect();
         if rank.is_some() && !self.asked_table {
             self.asked_table = true;
             for to in self.neighbours() {
--- a/crates/coord/src/form.rs
+++ b/crates/coord/src/form.rs
@@ -135,7 +135,7 @@
     }
 
     /// Whether this instance is the one to form the group now: it has a seat, a majority of the
-    /// seats is there, nobody knows a formation, and no seat with a lower name is there.
+    /// seats is there, nobody knows a formation, and no earlier seat is there.
     fn may_form(&mut self, now: u64) -> bool {
         let fresh = |heard: &&Heard| now < heard.at + FRESH;
         if self
@@ -157,10 +157,7 @@
         }
         let since = *self.majority.get_or_insert(now);
         let complete = present.len() == self.seats.len();
-        let first = present
-            .iter()
-            .min()
-            .is_some_and(|name| **name == self.me.name);
+        let first = present.first().is_some_and(|name| **name == self.me.name);
         first && (complete || now >= since + PATIENCE)
     }
 
--- a/crates/coord/src/group.rs
+++ b/crates/coord/src/group.rs
@@ -117,7 +117,7 @@
     config: Config,
     stage: Stage,
     machine: M,
-    lives: collections::BTreeMap<name::Name, u64>,
+    lives: collections::BTreeMap<name::Name, (u64, Option<Formation>)>,
     issued: u64,
     done: u64,
     marks: collections::VecDeque<(u64, u64, u64)>,
@@ -266,7 +266,21 @@
     /// Gives up leadership to another member, if this one leads.
     pub fn hand_over(&mut self, now: u64) {
         if let Stage::Joined(joined) = &mut self.stage {
-            joined.raft.hand_over(now);
+            joined.raft.hand_over(|_, _| true, now);
+            self.drain(now);
+        }
+    }
+
+    /// Gives up leadership to a voter among `heirs` that holds everything, if there is one.
+    pub fn hand_over_to(&mut self, heirs: &[name::Name], now: u64) {
+        if let Stage::Joined(joined) = &mut self.stage
+            && joined.raft.is_leader()
+            && joined.raft.is_settled()
+        {
+            let last = joined.raft.log().last();
+            joined
+                .raft
+                .hand_over(|heir, matched| heirs.contains(heir) && matched == last, now);
             self.drain(now);
         }
     }
@@ -294,9 +308,14 @@
 
     /// Takes a message about formation.
     pub fn on_form(&mut self, from: &name::Member, form: &Form, now: time::Now) {
-        self.lives.insert(from.name.clone(), from.life);
+        let theirs = match form {
+            Form::Probe(theirs) | Form::Found(theirs) => *theirs,
+            // Only who belongs to no formation asks for one or grants one.
+            Form::Ask(_) | Form::Grant(_) => None,
+        };
+        self.lives.insert(from.name.clone(), (from.life, theirs));
         match form {
-            Form::Probe => self.on_probe(from, now.mono),
+            Form::Probe(_) => self.on_probe(from, now.mono),
             Form::Found(found) => {
                 if let Stage::Seeking(seeker) = &mut self.stage {
                     seeker.hear(from, *found, now.mono);
@@ -315,7 +334,7 @@
                 }
             }
         }
-        self.abandon();
+        self.abandon(now.mono);
         self.drain(now.mono);
     }
 
@@ -340,6 +359,7 @@
             return false;
         }
         joined.raft.step(&from, body, now);
+        self.lives.insert(from.name, (from.life, Some(route.formation)));
         self.drain(now);
         true
     }
@@ -463,24 +483,22 @@
     }
 
     /// Leaves a formation that can never have a majority again, because too many of its voters
-    /// came back without their memory.
-    fn abandon(&mut self) {
+    /// came back without their memory or have left it.
+    fn abandon(&mut self, now: u64) {
         if self.config.durable {
             return;
         }
         let Some(joined) = self.joined() else { return };
         let voters = joined.raft.voters();
         let me = &self.config.me;
+        let here = (me.life, Some(joined.formation));
         let alive = |seat: &&name::Member| {
-            let life = if seat.name == me.name {
-                Some(&me.life)
-            } else {
-                self.lives.get(&seat.name)
-            };
-            seat.life != 0 && life.is_none_or(|life| *life == seat.life)
+            let state = if seat.name == me.name { Some(&here) } else { self.lives.get(&seat.name) };
+            let same = (seat.life, Some(joined.formation));
+            seat.life != 0 && state.is_none_or(|state| *state == same)
         };
         let alive = voters.0.iter().filter(alive).count();
-        if !voters.0.is_empty() && alive < voters.quorum() && !joined.raft.is_leader() {
+        if !voters.0.is_empty() && alive < voters.quorum() && !joined.raft.has_leader(now) {
             self.leave();
         }
     }
@@ -505,11 +523,12 @@
     }
 
     fn probe(&mut self) {
+        let found = self.formation();
         let me = &self.config.me.name;
         let all = self.config.seats.iter().chain(&self.config.others);
         let others: Vec<_> = all.filter(|name| *name != me).cloned().collect();
         for to in &others {
-            self.send_form(to, Form::Probe);
+            self.send_form(to, Form::Probe(found));
         }
     }
 
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod machine;
 pub mod member;
 pub mod message;
+pub mod mirror;
 pub mod place;
 pub mod queue;
 pub mod raft;
--- a/crates/coord/src/message.rs
+++ b/crates/coord/src/message.rs
@@ -88,8 +88,8 @@
 /// Formation of a group (see [`crate::group`]).
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum Form {
-    /// Who is there and which formation do you belong to?
-    Probe,
+    /// Who is there and which formation do you belong to? With the sender's own.
+    Probe(Option<Formation>),
     /// The sender's formation, if it has one, and whether it voted in it.
     Found(Option<Formation>),
     /// Will you belong to this formation?
--- a/crates/coord/src/raft.rs
+++ b/crates/coord/src/raft.rs
@@ -405,8 +405,9 @@
         }
     }
 
-    /// Gives up leadership in favour of the follower that is furthest ahead.
-    pub fn hand_over(&mut self, now: u64) {
+    /// Gives up leadership in favour of the follower that is furthest ahead among those that
+    /// `fits` holds for, by name and last matching index.
+    pub fn hand_over(&mut self, fits: impl Fn(&name::Name, u64) -> bool, now: u64) {
         let Role::Leader(lead) = &self.role else {
             return;
         };
@@ -414,7 +415,7 @@
         let fit = lead
             .peers
             .iter()
-            .filter(|(m, p)| self.voters.holds(m) && fresh(p));
+            .filter(|(m, p)| self.voters.holds(m) && fresh(p) && fits(&m.name, p.matched));
         let best = fit.max_by_key(|(_, p)| p.matched).map(|(m, _)| m.clone());
         if let Some(heir) = best {
             let term = self.term;
@@ -492,7 +493,9 @@
         }
         let current = last >= (self.log.last_term(), self.log.last());
         if pre {
-            return self.send_voted(from, term, current && term > self.term, true);
+            let granted = current && term > self.term;
+            // A refusal tells the voter's own term: a question alone must not raise any.
+            return self.send_voted(from, if granted { term } else { self.term }, granted, true);
         }
         if term > self.term {
             self.enter_term(term, now);
--- /dev/null
+++ b/crates/coord/tests/net/mod.rs
@@ -0,0 +1,563 @@
+//! Several cores and the messages between them, without a network or a clock.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::collections;
+
+use coord::{
+    core::{Config, Core, Done, Event, Finish, Output, Reply, Start},
+    member::Instance,
+    message::{Answer, Body, Spec, Verdict},
+    mirror::Mirror,
+    raft::Save,
+    time::Now,
+};
+use state::{boot, id, name, tree, upstream};
+
+/// Wall clock at the start, milliseconds.
+pub const EPOCH: u64 = 1_800_000_000_000;
+/// The service of all jobs.
+pub const SERVICE: &str = "polish-board";
+/// Shared by all nodes; each runs with its own offset.
+const STEP: u64 = 20_000;
+
+/// One instance: its core while it runs, and its disk.
+#[derive(Debug)]
+pub struct Node {
+    pub core: Option<Core>,
+    pub disk: Mirror,
+    pub disk_life: u64,
+    unsaved: Vec<(u64, Save)>,
+    version: u64,
+    frozen: bool,
+}
+
+/// A message on its way.
+#[derive(Clone, Debug)]
+pub struct Mail {
+    pub from: usize,
+    pub to: usize,
+    pub body: Body,
+}
+
+/// Everything.
+#[derive(Debug)]
+pub struct Net {
+    pub instances: Vec<Instance>,
+    pub nodes: Vec<Node>,
+    pub mail: Vec<Mail>,
+    pub running: Vec<(usize, u64, Start)>,
+    stopped: Vec<(usize, u64, Start)>,
+    pub starts: collections::BTreeMap<String, Vec<String>>,
+    pub verdicts: Vec<(String, Verdict)>,
+    pub accepted: collections::BTreeMap<uuid::Uuid, u64>,
+    pub conflicts: collections::BTreeSet<uuid::Uuid>,
+    pub log: Vec<String>,
+    tickets: collections::BTreeMap<u64, Ticket>,
+    cuts: collections::BTreeSet<(usize, usize)>,
+    now: u64,
+    lives: u64,
+    next: u64,
+}
+
+#[derive(Clone, Debug)]
+enum Ticket {
+    Job(String),
+    Change(uuid::Uuid),
+    Other,
+}
+
+impl Net {
+    /// So many instances in zones, the first `disks` of all with disks.
+    pub fn new(zones: &[(&str, usize)], disks: usize) -> Self {
+        let mut instances = Vec::new();
+        for (zone, count) in zones {
+            for number in 1..=*count {
+                let name = name::Name::new(&format!("{zone}-{number}"));
+                let disk = instances.len() < disks;
+                instances.push(Instance {
+                    name,
+                    zone: name::Name::new(zone),
+                    disk,
+                });
+            }
+        }
+        let mut net = Self {
+            nodes: Vec::new(),
+            mail: Vec::new(),
+            running: Vec::new(),
+            stopped: Vec::new(),
+            starts: collections::BTreeMap::new(),
+            verdicts: Vec::new(),
+            accepted: collections::BTreeMap::new(),
+            conflicts: collections::BTreeSet::new(),
+            log: Vec::new(),
+            tickets: collections::BTreeMap::new(),
+            cuts: collections::BTreeSet::new(),
+            now: 1,
+            lives: 0,
+            next: 0,
+            instances,
+        };
+        for _ in 0..net.instances.len() {
+            net.lives += 1;
+            let disk_life = net.lives;
+            net.nodes.push(Node {
+                core: None,
+                disk: Mirror::default(),
+                disk_life,
+                unsaved: Vec::new(),
+                version: 0,
+                frozen: false,
+            });
+        }
+        for at in 0..net.nodes.len() {
+            net.restart(at);
+        }
+        net
+    }
+
+    /// Both clocks.
+    pub fn now(&self) -> Now {
+        Now::new(self.now, EPOCH + self.now / 1_000)
+    }
+
+    /// Starts an instance from its disk, with a new memory.
+    pub fn restart(&mut self, at: usize) {
+        if self.nodes[at].core.is_some() {
+            return;
+        }
+        self.lives += 1;
+        let node = &self.nodes[at];
+        let config = Config {
+            me: self.instances[at].clone(),
+            life: self.lives,
+            disk: self.instances[at].disk.then_some(node.disk_life),
+            all: self.instances.clone(),
+            trial: boot::Trial::default(),
+            seed: self.lives,
+        };
+        let core = Core::new(config, node.disk.recovered(), self.now());
+        self.nodes[at].version = core.tree().version();
+        self.nodes[at].core = Some(core);
+        self.note(format!("{} starts", self.instances[at].name));
+    }
+
+    /// Ends an instance at once; what was not synced is lost, and so is what it runs.
+    pub fn crash(&mut self, at: usize) {
+        if self.nodes[at].core.take().is_some() {
+            self.nodes[at].unsaved.clear();
+            self.nodes[at].frozen = false;
+            self.running.retain(|(owner, ..)| *owner != at);
+            self.stopped.retain(|(owner, ..)| *owner != at);
+            self.note(format!("{} dies", self.instances[at].name));
+        }
+    }
+
+    /// Stops an instance without its noticing, or lets it go on.
+    pub fn freeze(&mut self, at: usize, frozen: bool) {
+        self.nodes[at].frozen = frozen;
+        let what = if frozen { "freezes" } else { "wakes" };
+        self.note(format!("{} {what}", self.instances[at].name));
+    }
+
+    /// The disk of an instance that does not run is replaced by an empty one.
+    pub fn lose_disk(&mut self, at: usize) {
+        self.crash(at);
+        self.lives += 1;
+        self.nodes[at].disk = Mirror::default();
+        self.nodes[at].disk_life = self.lives;
+        self.note(format!("{} loses its disk", self.instances[at].name));
+    }
+
+    /// Cuts or heals one direction.
+    pub fn cut(&mut self, from: usize, to: usize, cut: bool) {
+        if cut {
+            self.cuts.insert((from, to));
+        } else {
+            self.cuts.remove(&(from, to));
+        }
+    }
+
+    /// Cuts or heals both directions between an instance and all others.
+    pub fn isolate(&mut self, at: usize, cut: bool) {
+        for other in (0..self.nodes.len()).filter(|other| *other != at) {
+            self.cut(at, other, cut);
+            self.cut(other, at, cut);
+        }
+    }
+
+    /// Heals everything.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// Gives an event to an instance and collects its effects.
+    pub fn event(&mut self, at: usize, event: Event) {
+        let now = self.now();
+        if self.nodes[at].frozen {
+            return;
+        }
+        let Some(core) = self.nodes[at].core.as_mut() else {
+            return;
+        };
+        let outputs = core.handle(event, now);
+        for output in outputs {
+            self.output(at, output);
+        }
+    }
+
+    fn output(&mut self, at: usize, output: Output) {
+        match output {
+            Output::Send(to, body) => {
+                let to = self.instances.iter().position(|i| i.name == to).unwrap();
+                self.mail.push(Mail { from: at, to, body });
+            }
+            Output::Save(number, save) => self.nodes[at].unsaved.push((number, save)),
+            Output::Start(start) => {
+                assert!(start.lease > self.now, "a start without a lease");
+                let task = format!("{}/{}", start.task.job, start.task.index);
+                let who = self.instances[at].name.to_string();
+                self.starts.entry(task).or_default().push(who);
+                self.note(format!(
+                    "{} starts task {}",
+                    self.instances[at].name, start.task.index
+                ));
+                self.running.push((at, start.attempt, start));
+            }
+            Output::Stop(stop) => {
+                let stopped = |(owner, attempt, _): &(usize, u64, Start)| {
+                    *owner == at && *attempt == stop.attempt
+                };
+                if let Some(found) = self.running.iter().position(stopped) {
+                    self.stopped.push(self.running.swap_remove(found));
+                }
+            }
+            Output::Reply(ticket, reply) => self.reply(at, ticket, reply),
+            Output::Settings => {
+                let version = self.nodes[at]
+                    .core
+                    .as_ref()
+                    .map_or(0, |core| core.tree().version());
+                assert!(version >= self.nodes[at].version, "the settings went back");
+                self.nodes[at].version = version;
+            }
+            Output::Drained => self.note(format!("{} is drained", self.instances[at].name)),
+        }
+    }
+
+    fn reply(&mut self, at: usize, ticket: u64, reply: Reply) {
+        let asked = self.tickets.remove(&ticket);
+        let who = self.instances[at].name.clone();
+        match (asked, reply) {
+            (Some(Ticket::Job(job)), Reply::Verdict(verdict)) => {
+                self.note(format!("{who} answers: {}", brief(&verdict)));
+                self.verdicts.push((job, verdict));
+            }
+            (Some(Ticket::Change(change)), Reply::Changed(outcome)) => {
+                self.note(format!("{who} answers change: {outcome:?}"));
+                self.outcome(change, outcome);
+            }
+            (Some(Ticket::Change(_)), Reply::Untold(_)) => {
+                self.note(format!("{who} answers change: unknown"));
+            }
+            _ => {}
+        }
+    }
+
+    fn outcome(&mut self, change: uuid::Uuid, outcome: tree::Outcome) {
+        match outcome {
+            tree::Outcome::Accepted(version) => {
+                assert!(!self.conflicts.contains(&change), "two outcomes");
+                let first = *self.accepted.entry(change).or_insert(version);
+                assert_eq!(first, version, "two versions");
+            }
+            tree::Outcome::Conflict(_) => {
+                assert!(!self.accepted.contains_key(&change), "two outcomes");
+                self.conflicts.insert(change);
+            }
+        }
+    }
+
+    fn ticket(&mut self, ticket: Ticket) -> u64 {
+        self.next += 1;
+        self.tickets.insert(self.next, ticket);
+        self.next
+    }
+
+    /// Submits a job of so many tasks.
+    pub fn submit(&mut self, at: usize, job: &id::JobId, tasks: usize, left_ms: u64) {
+        let ticket = self.ticket(Ticket::Job(job.to_string()));
+        self.event(at, Event::Submit(ticket, spec(job, tasks, left_ms)));
+    }
+
+    /// Changes the settings.
+    pub fn change(&mut self, at: usize, number: u128, base: Option<u64>, path: &str) {
+        let change = uuid::Uuid::from_u128(number);
+        let ticket = self.ticket(Ticket::Change(change));
+        let values = format!("{{\"max_queue\": {}}}", number % 1_000);
+        let path = name::Name::new(path);
+        self.event(
+            at,
+            Event::Change(
+                ticket,
+                tree::Change {
+                    change,
+                    base,
+                    path,
+                    values,
+                },
+            ),
+        );
+    }
+
+    /// An upstream announces itself.
+    pub fn announce(&mut self, at: usize, upstream: &str, slots: u32) {
+        let ticket = self.ticket(Ticket::Other);
+        let info = upstream::Upstream {
+            name: name::Name::new(upstream),
+            service: name::Name::new(SERVICE),
+            zone: self.instances[at].zone.clone(),
+            address: name::Name::new("127.0.0.1:1"),
+            slots,
+            phase: upstream::Phase::Serving,
+            room: None,
+            stamp: 0,
+        };
+        self.event(at, Event::Announce(ticket, info));
+    }
+
+    /// Ends a running task.
+    pub fn finish(&mut self, at: usize, ok: bool) {
+        if self.running.is_empty() {
+            return;
+        }
+        // The answer of a frozen instance's task waits until it wakes.
+        if self.nodes[self.running[at % self.running.len()].0].frozen {
+            return;
+        }
+        let run = self.running.swap_remove(at % self.running.len());
+        self.end(run, ok);
+    }
+
+    fn end(&mut self, run: (usize, u64, Start), ok: bool) {
+        let (owner, _, start) = run;
+        let body = format!("{}", start.task.index).into();
+        let content = name::Name::new("application/json");
+        let finish = if ok {
+            Finish::Answer(Answer { body, content })
+        } else {
+            Finish::Failed("broken".to_owned())
+        };
+        let (task, attempt, upstream) = (start.task, start.attempt, start.upstream);
+        let done = Done {
+            task,
+            attempt,
+            upstream,
+            took: 50_000,
+            finish,
+        };
+        self.event(owner, Event::Done(done));
+    }
+
+    /// Delivers the message at this position; it is lost if the way is cut.
+    pub fn deliver(&mut self, at: usize) {
+        let mail = self.mail.remove(at % self.mail.len());
+        if !self.cuts.contains(&(mail.from, mail.to)) {
+            let from = self.instances[mail.from].name.clone();
+            self.event(mail.to, Event::Peer(from, mail.body));
+        }
+    }
+
+    /// Syncs the disk of an instance.
+    pub fn sync(&mut self, at: usize) {
+        if self.nodes[at].frozen {
+            return;
+        }
+        let unsaved = std::mem::take(&mut self.nodes[at].unsaved);
+        let Some((last, _)) = unsaved.last() else {
+            return;
+        };
+        let last = *last;
+        for (_, save) in unsaved {
+            self.nodes[at].disk.apply(save);
+        }
+        self.event(at, Event::Saved(last));
+    }
+
+    /// Lets time pass without delivering anything.
+    pub fn tick(&mut self) {
+        self.now += STEP;
+        for at in 0..self.nodes.len() {
+            self.event(at, Event::Tick);
+        }
+        for run in std::mem::take(&mut self.stopped) {
+            if self.nodes[run.0].frozen {
+                self.stopped.push(run);
+            } else {
+                self.end(run, false);
+            }
+        }
+    }
+
+    /// Lets time pass while everything is delivered and synced in order.
+    pub fn run(&mut self, ms: u64) {
+        let until = self.now + ms * 1_000;
+        while self.now < until {
+            self.tick();
+            self.settle();
+        }
+    }
+
+    /// Delivers and syncs everything there is.
+    pub fn settle(&mut self) {
+        const MOST: usize = 20_000;
+        let mut count = 0;
+        loop {
+            for at in 0..self.nodes.len() {
+                self.sync(at);
+            }
+            if self.mail.is_empty() {
+                return;
+            }
+            while !self.mail.is_empty() {
+                count += 1;
+                assert!(
+                    count < MOST,
+                    "messages without end, such as {:?}",
+                    self.mail.last()
+                );
+                self.deliver(0);
+            }
+        }
+    }
+
+    /// Runs until all instances are ready, at most so many milliseconds.
+    pub fn run_until_ready(&mut self, ms: u64) {
+        let until = self.now + ms * 1_000;
+        let ready = |node: &Node| node.core.as_ref().is_none_or(Core::is_ready);
+        while self.now < until && !self.nodes.iter().all(ready) {
+            self.run(20);
+        }
+        for core in self.nodes.iter().filter_map(|node| node.core.as_ref()) {
+            assert!(core.is_ready(), "not ready within {ms} ms: {}", self.groups());
+        }
+    }
+
+    /// Every group as every instance sees it.
+    pub fn groups(&self) -> String {
+        let now = self.now();
+        let cores = self.nodes.iter().filter_map(|node| node.core.as_ref());
+        let line = |core: &Core| {
+            let status = core.status(now);
+            let group = |g: &coord::status::Group| {
+                let leader = g.leader.as_deref().unwrap_or("nobody");
+                format!("  {} t{} c{} {leader} {}\n", g.group, g.term, g.commit, g.voters.join(" "))
+            };
+            let groups: String = status.groups.iter().map(group).collect();
+            format!("{} members {}\n{groups}", status.instance, status.members.join(" "))
+        };
+        cores.map(line).collect()
+    }
+
+    /// A fresh job id.
+    pub fn mint(&mut self, zone: &str) -> id::JobId {
+        self.next += 1;
+        mint(zone, self.now().wall, self.next)
+    }
+
+    /// Judges what must always hold at every moment.
+    pub fn judge(&self) {
+        let twice: Vec<_> = self
+            .starts
+            .iter()
+            .filter(|(_, who)| who.len() > 1)
+            .collect();
+        assert!(twice.is_empty(), "started twice: {twice:?}");
+        let mut states = collections::BTreeMap::<_, collections::BTreeSet<_>>::new();
+        for (job, verdict) in &self.verdicts {
+            states.entry(job).or_default().insert(kind(verdict));
+            if let Verdict::Complete(answers) = verdict {
+                for (index, answer) in answers.iter().enumerate() {
+                    assert_eq!(answer.body, index.to_string(), "an answer of another task");
+                }
+            }
+        }
+        for (job, states) in states {
+            let both = states.contains("complete") && states.contains("failed");
+            assert!(!both, "{job} was complete and failed: {:#?}", self.log);
+            let ran = self
+                .starts
+                .keys()
+                .any(|task| task.starts_with(&format!("{job}/")));
+            // "Not run" speaks of one attempt: another one, elsewhere, may be under way, or may
+            // have been lost with its instance.
+            let open = |ticket: &Ticket| matches!(ticket, Ticket::Job(other) if other == job);
+            let all_ended = !self.tickets.values().any(open);
+            let lied = ran && all_ended && states.len() == 1 && states.contains("not run");
+            assert!(!lied, "{job} was said not to have run, and it ran");
+        }
+    }
+
+    /// Judges, once everything is healed and quiet, that no accepted change is lost.
+    pub fn judge_settings(&self) {
+        for (change, version) in &self.accepted {
+            for node in self.nodes.iter().filter_map(|node| node.core.as_ref()) {
+                let outcome = node.tree().outcome(*change);
+                assert_eq!(
+                    outcome,
+                    Some(tree::Outcome::Accepted(*version)),
+                    "a change is lost"
+                );
+            }
+        }
+    }
+
+    fn note(&mut self, line: String) {
+        let ms = self.now / 1_000;
+        self.log.push(format!("{ms:>6} {line}"));
+    }
+}
+
+/// A submission.
+pub fn spec(job: &id::JobId, tasks: usize, left_ms: u64) -> Spec {
+    Spec {
+        job: job.clone(),
+        service: name::Name::new(SERVICE),
+        team: None,
+        left_ms,
+        idempotent: false,
+        needs: upstream::Needs::default(),
+        tasks: (0..tasks).map(|index| index.to_string().into()).collect(),
+        content: name::Name::new("application/json"),
+        raw: false,
+        trace: name::Name::new(""),
+    }
+}
+
+/// A job id minted at `wall`.
+pub fn mint(zone: &str, wall: u64, number: u64) -> id::JobId {
+    let value = (u128::from(wall) << 80) | (7 << 76) | (2 << 62) | u128::from(number);
+    id::JobId::new(&name::Name::new(zone), uuid::Uuid::from_u128(value))
+}
+
+/// The state that a verdict tells.
+pub fn kind(verdict: &Verdict) -> &'static str {
+    match verdict {
+        Verdict::Complete(_) => "complete",
+        Verdict::Failed { .. } => "failed",
+        Verdict::NotRun { .. } => "not run",
+        Verdict::Unknown { .. } => "unknown",
+        Verdict::Running => "running",
+    }
+}
+
+fn brief(verdict: &Verdict) -> String {
+    match verdict {
+        Verdict::Complete(answers) => format!("complete, {} answers", answers.len()),
+        Verdict::Failed { why, .. } => format!("failed: {why}"),
+        Verdict::NotRun { why, .. } => format!("not run: {why}"),
+        Verdict::Unknown { why } => format!("unknown: {why}"),
+        Verdict::Running => "running".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/coord/tests/random_faults.rs
@@ -0,0 +1,261 @@
+//! Random faults on the pure core: messages reordered, lost, doubled and late, crashes, freezes,
+//! lost disks and cuts between any two steps.
+
+mod net;
+
+use net::{Net, SERVICE};
+use proptest::{prelude::*, test_runner};
+
+#[derive(Clone, Debug)]
+enum Step {
+    Tick(u8),
+    Deliver(u16, u8),
+    Drop(u16),
+    Double(u16),
+    Sync(u8),
+    Crash(u8),
+    Restart(u8),
+    LoseDisk(u8),
+    Freeze(u8, bool),
+    Cut(u8, u8, bool),
+    Isolate(u8, bool),
+    Heal,
+    Submit(u8, u8),
+    Finish(u16, bool),
+    Change(u8, u8, bool),
+    Run(u8),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        12 => (1..20u8).prop_map(Step::Tick),
+        30 => (any::<u16>(), 1..40u8).prop_map(|(at, count)| Step::Deliver(at, count)),
+        3 => any::<u16>().prop_map(Step::Drop),
+        3 => any::<u16>().prop_map(Step::Double),
+        8 => any::<u8>().prop_map(Step::Sync),
+        2 => any::<u8>().prop_map(Step::Crash),
+        4 => any::<u8>().prop_map(Step::Restart),
+        1 => any::<u8>().prop_map(Step::LoseDisk),
+        2 => (any::<u8>(), any::<bool>()).prop_map(|(at, on)| Step::Freeze(at, on)),
+        2 => (any::<u8>(), any::<u8>(), any::<bool>()).prop_map(|(a, b, on)| Step::Cut(a, b, on)),
+        1 => (any::<u8>(), any::<bool>()).prop_map(|(at, on)| Step::Isolate(at, on)),
+        2 => Just(Step::Heal),
+        10 => (any::<u8>(), 0..6u8).prop_map(|(at, job)| Step::Submit(at, job)),
+        10 => (any::<u16>(), prop::bool::weighted(0.9)).prop_map(|(at, ok)| Step::Finish(at, ok)),
+        5 => (any::<u8>(), any::<u8>(), any::<bool>()).prop_map(|(a, n, b)| Step::Change(a, n, b)),
+        10 => (1..30u8).prop_map(Step::Run),
+    ]
+}
+
+fn config() -> test_runner::Config {
+    // A fixed seed, so that CI gives the same verdict every time; FAULT_SEED looks further.
+    let seed = std::env::var("FAULT_SEED")
+        .ok()
+        .and_then(|seed| seed.parse().ok())
+        .unwrap_or(7);
+    let cases = std::env::var("FAULT_CASES")
+        .ok()
+        .and_then(|cases| cases.parse().ok());
+    test_runner::Config {
+        cases: cases.unwrap_or(60),
+        rng_seed: test_runner::RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 300,
+        ..test_runner::Config::default()
+    }
+}
+
+fn play(zones: &[(&str, usize)], steps: &[Step]) {
+    let mut net = Net::new(zones, 3);
+    net.run_until_ready(6_000);
+    net.change(0, 1 << 64, None, SERVICE);
+    net.run(500);
+    let count = net.nodes.len();
+    let jobs: Vec<_> = (0..6).map(|_| net.mint("west")).collect();
+    let mut lost = 0;
+    for step in steps {
+        // Upstreams announce themselves again and again, wherever they can.
+        for at in 0..count {
+            net.announce(at, "u1", 4);
+        }
+        match *step {
+            Step::Tick(count) => (0..count).for_each(|_| net.tick()),
+            Step::Deliver(at, count) => {
+                for _ in 0..count {
+                    if !net.mail.is_empty() {
+                        net.deliver(usize::from(at));
+                    }
+                }
+            }
+            Step::Drop(at) if !net.mail.is_empty() => {
+                let at = usize::from(at) % net.mail.len();
+                net.mail.remove(at);
+            }
+            Step::Double(at) if !net.mail.is_empty() => {
+                let copy = net.mail[usize::from(at) % net.mail.len()].clone();
+                net.mail.push(copy);
+            }
+            Step::Drop(_) | Step::Double(_) => {}
+            Step::Sync(at) => net.sync(usize::from(at) % count),
+            Step::Crash(at) => net.crash(usize::from(at) % count),
+            Step::Restart(at) => net.restart(usize::from(at) % count),
+            Step::LoseDisk(at) => {
+                // One lost disk at a time: it is repaired before the next is lost.
+                let healthy = net.nodes.iter().all(|n| n.core.is_some());
+                if lost == 0 && healthy {
+                    net.lose_disk(usize::from(at) % 3);
+                    lost += 1;
+                }
+            }
+            Step::Freeze(at, on) => net.freeze(usize::from(at) % count, on),
+            Step::Cut(a, b, on) => net.cut(usize::from(a) % count, usize::from(b) % count, on),
+            Step::Isolate(at, on) => net.isolate(usize::from(at) % count, on),
+            Step::Heal => net.heal(),
+            Step::Submit(at, job) => {
+                let job = &jobs[usize::from(job)];
+                net.submit(usize::from(at) % count, job, 3, 8_000);
+            }
+            Step::Finish(at, ok) => net.finish(usize::from(at), ok),
+            Step::Change(at, number, fresh) => {
+                let at = usize::from(at) % count;
+                let version = net.nodes[at]
+                    .core
+                    .as_ref()
+                    .map(|core| core.tree().version());
+                let base = if fresh { version } else { None };
+                net.change(at, u128::from(number % 16) + 1, base, SERVICE);
+            }
+            Step::Run(count) => net.run(u64::from(count) * 20),
+        }
+        net.judge();
+    }
+    finish(&mut net, count);
+}
+
+/// Heals everything; whatever was accepted must be there, and jobs run again.
+fn finish(net: &mut Net, count: usize) {
+    net.heal();
+    for at in 0..count {
+        net.freeze(at, false);
+        net.restart(at);
+    }
+    net.run(8_000);
+    net.run_until_ready(12_000);
+    net.judge();
+    net.judge_settings();
+    let job = net.mint("west");
+    net.announce(0, "u1", 4);
+    net.run(300);
+    net.submit(1, &job, 2, 5_000);
+    net.run(500);
+    while !net.running.is_empty() {
+        net.finish(0, true);
+    }
+    net.run(500);
+    net.judge();
+    let verdict = net.verdicts.iter().find(|(id, _)| *id == job.to_string());
+    assert_eq!(
+        verdict.map(|(_, verdict)| net::kind(verdict)),
+        Some("complete"),
+        "{:#?}",
+        net.log
+    );
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn three_instances(steps in prop::collection::vec(step(), 1..120)) {
+        play(&[("west", 3)], &steps);
+    }
+
+    #[test]
+    fn three_zones(steps in prop::collection::vec(step(), 1..120)) {
+        play(&[("west", 2), ("mid", 2), ("east", 1)], &steps);
+    }
+}
+
+/// Steps that failed once: a refused pre-vote raised the term of the candidate behind, so that
+/// the one ahead never won its own term.
+#[test]
+fn behind_and_ahead() {
+    let steps = [
+        Step::Tick(6),
+        Step::Submit(2, 1),
+        Step::Run(5),
+        Step::Tick(6),
+        Step::Tick(16),
+        Step::Deliver(10720, 28),
+        Step::Tick(14),
+        Step::LoseDisk(82),
+        Step::Finish(0, true),
+        Step::Run(19),
+        Step::Submit(22, 0),
+        Step::Run(3),
+        Step::Submit(12, 2),
+        Step::Deliver(0, 1),
+        Step::Run(26),
+        Step::Run(12),
+        Step::Tick(27),
+        Step::Isolate(10, true),
+        Step::Deliver(51422, 33),
+        Step::Tick(19),
+    ];
+    play(&[("west", 2), ("mid", 2), ("east", 1)], &steps);
+}
+
+/// Steps that failed once: a loan to the former life of an instance outlived it.
+#[test]
+fn former_loan() {
+    use Step::{Crash, Cut, Deliver, Finish, Restart, Run, Submit, Tick};
+    play(
+        &[("west", 3)],
+        &[
+            Submit(234, 0),
+            Submit(2, 3),
+            Crash(14),
+            Restart(129),
+            Restart(0),
+            Deliver(36249, 2),
+            Submit(14, 2),
+            Run(2),
+            Cut(59, 216, true),
+            Submit(98, 2),
+            Finish(22087, true),
+            Finish(12702, true),
+            Finish(45185, true),
+            Run(29),
+            Finish(63337, true),
+            Tick(17),
+            Tick(6),
+            Tick(5),
+            Deliver(8042, 33),
+            Finish(21471, true),
+            Deliver(15319, 38),
+            Finish(24296, true),
+        ],
+    );
+}
+/// Steps that failed once: a submission forwarded to two instances was said not to have run,
+/// because the second one refused it.
+#[test]
+fn forwarded_twice() {
+    use Step::{Crash, Deliver, Run, Submit, Tick};
+    play(
+        &[("west", 2), ("mid", 2), ("east", 1)],
+        &[
+            Tick(7),
+            Deliver(0, 9),
+            Submit(92, 0),
+            Tick(1),
+            Tick(1),
+            Tick(1),
+            Submit(8, 2),
+            Run(1),
+            Crash(119),
+            Submit(94, 1),
+            Deliver(0, 1),
+        ],
+    );
+}
