--- a/crates/apricotroute/src/cli.rs
+++ b/crates/apricotroute/src/cli.rs
@@ -149,9 +149,7 @@
 
 /// The value of a required option.
 pub fn required(arguments: &mut Arguments, key: &'static str) -> error::Result<String> {
-    arguments
-        .value_from_str(key)
-        .change_context_lazy(|| error::Error::new("read argument", key))
+    arguments.value_from_str(key).change_context_lazy(|| error::Error::new("read argument", key))
 }
 
 /// The value of an option, or its default.
@@ -178,10 +176,9 @@
 pub fn finish(arguments: Arguments) -> error::Result<()> {
     match arguments.finish().first() {
         None => Ok(()),
-        Some(other) => Err(error_stack::Report::new(error::Error::new(
-            "unknown argument",
-            other.display(),
-        ))),
+        Some(other) => {
+            Err(error_stack::Report::new(error::Error::new("unknown argument", other.display())))
+        }
     }
 }
 
@@ -299,10 +296,7 @@
         "show" => remote.get(&path)?,
         "cancel" => remote.delete(&path)?,
         _ => {
-            return Err(error_stack::Report::new(error::Error::new(
-                "unknown action",
-                action,
-            )));
+            return Err(error_stack::Report::new(error::Error::new("unknown action", action)));
         }
     };
     println!("{}", answer.body);
@@ -318,11 +312,7 @@
     let action = free(&mut arguments, "get|set|log")?;
     let answer = match action.as_str() {
         "get" => {
-            let path = arguments
-                .opt_free_from_str::<String>()
-                .ok()
-                .flatten()
-                .unwrap_or_default();
+            let path = arguments.opt_free_from_str::<String>().ok().flatten().unwrap_or_default();
             finish(arguments)?;
             remote.get(&format!("/v1/settings/{}", path.trim_matches('/')))?
         }
@@ -341,10 +331,7 @@
             remote.get("/v1/changes")?
         }
         _ => {
-            return Err(error_stack::Report::new(error::Error::new(
-                "unknown action",
-                action,
-            )));
+            return Err(error_stack::Report::new(error::Error::new("unknown action", action)));
         }
     };
     println!("{}", answer.body);
@@ -352,11 +339,7 @@
 }
 
 fn plain_code(answer: &remote::Answer) -> process::ExitCode {
-    if answer.status == 200 {
-        process::ExitCode::SUCCESS
-    } else {
-        state_code(answer)
-    }
+    if answer.status == 200 { process::ExitCode::SUCCESS } else { state_code(answer) }
 }
 
 fn show_status(mut arguments: Arguments) -> Ended {
@@ -406,18 +389,12 @@
         "hang" => standin::Mode::Hang,
         "refuse" => standin::Mode::Refuse,
         _ => {
-            return Err(error_stack::Report::new(error::Error::new(
-                "unknown mode",
-                mode,
-            )));
+            return Err(error_stack::Report::new(error::Error::new("unknown mode", mode)));
         }
     };
-    let cores = arguments
-        .opt_value_from_str("--cores")
-        .change_context_lazy(fault("--cores"))?;
-    let memory = arguments
-        .opt_value_from_str("--memory-mb")
-        .change_context_lazy(fault("--memory-mb"))?;
+    let cores = arguments.opt_value_from_str("--cores").change_context_lazy(fault("--cores"))?;
+    let memory =
+        arguments.opt_value_from_str("--memory-mb").change_context_lazy(fault("--memory-mb"))?;
     let accelerators = arguments
         .opt_value_from_str("--accelerators")
         .change_context_lazy(fault("--accelerators"))?;
@@ -425,19 +402,13 @@
         name: option(arguments, "--name", "u1".to_owned())?,
         service: option(arguments, "--service", "polish-board".to_owned())?,
         zone: option(arguments, "--zone", "west".to_owned())?,
-        listen: option(
-            arguments,
-            "--listen",
-            net::SocketAddr::from(([127, 0, 0, 1], 0)),
-        )?,
+        listen: option(arguments, "--listen", net::SocketAddr::from(([127, 0, 0, 1], 0)))?,
         to: to.split(',').map(str::to_owned).collect(),
         slots: option(arguments, "--slots", 8)?,
         time: time::Duration::from_millis(option(arguments, "--service-ms", 50)?),
         tail: option(arguments, "--tail", 0)?,
         mode,
-        log: arguments
-            .opt_value_from_str("--log")
-            .change_context_lazy(fault("--log"))?,
+        log: arguments.opt_value_from_str("--log").change_context_lazy(fault("--log"))?,
         room: (cores, memory, accelerators),
     })
 }
--- a/crates/apricotroute/src/client.rs
+++ b/crates/apricotroute/src/client.rs
@@ -85,11 +85,8 @@
     }
 
     fn no_route(&self, known: bool) -> Response {
-        let (status, why) = if known {
-            (405, "the path takes no such method")
-        } else {
-            (404, "no such path")
-        };
+        let (status, why) =
+            if known { (405, "the path takes no such method") } else { (404, "no such path") };
         self.bad(status, "find route", why)
     }
 
@@ -105,9 +102,8 @@
         job: &str,
         raw: bool,
     ) -> Call {
-        let parent: Option<trace::Context> = request
-            .header("traceparent")
-            .and_then(|text| text.parse().ok());
+        let parent: Option<trace::Context> =
+            request.header("traceparent").and_then(|text| text.parse().ok());
         let context = parent.map_or_else(trace::Context::new, |parent| parent.child());
         Call {
             client: self.clone(),
@@ -175,10 +171,7 @@
             Err(response) => return responder.send(*response),
         };
         let call = self.call("request", request, responder, &spec.job.to_string(), true);
-        let spec = message::Spec {
-            trace: name::Name::new(&call.context.to_string()),
-            ..spec
-        };
+        let spec = message::Spec { trace: name::Name::new(&call.context.to_string()), ..spec };
         call.ask(|ticket| Event::Submit(ticket, spec));
     }
 
@@ -193,10 +186,7 @@
         check(proto::json::check_service(service))?;
         let team = request.header("Team");
         check(proto::json::check_team(team))?;
-        let idempotent = match request
-            .header("Idempotent")
-            .map(str::to_ascii_lowercase)
-            .as_deref()
+        let idempotent = match request.header("Idempotent").map(str::to_ascii_lowercase).as_deref()
         {
             None | Some("false") => false,
             Some("true") => true,
@@ -212,14 +202,11 @@
         };
         let job = if request.headers.contains_key("Request-Id") {
             let text = request.header("Request-Id").unwrap_or_default();
-            text.parse()
-                .map_err(|e: state::Error| bad("read Request-Id", &e.to_string()))?
+            text.parse().map_err(|e: state::Error| bad("read Request-Id", &e.to_string()))?
         } else {
             id::JobId::mint(&self.zone)
         };
-        let content = request
-            .header("Content-Type")
-            .unwrap_or("application/octet-stream");
+        let content = request.header("Content-Type").unwrap_or("application/octet-stream");
         Ok(message::Spec {
             job,
             service: name::Name::new(service),
@@ -260,11 +247,7 @@
         let name = name::Name::new(upstream);
         let peer = self.instance.clone();
         let done = move |_| responder.send(Response::json(200, "{}"));
-        if self
-            .control
-            .ask(|ticket| Event::Withdraw(ticket, name), Box::new(done))
-            .is_err()
-        {
+        if self.control.ask(|ticket| Event::Withdraw(ticket, name), Box::new(done)).is_err() {
             // The responder went with the reply function; its client gets a 500.
             drop(reply::overwhelmed(peer.as_str()));
         }
@@ -282,9 +265,7 @@
             const RETRY_MS: u64 = 200;
             let kind = message::Refusal::Overload;
             let why = "the instance has too much to do";
-            respond(Reply::Verdict(message::Verdict::refuse(
-                kind, why, RETRY_MS,
-            )));
+            respond(Reply::Verdict(message::Verdict::refuse(kind, why, RETRY_MS)));
         }
     }
 
@@ -293,16 +274,11 @@
         let response = match reply {
             Reply::Verdict(verdict) => reply::verdict(verdict, &self.job, self.raw, peer),
             Reply::Cancelled => {
-                let body = proto::json::Running {
-                    state: "running",
-                    job: self.job.clone(),
-                };
+                let body = proto::json::Running { state: "running", job: self.job.clone() };
                 Response::json(202, serde_json::to_vec(&body).unwrap_or_default())
             }
             Reply::Lease(lease_ms) => {
-                let body = proto::json::Lease {
-                    lease_ms: *lease_ms,
-                };
+                let body = proto::json::Lease { lease_ms: *lease_ms };
                 Response::json(200, serde_json::to_vec(&body).unwrap_or_default())
             }
             Reply::Withdrawn | Reply::Changed(_) | Reply::Untold(_) => Response::json(200, "{}"),
@@ -316,8 +292,7 @@
             notes: vec![("job", self.job), ("status", response.status.to_string())],
         });
         let context = self.context.to_string();
-        self.responder
-            .send(response.with_header("traceparent", context));
+        self.responder.send(response.with_header("traceparent", context));
     }
 }
 
@@ -335,11 +310,6 @@
         return true;
     };
     let content = content.to_str().unwrap_or_default();
-    let essence = content
-        .split(';')
-        .next()
-        .unwrap_or_default()
-        .trim()
-        .to_ascii_lowercase();
+    let essence = content.split(';').next().unwrap_or_default().trim().to_ascii_lowercase();
     JSON_TYPES.contains(&essence.as_str()) || essence.ends_with("+json")
 }
--- a/crates/apricotroute/src/control.rs
+++ b/crates/apricotroute/src/control.rs
@@ -82,9 +82,7 @@
 impl Clock {
     /// Monotonic time counts from here.
     pub fn new() -> Self {
-        Self {
-            start: time::Instant::now(),
-        }
+        Self { start: time::Instant::now() }
     }
 
     /// Both clocks now.
@@ -129,15 +127,7 @@
     pub fn new(clock: Clock) -> (Self, Channel) {
         let (sender, receiver) = crossbeam_channel::bounded(INPUTS);
         let (tickets, view) = (sync::Arc::default(), sync::Arc::default());
-        (
-            Self {
-                sender,
-                tickets,
-                view,
-                clock,
-            },
-            Channel { receiver },
-        )
+        (Self { sender, tickets, view, clock }, Channel { receiver })
     }
 
     /// Starts the thread.
@@ -161,10 +151,7 @@
         reply: ReplyFn,
     ) -> Result<(), ReplyFn> {
         let ticket = self.tickets.fetch_add(1, atomic::Ordering::Relaxed);
-        match self
-            .sender
-            .try_send(Input::Ask(ticket, event(ticket), reply))
-        {
+        match self.sender.try_send(Input::Ask(ticket, event(ticket), reply)) {
             Ok(()) => Ok(()),
             Err(e) => match e.into_inner() {
                 Input::Ask(_, _, reply) => Err(reply),
@@ -232,6 +219,7 @@
     pool: sync::Arc<pool::Pool>,
     caller: task::Caller,
     spans: span::Spans,
+    hops: collections::HashMap<(name::Name, u64), span::Span>,
     log: slog::Logger,
     seen: Seen,
 }
@@ -267,6 +255,7 @@
             pool: parts.pool,
             caller: task::Caller::new(),
             spans: parts.spans,
+            hops: collections::HashMap::new(),
             log: parts.log,
             seen: Seen::default(),
         }
@@ -302,7 +291,14 @@
     fn take(&mut self, input: Input) {
         let now = self.control.clock.now();
         let event = match input {
-            Input::Event(event) => event,
+            Input::Event(mut event) => {
+                if let Event::Peer(from, message::Body::Job(message::Job::Forward { call, spec })) =
+                    &mut event
+                {
+                    self.begin_hop(&from.clone(), *call, spec);
+                }
+                event
+            }
             Input::Ask(ticket, event, reply) => {
                 self.replies.insert(ticket, reply);
                 event
@@ -326,15 +322,35 @@
                 }
             }
             Output::Settings => self.control.view.set_tree(self.core.tree()),
-            Output::Drained => self
-                .control
-                .view
-                .drained
-                .store(true, atomic::Ordering::Relaxed),
+            Output::Over(service, over) => {
+                metric::note_over(service.as_str(), over as f64 / 1_000.0);
+            }
+            Output::Drained => self.control.view.drained.store(true, atomic::Ordering::Relaxed),
         }
     }
 
+    /// A submission came from another instance: the hop gets a span of its own.
+    fn begin_hop(&mut self, from: &name::Name, call: u64, spec: &mut message::Spec) {
+        let parent = spec.trace.as_str().parse::<trace::Context>().ok();
+        let context = parent.map_or_else(trace::Context::new, |parent| parent.child());
+        spec.trace = name::Name::new(&context.to_string());
+        let span = span::Span {
+            context,
+            parent,
+            name: "forward",
+            side: span::Side::Server,
+            start: time::SystemTime::now(),
+            notes: vec![("job", spec.job.to_string()), ("from", from.to_string())],
+        };
+        self.hops.insert((from.clone(), call), span);
+    }
+
     fn send(&mut self, to: name::Name, body: &message::Body) {
+        if let message::Body::Job(message::Job::Verdict { call, .. }) = body
+            && let Some(span) = self.hops.remove(&(to.clone(), *call))
+        {
+            self.spans.record(span);
+        }
         let bytes = coord::machine::encode(body);
         metric::count_message(body.kind(), bytes.len());
         self.batches.entry(to).or_default().push(bytes);
@@ -364,17 +380,13 @@
 
     fn stop(&self, stop: core::Stop) {
         let caller = self.caller.clone();
-        self.pool
-            .run(move || caller.stop(stop.address.as_str(), &task_id(&stop.task)));
+        self.pool.run(move || caller.stop(stop.address.as_str(), &task_id(&stop.task)));
     }
 
     /// Publishes and logs what has changed.
     fn observe(&mut self) {
         let ready = self.core.is_ready();
-        self.control
-            .view
-            .ready
-            .store(ready, atomic::Ordering::Relaxed);
+        self.control.view.ready.store(ready, atomic::Ordering::Relaxed);
         let seen = Seen {
             ready,
             members: self.core.members().join(" "),
@@ -404,10 +416,7 @@
             slog::warn!(self.log, "journal: Expelled a silent instance.");
         }
         if former.ejections < seen.ejections {
-            slog::warn!(
-                self.log,
-                "upstreams: Ejected one that fails what it starts."
-            );
+            slog::warn!(self.log, "upstreams: Ejected one that fails what it starts.");
         }
     }
 }
@@ -451,13 +460,7 @@
     });
     let took = clock.mono() - now;
     let (task, attempt, upstream) = (start.task, start.attempt, start.upstream);
-    core::Done {
-        task,
-        attempt,
-        upstream,
-        took,
-        finish,
-    }
+    core::Done { task, attempt, upstream, took, finish }
 }
 
 fn finish(end: task::End) -> core::Finish {
--- a/crates/apricotroute/src/demo.rs
+++ b/crates/apricotroute/src/demo.rs
@@ -33,10 +33,8 @@
     if answer.status == 200 {
         return Ok(answer.body);
     }
-    Err(
-        error_stack::Report::new(error::Error::new("submit job of", "the demonstration"))
-            .attach(answer.body),
-    )
+    Err(error_stack::Report::new(error::Error::new("submit job of", "the demonstration"))
+        .attach(answer.body))
 }
 
 /// The embedded default: one instance alone, with a data folder that goes when it ends.
@@ -63,18 +61,12 @@
     const PAUSE: time::Duration = time::Duration::from_millis(20);
     let until = time::Instant::now() + PATIENCE;
     while time::Instant::now() < until {
-        if operator
-            .get("/readyz")
-            .is_ok_and(|answer| answer.status == 200)
-        {
+        if operator.get("/readyz").is_ok_and(|answer| answer.status == 200) {
             return Ok(());
         }
         thread::sleep(PAUSE);
     }
-    Err(error_stack::Report::new(error::Error::new(
-        "wait for",
-        "the instance",
-    )))
+    Err(error_stack::Report::new(error::Error::new("wait for", "the instance")))
 }
 
 fn start_upstreams(
@@ -116,9 +108,7 @@
 fn submit(client: &remote::Remote, zone: &name::Name) -> error::Result<remote::Answer> {
     const TRIES: usize = 50;
     const PAUSE: time::Duration = time::Duration::from_millis(50);
-    let tasks: Vec<_> = (0..TASKS)
-        .map(|number| json!({"payload": {"page": number}}))
-        .collect();
+    let tasks: Vec<_> = (0..TASKS).map(|number| json!({"payload": {"page": number}})).collect();
     let job = id::JobId::mint(zone).to_string();
     let body = json!({"job": job, "service": SERVICE, "deadline_ms": 5_000, "tasks": tasks});
     let mut answer = client.post("/v1/jobs", body.to_string().as_bytes())?;
--- a/crates/apricotroute/src/error.rs
+++ b/crates/apricotroute/src/error.rs
@@ -12,10 +12,7 @@
 impl Error {
     /// A failure of `step` at `peer`: an instance, an address or a file.
     pub fn new(step: &'static str, peer: impl fmt::Display) -> Self {
-        Self {
-            step,
-            peer: peer.to_string(),
-        }
+        Self { step, peer: peer.to_string() }
     }
 }
 
--- a/crates/apricotroute/src/instance.rs
+++ b/crates/apricotroute/src/instance.rs
@@ -45,15 +45,8 @@
         let store = open_store(boot, life, &log)?;
         let (control, channel) = control::Control::new(control::Clock::new());
         let config = config(boot, life, store.as_ref());
-        let known = boot
-            .peers
-            .iter()
-            .map(|peer| peer.instance.clone())
-            .collect();
-        let inbox = sync::Arc::new(control::Inbox {
-            control: control.clone(),
-            known,
-        });
+        let known = boot.peers.iter().map(|peer| peer.instance.clone()).collect();
+        let inbox = sync::Arc::new(control::Inbox { control: control.clone(), known });
         peer::Server::open(&runtime, boot.peer, &boot.instance, inbox)
             .change_context_lazy(|| fault("start"))?;
         let mut outbox = peer::Outbox::new();
@@ -62,10 +55,7 @@
         }
         let calls = sync::Arc::new(pool::Pool::new("task", control::MAX_CALLS));
         let readers = sync::Arc::new(pool::Pool::new("reader", MAX_READERS));
-        let recovered = store
-            .as_ref()
-            .map(store::Store::recovered)
-            .unwrap_or_default();
+        let recovered = store.as_ref().map(store::Store::recovered).unwrap_or_default();
         let parts = control::Parts {
             config,
             recovered,
@@ -89,25 +79,13 @@
         let client = http::Listener::open(&runtime, boot.client, sync::Arc::new(client))
             .change_context_lazy(|| fault("start"))?;
         let (instance, pool) = (boot.instance.clone(), readers);
-        let operator = operator::Operator {
-            instance,
-            control: control.clone(),
-            pool,
-        };
+        let operator = operator::Operator { instance, control: control.clone(), pool };
         let operator = http::Listener::open(&runtime, boot.operator, sync::Arc::new(operator))
             .change_context_lazy(|| fault("start"))?;
         slog::info!(log, "instance: Started.";
             "client" => %client.address(), "operator" => %operator.address(), "life" => life);
         let drain = time::Duration::from_millis(boot.drain_ms);
-        Ok(Self {
-            runtime,
-            control,
-            client,
-            operator,
-            spans,
-            log,
-            drain,
-        })
+        Ok(Self { runtime, control, client, operator, spans, log, drain })
     }
 
     /// Where clients and upstreams reach it.
@@ -131,10 +109,7 @@
             thread::sleep(STEP);
         }
         if !self.control.view().is_drained() {
-            let cut = self
-                .control
-                .inspect(|core, _| core.in_progress())
-                .unwrap_or_default();
+            let cut = self.control.inspect(|core, _| core.in_progress()).unwrap_or_default();
             slog::warn!(self.log, "instance: Drain bound reached."; "cut" => cut.join(" "));
         }
         self.client.close();
@@ -181,12 +156,5 @@
     let all: collections::BTreeSet<_> = peers.chain([me.clone()]).collect();
     let disk = store.map(|store| store.life);
     let (all, trial, seed) = (all.into_iter().collect(), boot.trial, rand::random());
-    coord::core::Config {
-        me,
-        life,
-        disk,
-        all,
-        trial,
-        seed,
-    }
+    coord::core::Config { me, life, disk, all, trial, seed }
 }
--- a/crates/apricotroute/src/load.rs
+++ b/crates/apricotroute/src/load.rs
@@ -66,22 +66,15 @@
 
 /// Reads the options.
 pub fn options(arguments: &mut pico_args::Arguments) -> error::Result<Options> {
-    let split = |text: String| {
-        text.split(',')
-            .filter(|part| !part.is_empty())
-            .map(str::to_owned)
-            .collect()
-    };
+    let split =
+        |text: String| text.split(',').filter(|part| !part.is_empty()).map(str::to_owned).collect();
     let retry: String = cli::option(arguments, "--retry", "never".to_owned())?;
     let retry = match retry.as_str() {
         "never" => Retry::Never,
         "obey" => Retry::Obey,
         "insist" => Retry::Insist,
         _ => {
-            return Err(error_stack::Report::new(error::Error::new(
-                "unknown retry",
-                retry,
-            )));
+            return Err(error_stack::Report::new(error::Error::new("unknown retry", retry)));
         }
     };
     Ok(Options {
@@ -150,11 +143,7 @@
     let plan = plan(options);
     let before = messages(options)?;
     let tally = sync::Arc::new(sync::Mutex::new(Tally::new()));
-    let remotes: Vec<_> = options
-        .to
-        .iter()
-        .map(|to| remote::Remote::new(to))
-        .collect();
+    let remotes: Vec<_> = options.to.iter().map(|to| remote::Remote::new(to)).collect();
     let pool = link::pool::Pool::new("load", 4_096);
     let open = sync::Arc::new(atomic::AtomicUsize::new(0));
     let start = time::Instant::now();
@@ -174,9 +163,8 @@
     }
     let after = messages(options)?;
     let fault = || error::Error::new("read figures of", "the load");
-    let tally = tally
-        .lock()
-        .map_err(|e| error_stack::Report::new(fault()).attach(e.to_string()))?;
+    let tally =
+        tally.lock().map_err(|e| error_stack::Report::new(fault()).attach(e.to_string()))?;
     Ok(report(options, &tally, &before, &after, start.elapsed()))
 }
 
@@ -204,11 +192,7 @@
         return None;
     }
     let draw = rng.random_range(0.0..options.flood + f64::from(options.teams - 1));
-    Some(if draw < options.flood {
-        0
-    } else {
-        (draw - options.flood) as u32 + 1
-    })
+    Some(if draw < options.flood { 0 } else { (draw - options.flood) as u32 + 1 })
 }
 
 fn submit(
@@ -232,14 +216,7 @@
         let (state, retry) = state(&answer);
         let refused = state == "not_run";
         let again = refused && options.retry != Retry::Never && time::Instant::now() < until;
-        note(
-            options,
-            arrival,
-            tally,
-            &state,
-            (planned, asked, start),
-            again,
-        );
+        note(options, arrival, tally, &state, (planned, asked, start), again);
         if !again {
             return;
         }
@@ -250,9 +227,7 @@
 }
 
 fn body(options: &Options, arrival: &Arrival, job: &str) -> String {
-    let tasks: Vec<_> = (0..arrival.tasks)
-        .map(|number| json!({"payload": number}))
-        .collect();
+    let tasks: Vec<_> = (0..arrival.tasks).map(|number| json!({"payload": number})).collect();
     let team = arrival.team.map(|team| format!("t{team}"));
     let (service, deadline) = (&options.service, options.deadline);
     json!({"job": job, "service": service, "team": team, "deadline_ms": deadline, "tasks": tasks})
@@ -315,20 +290,14 @@
     }
     *tally.states.entry(state.to_owned()).or_default() += 1;
     if state != "complete" {
-        tally
-            .refusals
-            .saturating_record((now - asked).as_micros() as u64);
+        tally.refusals.saturating_record((now - asked).as_micros() as u64);
         return;
     }
     let ideal = time::Duration::from_secs_f64(options.ideal / 1_000.0);
     let over = (now - planned).saturating_sub(ideal).as_micros() as u64;
     tally.over.saturating_record(over.max(1));
     if let Some(team) = arrival.team {
-        tally
-            .teams
-            .entry(team)
-            .or_insert_with(histogram)
-            .saturating_record(over.max(1));
+        tally.teams.entry(team).or_insert_with(histogram).saturating_record(over.max(1));
     }
     tally.useful += u64::from(arrival.tasks);
     let second = (now - start).as_secs();
@@ -366,33 +335,19 @@
         .filter(|(_, grown)| *grown > 0.0)
         .collect();
     let sum = |prefix: &str| -> f64 {
-        grown
-            .iter()
-            .filter(|(key, _)| key.starts_with(prefix))
-            .map(|(_, value)| value)
-            .sum()
+        grown.iter().filter(|(key, _)| key.starts_with(prefix)).map(|(_, value)| value).sum()
     };
     let useful = tally.useful.max(1) as f64;
     let kinds: collections::BTreeMap<_, _> = grown
         .iter()
-        .filter(|(key, _)| key.starts_with("peer_messages"))
+        .filter(|(key, _)| key.starts_with("apricotroute_peer_messages"))
         .map(|(key, value)| (kind(key), *value))
         .collect();
-    let others = [
-        "starts",
-        "moved",
-        "retries",
-        "hedges",
-        "stops",
-        "forwards",
-        "loans_asked",
-    ];
-    let counters: collections::BTreeMap<_, _> = others.iter().map(|key| (*key, sum(key))).collect();
-    let teams: collections::BTreeMap<_, _> = tally
-        .teams
-        .iter()
-        .map(|(team, over)| (format!("t{team}"), quantiles(over)))
-        .collect();
+    let others = ["starts", "moved", "retries", "hedges", "stops", "forwards", "loans_asked"];
+    let counters: collections::BTreeMap<_, _> =
+        others.iter().map(|key| (*key, sum(&format!("apricotroute_{key}{{")))).collect();
+    let teams: collections::BTreeMap<_, _> =
+        tally.teams.iter().map(|(team, over)| (format!("t{team}"), quantiles(over))).collect();
     let report = json!({
         "rate": options.rate,
         "seconds": options.seconds,
@@ -406,8 +361,8 @@
         "refusal_ms": quantiles(&tally.refusals),
         "teams_over_ideal_ms": teams,
         "peer_messages": kinds,
-        "peer_messages_per_task": sum("peer_messages") / useful,
-        "peer_bytes_per_task": sum("peer_bytes") / useful,
+        "peer_messages_per_task": sum("apricotroute_peer_messages") / useful,
+        "peer_bytes_per_task": sum("apricotroute_peer_bytes") / useful,
         "counters": counters,
     });
     let mut text = String::new();
--- a/crates/apricotroute/src/logs.rs
+++ b/crates/apricotroute/src/logs.rs
@@ -15,9 +15,7 @@
     };
     let (drain, guard) = match log.form {
         boot::Form::Json => {
-            let json = slog_json::Json::new(io::stderr())
-                .add_default_keys()
-                .build();
+            let json = slog_json::Json::new(io::stderr()).add_default_keys().build();
             slog_async::Async::new(json.fuse()).build_with_guard()
         }
         boot::Form::Text => {
--- a/crates/apricotroute/src/operator.rs
+++ b/crates/apricotroute/src/operator.rs
@@ -81,11 +81,7 @@
         let mut from = Map::new();
         for (key, found) in effective {
             values.insert(key.to_owned(), found.value);
-            let origin = if found.origin.is_empty() {
-                "/".to_owned()
-            } else {
-                found.origin
-            };
+            let origin = if found.origin.is_empty() { "/".to_owned() } else { found.origin };
             from.insert(key.to_owned(), origin.into());
         }
         let version = tree.version();
@@ -111,10 +107,7 @@
             })
         };
         let list: Vec<_> = tree.records().map(line).collect();
-        Response::json(
-            200,
-            json!({"version": tree.version(), "changes": list}).to_string(),
-        )
+        Response::json(200, json!({"version": tree.version(), "changes": list}).to_string())
     }
 
     fn change(&self, path: &str, request: &Request, responder: Responder) {
@@ -126,10 +119,7 @@
         let respond: control::ReplyFn = Box::new(move |reply| {
             responder.send(changed(&reply, peer.as_str()));
         });
-        if let Err(respond) = self
-            .control
-            .ask(|ticket| Event::Change(ticket, change), respond)
-        {
+        if let Err(respond) = self.control.ask(|ticket| Event::Change(ticket, change), respond) {
             respond(Reply::Untold("the instance has too much to do".to_owned()));
         }
     }
@@ -156,24 +146,14 @@
             return Err(Box::new(self.refuse_values(&faults)));
         }
         let values = Value::Object(body.values).to_string();
-        Ok(tree::Change {
-            change,
-            base: body.base,
-            path: name::Name::new(path),
-            values,
-        })
+        Ok(tree::Change { change, base: body.base, path: name::Name::new(path), values })
     }
 
     /// A refusal that names every bad key.
     fn refuse_values(&self, faults: &[(String, String)]) -> Response {
-        let list: Vec<_> = faults
-            .iter()
-            .map(|(key, why)| format!("{key}: {why}"))
-            .collect();
-        let keys: Map<String, Value> = faults
-            .iter()
-            .map(|(key, why)| (key.clone(), why.clone().into()))
-            .collect();
+        let list: Vec<_> = faults.iter().map(|(key, why)| format!("{key}: {why}")).collect();
+        let keys: Map<String, Value> =
+            faults.iter().map(|(key, why)| (key.clone(), why.clone().into())).collect();
         let body = json!({
             "state": reply::NOT_RUN,
             "error": list.join("; "),
@@ -202,15 +182,7 @@
         }
         Reply::Untold(why) => {
             let (state, step) = (reply::UNKNOWN, "change settings");
-            reply::Fail {
-                status: 503,
-                state,
-                error: why,
-                step,
-                peer,
-                retry_ms: 0,
-            }
-            .response()
+            reply::Fail { status: 503, state, error: why, step, peer, retry_ms: 0 }.response()
         }
         Reply::Verdict(_) | Reply::Cancelled | Reply::Lease(_) | Reply::Withdrawn => {
             Response::text(500, "no such reply\n")
@@ -219,8 +191,6 @@
 }
 
 fn metrics() -> Response {
-    let text = metric::metrics()
-        .map(metric::Metrics::text)
-        .unwrap_or_default();
+    let text = metric::metrics().map(metric::Metrics::text).unwrap_or_default();
     Response::text(200, text)
 }
--- a/crates/apricotroute/src/remote.rs
+++ b/crates/apricotroute/src/remote.rs
@@ -41,10 +41,7 @@
             .timeout_connect(Some(CONNECT))
             .timeout_global(Some(LONGEST))
             .build();
-        Self {
-            agent: config.into(),
-            to: to.to_owned(),
-        }
+        Self { agent: config.into(), to: to.to_owned() }
     }
 
     /// `GET`.
@@ -59,10 +56,7 @@
 
     /// `POST` of JSON.
     pub fn post(&self, path: &str, body: &[u8]) -> error::Result<Answer> {
-        let request = self
-            .agent
-            .post(self.url(path))
-            .header("Content-Type", "application/json");
+        let request = self.agent.post(self.url(path)).header("Content-Type", "application/json");
         self.read(request.send(body))
     }
 
@@ -73,9 +67,7 @@
         body: &[u8],
         headers: &[(&str, String)],
     ) -> error::Result<Answer> {
-        let mut request = self
-            .agent
-            .post(self.url(&format!("/v1/requests/{service}")));
+        let mut request = self.agent.post(self.url(&format!("/v1/requests/{service}")));
         for (name, value) in headers {
             request = request.header(*name, value);
         }
@@ -84,10 +76,7 @@
 
     /// `PUT` of JSON.
     pub fn put(&self, path: &str, body: &[u8]) -> error::Result<Answer> {
-        let request = self
-            .agent
-            .put(self.url(path))
-            .header("Content-Type", "application/json");
+        let request = self.agent.put(self.url(path)).header("Content-Type", "application/json");
         self.read(request.send(body))
     }
 
@@ -103,14 +92,7 @@
         let fault = || error::Error::new("call", &self.to);
         let mut response = result.change_context_lazy(fault)?;
         let status = response.status().as_u16();
-        let body = response
-            .body_mut()
-            .with_config()
-            .limit(LARGEST)
-            .read_to_string();
-        Ok(Answer {
-            status,
-            body: body.change_context_lazy(fault)?,
-        })
+        let body = response.body_mut().with_config().limit(LARGEST).read_to_string();
+        Ok(Answer { status, body: body.change_context_lazy(fault)? })
     }
 }
--- a/crates/apricotroute/src/reply.rs
+++ b/crates/apricotroute/src/reply.rs
@@ -50,15 +50,7 @@
 
 /// A malformed request.
 pub fn bad(status: u16, step: &str, error: &str, peer: &str) -> Response {
-    Fail {
-        status,
-        state: NOT_RUN,
-        error,
-        step,
-        peer,
-        retry_ms: 0,
-    }
-    .response()
+    Fail { status, state: NOT_RUN, error, step, peer, retry_ms: 0 }.response()
 }
 
 /// The response to a request that never became whole.
@@ -77,15 +69,7 @@
     const RETRY_MS: u64 = 200;
     let error = "the instance has too much to do";
     let (status, state, step) = (503, NOT_RUN, "queue request");
-    Fail {
-        status,
-        state,
-        error,
-        step,
-        peer,
-        retry_ms: RETRY_MS,
-    }
-    .response()
+    Fail { status, state, error, step, peer, retry_ms: RETRY_MS }.response()
 }
 
 /// The response to a submission.
@@ -94,54 +78,23 @@
         Verdict::Complete(answers) if raw => whole(answers),
         Verdict::Complete(answers) => complete(answers, job),
         Verdict::Running => {
-            let body = proto::json::Running {
-                state: "running",
-                job: job.to_owned(),
-            };
+            let body = proto::json::Running { state: "running", job: job.to_owned() };
             let text = serde_json::to_vec(&body).unwrap_or_default();
             Response::json(202, text).with_header(STATE, "running")
         }
         Verdict::Failed { why, late } => {
             let status = if *late { 504 } else { 502 };
             let (state, step) = ("failed", "run job");
-            Fail {
-                status,
-                state,
-                error: why,
-                step,
-                peer,
-                retry_ms: 0,
-            }
-            .response()
+            Fail { status, state, error: why, step, peer, retry_ms: 0 }.response()
         }
-        Verdict::NotRun {
-            kind,
-            why,
-            retry_ms,
-        } => {
+        Verdict::NotRun { kind, why, retry_ms } => {
             let (status, step) = (refusal_status(*kind), refusal_step(*kind));
             let retry_ms = *retry_ms;
-            Fail {
-                status,
-                state: NOT_RUN,
-                error: why,
-                step,
-                peer,
-                retry_ms,
-            }
-            .response()
+            Fail { status, state: NOT_RUN, error: why, step, peer, retry_ms }.response()
         }
         Verdict::Unknown { why } => {
             let step = "find job";
-            Fail {
-                status: 503,
-                state: UNKNOWN,
-                error: why,
-                step,
-                peer,
-                retry_ms: 0,
-            }
-            .response()
+            Fail { status: 503, state: UNKNOWN, error: why, step, peer, retry_ms: 0 }.response()
         }
     }
 }
@@ -172,26 +125,15 @@
 fn whole(answers: &[Answer]) -> Response {
     let answer = answers.first();
     let body = answer.map(|answer| answer.body.clone()).unwrap_or_default();
-    let content = answer
-        .map(|answer| answer.content.to_string())
-        .unwrap_or_default();
-    let response = Response {
-        status: 200,
-        content,
-        headers: Vec::new(),
-        body,
-    };
+    let content = answer.map(|answer| answer.content.to_string()).unwrap_or_default();
+    let response = Response { status: 200, content, headers: Vec::new(), body };
     response.with_header(STATE, "complete")
 }
 
 fn complete(answers: &[Answer], job: &str) -> Response {
     let answers: Vec<_> = answers.iter().map(raw_json).collect();
     let answers = answers.iter().map(AsRef::as_ref).collect();
-    let body = proto::json::Complete {
-        state: "complete",
-        job: job.to_owned(),
-        answers,
-    };
+    let body = proto::json::Complete { state: "complete", job: job.to_owned(), answers };
     match serde_json::to_vec(&body) {
         Ok(text) => Response::json(200, text).with_header(STATE, "complete"),
         Err(e) => Response::text(500, e.to_string()),
--- a/crates/apricotroute/src/standin.rs
+++ b/crates/apricotroute/src/standin.rs
@@ -98,13 +98,7 @@
         let listener = http::Listener::open(runtime, options.listen, sync::Arc::new(handler))
             .change_context_lazy(fault)?;
         let (address, runtime) = (listener.address(), sync::Arc::clone(runtime));
-        Ok(Self {
-            options,
-            address,
-            book,
-            _runtime: runtime,
-            _listener: listener,
-        })
+        Ok(Self { options, address, book, _runtime: runtime, _listener: listener })
     }
 
     /// Where it listens.
@@ -115,12 +109,7 @@
     /// Announces itself until `over` says so, then says that it is leaving.
     pub fn announce(&self, over: impl Fn() -> bool) {
         const PAUSE: time::Duration = time::Duration::from_millis(100);
-        let remotes: Vec<_> = self
-            .options
-            .to
-            .iter()
-            .map(|to| remote::Remote::new(to))
-            .collect();
+        let remotes: Vec<_> = self.options.to.iter().map(|to| remote::Remote::new(to)).collect();
         let mut turn = 0;
         let mut next = time::Instant::now();
         while !over() {
@@ -152,9 +141,7 @@
             "memory_mb": memory,
             "accelerators": accelerators,
         });
-        let answer = remote
-            .post("/v1/upstreams", body.to_string().as_bytes())
-            .ok()?;
+        let answer = remote.post("/v1/upstreams", body.to_string().as_bytes()).ok()?;
         let lease = serde_json::from_str::<proto::json::Lease>(&answer.body).ok()?;
         Some(time::Duration::from_millis(lease.lease_ms))
     }
@@ -174,10 +161,7 @@
 
 impl http::Handler for Handler {
     fn handle(&self, request: Request, responder: Responder) {
-        match (
-            request.method.as_str(),
-            request.path.strip_prefix("/v1/tasks"),
-        ) {
+        match (request.method.as_str(), request.path.strip_prefix("/v1/tasks")) {
             ("POST", Some("")) => self.start(&request, responder),
             ("DELETE", Some(task)) => self.stop(task.trim_start_matches('/'), responder),
             ("GET", None) if request.path == "/v1/starts" => {
@@ -218,10 +202,7 @@
         let (book, length) = (sync::Arc::clone(&self.book), self.length());
         self.runtime.spawn(async move {
             tokio::time::sleep(length).await;
-            let responder = book
-                .lock()
-                .ok()
-                .and_then(|mut book| book.running.remove(&task));
+            let responder = book.lock().ok().and_then(|mut book| book.running.remove(&task));
             if let Some(responder) = responder.flatten() {
                 responder.send(answer);
             }
@@ -237,22 +218,13 @@
             return Response::json(200, body.to_string());
         }
         let (content, headers) = (content.to_owned(), Vec::new());
-        Response {
-            status: 200,
-            content,
-            headers,
-            body: request.body.clone(),
-        }
+        Response { status: 200, content, headers, body: request.body.clone() }
     }
 
     fn length(&self) -> time::Duration {
         const SLOWER: u32 = 10;
         let slow = self.options.tail > 0 && rand::rng().random_range(0..self.options.tail) == 0;
-        if slow {
-            self.options.time * SLOWER
-        } else {
-            self.options.time
-        }
+        if slow { self.options.time * SLOWER } else { self.options.time }
     }
 
     /// Notes a start before the task runs.
@@ -269,11 +241,7 @@
     }
 
     fn stop(&self, task: &str, responder: Responder) {
-        let running = self
-            .book
-            .lock()
-            .ok()
-            .and_then(|mut book| book.running.remove(task));
+        let running = self.book.lock().ok().and_then(|mut book| book.running.remove(task));
         if let Some(waiting) = running.flatten() {
             waiting.send(Response::text(500, "stopped\n"));
         }
--- a/crates/apricotroute/src/status.rs
+++ b/crates/apricotroute/src/status.rs
@@ -48,10 +48,7 @@
                 let status = control.inspect(coord::Core::status);
                 *cache = status.map(|status| (time::Instant::now(), status));
             }
-            cache
-                .as_ref()
-                .map(|(_, status)| readings(status))
-                .unwrap_or_default()
+            cache.as_ref().map(|(_, status)| readings(status)).unwrap_or_default()
         });
     }
 }
@@ -74,20 +71,13 @@
         plain("slots_borrowed", u64::from(status.borrowed)),
         plain("messages_rejected", counts.rejected),
         plain("expelled", counts.expelled),
-        plain(
-            "ejected",
-            status.upstreams.iter().filter(|u| u.ejected).count() as u64,
-        ),
+        plain("ejected", status.upstreams.iter().filter(|u| u.ejected).count() as u64),
         plain("jobs", status.jobs as u64),
         plain("ready", u64::from(status.ready)),
         plain("settings_version", status.version),
     ];
     for (reason, count) in &counts.refused {
-        list.push((
-            "refused",
-            vec![("reason", (*reason).to_owned())],
-            *count as f64,
-        ));
+        list.push(("refused", vec![("reason", (*reason).to_owned())], *count as f64));
     }
     for service in &status.services {
         let label = vec![("service", service.service.to_string())];
@@ -96,15 +86,8 @@
     }
     let me = format!("{}#", status.instance);
     for group in &status.groups {
-        let leads = group
-            .leader
-            .as_ref()
-            .is_some_and(|leader| leader.starts_with(&me));
-        list.push((
-            "leader",
-            vec![("group", group.group.clone())],
-            f64::from(u8::from(leads)),
-        ));
+        let leads = group.leader.as_ref().is_some_and(|leader| leader.starts_with(&me));
+        list.push(("leader", vec![("group", group.group.clone())], f64::from(u8::from(leads))));
     }
     list
 }
@@ -112,58 +95,24 @@
 /// The status for a person to read.
 pub fn text(status: &Value) -> String {
     let mut out = String::new();
-    let show = |value: &Value| {
-        value
-            .as_str()
-            .map_or_else(|| value.to_string(), str::to_owned)
-    };
-    for key in [
-        "instance",
-        "availability_zone",
-        "ready",
-        "draining",
-        "version",
-        "lease_ms",
-    ] {
+    let show = |value: &Value| value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+    for key in ["instance", "availability_zone", "ready", "draining", "version", "lease_ms"] {
         // Writing to a string cannot fail.
         let _ = writeln!(out, "{key:18} {}", show(&status[key]));
     }
     let mut table = |title: &str, rows: &Value, columns: &[&str]| {
         let _ = writeln!(out, "\n{title}");
         for row in rows.as_array().into_iter().flatten() {
-            let cells: Vec<_> = columns
-                .iter()
-                .map(|column| format!("{column}={}", show(&row[*column])))
-                .collect();
+            let cells: Vec<_> =
+                columns.iter().map(|column| format!("{column}={}", show(&row[*column]))).collect();
             let _ = writeln!(out, "  {}", cells.join(" "));
         }
     };
-    table(
-        "groups",
-        &status["groups"],
-        &["group", "leader", "term", "commit", "voters"],
-    );
-    table(
-        "services",
-        &status["services"],
-        &["service", "queue", "share", "free", "total"],
-    );
-    let columns = &[
-        "upstream",
-        "service",
-        "phase",
-        "slots",
-        "outstanding",
-        "lease_ms",
-        "ejected",
-    ];
+    table("groups", &status["groups"], &["group", "leader", "term", "commit", "voters"]);
+    table("services", &status["services"], &["service", "queue", "share", "free", "total"]);
+    let columns = &["upstream", "service", "phase", "slots", "outstanding", "lease_ms", "ejected"];
     table("upstreams", &status["upstreams"], columns);
-    let members: Vec<_> = status["members"]
-        .as_array()
-        .into_iter()
-        .flatten()
-        .map(show)
-        .collect();
+    let members: Vec<_> = status["members"].as_array().into_iter().flatten().map(show).collect();
     let _ = writeln!(out, "\nmembers            {}", members.join(" "));
     out
 }
--- a/crates/apricotroute/src/store.rs
+++ b/crates/apricotroute/src/store.rs
@@ -31,12 +31,7 @@
             folder::Folder::open(path, instance, life).change_context_lazy(fault)?;
         let mirror = Mirror::load(loaded.snapshot.as_deref(), &loaded.records);
         let mirror = mirror.ok_or_else(|| error_stack::Report::new(fault()))?;
-        Ok(Self {
-            folder,
-            mirror,
-            life: loaded.life,
-            torn: loaded.torn,
-        })
+        Ok(Self { folder, mirror, life: loaded.life, torn: loaded.torn })
     }
 
     /// What the group starts from.
@@ -86,9 +81,7 @@
             self.mirror.apply(save);
         }
         if compact && let Some((snapshot, records)) = self.mirror.compacted() {
-            return self
-                .folder
-                .compact(&snapshot, records.iter().map(Vec::as_slice));
+            return self.folder.compact(&snapshot, records.iter().map(Vec::as_slice));
         }
         self.folder.append(records.iter().map(Vec::as_slice))
     }
--- /dev/null
+++ b/crates/apricotroute/tests/command_line.rs
@@ -0,0 +1,101 @@
+//! The command as a user types it.
+
+mod harness;
+
+use std::{fs, process};
+
+use harness::{Plan, SERVICE, job, mint};
+use serde_json::Value;
+
+fn run(arguments: &[&str]) -> (Option<i32>, String, String) {
+    let output =
+        process::Command::new(env!("CARGO_BIN_EXE_apricotroute")).args(arguments).output().unwrap();
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+    (output.status.code(), text(output.stdout), text(output.stderr))
+}
+
+#[test]
+fn help_everywhere() {
+    let commands =
+        ["serve", "check", "demo", "submit", "job", "settings", "status", "load", "upstream"];
+    for command in commands {
+        let (code, out, _) = run(&[command, "--help"]);
+        assert_eq!(code, Some(0));
+        assert!(out.starts_with(&format!("apricotroute {command}")), "{out}");
+        assert!(run(&["--help"]).1.contains(&format!("  {command}")));
+    }
+}
+
+#[test]
+fn usage_faults() {
+    let cases: &[&[&str]] = &[
+        &[],
+        &["dance"],
+        &["demo", "--loud"],
+        &["serve"],
+        &["serve", "--settings", "no-such-file.json"],
+        &["check", "no-such-file.json"],
+        &["submit", "--to", "127.0.0.1:1", "no-such-file.json"],
+        &["load", "--to", "127.0.0.1:1", "--rate", "fast"],
+        &["job", "--to", "127.0.0.1:1", "dance", "x"],
+        &["upstream", "--to", "127.0.0.1:1", "--mode", "dance"],
+    ];
+    for arguments in cases {
+        let (code, out, err) = run(arguments);
+        assert_eq!((code, out.as_str()), (Some(2), ""), "{arguments:?}");
+        assert_eq!(err.lines().count(), 1, "{arguments:?}: {err}");
+    }
+}
+
+#[test]
+fn demonstration() {
+    let (code, out, err) = run(&["demo"]);
+    assert_eq!(code, Some(0), "{err}");
+    let answer: Value = serde_json::from_str(&out).unwrap();
+    assert_eq!(
+        (&answer["state"], answer["answers"].as_array().unwrap().len()),
+        (&"complete".into(), 20)
+    );
+}
+
+#[test]
+fn operators_day() {
+    let cluster = Plan::new(1).start();
+    let (client, operator) =
+        (cluster.nodes[0].client.to_string(), cluster.nodes[0].operator.to_string());
+    let settings = cluster.nodes[0].settings.to_str().unwrap();
+    assert_eq!(run(&["check", settings]).0, Some(0));
+    let (code, out, _) = run(&["settings", "--to", &operator, "set", SERVICE, "{}"]);
+    assert_eq!((code, out.trim()), (Some(0), "{\"version\":1}"));
+    let (code, out, _) = run(&["settings", "--to", &operator, "get", SERVICE]);
+    assert!(code == Some(0) && out.contains("\"version\":1"), "{out}");
+    let values = "{\"max_queue\": -1}";
+    let (code, out, _) = run(&["settings", "--to", &operator, "set", SERVICE, values]);
+    assert!(code == Some(3) && out.contains("max_queue"), "{out}");
+    let stale = ["settings", "--to", &operator, "set", SERVICE, "{}", "--base", "0"];
+    assert_eq!(run(&stale).0, Some(3));
+    let _upstream = cluster.upstream("u1", "west", &[0], &[]);
+    cluster.wait_upstreams("west", 1);
+
+    let id = mint("west");
+    let file = cluster.dir.path().join("job.json");
+    fs::write(&file, job(&id, 3, 2_000).to_string()).unwrap();
+    let file = file.to_str().unwrap();
+    let (code, out, _) = run(&["submit", "--to", &client, file]);
+    assert!(code == Some(0) && out.contains("complete"), "{out}");
+    let (code, out, _) = run(&["job", "--to", &client, "show", &id]);
+    assert!(code == Some(0) && out.contains("complete"), "{out}");
+    let (code, out, _) = run(&["job", "--to", &client, "show", &mint("west")]);
+    assert!(code == Some(3) && out.contains("not_run"), "{out}");
+    let (code, out, _) = run(&["submit", "--to", &client, "--job", &mint("north"), file]);
+    assert!(code == Some(4) && out.contains("unknown"), "{out}");
+
+    let (code, out, _) = run(&["status", "--to", &operator]);
+    assert!(code == Some(0) && out.contains("journal west") && out.contains("u1"), "{out}");
+    let (_, out, _) = run(&["status", "--to", &operator, "--json"]);
+    let status: Value = serde_json::from_str(&out).unwrap();
+    assert_eq!(status["counts"]["completed"], 1);
+    let (_, out, _) = run(&["settings", "--to", &operator, "log"]);
+    let log: Value = serde_json::from_str(&out).unwrap();
+    assert_eq!(log["changes"][1]["outcome"], "conflict", "{out}");
+}
--- a/crates/apricotroute/tests/harness/check.rs
+++ b/crates/apricotroute/tests/harness/check.rs
@@ -37,14 +37,9 @@
             }
         }
         for (job, states) in &states {
-            let ran = starts
-                .keys()
-                .any(|task| task.starts_with(&format!("{job}/")));
+            let ran = starts.keys().any(|task| task.starts_with(&format!("{job}/")));
             let only_not_run = states.len() == 1 && states.contains("not_run");
-            assert!(
-                !(only_not_run && ran),
-                "{job} was said not to have run, and it ran"
-            );
+            assert!(!(only_not_run && ran), "{job} was said not to have run, and it ran");
             let both = states.contains("complete") && states.contains("failed");
             assert!(!both, "{job} was said to be complete and to have failed");
         }
@@ -56,11 +51,7 @@
     let answers = answer["answers"].as_array().unwrap();
     assert_eq!(answers.len(), tasks, "{job}");
     for (index, one) in answers.iter().enumerate() {
-        assert_eq!(
-            one["task"],
-            format!("{job}/{index}"),
-            "answer {index} of {job}"
-        );
+        assert_eq!(one["task"], format!("{job}/{index}"), "answer {index} of {job}");
         assert_eq!(one["payload"], index, "answer {index} of {job}");
     }
 }
--- a/crates/apricotroute/tests/harness/mod.rs
+++ b/crates/apricotroute/tests/harness/mod.rs
@@ -52,24 +52,13 @@
 impl Plan {
     /// One zone of so many instances, all with disks.
     pub fn new(count: usize) -> Self {
-        Self {
-            zones: vec![("west".to_owned(), count)],
-            disks: count,
-            extra: json!({}),
-        }
+        Self { zones: vec![("west".to_owned(), count)], disks: count, extra: json!({}) }
     }
 
     /// Several zones; the first instance of each has a disk.
     pub fn with_zones(zones: &[(&str, usize)]) -> Self {
-        let zones = zones
-            .iter()
-            .map(|(zone, count)| ((*zone).to_owned(), *count))
-            .collect();
-        Self {
-            zones,
-            disks: 1,
-            extra: json!({}),
-        }
+        let zones = zones.iter().map(|(zone, count)| ((*zone).to_owned(), *count)).collect();
+        Self { zones, disks: 1, extra: json!({}) }
     }
 
     /// So many instances of each zone have disks.
@@ -118,11 +107,7 @@
         let mut links = Vec::new();
         for from in 0..nodes.len() {
             for to in (0..nodes.len()).filter(|to| *to != from) {
-                links.push(Link {
-                    from,
-                    to,
-                    proxy: proxy::Proxy::start(peers[to]),
-                });
+                links.push(Link { from, to, proxy: proxy::Proxy::start(peers[to]) });
             }
         }
         let cluster = Cluster { dir, nodes, links };
@@ -171,11 +156,7 @@
     /// Starts an instance.
     pub fn start(&mut self, at: usize) {
         let log = self.dir.path().join(format!("{}.log", self.nodes[at].name));
-        let log = fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(log)
-            .unwrap();
+        let log = fs::OpenOptions::new().create(true).append(true).open(log).unwrap();
         let child = process::Command::new(env!("CARGO_BIN_EXE_apricotroute"))
             .args(["serve", "--settings"])
             .arg(&self.nodes[at].settings)
@@ -204,10 +185,7 @@
     /// Sends a signal to an instance.
     pub fn signal(&self, at: usize, signal: &str) {
         let pid = self.nodes[at].child.as_ref().unwrap().id().to_string();
-        let sent = process::Command::new("kill")
-            .args([signal, &pid])
-            .status()
-            .unwrap();
+        let sent = process::Command::new("kill").args([signal, &pid]).status().unwrap();
         assert!(sent.success(), "kill {signal} {pid}");
     }
 
@@ -228,20 +206,14 @@
 
     /// Cuts or heals everything between one set of instances and all others.
     pub fn isolate(&self, inside: &[usize], cut: bool) {
-        let outside: Vec<_> = (0..self.nodes.len())
-            .filter(|at| !inside.contains(at))
-            .collect();
+        let outside: Vec<_> = (0..self.nodes.len()).filter(|at| !inside.contains(at)).collect();
         self.cut(inside, &outside, cut);
         self.cut(&outside, inside, cut);
     }
 
     /// Changes settings at an instance.
     pub fn set(&self, at: usize, path: &str, body: &Value) -> (u16, Value) {
-        put(
-            self.nodes[at].operator,
-            &format!("/v1/settings/{path}"),
-            body,
-        )
+        put(self.nodes[at].operator, &format!("/v1/settings/{path}"), body)
     }
 
     /// Creates the service that tests run, and waits until it is known everywhere.
@@ -255,11 +227,7 @@
     pub fn wait_version(&self, version: u64) {
         for node in self.nodes.iter().filter(|node| node.child.is_some()) {
             let known = || Self::version(node).is_some_and(|known| known >= version);
-            assert!(
-                eventually(5_000, known),
-                "{} has no version {version}",
-                node.name
-            );
+            assert!(eventually(5_000, known), "{} has no version {version}", node.name);
         }
     }
 
@@ -270,9 +238,7 @@
 
     /// Status of an instance.
     pub fn status(&self, at: usize) -> Value {
-        get(self.nodes[at].operator, "/v1/status")
-            .map(|(_, body)| body)
-            .unwrap_or_default()
+        get(self.nodes[at].operator, "/v1/status").map(|(_, body)| body).unwrap_or_default()
     }
 
     /// Position of the leader of a group.
@@ -297,10 +263,7 @@
         to: &[usize],
         more: &[&str],
     ) -> upstream::Process {
-        let to: Vec<_> = to
-            .iter()
-            .map(|at| self.nodes[*at].client.to_string())
-            .collect();
+        let to: Vec<_> = to.iter().map(|at| self.nodes[*at].client.to_string()).collect();
         upstream::Process::start(self.dir.path(), name, zone, &to.join(","), more)
     }
 
@@ -316,11 +279,7 @@
                 let serving = |u: &Value| u["phase"] == "serving" && u["lease_ms"] != 0;
                 list.iter().filter(|u| serving(u)).count() == count
             };
-            assert!(
-                eventually(8_000, open),
-                "{} knows other upstreams",
-                node.name
-            );
+            assert!(eventually(8_000, open), "{} knows other upstreams", node.name);
         }
     }
 
@@ -351,9 +310,7 @@
 
 /// A job of so many tasks, each with its number as payload.
 pub fn job(id: &str, tasks: usize, deadline_ms: u64) -> Value {
-    let tasks: Vec<_> = (0..tasks)
-        .map(|number| json!({"payload": number}))
-        .collect();
+    let tasks: Vec<_> = (0..tasks).map(|number| json!({"payload": number})).collect();
     json!({"job": id, "service": SERVICE, "deadline_ms": deadline_ms, "tasks": tasks})
 }
 
@@ -392,16 +349,8 @@
 fn read(response: Response) -> Option<(u16, Value)> {
     let mut response = response.ok()?;
     let status = response.status().as_u16();
-    let body = response
-        .body_mut()
-        .with_config()
-        .limit(64 << 20)
-        .read_to_string()
-        .ok()?;
-    Some((
-        status,
-        serde_json::from_str(&body).unwrap_or(Value::String(body)),
-    ))
+    let body = response.body_mut().with_config().limit(64 << 20).read_to_string().ok()?;
+    Some((status, serde_json::from_str(&body).unwrap_or(Value::String(body))))
 }
 
 /// `GET`; nothing if the connection failed.
@@ -417,24 +366,17 @@
 /// `POST` of JSON; status 0 if the connection failed.
 pub fn post(to: net::SocketAddr, path: &str, body: &Value) -> (u16, Value) {
     let request = agent().post(format!("http://{to}{path}"));
-    let response = request
-        .header("Content-Type", "application/json")
-        .send(body.to_string());
+    let response = request.header("Content-Type", "application/json").send(body.to_string());
     read(response).unwrap_or((0, Value::Null))
 }
 
 /// `PUT` of JSON; status 0 if the connection failed.
 pub fn put(to: net::SocketAddr, path: &str, body: &Value) -> (u16, Value) {
     let request = agent().put(format!("http://{to}{path}"));
-    let response = request
-        .header("Content-Type", "application/json")
-        .send(body.to_string());
+    let response = request.header("Content-Type", "application/json").send(body.to_string());
     read(response).unwrap_or((0, Value::Null))
 }
 
 fn free_address() -> net::SocketAddr {
-    net::TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
--- a/crates/apricotroute/tests/harness/upstream.rs
+++ b/crates/apricotroute/tests/harness/upstream.rs
@@ -21,23 +21,15 @@
     pub fn start(dir: &path::Path, name: &str, zone: &str, to: &str, more: &[&str]) -> Self {
         let log = dir.join(format!("{name}.starts"));
         let mut child = process::Command::new(env!("CARGO_BIN_EXE_apricotroute"))
-            .args([
-                "upstream", "--to", to, "--name", name, "--zone", zone, "--log",
-            ])
+            .args(["upstream", "--to", to, "--name", name, "--zone", zone, "--log"])
             .arg(&log)
             .args(more)
             .stdout(process::Stdio::piped())
             .spawn()
             .unwrap();
         let mut address = String::new();
-        BufReader::new(child.stdout.take().unwrap())
-            .read_line(&mut address)
-            .unwrap();
-        Self {
-            address: address.trim().to_owned(),
-            child,
-            log,
-        }
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut address).unwrap();
+        Self { address: address.trim().to_owned(), child, log }
     }
 
     /// Tasks it has started, in order.
@@ -53,10 +45,7 @@
     /// Sends a signal.
     pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        process::Command::new("kill")
-            .args([signal, &pid])
-            .status()
-            .unwrap();
+        process::Command::new("kill").args([signal, &pid]).status().unwrap();
     }
 }
 
--- /dev/null
+++ b/crates/apricotroute/tests/odd_upstreams.rs
@@ -0,0 +1,249 @@
+//! Upstreams that answer late, twice, in halves, for others, or not at all.
+
+mod harness;
+
+use std::{
+    collections,
+    io::{BufRead as _, BufReader, Read as _, Write as _},
+    net, sync, thread, time,
+};
+
+use harness::{Cluster, Plan, SERVICE, delete, eventually, get, job, mint, pause, post};
+use serde_json::{Value, json};
+
+/// How a fake treats the connection of its Nth task.
+type Script = fn(number: usize, task: &str, stream: &mut net::TcpStream);
+
+/// An upstream that speaks raw bytes.
+struct Fake {
+    address: net::SocketAddr,
+    seen: sync::Arc<sync::Mutex<Vec<String>>>,
+}
+
+impl Fake {
+    fn start(script: Script) -> Self {
+        let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen = sync::Arc::<sync::Mutex<Vec<String>>>::default();
+        let shared = sync::Arc::clone(&seen);
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let seen = sync::Arc::clone(&shared);
+                thread::spawn(move || serve(stream.unwrap(), script, &seen));
+            }
+        });
+        Self { address, seen }
+    }
+
+    fn seen(&self) -> Vec<String> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    fn announce(&self, cluster: &Cluster, name: &str, slots: u32) {
+        let body = json!({"upstream": name, "service": SERVICE, "availability_zone": "west",
+                          "address": self.address.to_string(), "slots": slots});
+        assert_eq!(post(cluster.nodes[0].client, "/v1/upstreams", &body).0, 200);
+    }
+}
+
+fn serve(mut stream: net::TcpStream, script: Script, seen: &sync::Mutex<Vec<String>>) {
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    loop {
+        let mut headers = collections::BTreeMap::new();
+        let mut first = String::new();
+        if reader.read_line(&mut first).unwrap_or(0) == 0 {
+            return;
+        }
+        loop {
+            let mut line = String::new();
+            reader.read_line(&mut line).unwrap();
+            let Some((key, value)) = line.split_once(':') else {
+                break;
+            };
+            headers.insert(key.to_ascii_lowercase(), value.trim().to_owned());
+        }
+        let length = headers.get("content-length").map_or(0, |text| text.parse().unwrap());
+        let mut body = vec![0; length];
+        reader.read_exact(&mut body).unwrap();
+        let task = headers.get("task-id").cloned().unwrap_or_else(|| first.trim().to_owned());
+        let number = {
+            let mut seen = seen.lock().unwrap();
+            seen.push(task.clone());
+            seen.len()
+        };
+        script(number, &task, &mut stream);
+    }
+}
+
+fn answer(stream: &mut net::TcpStream, body: &str) {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+    let text = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
+    // The instance may have given up.
+    drop(stream.write_all(text.as_bytes()));
+}
+
+fn cluster() -> Cluster {
+    let cluster = Plan::new(1).start();
+    cluster.create_service();
+    cluster
+}
+
+fn submit(cluster: &Cluster, tasks: usize, deadline: u64) -> (String, u16, Value) {
+    let id = mint("west");
+    let (status, body) = cluster.submit(0, &job(&id, tasks, deadline));
+    (id, status, body)
+}
+
+#[test]
+fn late_and_disordered() {
+    let cluster = cluster();
+    let fake = Fake::start(|_, task, stream| {
+        // The first tasks answer last.
+        let index: u64 = task.rsplit('/').next().unwrap().parse().unwrap_or(0);
+        pause(400 - 40 * index);
+        answer(stream, &format!("{{\"of\": \"{task}\"}}"));
+    });
+    fake.announce(&cluster, "u1", 10);
+    let (id, status, body) = submit(&cluster, 8, 5_000);
+    assert_eq!(status, 200, "{body}");
+    for index in 0..8 {
+        assert_eq!(body["answers"][index]["of"], format!("{id}/{index}"));
+    }
+}
+
+#[test]
+fn half_answer() {
+    let cluster = cluster();
+    let fake = Fake::start(|_, _, stream| {
+        drop(stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"half"));
+        drop(stream.shutdown(net::Shutdown::Both));
+    });
+    fake.announce(&cluster, "u1", 4);
+    let (id, status, body) = submit(&cluster, 2, 5_000);
+    assert_eq!((status, &body["state"]), (502, &json!("failed")), "{body}");
+    assert!(body.get("answers").is_none());
+    pause(300);
+    let starts = fake.seen().iter().filter(|task| task.starts_with(&id)).count();
+    assert!(starts <= 2, "nothing is tried again: {:?}", fake.seen());
+}
+
+#[test]
+fn lost_after_request() {
+    let cluster = cluster();
+    let fake = Fake::start(|_, _, stream| drop(stream.shutdown(net::Shutdown::Both)));
+    fake.announce(&cluster, "u1", 4);
+    let start = time::Instant::now();
+    let (_, status, body) = submit(&cluster, 1, 10_000);
+    assert_eq!((status, &body["state"]), (502, &json!("failed")), "{body}");
+    assert!(start.elapsed() < time::Duration::from_secs(2), "what is given up is told at once");
+    assert_eq!(fake.seen().len(), 1);
+}
+
+#[test]
+fn answered_twice() {
+    let cluster = cluster();
+    let fake = Fake::start(|_, task, stream| {
+        answer(stream, &format!("{{\"of\": \"{task}\"}}"));
+        answer(stream, "{\"of\": \"somebody else\"}");
+    });
+    fake.announce(&cluster, "u1", 1);
+    for _ in 0..5 {
+        let (id, status, body) = submit(&cluster, 3, 5_000);
+        // A connection with a second answer is of no use; no task may get it for its own.
+        if status == 200 {
+            for index in 0..3 {
+                assert_eq!(body["answers"][index]["of"], format!("{id}/{index}"));
+            }
+        } else {
+            assert_eq!(body["state"], "failed", "{body}");
+        }
+    }
+}
+
+#[test]
+fn refused_and_moved() {
+    let cluster = cluster();
+    let full = Fake::start(|_, _, stream| {
+        let text = "HTTP/1.1 503 Full\r\nNot-Run: true\r\nContent-Length: 0\r\n\r\n";
+        drop(stream.write_all(text.as_bytes()));
+    });
+    full.announce(&cluster, "u0", 8);
+    // Nobody listens there: refused before a byte was written.
+    let nowhere = net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let body = json!({"upstream": "u1", "service": SERVICE, "availability_zone": "west",
+                      "address": nowhere.to_string(), "slots": 8});
+    assert_eq!(post(cluster.nodes[0].client, "/v1/upstreams", &body).0, 200);
+    let good = cluster.upstream("u2", "west", &[0], &["--service-ms", "20", "--slots", "4"]);
+    cluster.wait_upstreams("west", 3);
+    let (_, status, body) = submit(&cluster, 20, 2_500);
+    assert_eq!(status, 200, "{body}");
+    assert_eq!(good.starts().len(), 20);
+}
+
+#[test]
+fn requests_retried() {
+    let cluster = cluster();
+    let fake = Fake::start(|number, _, stream| {
+        if number == 1 {
+            drop(stream.write_all(b"HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n"));
+        } else {
+            answer(stream, "\"good\"");
+        }
+    });
+    fake.announce(&cluster, "u1", 4);
+    let path = format!("http://{}/v1/requests/{SERVICE}", cluster.nodes[0].client);
+    let response = ureq::post(&path).header("Idempotent", "true").send("x").unwrap();
+    assert_eq!(response.into_body().read_to_string().unwrap(), "\"good\"");
+    assert_eq!(fake.seen().len(), 2, "idempotent: tried again");
+}
+
+#[test]
+fn requests_once() {
+    let cluster = cluster();
+    let fake = Fake::start(|_, _, stream| {
+        drop(stream.write_all(b"HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n"));
+    });
+    fake.announce(&cluster, "u1", 4);
+    let path = format!("http://{}/v1/requests/{SERVICE}", cluster.nodes[0].client);
+    let id = mint("west");
+    for _ in 0..3 {
+        let result = ureq::post(&path).header("Request-Id", &id).send("x");
+        assert!(matches!(result, Err(ureq::Error::StatusCode(502))), "{result:?}");
+    }
+    assert_eq!(fake.seen().len(), 1, "not idempotent: at most once");
+}
+
+#[test]
+fn cancelled_job() {
+    let cluster = cluster();
+    let upstream = cluster.upstream("u1", "west", &[0], &["--mode", "hang", "--slots", "2"]);
+    cluster.wait_upstreams("west", 1);
+    let id = mint("west");
+    let (to, spec) = (cluster.nodes[0].client, job(&id, 6, 20_000));
+    let waiting = thread::spawn(move || post(to, "/v1/jobs", &spec));
+    assert!(eventually(2_000, || upstream.starts().len() == 2));
+    let (status, body) = get(to, &format!("/v1/jobs/{id}")).unwrap();
+    assert_eq!((status, &body["state"]), (202, &json!("running")));
+    assert_eq!(delete(to, &format!("/v1/jobs/{id}")).unwrap().0, 202);
+    let (status, body) = waiting.join().unwrap();
+    assert_eq!((status, &body["state"]), (502, &json!("failed")), "{body}");
+    pause(300);
+    assert_eq!(upstream.starts().len(), 2, "the others never start");
+    let (status, body) = get(to, &format!("/v1/jobs/{id}")).unwrap();
+    assert_eq!((status, &body["state"]), (502, &json!("failed")), "{body}");
+    // The slots are free again.
+    let free = || cluster.status(0)["services"][0]["free"] == 2;
+    assert!(eventually(2_000, free), "{}", cluster.status(0));
+}
+
+#[test]
+fn past_deadline() {
+    let cluster = cluster();
+    let _upstream = cluster.upstream("u1", "west", &[0], &["--mode", "hang", "--slots", "2"]);
+    cluster.wait_upstreams("west", 1);
+    let start = time::Instant::now();
+    let (_, status, body) = submit(&cluster, 2, 400);
+    assert_eq!((status, &body["state"]), (504, &json!("failed")), "{body}");
+    let took = start.elapsed();
+    assert!((380..900).contains(&took.as_millis()), "{took:?}");
+}
--- a/crates/apricotroute/tests/owner_faults.rs
+++ b/crates/apricotroute/tests/owner_faults.rs
@@ -22,10 +22,7 @@
 }
 
 fn starts(upstreams: &[Process]) -> usize {
-    upstreams
-        .iter()
-        .map(|upstream| upstream.starts().len())
-        .sum()
+    upstreams.iter().map(|upstream| upstream.starts().len()).sum()
 }
 
 /// Submits from a thread, since the instance may never answer.
@@ -122,18 +119,12 @@
     assert_eq!((status, &body["state"]), (502, &json!("failed")), "{body}");
     answers.note(&id, TASKS, &body);
     pause(1_000);
-    assert_eq!(
-        starts(&upstreams),
-        before,
-        "it starts nothing after it woke"
-    );
+    assert_eq!(starts(&upstreams), before, "it starts nothing after it woke");
     answers.judge(&upstreams);
     cluster.wait_ready();
     let back = || {
         let status = cluster.status(1);
-        status["members"]
-            .as_array()
-            .is_some_and(|members| members.len() == 3)
+        status["members"].as_array().is_some_and(|members| members.len() == 3)
     };
     assert!(eventually(5_000, back));
     let id = mint("west");
@@ -158,34 +149,19 @@
     let other = mint("west");
     let (status, body) = cluster.submit(0, &job(&other, 2, 6_000));
     assert_eq!((status, &body["state"]), (503, &json!("unknown")), "{body}");
-    let path = format!(
-        "http://{}/v1/requests/{}",
-        cluster.nodes[0].client,
-        harness::SERVICE
-    );
+    let path = format!("http://{}/v1/requests/{}", cluster.nodes[0].client, harness::SERVICE);
     let served = || {
         let request = ureq::post(&path).header("Idempotent", "true");
-        request
-            .send("x")
-            .is_ok_and(|response| response.headers()["state"] == "complete")
+        request.send("x").is_ok_and(|response| response.headers()["state"] == "complete")
     };
     assert!(eventually(5_000, served));
     cluster.isolate(&[0], false);
     let (_, body) = first.join().unwrap();
-    assert!(
-        matches!(body["state"].as_str(), Some("failed" | "unknown")),
-        "{body}"
-    );
+    assert!(matches!(body["state"].as_str(), Some("failed" | "unknown")), "{body}");
     answers.note(&id, TASKS, &body);
     let job_starts = |starts: Vec<String>| starts.iter().filter(|s| s.starts_with(&id)).count();
-    let later: usize = upstreams
-        .iter()
-        .map(|upstream| job_starts(upstream.starts()))
-        .sum();
-    assert!(
-        later <= before,
-        "{later} starts, {before} when it was expelled"
-    );
+    let later: usize = upstreams.iter().map(|upstream| job_starts(upstream.starts())).sum();
+    assert!(later <= before, "{later} starts, {before} when it was expelled");
     answers.judge(&upstreams);
 }
 
@@ -207,10 +183,7 @@
     assert_eq!(starts(&upstreams), before);
     cluster.cut(&[0], &[1, 2], false);
     let (_, body) = first.join().unwrap();
-    assert!(
-        matches!(body["state"].as_str(), Some("failed" | "unknown")),
-        "{body}"
-    );
+    assert!(matches!(body["state"].as_str(), Some("failed" | "unknown")), "{body}");
     answers.note(&id, TASKS, &body);
     answers.judge(&upstreams);
 }
--- a/crates/apricotroute/tests/same_id.rs
+++ b/crates/apricotroute/tests/same_id.rs
@@ -28,10 +28,7 @@
                 scope.spawn(move || cluster.submit(client % 3, spec))
             };
             let threads: Vec<_> = (0..CLIENTS).map(ask).collect();
-            threads
-                .into_iter()
-                .map(|thread| thread.join().unwrap())
-                .collect()
+            threads.into_iter().map(|thread| thread.join().unwrap()).collect()
         });
         for (status, body) in &all {
             assert_eq!(*status, 200, "{body}");
@@ -59,10 +56,7 @@
             scope.spawn(move || cluster.submit(at, spec))
         };
         let threads: Vec<_> = (0..CLIENTS).map(ask).collect();
-        threads
-            .into_iter()
-            .map(|thread| thread.join().unwrap())
-            .collect()
+        threads.into_iter().map(|thread| thread.join().unwrap()).collect()
     });
     let mut answers = Answers::default();
     for (status, body) in &all {
--- a/crates/apricotroute/tests/settings_faults.rs
+++ b/crates/apricotroute/tests/settings_faults.rs
@@ -33,27 +33,16 @@
                 scope.spawn(move || change(cluster, at, id, Some(version), round * 10 + at as u64))
             };
             let threads: Vec<_> = (0..3).map(ask).collect();
-            threads
-                .into_iter()
-                .map(|thread| thread.join().unwrap())
-                .collect()
+            threads.into_iter().map(|thread| thread.join().unwrap()).collect()
         });
         let winners: Vec<_> = (0..3).filter(|at| outcomes[*at].0 == 200).collect();
         assert_eq!(winners.len(), 1, "{outcomes:?}");
-        assert!(
-            outcomes
-                .iter()
-                .all(|(status, _)| matches!(status, 200 | 409)),
-            "{outcomes:?}"
-        );
+        assert!(outcomes.iter().all(|(status, _)| matches!(status, 200 | 409)), "{outcomes:?}");
         version += 1;
         // Everybody who asks again, anywhere, gets the first outcome.
         for (at, id) in ids.iter().enumerate() {
             let (status, body) = change(&cluster, (at + 1) % 3, id, Some(version - 1), 0);
-            assert_eq!(
-                (status, &body["version"]),
-                (outcomes[at].0, &outcomes[at].1["version"])
-            );
+            assert_eq!((status, &body["version"]), (outcomes[at].0, &outcomes[at].1["version"]));
         }
         cluster.wait_version(version);
         let expected = json!(round * 10 + winners[0] as u64);
@@ -74,9 +63,8 @@
         cluster.kill(leader);
         // The outcome may be unknown for a while; asked again it is one, exactly once.
         let mut told = (0, Value::Null);
-        let settled = eventually(15_000, || {
-            change(&cluster, other, &id, None, 100 + round).0 == 200
-        });
+        let settled =
+            eventually(15_000, || change(&cluster, other, &id, None, 100 + round).0 == 200);
         assert!(settled);
         for at in (0..3).filter(|at| *at != leader) {
             let outcome = change(&cluster, at, &id, None, 100 + round);
@@ -106,10 +94,7 @@
     cluster.wait_version(20);
     let seated = || {
         let status = cluster.status(0);
-        let voters = status["groups"][0]["voters"]
-            .as_array()
-            .cloned()
-            .unwrap_or_default();
+        let voters = status["groups"][0]["voters"].as_array().cloned().unwrap_or_default();
         let life = cluster.status(1)["groups"][0]["voters"].clone();
         voters.len() == 3 && life == json!(voters)
     };
@@ -172,14 +157,8 @@
     let output = serve(&cluster, 0);
     assert_eq!(output.status.code(), Some(2));
     let line = String::from_utf8(output.stderr).unwrap();
-    assert!(
-        line.contains("bad checksum") && line.contains("offset"),
-        "{line}"
-    );
-    assert!(
-        line.contains(log.file_name().unwrap().to_str().unwrap()),
-        "{line}"
-    );
+    assert!(line.contains("bad checksum") && line.contains("offset"), "{line}");
+    assert!(line.contains(log.file_name().unwrap().to_str().unwrap()), "{line}");
 }
 
 #[test]
@@ -194,11 +173,7 @@
     cluster.kill(0);
     cluster.kill(1);
     let text = fs::read_to_string(&cluster.nodes[0].settings).unwrap();
-    fs::write(
-        &cluster.nodes[0].settings,
-        text.replace("west-1.data", "west-2.data"),
-    )
-    .unwrap();
+    fs::write(&cluster.nodes[0].settings, text.replace("west-1.data", "west-2.data")).unwrap();
     let output = serve(&cluster, 0);
     assert_eq!(output.status.code(), Some(2));
     let line = String::from_utf8(output.stderr).unwrap();
@@ -207,16 +182,9 @@
 
 fn log_file(cluster: &Cluster, at: usize) -> std::path::PathBuf {
     let folder = cluster.nodes[at].folder.as_ref().unwrap();
-    let files = fs::read_dir(folder)
-        .unwrap()
-        .map(|entry| entry.unwrap().path());
-    let is_log = |path: &std::path::PathBuf| {
-        path.file_name()
-            .unwrap()
-            .to_str()
-            .unwrap()
-            .starts_with("log-")
-    };
+    let files = fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
+    let is_log =
+        |path: &std::path::PathBuf| path.file_name().unwrap().to_str().unwrap().starts_with("log-");
     files.into_iter().find(is_log).unwrap()
 }
 
--- a/crates/apricotroute/tests/shutdown.rs
+++ b/crates/apricotroute/tests/shutdown.rs
@@ -34,31 +34,18 @@
     // New work is refused with a hint, a second signal shortens nothing.
     let (status, body) = post(to, "/v1/jobs", &job(&mint("west"), 2, 5_000));
     assert_eq!((status, &body["state"]), (503, &json!("not_run")), "{body}");
-    assert!(
-        body["retry_after_ms"].as_u64().is_some_and(|ms| ms > 0),
-        "{body}"
-    );
+    assert!(body["retry_after_ms"].as_u64().is_some_and(|ms| ms > 0), "{body}");
     cluster.signal(0, "-TERM");
     for ((id, tasks), thread) in specs.iter().zip(threads) {
         let (status, body) = thread.join().unwrap();
         assert_eq!(status, 200, "{body}");
         answers.note(id, *tasks, &body);
     }
-    let code = cluster.nodes[0]
-        .child
-        .take()
-        .unwrap()
-        .wait()
-        .unwrap()
-        .code();
+    let code = cluster.nodes[0].child.take().unwrap().wait().unwrap().code();
     assert_eq!(code, Some(0));
     answers.judge(&upstreams);
     // The others took over its share at once.
-    let members = || {
-        cluster.status(1)["members"]
-            .as_array()
-            .is_some_and(|m| m.len() == 2)
-    };
+    let members = || cluster.status(1)["members"].as_array().is_some_and(|m| m.len() == 2);
     assert!(eventually(700, members), "long before it could be missed");
     let (status, body) = cluster.submit(1, &job(&mint("west"), 16, 10_000));
     assert_eq!(status, 200, "{body}");
@@ -90,11 +77,7 @@
     let (status, _) = cluster.submit(2, &job(&mint("west"), 100, 10_000));
     assert_eq!(status, 200);
     leaves.signal("-TERM");
-    assert!(eventually(3_000, || leaves
-        .child
-        .try_wait()
-        .unwrap()
-        .is_some()));
+    assert!(eventually(3_000, || leaves.child.try_wait().unwrap().is_some()));
     pause(200);
     let before = leaves.starts().len();
     assert!(before > 0);
@@ -125,8 +108,7 @@
     let gone = || {
         let status = cluster.status(0);
         let list = status["upstreams"].as_array().cloned().unwrap_or_default();
-        list.iter()
-            .any(|u| u["upstream"] == "u2" && u["phase"] == "gone")
+        list.iter().any(|u| u["upstream"] == "u2" && u["phase"] == "gone")
     };
     assert!(eventually(1_000, gone));
 }
--- a/crates/apricotroute/tests/whole_path.rs
+++ b/crates/apricotroute/tests/whole_path.rs
@@ -9,20 +9,14 @@
 fn large_job() {
     let cluster = Plan::new(3).start();
     cluster.create_service();
-    let upstreams = [
-        cluster.upstream("u1", "west", &[0], &[]),
-        cluster.upstream("u2", "west", &[1], &[]),
-    ];
+    let upstreams =
+        [cluster.upstream("u1", "west", &[0], &[]), cluster.upstream("u2", "west", &[1], &[])];
     cluster.wait_upstreams("west", 2);
 
     let id = mint("west");
     let spec = job(&id, 220, 20_000);
     let (status, first) = cluster.submit(0, &spec);
-    assert_eq!(
-        (status, &first["state"]),
-        (200, &json!("complete")),
-        "{first}"
-    );
+    assert_eq!((status, &first["state"]), (200, &json!("complete")), "{first}");
     let mut answers = Answers::default();
     answers.note(&id, 220, &first);
 
@@ -33,10 +27,7 @@
         assert_eq!(again["answers"], first["answers"]);
         answers.note(&id, 220, &again);
     }
-    let starts: usize = upstreams
-        .iter()
-        .map(|upstream| upstream.starts().len())
-        .sum();
+    let starts: usize = upstreams.iter().map(|upstream| upstream.starts().len()).sum();
     assert_eq!(starts, 220);
     answers.judge(&upstreams);
 
--- a/crates/apricotroute/tests/zone_faults.rs
+++ b/crates/apricotroute/tests/zone_faults.rs
@@ -44,10 +44,8 @@
 fn cut_off() {
     let cluster = Plan::with_zones(&[("west", 2), ("mid", 2), ("east", 3)]).start();
     cluster.create_service();
-    let upstreams = [
-        cluster.upstream("u1", "west", &[0, 1], &[]),
-        cluster.upstream("u2", "mid", &[2, 3], &[]),
-    ];
+    let upstreams =
+        [cluster.upstream("u1", "west", &[0, 1], &[]), cluster.upstream("u2", "mid", &[2, 3], &[])];
     cluster.wait_upstreams("west", 1);
     cluster.wait_upstreams("mid", 1);
     let mut answers = Answers::default();
--- a/crates/coord/src/cache.rs
+++ b/crates/coord/src/cache.rs
@@ -28,12 +28,7 @@
     /// A cache of at most `limit` bytes.
     pub fn new(limit: usize) -> Self {
         let (map, order) = (collections::HashMap::new(), collections::VecDeque::new());
-        Self {
-            limit,
-            bytes: 0,
-            map,
-            order,
-        }
+        Self { limit, bytes: 0, map, order }
     }
 
     /// Bytes held.
@@ -80,9 +75,5 @@
 
 fn size(answers: &[Answer]) -> usize {
     const ENTRY: usize = 96;
-    ENTRY
-        + answers
-            .iter()
-            .map(|answer| answer.body.len() + ENTRY)
-            .sum::<usize>()
+    ENTRY + answers.iter().map(|answer| answer.body.len() + ENTRY).sum::<usize>()
 }
--- a/crates/coord/src/calls.rs
+++ b/crates/coord/src/calls.rs
@@ -27,6 +27,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Waiter {
     Ticket(Ticket),
+    /// Asks how a job stands; not counted as a submission.
+    Viewer(Ticket),
     Peer(name::Name, u64),
     Nobody,
 }
@@ -66,10 +68,7 @@
     /// No calls. Numbers start from the incarnation, so that an answer to a former life of this
     /// instance is never taken for the answer to another call.
     pub(crate) fn new(life: u64) -> Self {
-        Self {
-            next: life << 32,
-            ..Self::default()
-        }
+        Self { next: life << 32, ..Self::default() }
     }
 
     pub(crate) fn is_empty(&self) -> bool {
@@ -101,8 +100,10 @@
                     Verdict::NotRun { kind, .. } => self.count_refusal(*kind),
                     Verdict::Running => {}
                 }
-                self.out
-                    .push(Output::Reply(ticket, Reply::Verdict(verdict)));
+                self.out.push(Output::Reply(ticket, Reply::Verdict(verdict)));
+            }
+            Waiter::Viewer(ticket) => {
+                self.out.push(Output::Reply(ticket, Reply::Verdict(verdict)));
             }
             Waiter::Peer(to, call) => {
                 self.send(&to, Body::Job(message::Job::Verdict { call, verdict }));
@@ -121,15 +122,7 @@
         now: Now,
     ) -> u64 {
         let (job, to) = (job.clone(), to.clone());
-        self.calls.add(Call {
-            waiter,
-            kind,
-            job,
-            to,
-            asked: now.mono,
-            until,
-            ended: None,
-        })
+        self.calls.add(Call { waiter, kind, job, to, asked: now.mono, until, ended: None })
     }
 
     /// Passes a submission to its home zone.
@@ -163,15 +156,9 @@
 
     /// An instance of a zone, preferably the one heard from last.
     fn pick_peer(&self, zone: &name::Name, tried: &[name::Name], now: Now) -> Option<name::Name> {
-        let peers = self
-            .config
-            .all
-            .iter()
-            .filter(|i| i.zone == *zone && !tried.contains(&i.name));
+        let peers = self.config.all.iter().filter(|i| i.zone == *zone && !tried.contains(&i.name));
         let age = |name: &name::Name| {
-            now.mono
-                .saturating_sub(self.heard.get(name).copied().unwrap_or(0))
-                / SILENCE
+            now.mono.saturating_sub(self.heard.get(name).copied().unwrap_or(0)) / SILENCE
         };
         let best = peers.min_by_key(|i| (age(&i.name).min(1), i.name.clone()));
         best.map(|instance| instance.name.clone())
@@ -189,11 +176,7 @@
         let call = self.call(waiter, Kind::Await, job, owner, until + GRACE, now);
         // A former life of this very instance has nothing to tell: the journal will expel it.
         if *owner != self.config.me.name {
-            let body = message::Job::Await {
-                call,
-                job: job.clone(),
-                wait: true,
-            };
+            let body = message::Job::Await { call, job: job.clone(), wait: true };
             self.send(owner, Body::Job(body));
         }
     }
@@ -209,11 +192,7 @@
         let me = self.config.me.name.clone();
         let call = self.call(waiter, kind, job, &me, until, now);
         for to in &peers {
-            let body = message::Job::Await {
-                call,
-                job: job.clone(),
-                wait: false,
-            };
+            let body = message::Job::Await { call, job: job.clone(), wait: false };
             self.send(to, Body::Job(body));
         }
     }
@@ -258,11 +237,7 @@
         let body = if cancel {
             message::Job::Cancel { call, job }
         } else {
-            message::Job::Await {
-                call,
-                job,
-                wait: false,
-            }
+            message::Job::Await { call, job, wait: false }
         };
         self.send(to, Body::Job(body));
     }
@@ -276,12 +251,7 @@
             if matches!(held.phase, crate::job::Phase::Admitting) {
                 held.cancelled = true;
             } else if matches!(held.phase, crate::job::Phase::Running) {
-                self.finish(
-                    job,
-                    table::Outcome::Failed,
-                    &Verdict::failed("cancelled"),
-                    now,
-                );
+                self.finish(job, table::Outcome::Failed, &Verdict::failed("cancelled"), now);
             }
             return self.cancelled(waiter);
         }
@@ -298,7 +268,7 @@
 
     fn cancelled(&mut self, waiter: Waiter) {
         match waiter {
-            Waiter::Ticket(ticket) => self.out.push(Output::Reply(ticket, Reply::Cancelled)),
+            Waiter::Viewer(ticket) => self.out.push(Output::Reply(ticket, Reply::Cancelled)),
             other => self.reply(other, Verdict::Running),
         }
     }
@@ -396,12 +366,8 @@
             return;
         }
         self.calls.pinged = now.mono;
-        let called: collections::BTreeSet<_> = self
-            .calls
-            .map
-            .values()
-            .map(|call| call.to.clone())
-            .collect();
+        let called: collections::BTreeSet<_> =
+            self.calls.map.values().map(|call| call.to.clone()).collect();
         for to in called {
             let heard = self.heard.get(&to).copied().unwrap_or(0);
             if now.mono > heard + PING && to != self.config.me.name {
--- a/crates/coord/src/core.rs
+++ b/crates/coord/src/core.rs
@@ -27,16 +27,10 @@
 /// Forgetting waits this much longer than the retention, milliseconds.
 const PRUNE_MARGIN_MS: u64 = 60_000;
 
-const SETTINGS_TIMING: raft::Timing = raft::Timing {
-    heartbeat: 400 * time::MS,
-    election: 1_200 * time::MS,
-    lease: 1_000 * time::MS,
-};
-const JOURNAL_TIMING: raft::Timing = raft::Timing {
-    heartbeat: 150 * time::MS,
-    election: 600 * time::MS,
-    lease: 500 * time::MS,
-};
+const SETTINGS_TIMING: raft::Timing =
+    raft::Timing { heartbeat: 400 * time::MS, election: 1_200 * time::MS, lease: 1_000 * time::MS };
+const JOURNAL_TIMING: raft::Timing =
+    raft::Timing { heartbeat: 150 * time::MS, election: 600 * time::MS, lease: 500 * time::MS };
 
 /// Number under which the embedder waits for a reply.
 pub type Ticket = u64;
@@ -181,6 +175,8 @@
     Reply(Ticket, Reply),
     /// The settings tree has changed.
     Settings,
+    /// A job of the service was answered, so many microseconds later than its longest task took.
+    Over(name::Name, u64),
     /// Everything in progress has ended; the process may exit.
     Drained,
 }
@@ -228,10 +224,7 @@
 }
 
 /// All decisions of one instance.
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "independent facts, not states of one thing"
-)]
+#[expect(clippy::struct_excessive_bools, reason = "independent facts, not states of one thing")]
 #[derive(Debug)]
 pub struct Core {
     pub(crate) config: Config,
@@ -315,8 +308,8 @@
             Event::Peer(from, body) => self.on_peer(&from, body, now),
             Event::Saved(number) => self.settings.saved(number, now.mono),
             Event::Submit(ticket, spec) => self.on_submit(ticket, spec, now),
-            Event::Show(ticket, job) => self.show(calls::Waiter::Ticket(ticket), &job, false, now),
-            Event::Cancel(ticket, job) => self.cancel(calls::Waiter::Ticket(ticket), &job, now),
+            Event::Show(ticket, job) => self.show(calls::Waiter::Viewer(ticket), &job, false, now),
+            Event::Cancel(ticket, job) => self.cancel(calls::Waiter::Viewer(ticket), &job, now),
             Event::Announce(ticket, info) => self.announce(ticket, info, now),
             Event::Withdraw(ticket, name) => self.withdraw(ticket, &name, now),
             Event::Done(done) => self.on_done(done, now),
@@ -376,10 +369,7 @@
 
     /// The other instances of this zone that are in.
     pub(crate) fn neighbours(&self) -> Vec<name::Name> {
-        let others = self
-            .table()
-            .live()
-            .filter(|member| member.name != self.config.me.name);
+        let others = self.table().live().filter(|member| member.name != self.config.me.name);
         others.map(|member| member.name.clone()).collect()
     }
 
@@ -408,10 +398,7 @@
         self.tick_upstreams(now);
         self.tick_drain(now);
         self.prune(now);
-        let waiting = self
-            .services
-            .iter()
-            .filter(|(_, service)| !service.queue.is_empty());
+        let waiting = self.services.iter().filter(|(_, service)| !service.queue.is_empty());
         self.dirty.extend(waiting.map(|(name, _)| name.clone()));
     }
 
@@ -440,11 +427,7 @@
                 journal.propose(&machine::encode(&command), now.mono);
             }
             // A witness leads only as long as the zone itself has nobody who can.
-            let seats = self
-                .config
-                .all
-                .iter()
-                .filter(|instance| instance.zone == zone);
+            let seats = self.config.all.iter().filter(|instance| instance.zone == zone);
             let seats: Vec<_> = seats.map(|instance| instance.name.clone()).collect();
             journal.hand_over_to(&seats, now.mono);
             self.witness.insert(zone, journal);
@@ -464,12 +447,8 @@
             return Vec::new();
         };
         let (me, table) = (journal.me(), &journal.machine().table);
-        let at_home = |name: &name::Name| {
-            self.config
-                .all
-                .iter()
-                .any(|i| i.name == *name && i.zone == *zone)
-        };
+        let at_home =
+            |name: &name::Name| self.config.all.iter().any(|i| i.name == *name && i.zone == *zone);
         let fresh = |heard: u64| now < heard + EXPEL;
         let mut commands = Vec::new();
         if at_home(&me.name) && !table.is_live(me) && self.left.is_none() {
@@ -484,8 +463,7 @@
         }
         let heard = |member: &name::Member| {
             let peer = raft.peers().find(|(peer, _)| *peer == member);
-            peer.map_or(since, |(_, progress)| progress.heard)
-                .max(since)
+            peer.map_or(since, |(_, progress)| progress.heard).max(since)
         };
         let silent = table.live().filter(|m| *m != me && !fresh(heard(m)));
         commands.extend(silent.cloned().map(table::Command::Expel));
@@ -498,12 +476,7 @@
     }
 
     fn on_peer(&mut self, from: &name::Name, body: Body, now: Now) {
-        if !self
-            .config
-            .all
-            .iter()
-            .any(|instance| instance.name == *from)
-        {
+        if !self.config.all.iter().any(|instance| instance.name == *from) {
             self.counts.rejected += 1;
             return;
         }
@@ -606,22 +579,13 @@
         self.settle_journal(journal, now);
         for group in self.witness.values_mut() {
             let sends = group.take().sends;
-            self.out
-                .extend(sends.into_iter().map(|(to, body)| Output::Send(to, body)));
+            self.out.extend(sends.into_iter().map(|(to, body)| Output::Send(to, body)));
         }
     }
 
     fn settle_settings(&mut self, out: group::Output<machine::Changed>, now: Now) {
-        self.out.extend(
-            out.saves
-                .into_iter()
-                .map(|(number, save)| Output::Save(number, save)),
-        );
-        self.out.extend(
-            out.sends
-                .into_iter()
-                .map(|(to, body)| Output::Send(to, body)),
-        );
+        self.out.extend(out.saves.into_iter().map(|(number, save)| Output::Save(number, save)));
+        self.out.extend(out.sends.into_iter().map(|(to, body)| Output::Send(to, body)));
         if !out.effects.is_empty() || out.restored {
             self.out.push(Output::Settings);
         }
@@ -640,11 +604,7 @@
     }
 
     fn settle_journal(&mut self, out: group::Output<table::Effect>, now: Now) {
-        self.out.extend(
-            out.sends
-                .into_iter()
-                .map(|(to, body)| Output::Send(to, body)),
-        );
+        self.out.extend(out.sends.into_iter().map(|(to, body)| Output::Send(to, body)));
         if out.lost {
             self.journal.machine_mut().table = table::Table::new();
             self.lose_jobs(now);
@@ -673,14 +633,10 @@
         let me = self.journal.me().clone();
         let live: Vec<_> = self.table().live().cloned().collect();
         let rank = live.iter().position(|member| *member == me);
-        self.fleet
-            .set_rank(rank.map(|rank| (rank as u32, live.len() as u32)));
+        self.fleet.set_rank(rank.map(|rank| (rank as u32, live.len() as u32)));
         // A loan ends with the life of either side, also if the next life is there already.
-        let stay: collections::BTreeSet<_> = live
-            .iter()
-            .filter(|m| self.members.contains(*m))
-            .map(|m| m.name.clone())
-            .collect();
+        let stay: collections::BTreeSet<_> =
+            live.iter().filter(|m| self.members.contains(*m)).map(|m| m.name.clone()).collect();
         self.fleet.keep_loans(|name| stay.contains(name));
         self.members = live.into_iter().collect();
         if rank.is_some() && !self.asked_table {
@@ -699,15 +655,8 @@
     }
 
     fn announce(&mut self, ticket: Ticket, mut info: upstream::Upstream, now: Now) {
-        let lease = self
-            .tree()
-            .policy_at(info.service.as_str())
-            .upstream_lease_ms;
-        let held = self
-            .fleet
-            .table()
-            .get(info.name.as_str())
-            .map_or(0, |held| held.info.stamp);
+        let lease = self.tree().policy_at(info.service.as_str()).upstream_lease_ms;
+        let held = self.fleet.table().get(info.name.as_str()).map_or(0, |held| held.info.stamp);
         info.stamp = now.wall.max(held + 1);
         let stamp = info.stamp;
         let changed = self.fleet.put(info.clone(), now.after(lease));
@@ -743,8 +692,7 @@
             }
             message::Table::Renewed(list) => {
                 let renew = |(short, stamp, left): &(u32, u64, u32)| {
-                    self.fleet
-                        .renew(*short, *stamp, now.after(u64::from(*left)))
+                    self.fleet.renew(*short, *stamp, now.after(u64::from(*left)))
                 };
                 let known = list.iter().map(renew).filter(|known| *known).count();
                 if known < list.len() {
@@ -753,12 +701,8 @@
             }
             message::Table::Ask => {
                 let left = |l: &upstream::Leased| l.until.saturating_sub(now.mono) / time::MS;
-                let list: Vec<_> = self
-                    .fleet
-                    .table()
-                    .iter()
-                    .map(|l| (l.info.clone(), left(l)))
-                    .collect();
+                let list: Vec<_> =
+                    self.fleet.table().iter().map(|l| (l.info.clone(), left(l))).collect();
                 if !list.is_empty() {
                     self.send(from, Body::Table(message::Table::Changed(list)));
                 }
@@ -790,18 +734,12 @@
     fn change(&mut self, ticket: Ticket, change: &tree::Change, now: Now) {
         const PATIENCE: u64 = 4_000 * time::MS;
         if let Some(outcome) = self.tree().outcome(change.change) {
-            self.out
-                .push(Output::Reply(ticket, Reply::Changed(outcome)));
+            self.out.push(Output::Reply(ticket, Reply::Changed(outcome)));
             return;
         }
         let command = machine::encode(change);
         let until = now.mono + PATIENCE;
-        let fresh = Pending {
-            tickets: Vec::new(),
-            command,
-            retry: 0,
-            until,
-        };
+        let fresh = Pending { tickets: Vec::new(), command, retry: 0, until };
         let pending = self.changes.entry(change.change).or_insert(fresh);
         pending.tickets.push(ticket);
         pending.until = until;
@@ -831,8 +769,7 @@
     fn tell_change(&mut self, change: uuid::Uuid, outcome: tree::Outcome) {
         let pending = self.changes.remove(&change);
         for ticket in pending.into_iter().flat_map(|pending| pending.tickets) {
-            self.out
-                .push(Output::Reply(ticket, Reply::Changed(outcome)));
+            self.out.push(Output::Reply(ticket, Reply::Changed(outcome)));
         }
     }
 
@@ -898,10 +835,7 @@
 
 fn journal_group(config: &Config, zone: &name::Name) -> group::Group<machine::Journal> {
     let seats = member::journal_seats(&config.all, zone);
-    let home = config
-        .all
-        .iter()
-        .filter(|i| i.zone == *zone && !seats.contains(&i.name));
+    let home = config.all.iter().filter(|i| i.zone == *zone && !seats.contains(&i.name));
     let group = group::Config {
         group: message::Group::Journal(zone.clone()),
         me: name::Member::new(&config.me.name, config.life),
@@ -914,18 +848,13 @@
 }
 
 fn others(config: &Config, seats: &[name::Name]) -> Vec<name::Name> {
-    let rest = config
-        .all
-        .iter()
-        .filter(|instance| !seats.contains(&instance.name));
+    let rest = config.all.iter().filter(|instance| !seats.contains(&instance.name));
     rest.map(|instance| instance.name.clone()).collect()
 }
 
 /// Other zones in whose journal this instance votes.
 fn witnessed(config: &Config) -> Vec<name::Name> {
-    let zones = member::zones(&config.all)
-        .into_iter()
-        .filter(|zone| *zone != config.me.zone);
+    let zones = member::zones(&config.all).into_iter().filter(|zone| *zone != config.me.zone);
     let votes =
         |zone: &name::Name| member::journal_seats(&config.all, zone).contains(&config.me.name);
     zones.filter(votes).collect()
--- a/crates/coord/src/entry.rs
+++ b/crates/coord/src/entry.rs
@@ -52,11 +52,7 @@
     #[must_use]
     pub fn with_life(&self, member: &name::Member) -> Self {
         let swap = |m: &name::Member| {
-            if m.name == member.name {
-                member.clone()
-            } else {
-                m.clone()
-            }
+            if m.name == member.name { member.clone() } else { m.clone() }
         };
         Self(self.0.iter().map(swap).collect())
     }
@@ -65,11 +61,7 @@
     #[must_use]
     pub fn with_seat(&self, former: &name::Name, member: &name::Member) -> Self {
         let swap = |m: &name::Member| {
-            if m.name == *former {
-                member.clone()
-            } else {
-                m.clone()
-            }
+            if m.name == *former { member.clone() } else { m.clone() }
         };
         Self(self.0.iter().map(swap).collect())
     }
--- a/crates/coord/src/fleet.rs
+++ b/crates/coord/src/fleet.rs
@@ -84,17 +84,12 @@
 
     /// Whether an upstream is ejected.
     pub fn is_ejected(&self, upstream: &str, now: u64) -> bool {
-        self.loads
-            .get(upstream)
-            .is_some_and(|load| load.health.is_ejected(now))
+        self.loads.get(upstream).is_some_and(|load| load.health.is_ejected(now))
     }
 
     /// Takes an announcement; tells whether anything but the lease has changed.
     pub fn put(&mut self, info: Upstream, until: u64) -> bool {
-        let former = self
-            .table
-            .get(info.name.as_str())
-            .map(|held| held.info.service.clone());
+        let former = self.table.get(info.name.as_str()).map(|held| held.info.service.clone());
         let (name, service) = (info.name.clone(), info.service.clone());
         let changed = self.table.put(info, until);
         if former.as_ref() != Some(&service) {
@@ -109,10 +104,7 @@
 
     /// Extends the lease of the upstream with this short name; false if none is known.
     pub fn renew(&mut self, short: u32, stamp: u64, until: u64) -> bool {
-        let found = self
-            .table
-            .iter()
-            .find(|l| state::id::short(l.info.name.as_str()) == short);
+        let found = self.table.iter().find(|l| state::id::short(l.info.name.as_str()) == short);
         let name = found.map(|leased| leased.info.name.clone());
         name.is_some_and(|name| self.table.renew(name.as_str(), stamp, until))
     }
@@ -190,11 +182,7 @@
             let outstanding = load.outstanding;
             if outstanding < slots && load.health.admits(outstanding, now) {
                 names.push(leased.info.name.clone());
-                candidates.push(place::Candidate {
-                    outstanding,
-                    slots,
-                    mean: load.health.mean,
-                });
+                candidates.push(place::Candidate { outstanding, slots, mean: load.health.mean });
             }
         }
         if names.len() > 1
@@ -213,9 +201,7 @@
     /// A task goes to the upstream; gives its address.
     pub fn start(&mut self, upstream: &name::Name) -> Option<name::Name> {
         self.loads.entry(upstream.clone()).or_default().outstanding += 1;
-        self.table
-            .get(upstream.as_str())
-            .map(|leased| leased.info.address.clone())
+        self.table.get(upstream.as_str()).map(|leased| leased.info.address.clone())
     }
 
     /// A task came back from the upstream.
@@ -249,9 +235,7 @@
         now: u64,
     ) -> Vec<(name::Name, u32)> {
         let idle = |leased: &Leased| {
-            let free = self
-                .own(leased)
-                .saturating_sub(self.outstanding(leased.info.name.as_str()));
+            let free = self.own(leased).saturating_sub(self.outstanding(leased.info.name.as_str()));
             (leased.info.name.clone(), free)
         };
         let open = self.of(service).filter(|leased| leased.is_open(now));
@@ -272,8 +256,7 @@
 
     /// Slots of a service that are borrowed from a peer.
     pub fn held(&self, from: &name::Name, service: &name::Name) -> u32 {
-        self.loans
-            .held(from, |upstream| self.runs(upstream, service))
+        self.loans.held(from, |upstream| self.runs(upstream, service))
     }
 
     /// A peer says how many slots of a service it holds from here: the rest of what was lent to
@@ -285,9 +268,7 @@
     }
 
     fn runs(&self, upstream: &name::Name, service: &name::Name) -> bool {
-        self.table
-            .get(upstream.as_str())
-            .is_some_and(|leased| leased.info.service == *service)
+        self.table.get(upstream.as_str()).is_some_and(|leased| leased.info.service == *service)
     }
 
     /// Takes borrowed slots.
@@ -309,18 +290,12 @@
         let mut loans = std::mem::take(&mut self.loans);
         let idle = |name: &name::Name| {
             let held = self.table.get(name.as_str());
-            let own = held.map_or(0, |l| {
-                self.share_of(l).saturating_sub(loans_lent(&loans, l))
-            });
+            let own = held.map_or(0, |l| self.share_of(l).saturating_sub(loans_lent(&loans, l)));
             let all = loans.borrowed(name, 0) + own;
-            all.saturating_sub(self.outstanding(name.as_str()))
-                .min(loans.borrowed(name, 0))
+            all.saturating_sub(self.outstanding(name.as_str())).min(loans.borrowed(name, 0))
         };
-        let spare: collections::HashMap<_, _> = self
-            .table
-            .iter()
-            .map(|l| (l.info.name.clone(), idle(&l.info.name)))
-            .collect();
+        let spare: collections::HashMap<_, _> =
+            self.table.iter().map(|l| (l.info.name.clone(), idle(&l.info.name))).collect();
         let returns = loans.give_back(|name| spare.get(name).copied().unwrap_or(u32::MAX));
         self.loans = loans;
         returns
@@ -343,8 +318,7 @@
 
     /// Own slots less those lent.
     fn own(&self, leased: &Leased) -> u32 {
-        self.share_of(leased)
-            .saturating_sub(self.loans.lent(&leased.info.name))
+        self.share_of(leased).saturating_sub(self.loans.lent(&leased.info.name))
     }
 
     fn allowed(&self, leased: &Leased, now: u64) -> u32 {
--- a/crates/coord/src/form.rs
+++ b/crates/coord/src/form.rs
@@ -60,14 +60,7 @@
     /// A seeker for a group with these seats.
     pub fn new(me: name::Member, seats: Vec<name::Name>) -> Self {
         let heard = collections::BTreeMap::new();
-        Self {
-            me,
-            seats,
-            heard,
-            majority: None,
-            attempt: None,
-            next: 0,
-        }
+        Self { me, seats, heard, majority: None, attempt: None, next: 0 }
     }
 
     /// Takes news of another instance: the formation it belongs to, if any.
@@ -116,21 +109,12 @@
 
     fn ask(&mut self, now: u64, formation: Formation) -> Next {
         let grants = collections::BTreeMap::from([(self.me.name.clone(), self.me.life)]);
-        self.attempt = Some(Attempt {
-            formation,
-            grants,
-            at: now,
-        });
+        self.attempt = Some(Attempt { formation, grants, at: now });
         if let Some(founded) = self.founded() {
             return founded;
         }
         let me = &self.me.name;
-        let others = self
-            .seats
-            .iter()
-            .filter(|seat| *seat != me)
-            .cloned()
-            .collect();
+        let others = self.seats.iter().filter(|seat| *seat != me).cloned().collect();
         Next::Ask(formation, others)
     }
 
@@ -138,12 +122,7 @@
     /// seats is there, nobody knows a formation, and no earlier seat is there.
     fn may_form(&mut self, now: u64) -> bool {
         let fresh = |heard: &&Heard| now < heard.at + FRESH;
-        if self
-            .heard
-            .values()
-            .filter(fresh)
-            .any(|heard| heard.found.is_some())
-        {
+        if self.heard.values().filter(fresh).any(|heard| heard.found.is_some()) {
             self.majority = None;
             return false;
         }
--- a/crates/coord/src/group.rs
+++ b/crates/coord/src/group.rs
@@ -74,13 +74,7 @@
 impl<E> Default for Output<E> {
     fn default() -> Self {
         let (sends, saves, effects) = (Vec::new(), Vec::new(), Vec::new());
-        Self {
-            sends,
-            saves,
-            effects,
-            restored: false,
-            lost: false,
-        }
+        Self { sends, saves, effects, restored: false, lost: false }
     }
 }
 
@@ -158,12 +152,7 @@
         let base = recovered.stored.log.base();
         let mut raft = self.engine(recovered.stored, now);
         raft.recover(recovered.commit);
-        self.stage = Stage::Joined(Box::new(Joined {
-            formation,
-            raft,
-            applied: base,
-            search: 0,
-        }));
+        self.stage = Stage::Joined(Box::new(Joined { formation, raft, applied: base, search: 0 }));
         self.drain(now);
         self.out.effects.clear();
         self
@@ -244,11 +233,7 @@
         let Stage::Joined(joined) = &mut self.stage else {
             return false;
         };
-        let route = |to: u64| Route {
-            formation: joined.formation,
-            from: self.config.me.life,
-            to,
-        };
+        let route = |to: u64| Route { formation: joined.formation, from: self.config.me.life, to };
         if joined.raft.is_leader() {
             joined.raft.propose(Load::Command(command.clone()), now);
             self.drain(now);
@@ -278,9 +263,7 @@
             && joined.raft.is_settled()
         {
             let last = joined.raft.log().last();
-            joined
-                .raft
-                .hand_over(|heir, matched| heirs.contains(heir) && matched == last, now);
+            joined.raft.hand_over(|heir, matched| heirs.contains(heir) && matched == last, now);
             self.drain(now);
         }
     }
@@ -359,8 +342,7 @@
             return false;
         }
         joined.raft.step(&from, body, now);
-        self.lives
-            .insert(from.name, (from.life, Some(route.formation)));
+        self.lives.insert(from.name, (from.life, Some(route.formation)));
         self.drain(now);
         true
     }
@@ -398,24 +380,14 @@
 
     fn engine(&self, stored: raft::Stored, now: u64) -> Raft {
         let config = &self.config;
-        Raft::new(
-            config.me.clone(),
-            config.timing,
-            config.durable,
-            stored,
-            now,
-            self.seed,
-        )
+        Raft::new(config.me.clone(), config.timing, config.durable, stored, now, self.seed)
     }
 
     fn seek(&mut self, now: time::Now) {
         let Stage::Seeking(seeker) = &mut self.stage else {
             return;
         };
-        let formation = Formation {
-            at: now.wall + SKEW_MS,
-            by: self.config.me.life,
-        };
+        let formation = Formation { at: now.wall + SKEW_MS, by: self.config.me.life };
         match seeker.next(now.mono, formation) {
             form::Next::Wait => {}
             form::Next::Probe => self.probe(),
@@ -430,28 +402,15 @@
 
     fn found(&mut self, formation: Formation, voters: Voters, now: u64) {
         self.save(Save::Formed(formation, voters.clone()));
-        let Config {
-            me,
-            timing,
-            durable,
-            ..
-        } = &self.config;
+        let Config { me, timing, durable, .. } = &self.config;
         let raft = Raft::found(me.clone(), *timing, *durable, voters, now, self.seed);
-        self.stage = Stage::Joined(Box::new(Joined {
-            formation,
-            raft,
-            applied: 0,
-            search: 0,
-        }));
+        self.stage = Stage::Joined(Box::new(Joined { formation, raft, applied: 0, search: 0 }));
     }
 
     /// Joins the formation that a leader's message comes from, if this member belongs to none,
     /// or to one that is older and has no leader any more.
     fn adopt(&mut self, formation: Formation, body: &message::Raft, now: u64) {
-        if !matches!(
-            body,
-            message::Raft::Append { .. } | message::Raft::Snapshot { .. }
-        ) {
+        if !matches!(body, message::Raft::Append { .. } | message::Raft::Snapshot { .. }) {
             return;
         }
         if let Stage::Joined(joined) = &self.stage {
@@ -465,12 +424,7 @@
         let voters = Voters::default();
         self.save(Save::Formed(formation, voters.clone()));
         let raft = self.engine(raft::Stored::default(), now);
-        self.stage = Stage::Joined(Box::new(Joined {
-            formation,
-            raft,
-            applied: 0,
-            search: 0,
-        }));
+        self.stage = Stage::Joined(Box::new(Joined { formation, raft, applied: 0, search: 0 }));
     }
 
     fn leave(&mut self) {
@@ -494,11 +448,7 @@
         let me = &self.config.me;
         let here = (me.life, Some(joined.formation));
         let alive = |seat: &&name::Member| {
-            let state = if seat.name == me.name {
-                Some(&here)
-            } else {
-                self.lives.get(&seat.name)
-            };
+            let state = if seat.name == me.name { Some(&here) } else { self.lives.get(&seat.name) };
             let same = (seat.life, Some(joined.formation));
             seat.life != 0 && state.is_none_or(|state| *state == same)
         };
@@ -601,8 +551,7 @@
             if let Save::Entry(entry) = &save
                 && self.config.durable
             {
-                self.marks
-                    .push_back((self.issued + 1, entry.index, entry.term));
+                self.marks.push_back((self.issued + 1, entry.index, entry.term));
             }
             self.save(save);
         }
@@ -614,11 +563,7 @@
     }
 
     fn send(&mut self, formation: Formation, to: &name::Member, body: message::Raft) {
-        let route = Route {
-            formation,
-            from: self.config.me.life,
-            to: to.life,
-        };
+        let route = Route { formation, from: self.config.me.life, to: to.life };
         let free = raft::is_free(&body) || self.done >= self.issued;
         let body = message::Body::Raft(self.config.group.clone(), route, body);
         if free {
@@ -659,12 +604,7 @@
             let voters = raft.voters_at(index);
             let state = self.machine.snapshot();
             raft.compact(KEPT_ENTRIES);
-            self.save(Save::Snapshot {
-                index,
-                term,
-                voters,
-                state,
-            });
+            self.save(Save::Snapshot { index, term, voters, state });
         } else {
             raft.compact(KEPT_ENTRIES);
         }
--- a/crates/coord/src/health.rs
+++ b/crates/coord/src/health.rs
@@ -31,11 +31,7 @@
     /// A task was answered after `took` microseconds.
     pub fn succeeded(&mut self, took: u64) {
         let took = took as f64;
-        self.mean = if self.mean == 0.0 {
-            took
-        } else {
-            self.mean + WEIGHT * (took - self.mean)
-        };
+        self.mean = if self.mean == 0.0 { took } else { self.mean + WEIGHT * (took - self.mean) };
         self.failures = 0;
         if self.limit > 0 {
             self.limit *= 2;
@@ -54,9 +50,7 @@
 
     /// Ejects the upstream.
     pub fn eject(&mut self, now: u64) {
-        let length = EJECTION
-            .saturating_mul(1 << self.ejections.min(5))
-            .min(MAX_EJECTION);
+        let length = EJECTION.saturating_mul(1 << self.ejections.min(5)).min(MAX_EJECTION);
         self.until = now + length;
         self.ejections += 1;
         self.failures = 0;
--- a/crates/coord/src/job.rs
+++ b/crates/coord/src/job.rs
@@ -68,6 +68,10 @@
     pub(crate) cancelled: bool,
     /// When to propose to the journal again.
     pub(crate) retry: u64,
+    /// When it was submitted, microseconds.
+    pub(crate) arrived: u64,
+    /// Service time of its longest task, microseconds.
+    pub(crate) longest: u64,
     pub(crate) policy: state::tree::Policy,
 }
 
@@ -91,6 +95,8 @@
             journaled: !(spec.raw && spec.idempotent),
             cancelled: false,
             retry: 0,
+            arrived: 0,
+            longest: 0,
             policy,
             spec,
         }
--- a/crates/coord/src/jobs.rs
+++ b/crates/coord/src/jobs.rs
@@ -93,6 +93,7 @@
         let deadline = now.after(limit::deadline_ms(&spec, &policy));
         let id = spec.job.clone();
         let mut job = Job::new(sync::Arc::new(spec), digest, deadline, policy);
+        job.arrived = now.mono;
         job.waiters.push(waiter);
         self.due.insert((deadline, id.clone()));
         self.jobs.insert(id, job);
@@ -109,12 +110,7 @@
         };
         job.retry = now.mono + REPROPOSE;
         let claim = limit::claim(&job.spec, &job.policy, now);
-        let command = table::Command::Admit {
-            job: id.clone(),
-            digest: job.digest,
-            owner,
-            claim,
-        };
+        let command = table::Command::Admit { job: id.clone(), digest: job.digest, owner, claim };
         self.propose(&command, now);
     }
 
@@ -134,10 +130,7 @@
     }
 
     pub(crate) fn on_admitted(&mut self, id: &id::JobId, owner: &name::Member, now: Now) {
-        let admitting = self
-            .jobs
-            .get(id)
-            .is_some_and(|job| matches!(job.phase, Phase::Admitting));
+        let admitting = self.jobs.get(id).is_some_and(|job| matches!(job.phase, Phase::Admitting));
         if owner != self.journal.me() {
             if admitting {
                 self.yield_to_owner(id, now);
@@ -152,10 +145,7 @@
 
     pub(crate) fn on_known(&mut self, id: &id::JobId, proposer: &name::Member, now: Now) {
         let mine = proposer == self.journal.me();
-        let admitting = self
-            .jobs
-            .get(id)
-            .is_some_and(|job| matches!(job.phase, Phase::Admitting));
+        let admitting = self.jobs.get(id).is_some_and(|job| matches!(job.phase, Phase::Admitting));
         let owned = self.table().get(id).and_then(|entry| entry.owner.as_ref());
         if mine && admitting && owned != Some(self.journal.me()) {
             self.yield_to_owner(id, now);
@@ -163,10 +153,7 @@
     }
 
     pub(crate) fn on_limited(&mut self, id: &id::JobId, owner: &name::Member, retry: u64, _: Now) {
-        let admitting = self
-            .jobs
-            .get(id)
-            .is_some_and(|job| matches!(job.phase, Phase::Admitting));
+        let admitting = self.jobs.get(id).is_some_and(|job| matches!(job.phase, Phase::Admitting));
         if owner == self.journal.me() && admitting {
             let verdict = Verdict::refuse(Refusal::Quota, "the team is at its quota", retry);
             self.give_up(id, &verdict);
@@ -194,10 +181,7 @@
         now: Now,
     ) {
         let Some(entry) = self.table().get(id).cloned() else {
-            return self.reply(
-                waiter,
-                Verdict::unknown("the journal does not know the job"),
-            );
+            return self.reply(waiter, Verdict::unknown("the journal does not know the job"));
         };
         if digest.is_some_and(|digest| digest != entry.digest) {
             return self.reply(waiter, conflict());
@@ -239,23 +223,13 @@
             return;
         };
         if job.cancelled {
-            return self.finish(
-                id,
-                table::Outcome::Failed,
-                &Verdict::failed("cancelled"),
-                now,
-            );
+            return self.finish(id, table::Outcome::Failed, &Verdict::failed("cancelled"), now);
         }
         job.phase = Phase::Running;
         let service = self.services.entry(job.spec.service.clone()).or_default();
         for index in 0..job.spec.tasks.len() as u32 {
-            let task = Task {
-                job: id.clone(),
-                index,
-            };
-            service
-                .queue
-                .push(job.spec.team.as_ref(), job.deadline, task);
+            let task = Task { job: id.clone(), index };
+            service.queue.push(job.spec.team.as_ref(), job.deadline, task);
         }
         self.dirty.insert(job.spec.service.clone());
     }
@@ -285,13 +259,7 @@
             table::Outcome::Complete => smallvec::SmallVec::new(),
             table::Outcome::Failed | table::Outcome::NotRun => std::mem::take(&mut job.waiters),
         };
-        let ending = Ending {
-            outcome,
-            verdict: verdict.clone(),
-            committed,
-            copies,
-            patience,
-        };
+        let ending = Ending { outcome, verdict: verdict.clone(), committed, copies, patience };
         job.phase = Phase::Ending(ending);
         for waiter in waiters {
             self.reply(waiter, verdict.clone());
@@ -305,14 +273,7 @@
 
     fn propose_end(&mut self, id: &id::JobId, outcome: table::Outcome, now: Now) {
         let owner = self.journal.me().clone();
-        self.propose(
-            &table::Command::End {
-                job: id.clone(),
-                owner,
-                outcome,
-            },
-            now,
-        );
+        self.propose(&table::Command::End { job: id.clone(), owner, outcome }, now);
     }
 
     /// Takes waiting tasks out of the queue and tells upstreams to stop running ones.
@@ -322,26 +283,17 @@
         };
         if let Some(service) = self.services.get_mut(&job.spec.service) {
             for index in 0..job.slots.len() as u32 {
-                service.queue.remove(&Task {
-                    job: id.clone(),
-                    index,
-                });
+                service.queue.remove(&Task { job: id.clone(), index });
             }
         }
-        let attempts: Vec<_> = job
-            .attempts()
-            .map(|(index, a)| (index, a.clone()))
-            .collect();
+        let attempts: Vec<_> = job.attempts().map(|(index, a)| (index, a.clone())).collect();
         for slot in &mut job.slots {
             if matches!(slot, Slot::Running(_)) {
                 *slot = Slot::Waiting;
             }
         }
         for (index, attempt) in attempts {
-            let task = Task {
-                job: id.clone(),
-                index,
-            };
+            let task = Task { job: id.clone(), index };
             self.stop(task, &attempt);
         }
     }
@@ -349,11 +301,7 @@
     pub(crate) fn stop(&mut self, task: Task, attempt: &crate::job::Attempt) {
         self.counts.stops += 1;
         let (number, address) = (attempt.number, attempt.address.clone());
-        self.out.push(Output::Stop(Stop {
-            task,
-            attempt: number,
-            address,
-        }));
+        self.out.push(Output::Stop(Stop { task, attempt: number, address }));
     }
 
     fn copy_answers(&mut self, id: &id::JobId, answers: &[message::Answer]) -> usize {
@@ -369,21 +317,14 @@
         }
         peers.truncate(wanted);
         for to in &peers {
-            let copy = message::Job::Copy {
-                job: id.clone(),
-                answers: answers.to_vec(),
-            };
+            let copy = message::Job::Copy { job: id.clone(), answers: answers.to_vec() };
             self.send(to, Body::Job(copy));
         }
         peers.len()
     }
 
     pub(crate) fn on_copied(&mut self, id: &id::JobId, now: Now) {
-        if let Some(Job {
-            phase: Phase::Ending(ending),
-            ..
-        }) = self.jobs.get_mut(id)
-        {
+        if let Some(Job { phase: Phase::Ending(ending), .. }) = self.jobs.get_mut(id) {
             ending.copies = ending.copies.saturating_sub(1);
             self.conclude(id, now);
         }
@@ -391,17 +332,19 @@
 
     /// Lets a job go once the journal holds its end and the copies are there, or are late.
     fn conclude(&mut self, id: &id::JobId, now: Now) {
-        let Some(Job {
-            phase: Phase::Ending(ending),
-            ..
-        }) = self.jobs.get(id)
-        else {
+        let Some(Job { phase: Phase::Ending(ending), .. }) = self.jobs.get(id) else {
             return;
         };
         if !ending.committed || (ending.copies > 0 && now.mono < ending.patience) {
             return;
         }
         let verdict = ending.verdict.clone();
+        if matches!(verdict, Verdict::Complete(_))
+            && let Some(job) = self.jobs.get(id)
+        {
+            let over = (now.mono - job.arrived).saturating_sub(job.longest);
+            self.out.push(Output::Over(job.spec.service.clone(), over));
+        }
         self.give_up(id, &verdict);
     }
 
@@ -420,10 +363,7 @@
             // Ended by the others: this instance was taken for dead.
             Phase::Running | Phase::Ending(_) => {
                 self.halt(id);
-                self.give_up(
-                    id,
-                    &Verdict::failed("the owner lost contact to the zone's journal"),
-                );
+                self.give_up(id, &Verdict::failed("the owner lost contact to the zone's journal"));
             }
         }
     }
@@ -445,12 +385,8 @@
 
     /// The journal is gone: its jobs can never be proved to have run or not.
     pub(crate) fn lose_jobs(&mut self, _: Now) {
-        let ids: Vec<_> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| job.journaled)
-            .map(|(id, _)| id.clone())
-            .collect();
+        let ids: Vec<_> =
+            self.jobs.iter().filter(|(_, job)| job.journaled).map(|(id, _)| id.clone()).collect();
         for id in ids {
             self.halt(&id);
             self.give_up(&id, &Verdict::unknown("the zone's journal was lost"));
@@ -529,9 +465,5 @@
 
 fn not_started() -> Verdict {
     const RETRY_MS: u64 = 100;
-    Verdict::refuse(
-        Refusal::Expired,
-        "no task was started before the deadline",
-        RETRY_MS,
-    )
+    Verdict::refuse(Refusal::Expired, "no task was started before the deadline", RETRY_MS)
 }
--- a/crates/coord/src/limit.rs
+++ b/crates/coord/src/limit.rs
@@ -35,9 +35,7 @@
         now: Now,
     ) -> Result<(), Verdict> {
         let Some(formation) = self.journal.formation() else {
-            return Err(Verdict::unknown(
-                "the instance has not joined its zone's journal",
-            ));
+            return Err(Verdict::unknown("the instance has not joined its zone's journal"));
         };
         if minted < formation.at {
             return Err(Verdict::unknown("the id is older than the zone's journal"));
@@ -51,22 +49,14 @@
     /// Whether the submission is taken; gives the settings in force for it.
     pub(crate) fn screen(&mut self, spec: &Spec, now: Now) -> Result<tree::Policy, Verdict> {
         if self.draining {
-            return Err(Verdict::refuse(
-                Refusal::Draining,
-                "the instance is shutting down",
-                100,
-            ));
+            return Err(Verdict::refuse(Refusal::Draining, "the instance is shutting down", 100));
         }
         let Some(policy) = self.tree().policy(spec.service.as_str()) else {
             let why = format!("service {} was never set", spec.service);
             return Err(Verdict::refuse(Refusal::NoService, why, 0));
         };
         if spec.tasks.is_empty() {
-            return Err(Verdict::refuse(
-                Refusal::Malformed,
-                "a job needs at least one task",
-                0,
-            ));
+            return Err(Verdict::refuse(Refusal::Malformed, "a job needs at least one task", 0));
         }
         if spec.tasks.len() as u64 > policy.max_tasks {
             let why = format!("{} tasks, at most {}", spec.tasks.len(), policy.max_tasks);
@@ -114,11 +104,7 @@
         let dry = now.mono < service.dry || self.neighbours().is_empty();
         let slots = u64::from(if dry { room.allowed } else { room.total }).max(1);
         let mean = service.times.mean().unwrap_or(0);
-        let free = if dry {
-            u64::from(room.free)
-        } else {
-            slots.saturating_sub(queued)
-        };
+        let free = if dry { u64::from(room.free) } else { slots.saturating_sub(queued) };
         if queued + count > policy.max_queue + free {
             let over = (queued + count).saturating_sub(policy.max_queue);
             let why = format!("{queued} tasks wait, at most {}", policy.max_queue);
@@ -148,11 +134,7 @@
 
 /// Time that a submission has, milliseconds.
 pub(crate) fn deadline_ms(spec: &Spec, policy: &tree::Policy) -> u64 {
-    let asked = if spec.left_ms == 0 {
-        policy.deadline_ms
-    } else {
-        spec.left_ms
-    };
+    let asked = if spec.left_ms == 0 { policy.deadline_ms } else { spec.left_ms };
     asked.min(policy.max_deadline_ms)
 }
 
--- a/crates/coord/src/log.rs
+++ b/crates/coord/src/log.rs
@@ -15,11 +15,7 @@
 impl Log {
     /// An empty log that follows a snapshot.
     pub fn new(base: u64, base_term: u64) -> Self {
-        Self {
-            base,
-            base_term,
-            entries: collections::VecDeque::new(),
-        }
+        Self { base, base_term, entries: collections::VecDeque::new() }
     }
 
     /// Index of the last entry that was compacted away.
@@ -39,9 +35,7 @@
 
     /// Term of the last entry.
     pub fn last_term(&self) -> u64 {
-        self.entries
-            .back()
-            .map_or(self.base_term, |entry| entry.term)
+        self.entries.back().map_or(self.base_term, |entry| entry.term)
     }
 
     /// Term of the entry at `index`, if it is still known.
@@ -61,12 +55,7 @@
     /// Entries from `from` on, at most `count` of them.
     pub fn slice(&self, from: u64, count: usize) -> Vec<entry::Entry> {
         let skip = from.saturating_sub(self.base + 1) as usize;
-        self.entries
-            .iter()
-            .skip(skip)
-            .take(count)
-            .cloned()
-            .collect()
+        self.entries.iter().skip(skip).take(count).cloned().collect()
     }
 
     /// Entries of `(from, to]`.
--- a/crates/coord/src/machine.rs
+++ b/crates/coord/src/machine.rs
@@ -28,10 +28,7 @@
             return Vec::new();
         };
         let id = change.change;
-        vec![Changed {
-            change: id,
-            outcome: self.tree.apply(change),
-        }]
+        vec![Changed { change: id, outcome: self.tree.apply(change) }]
     }
 
     fn snapshot(&self) -> bytes::Bytes {
@@ -55,9 +52,7 @@
 
     fn apply(&mut self, command: &[u8]) -> Vec<table::Effect> {
         let command = postcard::from_bytes(command);
-        command
-            .map(|command| self.table.apply(command))
-            .unwrap_or_default()
+        command.map(|command| self.table.apply(command)).unwrap_or_default()
     }
 
     fn snapshot(&self) -> bytes::Bytes {
--- a/crates/coord/src/member.rs
+++ b/crates/coord/src/member.rs
@@ -53,30 +53,19 @@
 }
 
 fn odd(count: usize) -> usize {
-    if count == 0 || count % 2 == 1 {
-        count
-    } else {
-        count - 1
-    }
+    if count == 0 || count % 2 == 1 { count } else { count - 1 }
 }
 
 /// The first instance of each zone, then the second of each, and so on.
 fn in_turn<'a>(instances: impl Iterator<Item = &'a Instance>) -> Vec<name::Name> {
     let mut zones = collections::BTreeMap::<_, Vec<_>>::new();
     for instance in instances {
-        zones
-            .entry(&instance.zone)
-            .or_default()
-            .push(instance.name.clone());
+        zones.entry(&instance.zone).or_default().push(instance.name.clone());
     }
     for names in zones.values_mut() {
         names.sort();
     }
     let rounds = zones.values().map(Vec::len).max().unwrap_or(0);
-    let round = |at: usize| {
-        zones
-            .values()
-            .filter_map(move |names| names.get(at).cloned())
-    };
+    let round = |at: usize| zones.values().filter_map(move |names| names.get(at).cloned());
     (0..rounds).flat_map(round).collect()
 }
--- a/crates/coord/src/message.rs
+++ b/crates/coord/src/message.rs
@@ -213,13 +213,7 @@
 impl Spec {
     /// Digest of what makes two submissions the same.
     pub fn digest(&self) -> table::Digest {
-        let parts = (
-            &self.service,
-            &self.team,
-            &self.needs,
-            &self.tasks,
-            self.idempotent,
-        );
+        let parts = (&self.service, &self.team, &self.needs, &self.tasks, self.idempotent);
         let bytes = postcard::to_stdvec(&parts).unwrap_or_default();
         state::id::digest(&bytes)
     }
@@ -313,19 +307,12 @@
 impl Verdict {
     /// A refusal.
     pub fn refuse(kind: Refusal, why: impl Into<String>, retry_ms: u64) -> Self {
-        Self::NotRun {
-            kind,
-            why: why.into(),
-            retry_ms,
-        }
+        Self::NotRun { kind, why: why.into(), retry_ms }
     }
 
     /// A failure that is not about the deadline.
     pub fn failed(why: impl Into<String>) -> Self {
-        Self::Failed {
-            why: why.into(),
-            late: false,
-        }
+        Self::Failed { why: why.into(), late: false }
     }
 
     /// "Cannot tell."
--- a/crates/coord/src/mirror.rs
+++ b/crates/coord/src/mirror.rs
@@ -35,12 +35,7 @@
         if let Some(bytes) = snapshot {
             let snapshot: Snapshot = postcard::from_bytes(bytes).ok()?;
             mirror.formation = Some(snapshot.formation);
-            mirror.replace(
-                snapshot.index,
-                snapshot.term,
-                snapshot.voters,
-                snapshot.state,
-            );
+            mirror.replace(snapshot.index, snapshot.term, snapshot.voters, snapshot.state);
         }
         for record in records {
             mirror.apply(postcard::from_bytes(record).ok()?);
@@ -55,19 +50,10 @@
             raft::Save::Entry(entry) => self.push(entry),
             raft::Save::Commit(index) => self.commit = self.commit.max(index),
             raft::Save::Formed(formation, voters) => {
-                *self = Self {
-                    formation: Some(formation),
-                    voters,
-                    ..Self::default()
-                };
+                *self = Self { formation: Some(formation), voters, ..Self::default() };
             }
             raft::Save::Reset => *self = Self::default(),
-            raft::Save::Snapshot {
-                index,
-                term,
-                voters,
-                state,
-            } => {
+            raft::Save::Snapshot { index, term, voters, state } => {
                 self.replace(index, term, voters, state);
             }
         }
@@ -103,15 +89,11 @@
             voters: self.voters.clone(),
             state: self.state.clone()?,
         };
-        let head = [
-            raft::Save::Hard(self.term, self.vote.clone()),
-            raft::Save::Commit(self.commit),
-        ];
+        let head =
+            [raft::Save::Hard(self.term, self.vote.clone()), raft::Save::Commit(self.commit)];
         let entries = self.log.iter().cloned().map(raft::Save::Entry);
         let records = head.into_iter().chain(entries);
-        let records = records
-            .map(|save| postcard::to_stdvec(&save).unwrap_or_default())
-            .collect();
+        let records = records.map(|save| postcard::to_stdvec(&save).unwrap_or_default()).collect();
         Some((postcard::to_stdvec(&snapshot).ok()?, records))
     }
 
@@ -124,12 +106,7 @@
             voters: self.voters.clone(),
         };
         let (formation, commit, state) = (self.formation, self.commit, self.state.clone());
-        group::Recovered {
-            formation,
-            stored,
-            commit,
-            state,
-        }
+        group::Recovered { formation, stored, commit, state }
     }
 
     /// Entries of the log that follow the snapshot.
--- a/crates/coord/src/place.rs
+++ b/crates/coord/src/place.rs
@@ -44,11 +44,7 @@
 
 impl Placer for LeastWork {
     fn pick(&mut self, candidates: &[Candidate], rng: &mut rand::rngs::SmallRng) -> usize {
-        let known: Vec<f64> = candidates
-            .iter()
-            .map(|c| c.mean)
-            .filter(|m| *m > 0.0)
-            .collect();
+        let known: Vec<f64> = candidates.iter().map(|c| c.mean).filter(|m| *m > 0.0).collect();
         let typical = known.iter().sum::<f64>() / known.len().max(1) as f64;
         let typical = if typical > 0.0 { typical } else { 1.0 };
         let offset = rng.random_range(0..candidates.len());
@@ -67,11 +63,7 @@
     fn pick(&mut self, candidates: &[Candidate], rng: &mut rand::rngs::SmallRng) -> usize {
         let a = rng.random_range(0..candidates.len());
         let b = rng.random_range(0..candidates.len());
-        if candidates[b].outstanding < candidates[a].outstanding {
-            b
-        } else {
-            a
-        }
+        if candidates[b].outstanding < candidates[a].outstanding { b } else { a }
     }
 }
 
--- a/crates/coord/src/queue.rs
+++ b/crates/coord/src/queue.rs
@@ -76,10 +76,7 @@
 
     /// Takes the task that is next.
     pub fn pop(&mut self) -> Option<Task> {
-        let waiting = self
-            .teams
-            .values_mut()
-            .filter(|team| !team.tasks.is_empty());
+        let waiting = self.teams.values_mut().filter(|team| !team.tasks.is_empty());
         let team = waiting.min_by_key(|team| team.served)?;
         self.floor = team.served;
         team.served += 1;
@@ -110,7 +107,6 @@
     /// Forgets teams that have nothing waiting and are no longer behind.
     pub fn prune(&mut self) {
         let floor = self.floor;
-        self.teams
-            .retain(|_, team| !team.tasks.is_empty() || team.served > floor);
+        self.teams.retain(|_, team| !team.tasks.is_empty() || team.served > floor);
     }
 }
--- a/crates/coord/src/raft.rs
+++ b/crates/coord/src/raft.rs
@@ -100,10 +100,7 @@
 #[derive(Debug)]
 enum Role {
     Follower,
-    Candidate {
-        pre: bool,
-        votes: collections::BTreeSet<name::Member>,
-    },
+    Candidate { pre: bool, votes: collections::BTreeSet<name::Member> },
     Leader(Lead),
 }
 
@@ -186,16 +183,9 @@
         now: u64,
         seed: u64,
     ) -> Self {
-        let stored = Stored {
-            term: 1,
-            vote: Some(me.clone()),
-            voters,
-            ..Stored::default()
-        };
+        let stored = Stored { term: 1, vote: Some(me.clone()), voters, ..Stored::default() };
         let mut raft = Self::new(me, timing, durable, stored, now, seed);
-        raft.out
-            .saves
-            .push(Save::Hard(raft.term, raft.vote.clone()));
+        raft.out.saves.push(Save::Hard(raft.term, raft.vote.clone()));
         raft.lead(now);
         let voters = raft.voters.clone();
         raft.append(Load::Voters(voters), now);
@@ -320,13 +310,8 @@
             && *member != self.me
             && !lead.peers.contains_key(member)
         {
-            lead.peers
-                .retain(|peer, _| peer.name != member.name || self.voters.holds(peer));
-            let progress = Progress {
-                next,
-                heard: now,
-                ..Progress::default()
-            };
+            lead.peers.retain(|peer, _| peer.name != member.name || self.voters.holds(peer));
+            let progress = Progress { next, heard: now, ..Progress::default() };
             lead.peers.insert(member.clone(), progress);
             self.send_append(member, now);
         }
@@ -376,11 +361,7 @@
             Load::Voters(voters) if entry.index <= index => Some(voters.clone()),
             _ => None,
         };
-        self.log
-            .iter()
-            .rev()
-            .find_map(change)
-            .unwrap_or_else(|| self.base_voters.clone())
+        self.log.iter().rev().find_map(change).unwrap_or_else(|| self.base_voters.clone())
     }
 
     /// Sends the state machine as of the commit index to a follower that is too far behind.
@@ -393,14 +374,7 @@
         {
             progress.snapshot = now;
             progress.next = index + 1;
-            let body = Message::Snapshot {
-                term,
-                index,
-                index_term,
-                voters,
-                state,
-                sent: now,
-            };
+            let body = Message::Snapshot { term, index, index_term, voters, state, sent: now };
             self.out.sends.push((to.clone(), body));
         }
     }
@@ -427,50 +401,24 @@
     /// Takes a message of `from`.
     pub fn step(&mut self, from: &name::Member, body: Message, now: u64) {
         match body {
-            Message::Vote {
-                term,
-                last,
-                last_term,
-                pre,
-            } => {
+            Message::Vote { term, last, last_term, pre } => {
                 self.on_vote(from, term, (last_term, last), pre, now);
             }
             Message::Voted { term, granted, pre } => self.on_voted(from, term, granted, pre, now),
-            Message::Append {
-                term,
-                prev,
-                prev_term,
-                commit,
-                entries,
-                sent,
-                echo,
-            } => {
+            Message::Append { term, prev, prev_term, commit, entries, sent, echo } => {
                 if self.accept_leader(from, term, sent, now) {
                     self.echo = self.echo.max(echo);
                     self.on_append(from, (prev, prev_term), commit, entries, sent, now);
                 }
             }
-            Message::Appended {
-                term,
-                success,
-                index,
-                sent,
-                stamp,
-            } => {
+            Message::Appended { term, success, index, sent, stamp } => {
                 if term > self.term {
                     self.enter_term(term, now);
                 } else if term == self.term {
                     self.on_appended(from, success, index, (sent, stamp), now);
                 }
             }
-            Message::Snapshot {
-                term,
-                index,
-                index_term,
-                voters,
-                state,
-                sent,
-            } => {
+            Message::Snapshot { term, index, index_term, voters, state, sent } => {
                 if self.accept_leader(from, term, sent, now) {
                     self.on_snapshot(from, (index, index_term), voters, state, sent, now);
                 }
@@ -511,9 +459,7 @@
     }
 
     fn send_voted(&mut self, to: &name::Member, term: u64, granted: bool, pre: bool) {
-        self.out
-            .sends
-            .push((to.clone(), Message::Voted { term, granted, pre }));
+        self.out.sends.push((to.clone(), Message::Voted { term, granted, pre }));
     }
 
     fn on_voted(&mut self, from: &name::Member, term: u64, granted: bool, pre: bool, now: u64) {
@@ -568,15 +514,7 @@
         self.role = Role::Candidate { pre, votes };
         let (last, last_term) = (self.log.last(), self.log.last_term());
         for to in self.others() {
-            self.out.sends.push((
-                to,
-                Message::Vote {
-                    term,
-                    last,
-                    last_term,
-                    pre,
-                },
-            ));
+            self.out.sends.push((to, Message::Vote { term, last, last_term, pre }));
         }
         self.count_votes(now);
     }
@@ -588,16 +526,8 @@
 
     fn lead(&mut self, now: u64) {
         let next = self.log.last() + 1;
-        let progress = Progress {
-            next,
-            heard: now,
-            ..Progress::default()
-        };
-        let peers = self
-            .others()
-            .into_iter()
-            .map(|member| (member, progress))
-            .collect();
+        let progress = Progress { next, heard: now, ..Progress::default() };
+        let peers = self.others().into_iter().map(|member| (member, progress)).collect();
         self.leader = Some(self.me.clone());
         self.echo = 0;
         self.role = Role::Leader(Lead {
@@ -626,9 +556,7 @@
     }
 
     fn save_hard(&mut self) {
-        self.out
-            .saves
-            .push(Save::Hard(self.term, self.vote.clone()));
+        self.out.saves.push(Save::Hard(self.term, self.vote.clone()));
     }
 
     fn reset_election(&mut self, now: u64) {
@@ -669,11 +597,7 @@
         let (index, term) = prev;
         let matches = index <= self.commit || self.log.term(index) == Some(term);
         if !matches {
-            let hint = self
-                .log
-                .last()
-                .min(index.saturating_sub(1))
-                .max(self.commit);
+            let hint = self.log.last().min(index.saturating_sub(1)).max(self.commit);
             return self.acknowledge_as(from, false, hint, sent, now);
         }
         let last = index + entries.len() as u64;
@@ -718,22 +642,13 @@
             self.synced = index;
             self.out.committed.clear();
             self.out.restored = Some(state.clone());
-            self.out.saves.push(Save::Snapshot {
-                index,
-                term,
-                voters,
-                state,
-            });
+            self.out.saves.push(Save::Snapshot { index, term, voters, state });
         }
         self.acknowledge(from, index, sent, now);
     }
 
     fn acknowledge(&mut self, to: &name::Member, index: u64, sent: u64, now: u64) {
-        let index = if self.durable {
-            index.min(self.synced)
-        } else {
-            index
-        };
+        let index = if self.durable { index.min(self.synced) } else { index };
         self.acknowledge_as(to, true, index, sent, now);
     }
 
@@ -745,13 +660,7 @@
         sent: u64,
         now: u64,
     ) {
-        let body = Message::Appended {
-            term: self.term,
-            success,
-            index,
-            sent,
-            stamp: now,
-        };
+        let body = Message::Appended { term: self.term, success, index, sent, stamp: now };
         self.out.sends.push((to.clone(), body));
     }
 
@@ -790,11 +699,7 @@
     fn append(&mut self, load: Load, now: u64) -> u64 {
         let index = self.log.last() + 1;
         let is_change = matches!(load, Load::Voters(_));
-        let entry = Entry {
-            index,
-            term: self.term,
-            load,
-        };
+        let entry = Entry { index, term: self.term, load };
         self.out.saves.push(Save::Entry(entry.clone()));
         self.log.push(entry);
         if is_change {
@@ -816,11 +721,7 @@
         let taken = |m: &name::Member| voters.seat(&m.name).is_some_and(|seat| seat != m);
         lead.peers.retain(|member, _| !taken(member));
         for member in others {
-            let fresh = Progress {
-                next,
-                heard: now,
-                ..Progress::default()
-            };
+            let fresh = Progress { next, heard: now, ..Progress::default() };
             lead.peers.entry(member).or_insert(fresh);
         }
     }
@@ -855,26 +756,14 @@
         progress.next = prev + 1 + entries.len() as u64;
         let echo = if leased { progress.stamp } else { 0 };
         let (term, commit) = (self.term, self.commit);
-        let body = Message::Append {
-            term,
-            prev,
-            prev_term,
-            commit,
-            entries,
-            sent: now,
-            echo,
-        };
+        let body = Message::Append { term, prev, prev_term, commit, entries, sent: now, echo };
         self.out.sends.push((to.clone(), body));
     }
 
     /// The latest time, on the leader's clock, at which a quorum is known to have followed it.
     fn quorum_ack(&self, lead: &Lead, now: u64) -> u64 {
         let acked = |m: &name::Member| {
-            if *m == self.me {
-                now
-            } else {
-                lead.peers.get(m).map_or(0, |p| p.acked)
-            }
+            if *m == self.me { now } else { lead.peers.get(m).map_or(0, |p| p.acked) }
         };
         self.quorum_of(acked)
     }
@@ -890,17 +779,9 @@
         let Role::Leader(lead) = &self.role else {
             return;
         };
-        let mine = if self.durable {
-            self.synced
-        } else {
-            self.log.last()
-        };
+        let mine = if self.durable { self.synced } else { self.log.last() };
         let matched = |m: &name::Member| {
-            if *m == self.me {
-                mine
-            } else {
-                lead.peers.get(m).map_or(0, |p| p.matched)
-            }
+            if *m == self.me { mine } else { lead.peers.get(m).map_or(0, |p| p.matched) }
         };
         let index = self.quorum_of(matched);
         // Only entries of the present term commit by counting (Ongaro 2014, section 3.6.2).
@@ -921,9 +802,7 @@
     fn commit_to(&mut self, index: u64) {
         let index = index.min(self.log.last());
         if index > self.commit {
-            self.out
-                .committed
-                .extend(self.log.range(self.commit, index));
+            self.out.committed.extend(self.log.range(self.commit, index));
             self.commit = index;
             if self.durable {
                 self.out.saves.push(Save::Commit(index));
@@ -934,8 +813,5 @@
 
 /// Whether a message may leave before what was saved with it is on disk.
 pub fn is_free(body: &message::Raft) -> bool {
-    !matches!(
-        body,
-        Message::Vote { pre: false, .. } | Message::Voted { pre: false, .. }
-    )
+    !matches!(body, Message::Vote { pre: false, .. } | Message::Voted { pre: false, .. })
 }
--- a/crates/coord/src/run.rs
+++ b/crates/coord/src/run.rs
@@ -28,17 +28,10 @@
     }
 
     fn dispatch(&mut self, service: &name::Name, now: Now) {
-        let lease = if self.has_lease(now.mono) {
-            self.journal.lease(now.mono)
-        } else {
-            0
-        };
+        let lease = if self.has_lease(now.mono) { self.journal.lease(now.mono) } else { 0 };
         let mut passed = Vec::new();
         while passed.len() < LOOK_AHEAD && self.fleet.room(service, now.mono).free > 0 {
-            let queue = self
-                .services
-                .get_mut(service)
-                .map(|service| &mut service.queue);
+            let queue = self.services.get_mut(service).map(|service| &mut service.queue);
             let Some(task) = queue.and_then(crate::queue::Queue::pop) else {
                 break;
             };
@@ -49,10 +42,7 @@
         for task in passed {
             self.put_back(task);
         }
-        let waiting = self
-            .services
-            .get(service)
-            .is_some_and(|s| !s.queue.is_empty());
+        let waiting = self.services.get(service).is_some_and(|s| !s.queue.is_empty());
         if waiting {
             self.ask_slots(service, now);
         }
@@ -63,9 +53,7 @@
             return;
         };
         if let Some(service) = self.services.get_mut(&job.spec.service) {
-            service
-                .queue
-                .put_back(job.spec.team.as_ref(), job.deadline, task);
+            service.queue.put_back(job.spec.team.as_ref(), job.deadline, task);
         }
     }
 
@@ -91,22 +79,13 @@
             attempt: number,
             upstream: upstream.clone(),
             address: address.clone(),
-            body: spec
-                .tasks
-                .get(task.index as usize)
-                .cloned()
-                .unwrap_or_default(),
+            body: spec.tasks.get(task.index as usize).cloned().unwrap_or_default(),
             content: spec.content.clone(),
             deadline: job.deadline,
             lease: if job.journaled { lease } else { u64::MAX },
             trace: spec.trace.clone(),
         };
-        let attempt = Attempt {
-            number,
-            upstream,
-            address,
-            since: now.mono,
-        };
+        let attempt = Attempt { number, upstream, address, since: now.mono };
         job.ran += 1;
         match &mut job.slots[task.index as usize] {
             Slot::Running(attempts) => attempts.push(attempt),
@@ -124,20 +103,12 @@
             Finish::Unsent => fleet::End::Neutral,
             Finish::Unreached | Finish::Failed(_) => fleet::End::Failed,
         };
-        let service = self
-            .fleet
-            .table()
-            .get(done.upstream.as_str())
-            .map(|l| &l.info.service);
+        let service = self.fleet.table().get(done.upstream.as_str()).map(|l| &l.info.service);
         self.dirty.extend(service.cloned());
         let wanted = self.take_attempt(&done);
         // A task that was told to stop says nothing about its upstream by failing.
         let told = !wanted && end == fleet::End::Failed;
-        self.fleet.finish(
-            &done.upstream,
-            if told { fleet::End::Neutral } else { end },
-            now.mono,
-        );
+        self.fleet.finish(&done.upstream, if told { fleet::End::Neutral } else { end }, now.mono);
         if !wanted {
             return;
         }
@@ -172,6 +143,7 @@
             Slot::Waiting | Slot::Done(_) => smallvec::SmallVec::new(),
         };
         job.open -= 1;
+        job.longest = job.longest.max(took);
         let complete = job.open == 0;
         let answers = if complete { job.answers() } else { Vec::new() };
         if let Some(service) = self.services.get_mut(&job.spec.service) {
@@ -214,10 +186,7 @@
             return;
         }
         let retryable = !job.journaled && now.mono < job.deadline;
-        let budget = self
-            .services
-            .get_mut(&job.spec.service)
-            .map(|service| &mut service.budget);
+        let budget = self.services.get_mut(&job.spec.service).map(|service| &mut service.budget);
         if retryable && budget.is_some_and(crate::retry::Budget::spend) {
             *slot = Slot::Waiting;
             self.counts.retries += 1;
@@ -227,12 +196,7 @@
             return;
         }
         let why = format!("task {} at {upstream}: {why}", task.index);
-        self.finish(
-            &task.job,
-            table::Outcome::Failed,
-            &Verdict::failed(why),
-            now,
-        );
+        self.finish(&task.job, table::Outcome::Failed, &Verdict::failed(why), now);
     }
 
     /// Starts a second attempt at a request that takes longer than the quantile set for it.
@@ -250,17 +214,11 @@
         };
         let late: Vec<_> = job.attempts().filter_map(late).collect();
         for (index, upstream) in late {
-            let budget = self
-                .services
-                .get_mut(&job_service(self, id))
-                .map(|s| &mut s.budget);
+            let budget = self.services.get_mut(&job_service(self, id)).map(|s| &mut s.budget);
             if !budget.is_some_and(crate::retry::Budget::spend) {
                 return;
             }
-            let task = Task {
-                job: id.clone(),
-                index,
-            };
+            let task = Task { job: id.clone(), index };
             if self.start(&task, u64::MAX, Some(&upstream), now) {
                 self.counts.hedges += 1;
             }
@@ -288,47 +246,20 @@
         let (number, service) = (entry.asked, service.clone());
         let held = self.fleet.held(&to, &service);
         self.counts.asked_loans += 1;
-        self.send(
-            &to,
-            Body::Loan(message::Loan::Ask {
-                service,
-                count,
-                number,
-                held,
-            }),
-        );
+        self.send(&to, Body::Loan(message::Loan::Ask { service, count, number, held }));
     }
 
     pub(crate) fn on_loan(&mut self, from: &name::Name, loan: message::Loan, now: Now) {
         match loan {
-            message::Loan::Ask {
-                service,
-                count,
-                number,
-                held,
-            } => {
+            message::Loan::Ask { service, count, number, held } => {
                 self.fleet.settle_loans(from, &service, held);
-                let busy = self
-                    .services
-                    .get(&service)
-                    .is_some_and(|s| !s.queue.is_empty());
+                let busy = self.services.get(&service).is_some_and(|s| !s.queue.is_empty());
                 let member = self.neighbours().contains(from);
                 let count = if busy || !member { 0 } else { count };
                 let slots = self.fleet.lend(from, &service, count, now.mono);
-                self.send(
-                    from,
-                    Body::Loan(message::Loan::Grant {
-                        service,
-                        number,
-                        slots,
-                    }),
-                );
+                self.send(from, Body::Loan(message::Loan::Grant { service, number, slots }));
             }
-            message::Loan::Grant {
-                service,
-                number,
-                slots,
-            } => {
+            message::Loan::Grant { service, number, slots } => {
                 self.on_grant(from, &service, number, &slots, now);
             }
             message::Loan::Return { slots } => {
@@ -351,12 +282,7 @@
             return;
         };
         if entry.asking.as_ref() != Some(from) || entry.asked != number {
-            return self.send(
-                from,
-                Body::Loan(message::Loan::Return {
-                    slots: slots.to_vec(),
-                }),
-            );
+            return self.send(from, Body::Loan(message::Loan::Return { slots: slots.to_vec() }));
         }
         entry.asking = None;
         if slots.is_empty() {
@@ -367,10 +293,7 @@
             }
         } else {
             entry.pause = 0;
-            self.counts.borrowed += slots
-                .iter()
-                .map(|(_, count)| u64::from(*count))
-                .sum::<u64>();
+            self.counts.borrowed += slots.iter().map(|(_, count)| u64::from(*count)).sum::<u64>();
             let asked = entry.asked;
             self.fleet.borrow(from, slots, asked);
         }
@@ -389,7 +312,5 @@
 }
 
 fn job_service(core: &Core, id: &id::JobId) -> name::Name {
-    core.jobs
-        .get(id)
-        .map_or_else(|| name::Name::new(""), |job| job.spec.service.clone())
+    core.jobs.get(id).map_or_else(|| name::Name::new(""), |job| job.spec.service.clone())
 }
--- a/crates/coord/src/share.rs
+++ b/crates/coord/src/share.rs
@@ -62,21 +62,13 @@
 
     /// Slots of an upstream that are lent to others.
     pub fn lent(&self, upstream: &name::Name) -> u32 {
-        self.lent
-            .iter()
-            .filter(|loan| loan.upstream == *upstream)
-            .map(|loan| loan.slots)
-            .sum()
+        self.lent.iter().filter(|loan| loan.upstream == *upstream).map(|loan| loan.slots).sum()
     }
 
     /// Slots of an upstream that are borrowed from others and may still be used.
     pub fn borrowed(&self, upstream: &name::Name, now: u64) -> u32 {
         let usable = |loan: &&Borrowed| loan.upstream == *upstream && now < loan.until;
-        self.borrowed
-            .iter()
-            .filter(usable)
-            .map(|loan| loan.slots)
-            .sum()
+        self.borrowed.iter().filter(usable).map(|loan| loan.slots).sum()
     }
 
     /// All slots borrowed at present.
@@ -87,41 +79,25 @@
     /// Notes a loan to a peer.
     pub fn lend(&mut self, to: &name::Name, upstream: &name::Name, slots: u32, now: u64) {
         let (to, upstream) = (to.clone(), upstream.clone());
-        self.lent.push(Lent {
-            to,
-            upstream,
-            slots,
-            until: now + RECLAIM,
-        });
+        self.lent.push(Lent { to, upstream, slots, until: now + RECLAIM });
     }
 
     /// Notes a loan of a peer, asked for at `asked`.
     pub fn borrow(&mut self, from: &name::Name, upstream: &name::Name, slots: u32, asked: u64) {
         let (from, upstream) = (from.clone(), upstream.clone());
-        self.borrowed.push(Borrowed {
-            from,
-            upstream,
-            slots,
-            until: asked + USABLE,
-        });
+        self.borrowed.push(Borrowed { from, upstream, slots, until: asked + USABLE });
     }
 
     /// Slots borrowed from a peer on the upstreams that `counts` holds for.
     pub fn held(&self, from: &name::Name, counts: impl Fn(&name::Name) -> bool) -> u32 {
         let from = self.borrowed.iter().filter(|loan| loan.from == *from);
-        from.filter(|loan| counts(&loan.upstream))
-            .map(|loan| loan.slots)
-            .sum()
+        from.filter(|loan| counts(&loan.upstream)).map(|loan| loan.slots).sum()
     }
 
     /// Takes back what was lent to a peer beyond the slots that it holds, latest loans first.
     pub fn settle(&mut self, to: &name::Name, held: u32, counts: impl Fn(&name::Name) -> bool) {
         let mut left = held;
-        for loan in self
-            .lent
-            .iter_mut()
-            .filter(|l| l.to == *to && counts(&l.upstream))
-        {
+        for loan in self.lent.iter_mut().filter(|l| l.to == *to && counts(&l.upstream)) {
             loan.slots = loan.slots.min(left);
             left -= loan.slots;
         }
@@ -131,11 +107,7 @@
     /// A peer gives slots back.
     pub fn returned(&mut self, by: &name::Name, upstream: &name::Name, slots: u32) {
         let mut left = slots;
-        for loan in self
-            .lent
-            .iter_mut()
-            .filter(|l| l.to == *by && l.upstream == *upstream)
-        {
+        for loan in self.lent.iter_mut().filter(|l| l.to == *by && l.upstream == *upstream) {
             let part = left.min(loan.slots);
             loan.slots -= part;
             left -= part;
@@ -152,9 +124,7 @@
         let mut returns = collections::BTreeMap::<_, Vec<_>>::new();
         let mut spare = collections::BTreeMap::new();
         for loan in &mut self.borrowed {
-            let left = spare
-                .entry(loan.upstream.clone())
-                .or_insert_with(|| idle(&loan.upstream));
+            let left = spare.entry(loan.upstream.clone()).or_insert_with(|| idle(&loan.upstream));
             let part = loan.slots.min(*left);
             *left -= part;
             loan.slots -= part;
--- a/crates/coord/src/status.rs
+++ b/crates/coord/src/status.rs
@@ -154,41 +154,25 @@
     }
 
     fn service_states(&self, now: u64) -> Vec<Service> {
-        let known = self
-            .fleet
-            .table()
-            .iter()
-            .map(|leased| leased.info.service.clone());
+        let known = self.fleet.table().iter().map(|leased| leased.info.service.clone());
         let names: std::collections::BTreeSet<_> =
             known.chain(self.services.keys().cloned()).collect();
         let state = |service: name::Name| {
             let room = self.fleet.room(&service, now);
             let queue = self.services.get(&service).map_or(0, |s| s.queue.len());
-            Service {
-                queue,
-                share: room.allowed,
-                free: room.free,
-                total: room.total,
-                service,
-            }
+            Service { queue, share: room.allowed, free: room.free, total: room.total, service }
         };
         names.into_iter().map(state).collect()
     }
 }
 
 fn leader<M: group::Machine>(group: &group::Group<M>) -> String {
-    group
-        .raft()
-        .and_then(|raft| raft.leader())
-        .map(ToString::to_string)
-        .unwrap_or_default()
+    group.raft().and_then(|raft| raft.leader()).map(ToString::to_string).unwrap_or_default()
 }
 
 fn describe<M: group::Machine>(name: String, group: &group::Group<M>, now: u64) -> Group {
     let raft = group.raft();
-    let known = raft
-        .filter(|raft| raft.has_leader(now))
-        .and_then(|raft| raft.leader());
+    let known = raft.filter(|raft| raft.has_leader(now)).and_then(|raft| raft.leader());
     let voters = raft.map(|raft| raft.voters().0.iter().map(ToString::to_string).collect());
     Group {
         group: name,
--- a/crates/coord/tests/net/mod.rs
+++ b/crates/coord/tests/net/mod.rs
@@ -75,11 +75,7 @@
             for number in 1..=*count {
                 let name = name::Name::new(&format!("{zone}-{number}"));
                 let disk = instances.len() < disks;
-                instances.push(Instance {
-                    name,
-                    zone: name::Name::new(zone),
-                    disk,
-                });
+                instances.push(Instance { name, zone: name::Name::new(zone), disk });
             }
         }
         let mut net = Self {
@@ -219,10 +215,7 @@
                 let task = format!("{}/{}", start.task.job, start.task.index);
                 let who = self.instances[at].name.to_string();
                 self.starts.entry(task).or_default().push(who);
-                self.note(format!(
-                    "{} starts task {}",
-                    self.instances[at].name, start.task.index
-                ));
+                self.note(format!("{} starts task {}", self.instances[at].name, start.task.index));
                 self.running.push((at, start.attempt, start));
             }
             Output::Stop(stop) => {
@@ -235,13 +228,11 @@
             }
             Output::Reply(ticket, reply) => self.reply(at, ticket, reply),
             Output::Settings => {
-                let version = self.nodes[at]
-                    .core
-                    .as_ref()
-                    .map_or(0, |core| core.tree().version());
+                let version = self.nodes[at].core.as_ref().map_or(0, |core| core.tree().version());
                 assert!(version >= self.nodes[at].version, "the settings went back");
                 self.nodes[at].version = version;
             }
+            Output::Over(..) => {}
             Output::Drained => self.note(format!("{} is drained", self.instances[at].name)),
         }
     }
@@ -297,18 +288,7 @@
         let ticket = self.ticket(Ticket::Change(change));
         let values = format!("{{\"max_queue\": {}}}", number % 1_000);
         let path = name::Name::new(path);
-        self.event(
-            at,
-            Event::Change(
-                ticket,
-                tree::Change {
-                    change,
-                    base,
-                    path,
-                    values,
-                },
-            ),
-        );
+        self.event(at, Event::Change(ticket, tree::Change { change, base, path, values }));
     }
 
     /// An upstream announces itself.
@@ -350,13 +330,7 @@
             Finish::Failed("broken".to_owned())
         };
         let (task, attempt, upstream) = (start.task, start.attempt, start.upstream);
-        let done = Done {
-            task,
-            attempt,
-            upstream,
-            took: 50_000,
-            finish,
-        };
+        let done = Done { task, attempt, upstream, took: 50_000, finish };
         self.event(owner, Event::Done(done));
     }
 
@@ -422,11 +396,7 @@
             }
             while !self.mail.is_empty() {
                 count += 1;
-                assert!(
-                    count < MOST,
-                    "messages without end, such as {:?}",
-                    self.mail.last()
-                );
+                assert!(count < MOST, "messages without end, such as {:?}", self.mail.last());
                 self.deliver(0);
             }
         }
@@ -440,11 +410,7 @@
             self.run(20);
         }
         for core in self.nodes.iter().filter_map(|node| node.core.as_ref()) {
-            assert!(
-                core.is_ready(),
-                "not ready within {ms} ms: {}",
-                self.groups()
-            );
+            assert!(core.is_ready(), "not ready within {ms} ms: {}", self.groups());
         }
     }
 
@@ -456,20 +422,10 @@
             let status = core.status(now);
             let group = |g: &coord::status::Group| {
                 let leader = g.leader.as_deref().unwrap_or("nobody");
-                format!(
-                    "  {} t{} c{} {leader} {}\n",
-                    g.group,
-                    g.term,
-                    g.commit,
-                    g.voters.join(" ")
-                )
+                format!("  {} t{} c{} {leader} {}\n", g.group, g.term, g.commit, g.voters.join(" "))
             };
             let groups: String = status.groups.iter().map(group).collect();
-            format!(
-                "{} members {}\n{groups}",
-                status.instance,
-                status.members.join(" ")
-            )
+            format!("{} members {}\n{groups}", status.instance, status.members.join(" "))
         };
         cores.map(line).collect()
     }
@@ -482,11 +438,7 @@
 
     /// Judges what must always hold at every moment.
     pub fn judge(&self) {
-        let twice: Vec<_> = self
-            .starts
-            .iter()
-            .filter(|(_, who)| who.len() > 1)
-            .collect();
+        let twice: Vec<_> = self.starts.iter().filter(|(_, who)| who.len() > 1).collect();
         assert!(twice.is_empty(), "started twice: {twice:?}");
         let mut states = collections::BTreeMap::<_, collections::BTreeSet<_>>::new();
         for (job, verdict) in &self.verdicts {
@@ -500,10 +452,7 @@
         for (job, states) in states {
             let both = states.contains("complete") && states.contains("failed");
             assert!(!both, "{job} was complete and failed: {:#?}", self.log);
-            let ran = self
-                .starts
-                .keys()
-                .any(|task| task.starts_with(&format!("{job}/")));
+            let ran = self.starts.keys().any(|task| task.starts_with(&format!("{job}/")));
             // "Not run" speaks of one attempt: another one, elsewhere, may be under way, or may
             // have been lost with its instance.
             let open = |ticket: &Ticket| matches!(ticket, Ticket::Job(other) if other == job);
@@ -518,16 +467,12 @@
         for (change, version) in &self.accepted {
             for node in self.nodes.iter().filter_map(|node| node.core.as_ref()) {
                 let outcome = node.tree().outcome(*change);
-                assert_eq!(
-                    outcome,
-                    Some(tree::Outcome::Accepted(*version)),
-                    "a change is lost"
-                );
+                assert_eq!(outcome, Some(tree::Outcome::Accepted(*version)), "a change is lost");
             }
         }
     }
 
-    fn note(&mut self, line: impl Into<String>) {
+    fn note(&mut self, line: impl std::fmt::Display) {
         let ms = self.now / 1_000;
         self.log.push(format!("{ms:>6} {line}"));
     }
--- a/crates/coord/tests/random_faults.rs
+++ b/crates/coord/tests/random_faults.rs
@@ -49,13 +49,8 @@
 
 fn config() -> test_runner::Config {
     // A fixed seed, so that CI gives the same verdict every time; FAULT_SEED looks further.
-    let seed = std::env::var("FAULT_SEED")
-        .ok()
-        .and_then(|seed| seed.parse().ok())
-        .unwrap_or(7);
-    let cases = std::env::var("FAULT_CASES")
-        .ok()
-        .and_then(|cases| cases.parse().ok());
+    let seed = std::env::var("FAULT_SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(7);
+    let cases = std::env::var("FAULT_CASES").ok().and_then(|cases| cases.parse().ok());
     test_runner::Config {
         cases: cases.unwrap_or(60),
         rng_seed: test_runner::RngSeed::Fixed(seed),
@@ -118,10 +113,7 @@
             Step::Finish(at, ok) => net.finish(usize::from(at), ok),
             Step::Change(at, number, fresh) => {
                 let at = usize::from(at) % count;
-                let version = net.nodes[at]
-                    .core
-                    .as_ref()
-                    .map(|core| core.tree().version());
+                let version = net.nodes[at].core.as_ref().map(|core| core.tree().version());
                 let base = if fresh { version } else { None };
                 net.change(at, u128::from(number % 16) + 1, base, SERVICE);
             }
@@ -155,12 +147,7 @@
     net.run(500);
     net.judge();
     let verdict = net.verdicts.iter().find(|(id, _)| *id == job.to_string());
-    assert_eq!(
-        verdict.map(|(_, verdict)| net::kind(verdict)),
-        Some("complete"),
-        "{:#?}",
-        net.log
-    );
+    assert_eq!(verdict.map(|(_, verdict)| net::kind(verdict)), Some("complete"), "{:#?}", net.log);
 }
 
 proptest! {
--- /dev/null
+++ b/crates/coord/tests/sessions.rs
@@ -0,0 +1,137 @@
+//! Whole sessions of the pure core, as golden files.
+
+mod net;
+
+use net::{Net, SERVICE};
+
+fn zone() -> Net {
+    let mut net = Net::new(&[("west", 3)], 3);
+    net.run_until_ready(6_000);
+    net.change(0, 1, None, SERVICE);
+    net.run(400);
+    net.announce(0, "u1", 6);
+    net.run(400);
+    net
+}
+
+fn golden(name: &str, net: &Net) {
+    net.judge();
+    insta::assert_snapshot!(name, net.log.join("\n"));
+}
+
+#[test]
+fn owner_dies() {
+    let mut net = zone();
+    let job = net.mint("west");
+    net.submit(0, &job, 4, 8_000);
+    net.run(100);
+    net.finish(0, true);
+    net.crash(0);
+    net.submit(1, &job, 4, 8_000);
+    net.run(3_000);
+    net.submit(2, &job, 4, 8_000);
+    net.run(200);
+    golden("owner_dies", &net);
+}
+
+#[test]
+fn owner_frozen() {
+    let mut net = zone();
+    let job = net.mint("west");
+    net.submit(0, &job, 12, 8_000);
+    net.run(100);
+    net.freeze(0, true);
+    net.submit(1, &job, 12, 8_000);
+    net.run(3_000);
+    net.freeze(0, false);
+    // The answers of its tasks arrive; it starts nothing more, and is let in again.
+    while !net.running.is_empty() {
+        net.finish(0, true);
+    }
+    net.run(1_000);
+    golden("owner_frozen", &net);
+}
+
+#[test]
+fn leader_isolated() {
+    let mut net = zone();
+    let job = net.mint("west");
+    let leader = (0..3).find(|at| {
+        let core = net.nodes[*at].core.as_ref().unwrap();
+        core.journal_leader().starts_with(core.status(net.now()).instance.as_str())
+    });
+    let leader = leader.unwrap();
+    net.isolate(leader, true);
+    net.submit(leader, &job, 2, 8_000);
+    net.run(1_000);
+    // The same submission where the majority is.
+    net.submit((leader + 1) % 3, &job, 2, 8_000);
+    net.run(1_000);
+    while !net.running.is_empty() {
+        net.finish(0, true);
+    }
+    net.run(1_000);
+    net.heal();
+    net.run(3_000);
+    golden("leader_isolated", &net);
+}
+
+#[test]
+fn memory_lost() {
+    let mut net = zone();
+    let job = net.mint("west");
+    net.submit(0, &job, 1, 8_000);
+    net.run(100);
+    net.finish(0, true);
+    net.run(100);
+    for at in 0..3 {
+        net.crash(at);
+    }
+    for at in 0..3 {
+        net.restart(at);
+    }
+    net.run_until_ready(6_000);
+    net.announce(0, "u1", 6);
+    net.submit(1, &job, 1, 8_000);
+    net.run(200);
+    golden("memory_lost", &net);
+}
+
+#[test]
+fn operators_race() {
+    let mut net = zone();
+    // Equal versions at different instances, then a leader that dies before it answers.
+    net.change(0, 11, Some(1), "ireland");
+    net.change(1, 12, Some(1), "ireland");
+    net.change(2, 13, Some(1), "ireland");
+    net.run(300);
+    net.change(0, 14, None, "ireland");
+    net.settle();
+    net.crash(0);
+    net.change(1, 14, None, "ireland");
+    net.run(5_000);
+    net.change(2, 14, None, "ireland");
+    net.change(2, 12, Some(1), "ireland");
+    net.run(200);
+    net.judge_settings();
+    golden("operators_race", &net);
+}
+
+#[test]
+fn disk_lost_twice() {
+    let mut net = zone();
+    net.change(0, 21, None, "ireland");
+    net.run(300);
+    net.lose_disk(1);
+    net.run(500);
+    net.restart(1);
+    net.run(3_000);
+    // Right after the repair the next voter goes, disk and all.
+    net.lose_disk(2);
+    net.change(1, 22, None, "ireland");
+    net.run(4_000);
+    net.restart(2);
+    net.run(3_000);
+    net.judge_settings();
+    golden("disk_lost_twice", &net);
+}
--- /dev/null
+++ b/crates/coord/tests/slots.rs
@@ -0,0 +1,211 @@
+//! Slot shares, loans, placement and ejection.
+
+use std::collections;
+
+use coord::{
+    fleet::{End, Fleet, Reach},
+    share,
+};
+use proptest::prelude::*;
+use state::{Name, boot, upstream};
+
+const SECOND: u64 = 1_000_000;
+
+fn upstream(name: &str, slots: u32) -> upstream::Upstream {
+    upstream::Upstream {
+        name: Name::new(name),
+        service: Name::new("a"),
+        zone: Name::new("west"),
+        address: Name::new("127.0.0.1:1"),
+        slots,
+        phase: upstream::Phase::Serving,
+        room: None,
+        stamp: 1,
+    }
+}
+
+fn fleet(rank: u32, count: u32, upstreams: usize, slots: u32) -> Fleet {
+    let mut fleet = Fleet::new(boot::Trial::default(), 1);
+    for number in 0..upstreams {
+        fleet.put(upstream(&format!("u{number}"), slots), 100 * SECOND);
+    }
+    fleet.set_rank(Some((rank, count)));
+    fleet
+}
+
+fn pick(fleet: &mut Fleet, now: u64) -> Option<Name> {
+    let picked = fleet.pick(&Name::new("a"), &upstream::Needs::default(), None, now)?;
+    fleet.start(&picked);
+    Some(picked)
+}
+
+#[test]
+fn black_hole() {
+    // One upstream fails all it starts and looks idle and fast: it is ejected, comes back by one
+    // task at a time, and never takes the others with it.
+    let mut fleet = fleet(0, 1, 4, 8);
+    let mut hits = 0;
+    for step in 0..1_000_u64 {
+        let now = SECOND + step * 1_000;
+        let Some(picked) = pick(&mut fleet, now) else {
+            continue;
+        };
+        let bad = picked.as_str() == "u0";
+        hits += u32::from(bad);
+        fleet.finish(&picked, if bad { End::Failed } else { End::Answered(50_000) }, now);
+    }
+    assert!(hits <= 8, "{hits} of 1000 tasks went into the hole");
+    assert!(fleet.is_ejected("u0", 2 * SECOND - 1));
+}
+
+#[test]
+fn never_emptied() {
+    let mut fleet = fleet(0, 1, 4, 8);
+    for step in 0..400_u64 {
+        let now = SECOND + step;
+        if let Some(picked) = pick(&mut fleet, now) {
+            fleet.finish(&picked, End::Failed, now);
+        }
+    }
+    let ejected = (0..4).filter(|n| fleet.is_ejected(&format!("u{n}"), SECOND + 400)).count();
+    assert_eq!(ejected, 2, "half of a service at most");
+    assert!(pick(&mut fleet, SECOND + 400).is_some());
+}
+
+#[test]
+fn slow_ones_last() {
+    let mut fleet = fleet(0, 1, 2, 8);
+    for (name, took) in [("u0", 500_000), ("u1", 50_000)] {
+        let name = Name::new(name);
+        for _ in 0..10 {
+            fleet.start(&name);
+            fleet.finish(&name, End::Answered(took), SECOND);
+        }
+    }
+    let picked: Vec<_> = (0..6).filter_map(|_| pick(&mut fleet, SECOND)).collect();
+    assert!(picked.iter().all(|name| name.as_str() == "u1"), "{picked:?}");
+}
+
+#[test]
+fn reach_ranks() {
+    let needs = |cores| upstream::Needs { cores, ..upstream::Needs::default() };
+    let room = upstream::Needs { cores: 2.0, memory_mb: 100, accelerators: 0 };
+    let mut fleet = Fleet::new(boot::Trial::default(), 1);
+    let service = Name::new("a");
+    assert_eq!(fleet.reach(&service, &needs(1.0), 0), Reach::Nobody);
+    let small = upstream::Upstream { room: Some(room), ..upstream("u0", 1) };
+    fleet.put(small, SECOND);
+    let cases = [(1.0, 0, Reach::Open), (1.0, 2 * SECOND, Reach::Closed), (4.0, 0, Reach::Unfit)];
+    for (cores, now, expected) in cases {
+        assert_eq!(fleet.reach(&service, &needs(cores), now), expected, "{cores} {now}");
+    }
+}
+
+#[test]
+fn older_news() {
+    let mut fleet = fleet(0, 1, 1, 8);
+    let gone = upstream::Upstream { phase: upstream::Phase::Gone, stamp: 9, ..upstream("u0", 8) };
+    assert!(fleet.put(gone, 200 * SECOND));
+    assert!(!fleet.put(upstream::Upstream { stamp: 8, ..upstream("u0", 8) }, 300 * SECOND));
+    assert_eq!(pick(&mut fleet, SECOND), None);
+}
+
+/// What happens between instances that share one upstream.
+#[derive(Clone, Debug)]
+enum Step {
+    Start(usize),
+    Finish(usize),
+    Ask(usize, usize, u32),
+    Return(usize),
+    Wait(u64),
+    Leave(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..3_usize).prop_map(Step::Start),
+        4 => (0..3_usize).prop_map(Step::Finish),
+        4 => (0..3_usize, 0..3_usize, 1..9_u32).prop_map(|(a, b, n)| Step::Ask(a, b, n)),
+        2 => (0..3_usize).prop_map(Step::Return),
+        2 => (1..7_u64).prop_map(|s| Step::Wait(s * SECOND)),
+        1 => (0..3_usize).prop_map(Step::Leave),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        ..ProptestConfig::with_cases(256)
+    })]
+
+    /// In one membership the shares add up to the slots exactly.
+    #[test]
+    fn shares_add_up(slots in 1..300_u32, count in 1..12_u32, number in 0..1000_u32) {
+        let name = format!("u{number}");
+        let sum: u32 = (0..count).map(|rank| share::share(&name, slots, rank, count)).sum();
+        prop_assert_eq!(sum, slots);
+    }
+
+    /// No slot is used twice, whatever is lent, returned or expires.
+    #[test]
+    fn used_once(slots in 3..12_u32, steps in prop::collection::vec(step(), 1..80)) {
+        let names = [Name::new("i0"), Name::new("i1"), Name::new("i2")];
+        let mut fleets: Vec<_> = (0..3).map(|rank| fleet(rank, 3, 1, slots)).collect();
+        let mut now = SECOND;
+        let mut out = [0_u32; 3];
+        let service = Name::new("a");
+        let mut late = false;
+        for step in steps {
+            match step {
+                Step::Start(at) => out[at] += u32::from(pick(&mut fleets[at], now).is_some()),
+                Step::Finish(at) if out[at] > 0 => {
+                    out[at] -= 1;
+                    fleets[at].finish(&Name::new("u0"), End::Neutral, now);
+                }
+                Step::Finish(_) => {}
+                Step::Ask(a, b, _) if a == b => {}
+                Step::Ask(to, by, count) => {
+                    let held = fleets[to].held(&names[by], &service);
+                    fleets[by].settle_loans(&names[to], &service, held);
+                    let lent = fleets[by].lend(&names[to], &service, count, now);
+                    fleets[to].borrow(&names[by], &lent, now);
+                }
+                Step::Return(at) => {
+                    for (to, list) in fleets[at].give_back() {
+                        let to = names.iter().position(|name| *name == to).unwrap();
+                        fleets[to].returned(&names[at], &list);
+                    }
+                }
+                Step::Wait(time) => {
+                    now += time;
+                    // A task that outlasts its loan keeps the slot busy beyond it: the upstream
+                    // itself refuses the one too many.
+                    late |= out.iter().sum::<u32>() > 0;
+                    for fleet in &mut fleets {
+                        fleet.prune(now);
+                    }
+                }
+                Step::Leave(at) => {
+                    for (other, fleet) in fleets.iter_mut().enumerate() {
+                        let gone = if other == at { None } else { Some(&names[at]) };
+                        fleet.keep_loans(|name| gone.is_some_and(|gone| gone != name));
+                    }
+                    late |= out.iter().sum::<u32>() > 0;
+                }
+            }
+            prop_assert!(late || out.iter().sum::<u32>() <= slots, "{out:?} of {slots}");
+        }
+    }
+}
+
+/// Loads even out over upstreams of the same speed.
+#[test]
+fn even_load() {
+    let mut fleet = fleet(0, 1, 10, 8);
+    let mut counts = collections::BTreeMap::<Name, u32>::new();
+    for _ in 0..40 {
+        *counts.entry(pick(&mut fleet, SECOND).unwrap()).or_default() += 1;
+    }
+    assert!(counts.values().all(|count| *count == 4), "{counts:?}");
+}
--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -12,11 +12,7 @@
 
 impl Error {
     pub(crate) fn new(step: &'static str, peer: impl fmt::Display, why: impl fmt::Display) -> Self {
-        Self {
-            step,
-            peer: peer.to_string(),
-            why: why.to_string(),
-        }
+        Self { step, peer: peer.to_string(), why: why.to_string() }
     }
 
     /// The step that failed.
--- a/crates/link/src/http.rs
+++ b/crates/link/src/http.rs
@@ -68,23 +68,13 @@
     /// A JSON response.
     pub fn json(status: u16, body: impl Into<Bytes>) -> Self {
         let content = "application/json".to_owned();
-        Self {
-            status,
-            content,
-            headers: Vec::new(),
-            body: body.into(),
-        }
+        Self { status, content, headers: Vec::new(), body: body.into() }
     }
 
     /// A plain text response.
     pub fn text(status: u16, body: impl Into<Bytes>) -> Self {
         let content = "text/plain; charset=utf-8".to_owned();
-        Self {
-            status,
-            content,
-            headers: Vec::new(),
-            body: body.into(),
-        }
+        Self { status, content, headers: Vec::new(), body: body.into() }
     }
 
     /// This response with one more header.
@@ -170,11 +160,7 @@
         let (close, closed) = async_sync::watch::channel(false);
         let places = sync::Arc::new(async_sync::Semaphore::new(MAX_CONNECTIONS));
         runtime.spawn(accept(socket, handler, closed, sync::Arc::clone(&places)));
-        Ok(Self {
-            address,
-            close,
-            places,
-        })
+        Ok(Self { address, close, places })
     }
 
     /// The address that is listened on.
@@ -267,12 +253,7 @@
         Err(_) => return encode(shared.handler.fault(Fault::TooSlow), true),
     };
     let path = head.uri.path().to_owned();
-    let request = Request {
-        method: head.method,
-        path,
-        headers: head.headers,
-        body,
-    };
+    let request = Request { method: head.method, path, headers: head.headers, body };
     let (sender, receiver) = async_sync::oneshot::channel();
     shared.handler.handle(request, Responder { sender });
     match receiver.await {
--- a/crates/link/src/metric.rs
+++ b/crates/link/src/metric.rs
@@ -40,23 +40,17 @@
         let registry = prometheus::Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
+            .with_namespace("apricotroute")
             .without_target_info()
             .build()
             .map_err(|e| error::Error::new("set up metrics", "registry", e))?;
-        let provider = sdk::SdkMeterProvider::builder()
-            .with_reader(exporter)
-            .build();
+        let provider = sdk::SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("apricotroute");
-        let bounds = vec![
-            0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0,
-        ];
+        let bounds = vec![0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0];
         Ok(Self {
             messages: meter.u64_counter("peer_messages").build(),
             bytes: meter.u64_counter("peer_bytes").build(),
-            over: meter
-                .f64_histogram("over_ideal_ms")
-                .with_boundaries(bounds)
-                .build(),
+            over: meter.f64_histogram("over_ideal_ms").with_boundaries(bounds).build(),
             registry,
             provider,
         })
@@ -69,17 +63,13 @@
         read: impl Fn() -> Vec<Reading> + Send + Sync + 'static,
     ) -> ObservableGauge<f64> {
         let meter = self.provider.meter("apricotroute");
-        let gauge = meter
-            .f64_observable_gauge(name)
-            .with_callback(move |observer| {
-                for (_, labels, value) in read().into_iter().filter(|(other, ..)| *other == name) {
-                    let labels: Vec<_> = labels
-                        .into_iter()
-                        .map(|(key, value)| KeyValue::new(key, value))
-                        .collect();
-                    observer.observe(value, &labels);
-                }
-            });
+        let gauge = meter.f64_observable_gauge(name).with_callback(move |observer| {
+            for (_, labels, value) in read().into_iter().filter(|(other, ..)| *other == name) {
+                let labels: Vec<_> =
+                    labels.into_iter().map(|(key, value)| KeyValue::new(key, value)).collect();
+                observer.observe(value, &labels);
+            }
+        });
         gauge.build()
     }
 
@@ -116,8 +106,6 @@
 /// Notes by how much an answer was later than its longest task, milliseconds.
 pub fn note_over(service: &str, ms: f64) {
     if let Some(metrics) = metrics() {
-        metrics
-            .over
-            .record(ms, &[KeyValue::new("service", service.to_owned())]);
+        metrics.over.record(ms, &[KeyValue::new("service", service.to_owned())]);
     }
 }
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -107,14 +107,7 @@
     let (sender, receiver) = mpsc::channel(16);
     let (version, from, to) = (proto::VERSION, me.to_string(), to.to_string());
     let hello = Some(peer::Hello { version, from, to });
-    if sender
-        .send(peer::Envelope {
-            hello,
-            bodies: Vec::new(),
-        })
-        .await
-        .is_err()
-    {
+    if sender.send(peer::Envelope { hello, bodies: Vec::new() }).await.is_err() {
         return;
     }
     let call = client.deliver(wrappers::ReceiverStream::new(receiver));
@@ -165,11 +158,8 @@
         let bind = tokio::net::TcpListener::bind(address);
         let socket = runtime.block_on(bind).map_err(fault)?;
         let address = socket.local_addr().map_err(fault)?;
-        let service = peer::peer_server::PeerServer::new(Service {
-            me: me.clone(),
-            inbox,
-        })
-        .max_decoding_message_size(MAX_MESSAGE);
+        let service = peer::peer_server::PeerServer::new(Service { me: me.clone(), inbox })
+            .max_decoding_message_size(MAX_MESSAGE);
         let incoming = wrappers::TcpListenerStream::new(socket).map(|stream| {
             let stream = stream?;
             stream.set_nodelay(true)?;
--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -29,13 +29,7 @@
     /// A pool of at most `limit` threads.
     pub fn new(name: &'static str, limit: usize) -> Self {
         let (sender, receiver) = crossbeam_channel::unbounded();
-        Self {
-            name,
-            limit,
-            sender,
-            receiver,
-            counts: sync::Arc::default(),
-        }
+        Self { name, limit, sender, receiver, counts: sync::Arc::default() }
     }
 
     /// Threads at present.
@@ -58,9 +52,7 @@
         let receiver = self.receiver.clone();
         let counts = sync::Arc::clone(&self.counts);
         counts.threads.fetch_add(1, atomic::Ordering::Relaxed);
-        let builder = thread::Builder::new()
-            .name(self.name.to_owned())
-            .stack_size(STACK);
+        let builder = thread::Builder::new().name(self.name.to_owned()).stack_size(STACK);
         let spawned = builder.spawn(move || work(&receiver, &counts));
         if spawned.is_err() {
             self.counts.threads.fetch_sub(1, atomic::Ordering::Relaxed);
--- a/crates/link/src/span.rs
+++ b/crates/link/src/span.rs
@@ -66,17 +66,12 @@
     pub fn to_file(path: &path::Path, instance: &str) -> Result<Self, error::Error> {
         let open = fs::OpenOptions::new().create(true).append(true).open(path);
         let file = open.map_err(|e| error::Error::new("open span file", path.display(), e))?;
-        let exporter = Lines {
-            file: sync::Mutex::new(file),
-            instance: instance.to_owned(),
-        };
+        let exporter = Lines { file: sync::Mutex::new(file), instance: instance.to_owned() };
         let provider = sdk::SdkTracerProvider::builder()
             .with_batch_exporter(exporter)
             .with_id_generator(sdk::RandomIdGenerator::default())
             .build();
-        Ok(Self {
-            provider: Some(provider),
-        })
+        Ok(Self { provider: Some(provider) })
     }
 
     /// Records a span that ends now.
@@ -95,10 +90,7 @@
             );
             opentelemetry::Context::new().with_remote_span_context(remote)
         });
-        let notes = span
-            .notes
-            .into_iter()
-            .map(|(key, value)| KeyValue::new(key, value));
+        let notes = span.notes.into_iter().map(|(key, value)| KeyValue::new(key, value));
         let mut attributes: Vec<_> = notes.collect();
         // The context was made before the span, so that it could travel with the call.
         let ids = format!("{:032x}-{:016x}", span.context.trace(), span.context.span());
@@ -148,8 +140,7 @@
         let (trace, id) = ids.split_once('-').unwrap_or_default();
         let parent = span.parent_span_id;
         let micros = |at: time::SystemTime| {
-            at.duration_since(time::UNIX_EPOCH)
-                .map_or(0, |d| d.as_micros() as u64)
+            at.duration_since(time::UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
         };
         let line = serde_json::json!({
             "trace": trace,
--- a/crates/link/src/task.rs
+++ b/crates/link/src/task.rs
@@ -69,9 +69,7 @@
             .max_idle_connections_per_host(PER_HOST)
             .max_idle_connections(IN_ALL)
             .build();
-        Self {
-            agent: config.into(),
-        }
+        Self { agent: config.into() }
     }
 
     /// Sends a task and waits for its answer.
@@ -108,19 +106,12 @@
 fn read(mut response: ureq::http::Response<ureq::Body>) -> End {
     let status = response.status().as_u16();
     let header = |name: &str| {
-        let value = response
-            .headers()
-            .get(name)
-            .and_then(|value| value.to_str().ok());
+        let value = response.headers().get(name).and_then(|value| value.to_str().ok());
         value.map(str::to_owned)
     };
     let refused = header("Not-Run").is_some_and(|value| value.eq_ignore_ascii_case("true"));
     let content = header("Content-Type").unwrap_or_else(|| "application/octet-stream".to_owned());
-    let body = response
-        .body_mut()
-        .with_config()
-        .limit(MAX_ANSWER)
-        .read_to_vec();
+    let body = response.body_mut().with_config().limit(MAX_ANSWER).read_to_vec();
     match (status, body) {
         (503, _) if refused => End::NotRun,
         (200, Ok(body)) => End::Answer(body.into(), content),
