--- a/crates/link/src/trace.rs
+++ b/crates/link/src/trace.rs
@@ -13,20 +13,13 @@
 impl Context {
     /// The root of a new trace.
     pub fn new() -> Self {
-        Self {
-            trace: rand::random::<u128>() | 1,
-            span: rand::random::<u64>() | 1,
-            sampled: true,
-        }
+        Self { trace: rand::random::<u128>() | 1, span: rand::random::<u64>() | 1, sampled: true }
     }
 
     /// A new span below this one.
     #[must_use]
     pub fn child(&self) -> Self {
-        Self {
-            span: rand::random::<u64>() | 1,
-            ..*self
-        }
+        Self { span: rand::random::<u64>() | 1, ..*self }
     }
 
     /// The trace.
@@ -53,13 +46,7 @@
 
 impl fmt::Display for Context {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "00-{:032x}-{:016x}-{:02x}",
-            self.trace,
-            self.span,
-            u8::from(self.sampled)
-        )
+        write!(f, "00-{:032x}-{:016x}-{:02x}", self.trace, self.span, u8::from(self.sampled))
     }
 }
 
@@ -84,12 +71,7 @@
             part.len() == length && part.bytes().all(plain)
         };
         let mut parts = text.trim().split('-');
-        let mut next = |length| {
-            parts
-                .next()
-                .filter(|part| hex(part, length))
-                .ok_or(Malformed)
-        };
+        let mut next = |length| parts.next().filter(|part| hex(part, length)).ok_or(Malformed);
         let (version, trace, span, flags) = (next(2)?, next(32)?, next(16)?, next(2)?);
         if version == "ff" || (version == "00" && parts.next().is_some()) {
             return Err(Malformed);
@@ -100,10 +82,6 @@
         if trace == 0 || span == 0 {
             return Err(Malformed);
         }
-        Ok(Self {
-            trace,
-            span,
-            sampled: flags & 1 == 1,
-        })
+        Ok(Self { trace, span, sampled: flags & 1 == 1 })
     }
 }
--- a/crates/proto/src/error.rs
+++ b/crates/proto/src/error.rs
@@ -11,10 +11,7 @@
 
 impl Error {
     pub(crate) fn new(step: &'static str, why: impl fmt::Display) -> Self {
-        Self {
-            step,
-            why: why.to_string(),
-        }
+        Self { step, why: why.to_string() }
     }
 
     /// What was being read.
--- a/crates/proto/src/json.rs
+++ b/crates/proto/src/json.rs
@@ -61,14 +61,8 @@
         if let Some(ms) = job.deadline_ms {
             check_deadline(ms)?;
         }
-        if job
-            .needs
-            .is_some_and(|needs| !(needs.cores.is_finite() && needs.cores >= 0.0))
-        {
-            return Err(error::Error::new(
-                STEP,
-                "needs.cores is not a number from 0",
-            ));
+        if job.needs.is_some_and(|needs| !(needs.cores.is_finite() && needs.cores >= 0.0)) {
+            return Err(error::Error::new(STEP, "needs.cores is not a number from 0"));
         }
         Ok(job)
     }
@@ -84,9 +78,7 @@
     /// assert!(proto::json::Job::parse(text).unwrap().id().is_err());
     /// ```
     pub fn id(&self) -> Result<id::JobId, error::Error> {
-        self.job
-            .parse()
-            .map_err(|e| error::Error::new("read job id", e))
+        self.job.parse().map_err(|e| error::Error::new("read job id", e))
     }
 }
 
@@ -101,11 +93,8 @@
 /// assert!(proto::json::check_service("").is_err());
 /// ```
 pub fn check_service(path: &str) -> Result<(), error::Error> {
-    let fault = if path.is_empty() {
-        Some("the path is empty")
-    } else {
-        state::tree::path_fault(path)
-    };
+    let fault =
+        if path.is_empty() { Some("the path is empty") } else { state::tree::path_fault(path) };
     fault.map_or(Ok(()), |why| Err(error::Error::new("read service", why)))
 }
 
@@ -121,10 +110,9 @@
 /// ```
 pub fn check_team(team: Option<&str>) -> Result<(), error::Error> {
     match team {
-        Some(team) if !name::Name::is_valid(team) => Err(error::Error::new(
-            "read team",
-            "expected letters, digits, '-', '_' or '.'",
-        )),
+        Some(team) if !name::Name::is_valid(team) => {
+            Err(error::Error::new("read team", "expected letters, digits, '-', '_' or '.'"))
+        }
         _ => Ok(()),
     }
 }
@@ -251,10 +239,7 @@
         if body.slots == 0 || body.slots > MAX_SLOTS {
             return Err(fault("slots must be from 1 to 4096"));
         }
-        if body
-            .cores
-            .is_some_and(|cores| !(cores.is_finite() && cores >= 0.0))
-        {
+        if body.cores.is_some_and(|cores| !(cores.is_finite() && cores >= 0.0)) {
             return Err(fault("cores must be a number from 0"));
         }
         Ok(body)
--- a/crates/proto/tests/codegen.rs
+++ b/crates/proto/tests/codegen.rs
@@ -7,18 +7,12 @@
     let root = path::Path::new(env!("CARGO_MANIFEST_DIR"));
     let files = protox::compile([root.join("proto/peer.proto")], [root.join("proto")]).unwrap();
     let out = tempfile::tempdir().unwrap();
-    let config = tonic_prost_build::configure()
-        .bytes(".")
-        .out_dir(out.path());
+    let config = tonic_prost_build::configure().bytes(".").out_dir(out.path());
     config.compile_fds(files).unwrap();
     let fresh = fs::read_to_string(out.path().join("apricotroute.peer.v1.rs")).unwrap();
     let target = root.join("src/peer.rs");
     if std::env::var_os("UPDATE_GENERATED").is_some() {
         fs::write(&target, &fresh).unwrap();
     }
-    assert_eq!(
-        fs::read_to_string(target).unwrap(),
-        fresh,
-        "run with UPDATE_GENERATED=1"
-    );
+    assert_eq!(fs::read_to_string(target).unwrap(), fresh, "run with UPDATE_GENERATED=1");
 }
--- a/crates/state/src/boot.rs
+++ b/crates/state/src/boot.rs
@@ -102,10 +102,7 @@
 }
 
 /// Decisions that a trial replaces by their baselines.
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "each one is a key of the file"
-)]
+#[expect(clippy::struct_excessive_bools, reason = "each one is a key of the file")]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Trial {
     /// How upstreams are chosen.
@@ -123,13 +120,7 @@
 impl Default for Trial {
     fn default() -> Self {
         let placement = Placement::default();
-        Self {
-            placement,
-            shares: true,
-            borrow: true,
-            limits: true,
-            eject: true,
-        }
+        Self { placement, shares: true, borrow: true, limits: true, eject: true }
     }
 }
 
@@ -173,16 +164,10 @@
         let peer = self.address(root, &mut map, "peer_address");
         let folder = map.remove("data_folder").and_then(|at| self.text(&at));
         let peers = self.peers(&mut map, instance.as_ref());
-        let log = map
-            .remove("log")
-            .map_or_else(Log::default, |at| self.log(&at));
-        let traces = map
-            .remove("traces")
-            .map_or_else(Traces::default, |at| self.traces(&at));
+        let log = map.remove("log").map_or_else(Log::default, |at| self.log(&at));
+        let traces = map.remove("traces").map_or_else(Traces::default, |at| self.traces(&at));
         let drain = map.remove("drain_ms").and_then(|at| self.whole(&at));
-        let trial = map
-            .remove("trial")
-            .map_or_else(Trial::default, |at| self.trial(&at));
+        let trial = map.remove("trial").map_or_else(Trial::default, |at| self.trial(&at));
         self.leftover(map);
         Some(Boot {
             instance: instance?,
@@ -216,8 +201,7 @@
             if seen.insert(peer.instance.clone()) {
                 peers.push(peer);
             } else {
-                self.faults
-                    .push(item.fault(format!("instance {} is named twice", peer.instance)));
+                self.faults.push(item.fault(format!("instance {} is named twice", peer.instance)));
             }
         }
         peers
@@ -228,17 +212,9 @@
         let instance = self.name(at, &mut map, "instance");
         let zone = self.name(at, &mut map, "availability_zone");
         let peer = self.address(at, &mut map, "peer_address");
-        let disk = map
-            .remove("disk")
-            .and_then(|at| self.flag(&at))
-            .unwrap_or(false);
+        let disk = map.remove("disk").and_then(|at| self.flag(&at)).unwrap_or(false);
         self.leftover(map);
-        Some(Peer {
-            instance: instance?,
-            zone: zone?,
-            peer: peer?,
-            disk,
-        })
+        Some(Peer { instance: instance?, zone: zone?, peer: peer?, disk })
     }
 
     fn log(&mut self, at: &Located<'_>) -> Log {
@@ -255,20 +231,14 @@
         let level = map.remove("level").and_then(|at| self.choice(&at, LEVELS));
         let form = map.remove("form").and_then(|at| self.choice(&at, FORMS));
         self.leftover(map);
-        Log {
-            level: level.unwrap_or_default(),
-            form: form.unwrap_or_default(),
-        }
+        Log { level: level.unwrap_or_default(), form: form.unwrap_or_default() }
     }
 
     fn traces(&mut self, at: &Located<'_>) -> Traces {
         let Some(mut map) = self.object(at) else {
             return Traces::default();
         };
-        let file = map
-            .remove("file")
-            .and_then(|at| self.text(&at))
-            .map(path::PathBuf::from);
+        let file = map.remove("file").and_then(|at| self.text(&at)).map(path::PathBuf::from);
         self.leftover(map);
         Traces { file }
     }
@@ -282,14 +252,8 @@
         let Some(mut map) = self.object(at) else {
             return Trial::default();
         };
-        let placement = map
-            .remove("placement")
-            .and_then(|at| self.choice(&at, PLACEMENTS));
-        let mut flag = |key| {
-            map.remove(key)
-                .and_then(|at| self.flag(&at))
-                .unwrap_or(true)
-        };
+        let placement = map.remove("placement").and_then(|at| self.choice(&at, PLACEMENTS));
+        let mut flag = |key| map.remove(key).and_then(|at| self.flag(&at)).unwrap_or(true);
         let trial = Trial {
             placement: placement.unwrap_or_default(),
             shares: flag("shares"),
@@ -369,22 +333,16 @@
     }
 
     fn whole(&mut self, at: &Located<'_>) -> Option<u64> {
-        at.value()
-            .as_u64()
-            .or_else(|| self.reject(at, "expected a whole number from 0"))
+        at.value().as_u64().or_else(|| self.reject(at, "expected a whole number from 0"))
     }
 
     fn flag(&mut self, at: &Located<'_>) -> Option<bool> {
-        at.value()
-            .as_bool()
-            .or_else(|| self.reject(at, "expected true or false"))
+        at.value().as_bool().or_else(|| self.reject(at, "expected true or false"))
     }
 
     fn choice<T: Copy>(&mut self, at: &Located<'_>, choices: &[(&str, T)]) -> Option<T> {
         let value = at.value();
-        let found = choices
-            .iter()
-            .find(|(name, _)| value.as_str() == Some(name));
+        let found = choices.iter().find(|(name, _)| value.as_str() == Some(name));
         if let Some((_, choice)) = found {
             return Some(*choice);
         }
--- a/crates/state/src/error.rs
+++ b/crates/state/src/error.rs
@@ -53,23 +53,12 @@
 
     pub(crate) fn damage(step: &'static str, why: &str, file: &path::Path, offset: u64) -> Self {
         let mut error = Self::with(step, why.to_owned(), Class::Damage);
-        error.inner.place = Some(Place {
-            file: file.to_owned(),
-            offset,
-        });
+        error.inner.place = Some(Place { file: file.to_owned(), offset });
         error
     }
 
     fn with(step: &'static str, why: String, class: Class) -> Self {
-        Self {
-            inner: Box::new(Inner {
-                step,
-                why,
-                class,
-                place: None,
-                source: None,
-            }),
-        }
+        Self { inner: Box::new(Inner { step, why, class, place: None, source: None }) }
     }
 
     /// The kind of failure.
@@ -84,10 +73,7 @@
 
     /// The damaged file and the byte offset in it, for [`Class::Damage`].
     pub fn place(&self) -> Option<(&path::Path, u64)> {
-        self.inner
-            .place
-            .as_ref()
-            .map(|place| (place.file.as_path(), place.offset))
+        self.inner.place.as_ref().map(|place| (place.file.as_path(), place.offset))
     }
 }
 
--- a/crates/state/src/folder.rs
+++ b/crates/state/src/folder.rs
@@ -82,15 +82,7 @@
             records: replay.records,
             torn: replay.torn,
         };
-        Ok((
-            Self {
-                path: path.to_owned(),
-                wal,
-                generation,
-                _lock: lock,
-            },
-            loaded,
-        ))
+        Ok((Self { path: path.to_owned(), wal, generation, _lock: lock }, loaded))
     }
 
     /// Appends records to the log and syncs them.
@@ -134,10 +126,7 @@
         }
         let (mut wal, _) = wal::Wal::open(&next)?;
         wal.append(records)?;
-        let stored = Stored {
-            generation,
-            state: state.to_vec(),
-        };
+        let stored = Stored { generation, state: state.to_vec() };
         write_snapshot(&self.path, &stored)?;
         let former = std::mem::replace(&mut self.wal, wal);
         self.generation = generation;
@@ -169,11 +158,7 @@
 ) -> Result<Identity, error::Error> {
     const STEP: &str = "read identity";
     let path = folder.join(IDENTITY);
-    let fresh = Identity {
-        version: VERSION,
-        instance: instance.clone(),
-        life,
-    };
+    let fresh = Identity { version: VERSION, instance: instance.clone(), life };
     if !path.exists() {
         let text = serde_json::to_vec(&fresh).unwrap_or_default();
         replace(folder, IDENTITY, &text)?;
@@ -183,11 +168,7 @@
     let found: Identity = serde_json::from_slice(&text)
         .map_err(|e| error::Error::damage(STEP, &e.to_string(), &path, e.column() as u64))?;
     if found.instance != *instance {
-        let why = format!(
-            "{} belongs to instance {}",
-            folder.display(),
-            found.instance
-        );
+        let why = format!("{} belongs to instance {}", folder.display(), found.instance);
         return Err(error::Error::owner(STEP, why));
     }
     if found.version != VERSION {
@@ -204,9 +185,7 @@
     }
     let bytes = fs::read(path).map_err(|e| error::Error::io(STEP, e))?;
     let damage = |why: &str| error::Error::damage(STEP, why, path, 0);
-    let (sum, payload) = bytes
-        .split_at_checked(4)
-        .ok_or_else(|| damage("too short"))?;
+    let (sum, payload) = bytes.split_at_checked(4).ok_or_else(|| damage("too short"))?;
     if crc32fast::hash(payload).to_le_bytes() != sum {
         return Err(damage("bad checksum"));
     }
--- a/crates/state/src/id.rs
+++ b/crates/state/src/id.rs
@@ -17,10 +17,7 @@
 impl JobId {
     /// Builds an id for `zone` from its parts.
     pub fn new(zone: &name::Name, uuid: uuid::Uuid) -> Self {
-        Self {
-            zone: zone.clone(),
-            uuid,
-        }
+        Self { zone: zone.clone(), uuid }
     }
 
     /// Mints a fresh id for `zone` from the wall clock.
@@ -60,9 +57,7 @@
         let (Some(zone), Some(tail)) = (text.get(..cut), text.get(cut..)) else {
             return Err(fault("expected ASCII text"));
         };
-        let tail = tail
-            .strip_prefix('-')
-            .ok_or_else(|| fault("no '-' before the uuid"))?;
+        let tail = tail.strip_prefix('-').ok_or_else(|| fault("no '-' before the uuid"))?;
         if !name::Name::is_valid(zone) {
             return Err(fault("the availability zone is not a name"));
         }
@@ -70,10 +65,7 @@
         if uuid.get_version_num() != 7 {
             return Err(fault("the uuid is not of version 7"));
         }
-        Ok(Self {
-            zone: name::Name::new(zone),
-            uuid,
-        })
+        Ok(Self { zone: name::Name::new(zone), uuid })
     }
 }
 
@@ -93,9 +85,7 @@
 pub fn digest(content: &[u8]) -> u128 {
     use sha2::Digest as _;
     let sum = sha2::Sha256::digest(content);
-    sum.iter()
-        .take(16)
-        .fold(0, |word, byte| (word << 8) | u128::from(*byte))
+    sum.iter().take(16).fold(0, |word, byte| (word << 8) | u128::from(*byte))
 }
 
 /// Short digest of a name, for messages that repeat it often (XXH3).
--- a/crates/state/src/key.rs
+++ b/crates/state/src/key.rs
@@ -29,12 +29,7 @@
 const DAY_MS: u64 = 86_400_000;
 
 const fn whole(name: &'static str, unit: &'static str, min: u64, max: u64, default: f64) -> Key {
-    Key {
-        name,
-        unit,
-        kind: Kind::Whole(min, max),
-        default,
-    }
+    Key { name, unit, kind: Kind::Whole(min, max), default }
 }
 
 /// Every key, in the order in which it is shown.
@@ -43,25 +38,10 @@
     whole("deadline_ms", "ms", 1, DAY_MS, 30_000.0),
     whole("max_deadline_ms", "ms", 1, DAY_MS, 600_000.0),
     whole("max_tasks", "tasks", 1, 10_000, 1_000.0),
-    Key {
-        name: "retry_budget",
-        unit: "share of successes",
-        kind: Kind::Share(1.0),
-        default: 0.1,
-    },
-    Key {
-        name: "hedge_quantile",
-        unit: "quantile",
-        kind: Kind::Share(0.999),
-        default: 0.0,
-    },
+    Key { name: "retry_budget", unit: "share of successes", kind: Kind::Share(1.0), default: 0.1 },
+    Key { name: "hedge_quantile", unit: "quantile", kind: Kind::Share(0.999), default: 0.0 },
     whole("answer_copies", "copies", 0, 2, 1.0),
-    Key {
-        name: "cross_zone",
-        unit: "flag",
-        kind: Kind::Flag,
-        default: 0.0,
-    },
+    Key { name: "cross_zone", unit: "flag", kind: Kind::Flag, default: 0.0 },
     whole("team_in_flight", "tasks, 0 = no limit", 0, 1_000_000, 0.0),
     whole("team_rate", "tasks/s, 0 = no limit", 0, 1_000_000, 0.0),
     whole("upstream_lease_ms", "ms", 500, 60_000, 3_000.0),
@@ -90,11 +70,7 @@
             Kind::Share(max) => value.as_f64().is_some_and(|x| (0.0..=max).contains(&x)),
             Kind::Flag => value.is_boolean(),
         };
-        if fits {
-            None
-        } else {
-            Some(format!("expected {}", self.range()))
-        }
+        if fits { None } else { Some(format!("expected {}", self.range())) }
     }
 
     /// The accepted range in words.
--- a/crates/state/src/locate.rs
+++ b/crates/state/src/locate.rs
@@ -42,26 +42,14 @@
     /// ```
     pub fn parse(text: &'a str) -> Result<Self, Fault> {
         match serde_json::from_str(text) {
-            Ok(raw) => Ok(Self {
-                text,
-                raw,
-                path: "$".to_owned(),
-            }),
-            Err(e) => Err(Fault {
-                line: e.line(),
-                path: "$".to_owned(),
-                why: e.to_string(),
-            }),
+            Ok(raw) => Ok(Self { text, raw, path: "$".to_owned() }),
+            Err(e) => Err(Fault { line: e.line(), path: "$".to_owned(), why: e.to_string() }),
         }
     }
 
     /// A fault at this value.
     pub fn fault(&self, why: impl Into<String>) -> Fault {
-        Fault {
-            line: self.line(),
-            path: self.path.clone(),
-            why: why.into(),
-        }
+        Fault { line: self.line(), path: self.path.clone(), why: why.into() }
     }
 
     /// The value itself.
@@ -75,14 +63,7 @@
             serde_json::from_str(self.raw.get()).ok()?;
         let child = |(key, raw): (String, &'a RawValue)| {
             let path = format!("{}.{key}", self.path);
-            (
-                key,
-                Self {
-                    text: self.text,
-                    raw,
-                    path,
-                },
-            )
+            (key, Self { text: self.text, raw, path })
         };
         Some(map.into_iter().map(child).collect())
     }
@@ -92,11 +73,7 @@
         let list: Vec<&'a RawValue> = serde_json::from_str(self.raw.get()).ok()?;
         let child = |(at, raw): (usize, &'a RawValue)| {
             let path = format!("{}[{at}]", self.path);
-            Self {
-                text: self.text,
-                raw,
-                path,
-            }
+            Self { text: self.text, raw, path }
         };
         Some(list.into_iter().enumerate().map(child).collect())
     }
--- a/crates/state/src/name.rs
+++ b/crates/state/src/name.rs
@@ -68,10 +68,7 @@
 impl Member {
     /// A member with the given incarnation.
     pub fn new(name: &Name, life: u64) -> Self {
-        Self {
-            name: name.clone(),
-            life,
-        }
+        Self { name: name.clone(), life }
     }
 }
 
--- a/crates/state/src/table.rs
+++ b/crates/state/src/table.rs
@@ -189,19 +189,10 @@
     /// Applies one command and says what it changed.
     pub fn apply(&mut self, command: Command) -> Vec<Effect> {
         match command {
-            Command::Admit {
-                job,
-                digest,
-                owner,
-                claim,
-            } => {
+            Command::Admit { job, digest, owner, claim } => {
                 vec![self.admit(job, digest, owner, claim)]
             }
-            Command::End {
-                job,
-                owner,
-                outcome,
-            } => self.end(&job, &owner, outcome),
+            Command::End { job, owner, outcome } => self.end(&job, &owner, outcome),
             Command::Enter(member) => self.enter(member),
             Command::Expel(member) => self.expel(&member),
         }
@@ -215,10 +206,7 @@
         claim: Option<Claim>,
     ) -> Effect {
         // A job that ended without a start may be submitted again.
-        let held = self
-            .jobs
-            .get(&job)
-            .filter(|entry| entry.outcome != Some(Outcome::NotRun));
+        let held = self.jobs.get(&job).filter(|entry| entry.outcome != Some(Outcome::NotRun));
         if held.is_some() {
             return Effect::Known(job, owner);
         }
@@ -231,12 +219,7 @@
                 return Effect::Limited(job, owner, retry);
             }
         }
-        let entry = Entry {
-            digest,
-            owner: Some(owner.clone()),
-            claim,
-            outcome: None,
-        };
+        let entry = Entry { digest, owner: Some(owner.clone()), claim, outcome: None };
         self.jobs.insert(job.clone(), entry);
         Effect::Admitted(job, owner)
     }
@@ -255,12 +238,8 @@
 
     fn enter(&mut self, member: name::Member) -> Vec<Effect> {
         // A former life of the same instance can own nothing any more.
-        let former: Vec<_> = self
-            .live
-            .iter()
-            .filter(|m| m.name == member.name && **m != member)
-            .cloned()
-            .collect();
+        let former: Vec<_> =
+            self.live.iter().filter(|m| m.name == member.name && **m != member).cloned().collect();
         let mut effects: Vec<_> = former.iter().flat_map(|m| self.expel(m)).collect();
         if self.live.insert(member) {
             effects.push(Effect::Members);
@@ -299,8 +278,7 @@
     pub fn prune(&mut self, before: u64) -> usize {
         self.floor = self.floor.max(before);
         let held = self.jobs.len();
-        self.jobs
-            .retain(|job, entry| entry.outcome.is_none() || job.minted() >= before);
+        self.jobs.retain(|job, entry| entry.outcome.is_none() || job.minted() >= before);
         held - self.jobs.len()
     }
 }
--- a/crates/state/src/tree.rs
+++ b/crates/state/src/tree.rs
@@ -56,10 +56,7 @@
 
 /// The values in force at one path, typed.
 #[derive(Clone, Copy, Debug, PartialEq)]
-#[expect(
-    missing_docs,
-    reason = "each field is the key of the same name in `key::KEYS`"
-)]
+#[expect(missing_docs, reason = "each field is the key of the same name in `key::KEYS`")]
 pub struct Policy {
     pub max_queue: u64,
     pub deadline_ms: u64,
@@ -119,11 +116,7 @@
     /// Outcome of an earlier change with this id.
     pub fn outcome(&self, change: uuid::Uuid) -> Option<Outcome> {
         let same = |record: &&Record| record.change.change == change;
-        self.records
-            .iter()
-            .rev()
-            .find(same)
-            .map(|record| record.outcome)
+        self.records.iter().rev().find(same).map(|record| record.outcome)
     }
 
     /// Applies one change. The same change id always gives the first outcome.
@@ -162,12 +155,7 @@
         if !self.exists(path) {
             return None;
         }
-        Some(
-            key::KEYS
-                .iter()
-                .map(|key| (key.name, self.lookup(path, key)))
-                .collect(),
-        )
+        Some(key::KEYS.iter().map(|key| (key.name, self.lookup(path, key))).collect())
     }
 
     /// Typed values in force at `path`; nothing if the path was never set.
@@ -188,9 +176,7 @@
             retry_budget: share("retry_budget"),
             hedge_quantile: share("hedge_quantile"),
             answer_copies: whole("answer_copies"),
-            cross_zone: get("cross_zone")
-                .and_then(|v| v.as_bool())
-                .unwrap_or_default(),
+            cross_zone: get("cross_zone").and_then(|v| v.as_bool()).unwrap_or_default(),
             team_in_flight: whole("team_in_flight"),
             team_rate: whole("team_rate"),
             upstream_lease_ms: whole("upstream_lease_ms"),
@@ -208,22 +194,13 @@
     fn lookup(&self, path: &str, key: &key::Key) -> Effective {
         let mut level = Some(path);
         while let Some(at) = level {
-            let text = self
-                .paths
-                .get(at)
-                .and_then(|overrides| overrides.get(key.name));
+            let text = self.paths.get(at).and_then(|overrides| overrides.get(key.name));
             if let Some(value) = text.and_then(|text| serde_json::from_str(text).ok()) {
-                return Effective {
-                    value,
-                    origin: at.to_owned(),
-                };
+                return Effective { value, origin: at.to_owned() };
             }
             level = parent(at);
         }
-        Effective {
-            value: key.default_value(),
-            origin: "default".to_owned(),
-        }
+        Effective { value: key.default_value(), origin: "default".to_owned() }
     }
 }
 
--- a/crates/state/src/upstream.rs
+++ b/crates/state/src/upstream.rs
@@ -118,10 +118,7 @@
         match self.map.get_mut(&info.name) {
             Some(held) if held.info.stamp > info.stamp => false,
             Some(held) => {
-                let same = Upstream {
-                    stamp: info.stamp,
-                    ..held.info.clone()
-                } == info;
+                let same = Upstream { stamp: info.stamp, ..held.info.clone() } == info;
                 held.until = held.until.max(until);
                 held.info = info;
                 !same
@@ -148,12 +145,7 @@
     /// Drops upstreams whose lease ended before `before` and gives their names.
     pub fn prune(&mut self, before: u64) -> Vec<name::Name> {
         let old = |l: &&Leased| l.until < before;
-        let names: Vec<_> = self
-            .map
-            .values()
-            .filter(old)
-            .map(|l| l.info.name.clone())
-            .collect();
+        let names: Vec<_> = self.map.values().filter(old).map(|l| l.info.name.clone()).collect();
         for name in &names {
             self.map.remove(name);
         }
--- a/crates/state/src/wal.rs
+++ b/crates/state/src/wal.rs
@@ -56,13 +56,7 @@
             file.sync_all().map_err(io)?;
         }
         file.seek(io::SeekFrom::Start(end)).map_err(io)?;
-        Ok((
-            Self {
-                file,
-                path: path.to_owned(),
-            },
-            replay,
-        ))
+        Ok((Self { file, path: path.to_owned() }, replay))
     }
 
     /// Appends records and syncs the file; they last once this returns.
@@ -148,9 +142,5 @@
         return Step::Record(payload);
     }
     let is_last = rest.len() == HEADER + length;
-    if is_last {
-        Step::Torn
-    } else {
-        Step::Damaged("bad checksum of a record")
-    }
+    if is_last { Step::Torn } else { Step::Damaged("bad checksum of a record") }
 }
