Give test instances ports that outgoing connections never get

Cause: a port that was free a moment ago was taken by an outgoing connection ('Address already in use', one test in two runs of all tests). Ports now come from below the ephemeral range, checked by binding.

--- a/crates/apricotroute/tests/harness/mod.rs
+++ b/crates/apricotroute/tests/harness/mod.rs
@@ -377,6 +377,18 @@
     read(response).unwrap_or((0, Value::Null))
 }
 
+/// An address that nobody listens on, below the ports that outgoing connections get.
 fn free_address() -> net::SocketAddr {
-    net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    const FIRST: u32 = 10_000;
+    const COUNT: u32 = 20_000;
+    static NEXT: sync::atomic::AtomicU32 = sync::atomic::AtomicU32::new(0);
+    let base = process::id().wrapping_mul(211);
+    loop {
+        let step = NEXT.fetch_add(1, sync::atomic::Ordering::Relaxed);
+        let port = FIRST + base.wrapping_add(step) % COUNT;
+        let address = net::SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
