Run jobs abroad, serve copied settings, share quotas of direct requests, OTLP

- cross_zone: a job that no upstream of its home can take runs in another zone, as one message; any doubt ends it as failed.
- An instance that restarts while nobody who votes on settings is in reach takes its neighbours' settings; a longer history is never replaced by a shorter one.
- Spans keep the ids under which they travelled, and go to a collector too.

--- a/crates/apricotroute/src/instance.rs
+++ b/crates/apricotroute/src/instance.rs
@@ -36,10 +36,11 @@
             .enable_all()
             .build()
             .change_context_lazy(|| fault("start runtime of"))?;
-        let spans = match &boot.traces.file {
-            Some(path) => span::Spans::to_file(path, boot.instance.as_str())
-                .change_context_lazy(|| fault("open spans of"))?,
-            None => span::Spans::none(),
+        let spans = {
+            let _inside = runtime.enter();
+            let (file, otlp) = (boot.traces.file.as_deref(), boot.traces.otlp.as_deref());
+            span::Spans::open(file, otlp, boot.instance.as_str())
+                .change_context_lazy(|| fault("open spans of"))?
         };
         let life = u64::from(rand::random::<u32>().max(1));
         let store = open_store(boot, life, &log)?;
--- a/crates/apricotroute/tests/zone_faults.rs
+++ b/crates/apricotroute/tests/zone_faults.rs
@@ -89,3 +89,59 @@
     assert!(eventually(8_000, healed));
     answers.judge(&upstreams);
 }
+
+#[test]
+fn served_abroad() {
+    // No upstream at home: where the settings allow it, another zone runs the job, once.
+    let cluster = Plan::with_zones(&[("west", 2), ("mid", 1)]).start();
+    cluster.create_service();
+    let upstreams = [cluster.upstream("u1", "mid", &[2], &[])];
+    cluster.wait_upstreams("mid", 1);
+    let (status, body) = cluster.submit(0, &job(&mint("west"), 3, 3_000));
+    assert_eq!((status, &body["state"]), (503, &json!("not_run")), "{body}");
+    let allow = json!({"values": {"cross_zone": true}});
+    let (_, body) = cluster.set(0, harness::SERVICE, &allow);
+    cluster.wait_version(body["version"].as_u64().unwrap());
+    let mut answers = Answers::default();
+    for at in [0, 1] {
+        let id = mint("west");
+        let spec = job(&id, 3, 5_000);
+        for again in [at, 1 - at] {
+            let (status, body) = cluster.submit(again, &spec);
+            assert_eq!(status, 200, "{body}");
+            answers.note(&id, 3, &body);
+        }
+    }
+    assert_eq!(upstreams[0].starts().len(), 6);
+    answers.judge(&upstreams);
+    // The zone that runs it goes out of reach: nothing is run again.
+    let id = mint("west");
+    cluster.isolate(&[2], true);
+    let (status, body) = cluster.submit(0, &job(&id, 3, 4_000));
+    assert!(matches!(status, 502..=504), "{body}");
+    answers.note(&id, 3, &body);
+    cluster.isolate(&[2], false);
+    pause(1_500);
+    answers.judge(&upstreams);
+}
+
+#[test]
+fn restarted_while_cut() {
+    // An instance without a disk restarts while its zone has nobody who votes on settings.
+    let mut cluster = Plan::with_zones(&[("mid", 1), ("west", 3)]).with_disks(1).start();
+    cluster.create_service();
+    let _upstream = cluster.upstream("u1", "west", &[1, 2], &[]);
+    cluster.wait_upstreams("west", 1);
+    // Only mid-1 and west-1 have disks, so that mid-1 alone votes.
+    cluster.isolate(&[0], true);
+    cluster.kill(3);
+    cluster.start(3);
+    let ready = || harness::get(cluster.nodes[3].operator, "/readyz").is_some_and(|r| r.0 == 200);
+    assert!(eventually(10_000, ready));
+    let served = || cluster.submit(3, &job(&mint("west"), 2, 3_000)).0 == 200;
+    assert!(eventually(3_000, served));
+    cluster.isolate(&[0], false);
+    let (status, body) = cluster.set(1, "ireland", &json!({"values": {"max_queue": 7}}));
+    assert_eq!(status, 200, "{body}");
+    cluster.wait_version(2);
+}
--- a/crates/coord/src/calls.rs
+++ b/crates/coord/src/calls.rs
@@ -37,6 +37,8 @@
 enum Kind {
     /// A submission at its home zone, with the instances tried before.
     Forward(Box<Spec>, Vec<name::Name>),
+    /// A job of this zone that runs in another one.
+    Execute,
     /// The end of a job at its owner.
     Await,
     /// A kept answer, from any of so many neighbours.
@@ -154,6 +156,27 @@
         self.send(&to, Body::Job(message::Job::Forward { call, spec }));
     }
 
+    /// An instance of another zone that was heard from lately, for a job that no upstream of this
+    /// zone can take.
+    pub(crate) fn pick_abroad(&self, now: Now) -> Option<name::Name> {
+        let fresh = |name: &name::Name| {
+            self.heard.get(name).is_some_and(|heard| now.mono < heard + SILENCE)
+        };
+        let abroad = self.config.all.iter().filter(|i| i.zone != *self.zone() && fresh(&i.name));
+        abroad.map(|instance| instance.name.clone()).next()
+    }
+
+    /// Has an admitted job run in another zone, with one message for all its tasks.
+    pub(crate) fn execute_abroad(&mut self, spec: &Spec, to: &name::Name, now: Now) {
+        let Some(job) = self.jobs.get_mut(&spec.job) else { return };
+        job.ran = spec.tasks.len();
+        let until = job.deadline + GRACE;
+        let left_ms = job.deadline.saturating_sub(now.mono) / time::MS;
+        let spec = Spec { left_ms: left_ms.max(1), ..spec.clone() };
+        let call = self.call(Waiter::Nobody, Kind::Execute, &spec.job, to, until, now);
+        self.send(to, Body::Job(message::Job::Execute { call, spec }));
+    }
+
     /// An instance of a zone, preferably the one heard from last.
     fn pick_peer(&self, zone: &name::Name, tried: &[name::Name], now: Now) -> Option<name::Name> {
         let peers = self.config.all.iter().filter(|i| i.zone == *zone && !tried.contains(&i.name));
@@ -284,6 +307,9 @@
                     self.reply(waiter, Verdict::unknown("forwarded to another zone"));
                 }
             }
+            message::Job::Execute { call, spec } => {
+                self.submit_foreign(Waiter::Peer(from.clone(), call), spec, now);
+            }
             message::Job::Await { call, job, wait } => {
                 self.show(Waiter::Peer(from.clone(), call), &job, wait, now);
             }
@@ -318,6 +344,9 @@
         let Some(call) = self.calls.map.remove(&number) else {
             return;
         };
+        if matches!(call.kind, Kind::Execute) {
+            return self.on_foreign(&call.job, &verdict, now);
+        }
         if call.job.zone() == self.zone()
             && let Verdict::Complete(answers) = &verdict
         {
@@ -384,7 +413,7 @@
     fn is_over(&self, call: &Call, now: Now) -> bool {
         let late = now.mono >= call.until;
         match &call.kind {
-            Kind::Forward(..) | Kind::Ask => late || self.is_silent(call, now),
+            Kind::Forward(..) | Kind::Execute | Kind::Ask => late || self.is_silent(call, now),
             Kind::Fetch(_) => late,
             Kind::Await => {
                 let ended = call.ended.is_some_and(|at| now.mono > at + OWNER_GRACE);
@@ -412,6 +441,10 @@
                 let why = "the job is complete, but its answers are out of reach";
                 self.reply(call.waiter, Verdict::unknown(why));
             }
+            Kind::Execute => {
+                let verdict = Verdict::unknown("the zone that ran the job is out of reach");
+                self.on_foreign(&call.job, &verdict, now);
+            }
             Kind::Forward(..) | Kind::Ask => {
                 let why = format!("instance {} of its zone did not answer", call.to);
                 self.reply(call.waiter, Verdict::unknown(why));
--- a/crates/coord/src/core.rs
+++ b/crates/coord/src/core.rs
@@ -27,6 +27,10 @@
 /// Forgetting waits this much longer than the retention, milliseconds.
 const PRUNE_MARGIN_MS: u64 = 60_000;
 
+/// An instance that starts waits this long for the settings group before it asks its neighbours,
+/// microseconds.
+const SEEK_AFTER: u64 = 3_000 * time::MS;
+
 const SETTINGS_TIMING: raft::Timing =
     raft::Timing { heartbeat: 400 * time::MS, election: 1_200 * time::MS, lease: 1_000 * time::MS };
 const JOURNAL_TIMING: raft::Timing =
@@ -237,6 +241,7 @@
     pub(crate) dirty: collections::BTreeSet<name::Name>,
     pub(crate) fleet: fleet::Fleet,
     pub(crate) answers: cache::Answers,
+    pub(crate) usage: collections::BTreeMap<name::Name, table::Usage>,
     pub(crate) calls: calls::Calls,
     pub(crate) heard: collections::HashMap<name::Name, u64>,
     pub(crate) rng: rngs::SmallRng,
@@ -249,6 +254,7 @@
     renew_at: u64,
     prune_at: u64,
     duty_at: u64,
+    seek_at: u64,
     asked_table: bool,
     pub(crate) leaving: collections::BTreeSet<name::Member>,
     members: collections::BTreeSet<name::Member>,
@@ -278,6 +284,7 @@
             dirty: collections::BTreeSet::new(),
             fleet: fleet::Fleet::new(config.trial, config.seed),
             answers: cache::Answers::default(),
+            usage: collections::BTreeMap::new(),
             calls: calls::Calls::new(config.life),
             heard: collections::HashMap::new(),
             rng: rngs::SmallRng::seed_from_u64(config.seed),
@@ -290,6 +297,7 @@
             renew_at: 0,
             prune_at: 0,
             duty_at: 0,
+            seek_at: now.mono + SEEK_AFTER,
             asked_table: false,
             leaving: collections::BTreeSet::new(),
             members: collections::BTreeSet::new(),
@@ -390,6 +398,7 @@
         if self.has_lease(now.mono) {
             self.leased = now.mono;
         }
+        self.seek_settings(now);
         self.update_ready(now);
         self.duties(now);
         self.tick_jobs(now);
@@ -405,7 +414,8 @@
     fn update_ready(&mut self, now: Now) {
         let formed = self.journal.formation().is_some_and(|f| now.wall >= f.at);
         let no_voters = member::settings_seats(&self.config.all).is_empty();
-        let holds = no_voters || self.settings.raft().is_some_and(|raft| raft.commit() > 0);
+        let agreed = self.settings.raft().is_some_and(|raft| raft.commit() > 0);
+        let holds = no_voters || agreed || self.tree().version() > 0;
         self.ready |= formed && holds && self.has_lease(now.mono);
     }
 
@@ -699,6 +709,13 @@
                     self.send(from, Body::Table(message::Table::Ask));
                 }
             }
+            message::Table::AskSettings => {
+                if self.tree().version() > 0 {
+                    let state = group::Machine::snapshot(self.settings.machine());
+                    self.send(from, Body::Table(message::Table::Settings(state)));
+                }
+            }
+            message::Table::Settings(state) => self.on_settings(&state),
             message::Table::Ask => {
                 let left = |l: &upstream::Leased| l.until.saturating_sub(now.mono) / time::MS;
                 let list: Vec<_> =
@@ -710,6 +727,33 @@
         }
     }
 
+    /// An instance that starts while nobody who votes on settings is in reach goes by what its
+    /// neighbours have. Once the group is in reach, what it agreed on comes on top: changes that
+    /// are known already have no second effect.
+    fn on_settings(&mut self, state: &[u8]) {
+        let mut copy = machine::Settings::default();
+        group::Machine::restore(&mut copy, state);
+        if self.settings.is_joined() || copy.tree.version() <= self.tree().version() {
+            return;
+        }
+        self.settings.machine_mut().tree = copy.tree;
+        self.out.push(Output::Settings);
+    }
+
+    /// Asks a neighbour for its settings, as long as there are none here.
+    fn seek_settings(&mut self, now: Now) {
+        const PAUSE: u64 = 500 * time::MS;
+        if self.settings.is_joined() || now.mono < self.seek_at {
+            return;
+        }
+        self.seek_at = now.mono + PAUSE;
+        let peers = self.neighbours();
+        if !peers.is_empty() {
+            let at = (now.mono / PAUSE) as usize % peers.len();
+            self.send(&peers[at], Body::Table(message::Table::AskSettings));
+        }
+    }
+
     fn tick_upstreams(&mut self, now: Now) {
         if now.mono < self.renew_at || self.renewals.is_empty() {
             return;
--- a/crates/coord/src/group.rs
+++ b/crates/coord/src/group.rs
@@ -178,6 +178,11 @@
         &self.config.me
     }
 
+    /// Whether this member belongs to a formation.
+    pub fn is_joined(&self) -> bool {
+        self.joined().is_some()
+    }
+
     /// The formation that this member belongs to.
     pub fn formation(&self) -> Option<Formation> {
         self.joined().map(|joined| joined.formation)
--- a/crates/coord/src/job.rs
+++ b/crates/coord/src/job.rs
@@ -65,7 +65,11 @@
     pub(crate) waiters: smallvec::SmallVec<[Waiter; 2]>,
     /// Whether it goes through the journal; idempotent requests do not.
     pub(crate) journaled: bool,
+    /// Whether a failed task may be run again; only of idempotent requests.
+    pub(crate) retryable: bool,
     pub(crate) cancelled: bool,
+    /// What it holds of this instance's part of a quota, without the journal.
+    pub(crate) claim: Option<table::Claim>,
     /// When to propose to the journal again.
     pub(crate) retry: u64,
     /// When it was submitted, microseconds.
@@ -93,7 +97,9 @@
             ran: 0,
             waiters: smallvec::SmallVec::new(),
             journaled: !(spec.raw && spec.idempotent),
+            retryable: spec.raw && spec.idempotent,
             cancelled: false,
+            claim: None,
             retry: 0,
             arrived: 0,
             longest: 0,
--- a/crates/coord/src/jobs.rs
+++ b/crates/coord/src/jobs.rs
@@ -7,6 +7,7 @@
 use crate::{
     calls::Waiter,
     core::{Core, Output, Stop, Ticket},
+    fleet,
     job::{Ending, Job, Phase, Slot},
     limit,
     message::{self, Body, Refusal, Spec, Verdict},
@@ -47,11 +48,32 @@
             return self.reply(waiter, verdict);
         }
         let job = spec.job.clone();
-        if self.enlist(waiter, spec, 0, now) {
-            self.begin(&job, now);
+        if !self.enlist(waiter, spec, 0, now) {
+            return;
+        }
+        match self.claim_directly(&job, now) {
+            Ok(()) => self.begin(&job, now),
+            Err(retry) => {
+                let why = "the team is at this instance's part of its quota";
+                self.give_up(&job, &Verdict::refuse(Refusal::Quota, why, retry));
+            }
         }
     }
 
+    /// Takes an idempotent request's part of a quota, of which every instance has its share.
+    fn claim_directly(&mut self, id: &id::JobId, now: Now) -> Result<(), u64> {
+        let Some(job) = self.jobs.get_mut(id) else { return Ok(()) };
+        let Some(mut claim) = limit::claim(&job.spec, &job.policy, now) else { return Ok(()) };
+        let count = self.table().live().count().max(1) as u32;
+        claim.flight = claim.flight.div_ceil(count);
+        claim.rate = claim.rate.div_ceil(count);
+        self.usage.entry(claim.account.clone()).or_default().take(&claim)?;
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.claim = Some(claim);
+        }
+        Ok(())
+    }
+
     fn submit_here(&mut self, waiter: Waiter, spec: Spec, now: Now) {
         let digest = spec.digest();
         if let Some(job) = self.jobs.get_mut(&spec.job) {
@@ -81,6 +103,37 @@
         }
     }
 
+    /// A job that another zone's journal has admitted, and that is to run here, once.
+    pub(crate) fn submit_foreign(&mut self, waiter: Waiter, spec: Spec, now: Now) {
+        if self.jobs.contains_key(&spec.job) {
+            return self.reply(waiter, Verdict::unknown("the job runs here already"));
+        }
+        let id = spec.job.clone();
+        if self.enlist(waiter, spec, 0, now) {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.journaled = false;
+            }
+            self.begin(&id, now);
+        }
+    }
+
+    /// Another zone has ended, or given up, a job that ran there.
+    pub(crate) fn on_foreign(&mut self, id: &id::JobId, verdict: &Verdict, now: Now) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if !matches!(job.phase, Phase::Running) {
+            return;
+        }
+        match verdict {
+            Verdict::Complete(_) => self.finish(id, table::Outcome::Complete, verdict, now),
+            Verdict::NotRun { .. } => self.finish(id, table::Outcome::NotRun, verdict, now),
+            Verdict::Failed { .. } => self.finish(id, table::Outcome::Failed, verdict, now),
+            Verdict::Unknown { .. } | Verdict::Running => {
+                let verdict = Verdict::failed("the zone that ran the job is out of reach");
+                self.finish(id, table::Outcome::Failed, &verdict, now);
+            }
+        }
+    }
+
     /// Takes a submission on, unless limits forbid it.
     fn enlist(&mut self, waiter: Waiter, spec: Spec, digest: table::Digest, now: Now) -> bool {
         let policy = match self.screen(&spec, now) {
@@ -125,6 +178,11 @@
 
     pub(crate) fn remove(&mut self, id: &id::JobId) -> Option<Job> {
         let job = self.jobs.remove(id)?;
+        if let Some(claim) = &job.claim
+            && let Some(usage) = self.usage.get_mut(&claim.account)
+        {
+            usage.release(claim);
+        }
         self.due.remove(&(job.deadline, id.clone()));
         Some(job)
     }
@@ -226,6 +284,15 @@
             return self.finish(id, table::Outcome::Failed, &Verdict::failed("cancelled"), now);
         }
         job.phase = Phase::Running;
+        let spec = sync::Arc::clone(&job.spec);
+        let abroad = job.journaled && job.policy.cross_zone;
+        if abroad
+            && self.fleet.reach(&spec.service, &spec.needs, now.mono) != fleet::Reach::Open
+            && let Some(to) = self.pick_abroad(now)
+        {
+            return self.execute_abroad(&spec, &to, now);
+        }
+        let Some(job) = self.jobs.get_mut(id) else { return };
         let service = self.services.entry(job.spec.service.clone()).or_default();
         for index in 0..job.spec.tasks.len() as u32 {
             let task = Task { job: id.clone(), index };
@@ -405,7 +472,7 @@
         for (id, job) in &self.jobs {
             let pending = !matches!(job.phase, Phase::Running);
             let lonely = lost && job.journaled && !job.waiters.is_empty();
-            let hedged = !job.journaled && job.policy.hedge_quantile > 0.0;
+            let hedged = job.retryable && job.policy.hedge_quantile > 0.0;
             if lonely || hedged || (pending && now.mono >= job.retry) {
                 again.push(id.clone());
             }
@@ -427,7 +494,7 @@
                 job.retry = now.mono + REPROPOSE;
                 self.propose_end(id, outcome, now);
             }
-            Phase::Running if !job.journaled => self.hedge(id, now),
+            Phase::Running if job.retryable => self.hedge(id, now),
             Phase::Running => {}
         }
         if lost && let Some(job) = self.jobs.get_mut(id).filter(|job| job.journaled) {
--- a/crates/coord/src/limit.rs
+++ b/crates/coord/src/limit.rs
@@ -4,7 +4,7 @@
 use state::{name, table, tree};
 
 use crate::{
-    core::Core,
+    core::{Core, Service},
     fleet, group,
     message::{Refusal, Spec, Verdict},
     time::{self, Now},
@@ -83,6 +83,11 @@
                 let why = "no upstream of the service could hold such a task";
                 Err(Verdict::refuse(Refusal::Impossible, why, 0))
             }
+            fleet::Reach::Nobody | fleet::Reach::Closed
+                if policy.cross_zone && self.pick_abroad(now).is_some() =>
+            {
+                Ok(())
+            }
             fleet::Reach::Nobody | fleet::Reach::Closed => {
                 let why = "no upstream of the service is serving";
                 let retry = policy.upstream_lease_ms / 3;
@@ -95,9 +100,11 @@
     fn check_room(&mut self, spec: &Spec, policy: &tree::Policy, now: Now) -> Result<(), Verdict> {
         let room = self.fleet.room(&spec.service, now.mono);
         let left = deadline_ms(spec, policy) * time::MS;
-        let Some(service) = self.services.get(&spec.service) else {
+        if room.total == 0 {
             return Ok(());
-        };
+        }
+        let fresh = Service::default();
+        let service = self.services.get(&spec.service).unwrap_or(&fresh);
         let count = spec.tasks.len() as u64;
         let queued = service.queue.len() as u64;
         // Slots that idle peers would lend count as long as none has refused lately.
--- a/crates/coord/src/machine.rs
+++ b/crates/coord/src/machine.rs
@@ -36,7 +36,12 @@
     }
 
     fn restore(&mut self, state: &[u8]) {
-        self.tree = postcard::from_bytes(state).unwrap_or_default();
+        let tree: tree::Tree = postcard::from_bytes(state).unwrap_or_default();
+        // A leader that was just elected may not know yet how far its log is committed. Every
+        // tree is a prefix of the same history, so the longer one stands.
+        if tree.version() >= self.tree.version() {
+            self.tree = tree;
+        }
     }
 }
 
--- a/crates/coord/src/message.rs
+++ b/crates/coord/src/message.rs
@@ -65,6 +65,7 @@
             Self::Raft(_, _, raft) => raft.kind(),
             Self::Propose(..) => "propose",
             Self::Job(Job::Forward { .. }) => "forward",
+            Self::Job(Job::Execute { .. }) => "execute",
             Self::Job(Job::Copy { .. } | Job::Copied { .. }) => "copy",
             Self::Job(_) => "call",
             Self::Table(_) => "table",
@@ -331,6 +332,13 @@
         /// The submission.
         spec: Spec,
     },
+    /// Start the tasks of this admitted job of another zone on your own upstreams, once.
+    Execute {
+        /// Number of the call.
+        call: u64,
+        /// The job.
+        spec: Spec,
+    },
     /// Tell `call` how the job ended, once it has.
     Await {
         /// Number of the call.
@@ -382,6 +390,10 @@
     Renewed(Vec<(u32, u64, u32)>),
     /// Send me the whole table.
     Ask,
+    /// Send me the settings as you have them.
+    AskSettings,
+    /// The settings as the sender has them, encoded.
+    Settings(bytes::Bytes),
 }
 
 /// Lending of slots between the instances of a zone.
--- a/crates/coord/src/run.rs
+++ b/crates/coord/src/run.rs
@@ -185,7 +185,7 @@
             // A hedge of it is still under way.
             return;
         }
-        let retryable = !job.journaled && now.mono < job.deadline;
+        let retryable = job.retryable && now.mono < job.deadline;
         let budget = self.services.get_mut(&job.spec.service).map(|service| &mut service.budget);
         if retryable && budget.is_some_and(crate::retry::Budget::spend) {
             *slot = Slot::Waiting;
--- a/crates/link/src/span.rs
+++ b/crates/link/src/span.rs
@@ -1,6 +1,6 @@
-//! Spans, one for each hop, exported through `opentelemetry` as JSON lines.
+//! Spans, one for each hop, exported through `opentelemetry` as JSON lines or by OTLP.
 
-use std::{fs, io::Write as _, path, sync, time};
+use std::{cell, fs, io::Write as _, path, sync, time};
 
 use opentelemetry::{
     KeyValue,
@@ -9,7 +9,12 @@
         TraceState, Tracer as _, TracerProvider as _,
     },
 };
-use opentelemetry_sdk::{error::OTelSdkResult, trace as sdk};
+use opentelemetry_otlp::WithExportConfig as _;
+use opentelemetry_sdk::{
+    Resource,
+    error::{OTelSdkError, OTelSdkResult},
+    trace as sdk,
+};
 
 use crate::{error, trace};
 
@@ -53,25 +58,47 @@
         Self { provider: None }
     }
 
-    /// Spans are appended to a file of JSON lines.
+    /// Spans of an instance go to a file of JSON lines, to an OTLP collector by gRPC at a URL, to
+    /// both or to neither. It must be called inside the runtime that the collector is reached by.
     ///
     /// # Errors
     ///
-    /// The file cannot be opened.
+    /// The file cannot be opened, or the URL is malformed.
     ///
     /// ```
     /// let path = std::env::temp_dir().join("apricotroute-doc-spans.jsonl");
-    /// assert!(link::span::Spans::to_file(&path, "west-1").is_ok());
+    /// assert!(link::span::Spans::open(Some(&path), None, "west-1").is_ok());
     /// ```
-    pub fn to_file(path: &path::Path, instance: &str) -> Result<Self, error::Error> {
-        let open = fs::OpenOptions::new().create(true).append(true).open(path);
-        let file = open.map_err(|e| error::Error::new("open span file", path.display(), e))?;
-        let exporter = Lines { file: sync::Mutex::new(file), instance: instance.to_owned() };
-        let provider = sdk::SdkTracerProvider::builder()
-            .with_batch_exporter(exporter)
-            .with_id_generator(sdk::RandomIdGenerator::default())
+    pub fn open(
+        file: Option<&path::Path>,
+        collector: Option<&str>,
+        instance: &str,
+    ) -> Result<Self, error::Error> {
+        if file.is_none() && collector.is_none() {
+            return Ok(Self::none());
+        }
+        let resource = Resource::builder()
+            .with_service_name("apricotroute")
+            .with_attribute(KeyValue::new("service.instance.id", instance.to_owned()))
             .build();
-        Ok(Self { provider: Some(provider) })
+        let mut builder = sdk::SdkTracerProvider::builder()
+            .with_resource(resource)
+            .with_id_generator(Preset::default());
+        if let Some(path) = file {
+            let open = fs::OpenOptions::new().create(true).append(true).open(path);
+            let file = open.map_err(|e| error::Error::new("open spans", path.display(), e))?;
+            let lines = Lines { file: sync::Mutex::new(file), instance: instance.to_owned() };
+            builder = builder.with_batch_exporter(lines);
+        }
+        if let Some(url) = collector {
+            let exporter = opentelemetry_otlp::SpanExporter::builder()
+                .with_tonic()
+                .with_endpoint(url)
+                .build()
+                .map_err(|e| error::Error::new("reach collector", url, e))?;
+            builder = builder.with_batch_exporter(exporter);
+        }
+        Ok(Self { provider: Some(builder.build()) })
     }
 
     /// Records a span that ends now.
@@ -80,7 +107,7 @@
             return;
         };
         let tracer = provider.tracer("apricotroute");
-        let parent = span.parent.map(|parent| {
+        let remote = |parent: trace::Context| {
             let remote = SpanContext::new(
                 TraceId::from_bytes(parent.trace().to_be_bytes()),
                 SpanId::from_bytes(parent.span().to_be_bytes()),
@@ -89,12 +116,9 @@
                 TraceState::NONE,
             );
             opentelemetry::Context::new().with_remote_span_context(remote)
-        });
+        };
+        let parent = span.parent.map(remote).unwrap_or_default();
         let notes = span.notes.into_iter().map(|(key, value)| KeyValue::new(key, value));
-        let mut attributes: Vec<_> = notes.collect();
-        // The context was made before the span, so that it could travel with the call.
-        let ids = format!("{:032x}-{:016x}", span.context.trace(), span.context.span());
-        attributes.push(KeyValue::new(IDS, ids));
         let kind = match span.side {
             Side::Server => SpanKind::Server,
             Side::Client => SpanKind::Client,
@@ -103,9 +127,10 @@
         let builder = SpanBuilder::from_name(span.name)
             .with_kind(kind)
             .with_start_time(span.start)
-            .with_attributes(attributes);
-        let parent = parent.unwrap_or_default();
+            .with_attributes(notes.collect::<Vec<_>>());
+        NEXT.set(Some(span.context));
         drop(tracer.build_with_context(builder, &parent));
+        NEXT.set(None);
     }
 
     /// Writes out what is buffered.
@@ -116,8 +141,29 @@
     }
 }
 
-/// Attribute that carries the ids under which a span has travelled.
-const IDS: &str = "apricotroute.ids";
+thread_local! {
+    /// The context that the span being built has travelled under.
+    static NEXT: cell::Cell<Option<trace::Context>> = const { cell::Cell::new(None) };
+}
+
+/// Gives a span the ids that were chosen before it was built, so that they could travel with
+/// the call.
+#[derive(Debug, Default)]
+struct Preset {
+    random: sdk::RandomIdGenerator,
+}
+
+impl sdk::IdGenerator for Preset {
+    fn new_trace_id(&self) -> TraceId {
+        let preset = NEXT.get().map(|next| TraceId::from_bytes(next.trace().to_be_bytes()));
+        preset.unwrap_or_else(|| self.random.new_trace_id())
+    }
+
+    fn new_span_id(&self) -> SpanId {
+        let preset = NEXT.get().map(|next| SpanId::from_bytes(next.span().to_be_bytes()));
+        preset.unwrap_or_else(|| self.random.new_span_id())
+    }
+}
 
 #[derive(Debug)]
 struct Lines {
@@ -127,24 +173,16 @@
 
 impl Lines {
     fn line(&self, span: &sdk::SpanData) -> String {
-        let mut ids = None;
-        let mut notes = serde_json::Map::new();
-        for note in &span.attributes {
-            if note.key.as_str() == IDS {
-                ids = Some(note.value.to_string());
-            } else {
-                notes.insert(note.key.to_string(), note.value.to_string().into());
-            }
-        }
-        let ids = ids.unwrap_or_default();
-        let (trace, id) = ids.split_once('-').unwrap_or_default();
+        let note = |note: &KeyValue| (note.key.to_string(), note.value.to_string().into());
+        let notes: serde_json::Map<String, serde_json::Value> =
+            span.attributes.iter().map(note).collect();
         let parent = span.parent_span_id;
         let micros = |at: time::SystemTime| {
             at.duration_since(time::UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
         };
         let line = serde_json::json!({
-            "trace": trace,
-            "span": id,
+            "trace": span.span_context.trace_id().to_string(),
+            "span": span.span_context.span_id().to_string(),
             "parent": (parent != SpanId::INVALID).then(|| parent.to_string()),
             "name": span.name,
             "kind": format!("{:?}", span.span_kind).to_lowercase(),
@@ -160,11 +198,10 @@
 impl sdk::SpanExporter for Lines {
     async fn export(&self, batch: Vec<sdk::SpanData>) -> OTelSdkResult {
         let text: String = batch.iter().map(|span| self.line(span)).collect();
-        let file = self.file.lock();
-        let written = match file {
+        let written = match self.file.lock() {
             Ok(mut file) => file.write_all(text.as_bytes()),
             Err(_) => Ok(()),
         };
-        written.map_err(|e| opentelemetry_sdk::error::OTelSdkError::InternalFailure(e.to_string()))
+        written.map_err(|e| OTelSdkError::InternalFailure(e.to_string()))
     }
 }
--- a/crates/state/src/boot.rs
+++ b/crates/state/src/boot.rs
@@ -87,6 +87,8 @@
 pub struct Traces {
     /// A file of JSON lines.
     pub file: Option<path::PathBuf>,
+    /// URL of an OTLP collector (gRPC).
+    pub otlp: Option<String>,
 }
 
 /// How upstreams are chosen.
@@ -239,8 +241,13 @@
             return Traces::default();
         };
         let file = map.remove("file").and_then(|at| self.text(&at)).map(path::PathBuf::from);
+        let otlp = map.remove("otlp").and_then(|at| {
+            let url = self.text(&at)?;
+            let known = url.starts_with("http://") || url.starts_with("https://");
+            if known { Some(url) } else { self.reject(&at, "expected http://IP:PORT") }
+        });
         self.leftover(map);
-        Traces { file }
+        Traces { file, otlp }
     }
 
     fn trial(&mut self, at: &Located<'_>) -> Trial {
--- a/crates/state/src/table.rs
+++ b/crates/state/src/table.rs
@@ -111,7 +111,7 @@
 
 /// What an account uses of its quota.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-struct Usage {
+pub struct Usage {
     flight: u32,
     /// Tokens left, in thousandths of a task.
     tokens: u64,
@@ -120,8 +120,20 @@
 }
 
 impl Usage {
-    /// Takes the claim, or says after how many milliseconds to try again.
-    fn take(&mut self, claim: &Claim) -> Result<(), u64> {
+    /// Takes the claim.
+    ///
+    /// # Errors
+    ///
+    /// The quota is used up; the error is the time after which to try again, milliseconds.
+    ///
+    /// ```
+    /// let mut usage = state::table::Usage::default();
+    /// let account = "quotes north".into();
+    /// let claim = state::table::Claim { account, tasks: 3, flight: 4, rate: 0, at: 0 };
+    /// assert!(usage.take(&claim).is_ok());
+    /// assert!(usage.take(&claim).is_err());
+    /// ```
+    pub fn take(&mut self, claim: &Claim) -> Result<(), u64> {
         const RETRY_MS: u64 = 250;
         if claim.flight > 0 && self.flight + claim.tasks > claim.flight {
             return Err(RETRY_MS);
@@ -142,6 +154,11 @@
         Ok(())
     }
 
+    /// Gives back what a claim holds in flight.
+    pub fn release(&mut self, claim: &Claim) {
+        self.flight = self.flight.saturating_sub(claim.tasks);
+    }
+
     fn refill(&mut self, claim: &Claim) {
         let full = u64::from(claim.rate) * 1_000;
         let passed = claim.at.saturating_sub(self.at);
@@ -268,7 +285,7 @@
     fn release(&mut self, claim: Option<Claim>) {
         let Some(claim) = claim else { return };
         if let Some(usage) = self.usage.get_mut(&claim.account) {
-            usage.flight = usage.flight.saturating_sub(claim.tasks);
+            usage.release(&claim);
         }
     }
 
