--- a/crates/apricotroute/src/cli.rs
+++ b/crates/apricotroute/src/cli.rs
@@ -86,6 +86,9 @@
   --service-ms N       service time (default 50)
   --tail N             one in N tasks takes ten times as long (default 0 = none)
   --mode MODE          answer, fail, hang or refuse (default answer)
+  --count N            run N of them, NAME-1 to NAME-N (default 0 = one, called NAME)
+  --odd N              only the first N have the mode, the others answer (default 0 = all have it)
+  --odd-ms N           service time of these (default 0 = that of all)
   --log FILE           append each start before the task runs
   --cores X --memory-mb N --accelerators N   declared room of one slot
 
@@ -363,6 +366,9 @@
 }
 
 fn upstream(mut arguments: Arguments) -> Ended {
+    let count = option(&mut arguments, "--count", 0)?;
+    let odd = option(&mut arguments, "--odd", 0)?;
+    let odd_time = time::Duration::from_millis(option(&mut arguments, "--odd-ms", 0)?);
     let options = upstream_options(&mut arguments)?;
     finish(arguments)?;
     let ended = signals()?;
@@ -372,13 +378,45 @@
         .enable_all()
         .build()
         .change_context_lazy(fault)?;
-    let upstream = standin::Standin::start(options, &sync::Arc::new(runtime))?;
-    println!("{}", upstream.address());
-    upstream.announce(|| ended.load(atomic::Ordering::Relaxed));
-    upstream.drain();
+    let runtime = sync::Arc::new(runtime);
+    let mut threads = Vec::new();
+    for options in many(&options, count, odd, odd_time) {
+        let upstream = standin::Standin::start(options, &runtime)?;
+        println!("{}", upstream.address());
+        let ended = sync::Arc::clone(&ended);
+        threads.push(thread::spawn(move || {
+            upstream.announce(|| ended.load(atomic::Ordering::Relaxed));
+            upstream.drain();
+        }));
+    }
+    for thread in threads {
+        drop(thread.join());
+    }
     Ok(process::ExitCode::SUCCESS)
 }
 
+/// The options of each of several stand-ins; the first `odd` of them keep the mode.
+fn many(
+    options: &standin::Options,
+    count: usize,
+    odd: usize,
+    odd_time: time::Duration,
+) -> Vec<standin::Options> {
+    let one = |number: usize| {
+        let mut options = options.clone();
+        if count > 0 {
+            options.name = format!("{}-{number}", options.name);
+        }
+        if odd > 0 && number > odd {
+            options.mode = standin::Mode::Answer;
+        } else if !odd_time.is_zero() {
+            options.time = odd_time;
+        }
+        options
+    };
+    (1..=count.max(1)).map(one).collect()
+}
+
 fn upstream_options(arguments: &mut Arguments) -> error::Result<standin::Options> {
     let fault = |key: &'static str| move || error::Error::new("read argument", key);
     let to = required(arguments, "--to")?;
--- a/crates/apricotroute/tests/zone_faults.rs
+++ b/crates/apricotroute/tests/zone_faults.rs
@@ -145,3 +145,21 @@
     assert_eq!(status, 200, "{body}");
     cluster.wait_version(2);
 }
+
+#[test]
+fn one_of_two() {
+    // A zone of two instances survives the loss of either, thanks to a witness elsewhere.
+    for lost in [0, 1] {
+        let mut cluster = Plan::with_zones(&[("west", 2), ("mid", 1)]).start();
+        cluster.create_service();
+        let upstreams = [cluster.upstream("u1", "west", &[1 - lost], &[])];
+        cluster.wait_upstreams("west", 1);
+        cluster.kill(lost);
+        let mut answers = Answers::default();
+        let id = mint("west");
+        let (status, body) = cluster.submit(1 - lost, &job(&id, 3, 8_000));
+        assert_eq!(status, 200, "{body}");
+        answers.note(&id, 3, &body);
+        answers.judge(&upstreams);
+    }
+}
--- a/crates/coord/src/run.rs
+++ b/crates/coord/src/run.rs
@@ -196,8 +196,10 @@
             }
             return;
         }
+        let late = now.mono >= job.deadline;
         let why = format!("task {} at {upstream}: {why}", task.index);
-        self.finish(&task.job, table::Outcome::Failed, &Verdict::failed(why), now);
+        let verdict = Verdict::Failed { why, late };
+        self.finish(&task.job, table::Outcome::Failed, &verdict, now);
     }
 
     /// Starts a second attempt at a request that takes longer than the quantile set for it.
--- a/crates/coord/tests/sessions.rs
+++ b/crates/coord/tests/sessions.rs
@@ -2,6 +2,10 @@
 
 mod net;
 
+use coord::{
+    event::Event,
+    message::{Body, Job},
+};
 use net::{Net, SERVICE};
 
 fn zone() -> Net {
@@ -179,3 +183,43 @@
     net.judge_settings();
     golden("unsynced_change", &net);
 }
+
+#[test]
+fn forwarded_twice() {
+    let mut net = Net::new(&[("west", 2), ("mid", 1)], 3);
+    net.run_until_ready(6_000);
+    net.change(0, 1, None, SERVICE);
+    net.run(400);
+    net.announce(0, "u1", 4);
+    net.run(400);
+    let job = net.mint("west");
+    net.submit(2, &job, 1, 8_000);
+    // The submission is late on its way to west-1; west-2, asked next, shuts down and refuses it.
+    let late = net.mail.iter().position(|mail| matches!(mail.body, Body::Job(Job::Forward { .. })));
+    let late = net.mail.remove(late.unwrap());
+    assert_eq!(net.instances[late.to].name.as_str(), "west-1");
+    net.event(1, Event::Drain);
+    net.run(2_000);
+    net.announce(0, "u1", 4);
+    net.mail.push(late);
+    net.settle();
+    while !net.running.is_empty() {
+        net.finish(0, true);
+    }
+    net.run(300);
+    golden("forwarded_twice", &net);
+}
+
+#[test]
+fn loan_of_former_life() {
+    let mut net = zone();
+    let job = net.mint("west");
+    net.submit(1, &job, 6, 8_000);
+    net.run(200);
+    let lent = |net: &Net| net.nodes[0].core.as_ref().unwrap().fleet().loans().lent(&"u1".into());
+    assert!(lent(&net) > 0);
+    net.crash(1);
+    net.restart(1);
+    net.run(3_000);
+    assert_eq!(lent(&net), 0, "long before the loan would lapse");
+}
--- a/crates/link/src/task.rs
+++ b/crates/link/src/task.rs
@@ -10,6 +10,8 @@
 pub const MAX_ANSWER: u64 = 16 << 20;
 /// Time to connect to an upstream.
 const CONNECT: time::Duration = time::Duration::from_secs(1);
+/// A call is broken off this long after its deadline; whoever decides about it has given up then.
+const GRACE: time::Duration = time::Duration::from_millis(200);
 /// Time to tell an upstream that a task is not wanted.
 const STOP_TIME: time::Duration = time::Duration::from_secs(2);
 
@@ -82,7 +84,7 @@
             .header("traceparent", task.span.to_string())
             .header("Content-Type", &task.content)
             .config()
-            .timeout_global(Some(task.left))
+            .timeout_global(Some(task.left + GRACE))
             .build();
         match request.send(task.body.as_ref()) {
             Ok(response) => read(response),
