--- a/crates/coord/src/core.rs
+++ b/crates/coord/src/core.rs
@@ -109,6 +109,8 @@
     pub(crate) members: collections::BTreeSet<name::Member>,
     pub(crate) left: Option<u64>,
     pub(crate) drained: bool,
+    /// Whether the embedder was told that it may exit.
+    pub(crate) told: bool,
     pub(crate) ready: bool,
     pub(crate) leased: u64,
 }
@@ -152,6 +154,7 @@
             members: collections::BTreeSet::new(),
             left: None,
             drained: false,
+            told: false,
             ready: false,
             leased: now.mono,
             config,
@@ -466,7 +469,10 @@
             Some(since) if self.drained || now.mono > since + FAREWELL => {
                 self.journal.hand_over(now.mono);
                 self.settings.hand_over(now.mono);
-                self.out.push(Output::Drained);
+                if !self.told {
+                    self.told = true;
+                    self.out.push(Output::Drained);
+                }
             }
             Some(_) => {}
         }
--- a/crates/coord/tests/sessions.rs
+++ b/crates/coord/tests/sessions.rs
@@ -199,7 +199,9 @@
     let late = net.mail.remove(late.unwrap());
     assert_eq!(net.instances[late.to].name.as_str(), "west-1");
     net.event(1, Event::Drain);
+    net.cut(0, 2, true);
     net.run(2_000);
+    net.heal();
     net.announce(0, "u1", 4);
     net.mail.push(late);
     net.settle();
