--- a/crates/apricotroute/src/cli.rs
+++ b/crates/apricotroute/src/cli.rs
@@ -379,10 +379,14 @@
         .build()
         .change_context_lazy(fault)?;
     let runtime = sync::Arc::new(runtime);
-    let mut threads = Vec::new();
+    let (mut upstreams, mut addresses, mut threads) = (Vec::new(), Vec::new(), Vec::new());
     for options in many(&options, count, odd, odd_time) {
         let upstream = standin::Standin::start(options, &runtime)?;
-        println!("{}", upstream.address());
+        addresses.push(upstream.address().to_string());
+        upstreams.push(upstream);
+    }
+    println!("{}", addresses.join(" "));
+    for upstream in upstreams {
         let ended = sync::Arc::clone(&ended);
         threads.push(thread::spawn(move || {
             upstream.announce(|| ended.load(atomic::Ordering::Relaxed));
--- a/crates/apricotroute/src/control.rs
+++ b/crates/apricotroute/src/control.rs
@@ -18,6 +18,8 @@
 const INPUTS: usize = 65_536;
 /// Inputs taken before outputs are sent.
 const BATCH: usize = 512;
+/// Between two looks at what is worth a log line.
+const LOOK: time::Duration = time::Duration::from_millis(200);
 /// Most calls to upstreams at a time.
 pub const MAX_CALLS: usize = 2_048;
 
@@ -223,6 +225,7 @@
     hops: collections::HashMap<(name::Name, u64), span::Span>,
     log: slog::Logger,
     seen: Seen,
+    looked: time::Instant,
 }
 
 /// What was logged last.
@@ -259,6 +262,7 @@
             hops: collections::HashMap::new(),
             log: parts.log,
             seen: Seen::default(),
+            looked: time::Instant::now(),
         }
     }
 
@@ -388,6 +392,10 @@
     fn observe(&mut self) {
         let ready = self.core.is_ready();
         self.control.view.ready.store(ready, atomic::Ordering::Relaxed);
+        if self.looked.elapsed() < LOOK {
+            return;
+        }
+        self.looked = time::Instant::now();
         let seen = Seen {
             ready,
             members: self.core.members().join(" "),
--- a/crates/coord/src/core.rs
+++ b/crates/coord/src/core.rs
@@ -265,6 +265,9 @@
 
     fn update_ready(&mut self, now: Now) {
         let formed = self.journal.formation().is_some_and(|f| now.wall >= f.at);
+        if self.ready || !formed {
+            return;
+        }
         let no_voters = member::settings_seats(&self.config.all).is_empty();
         let agreed = self.settings.raft().is_some_and(|raft| raft.commit() > 0);
         let holds = no_voters || agreed || self.tree().version() > 0;
