--- a/crates/apricotroute/benches/trials.rs
+++ b/crates/apricotroute/benches/trials.rs
@@ -22,6 +22,7 @@
 fn main() {
     let all: &[(&str, fn())] = &[
         ("idle", idle),
+        ("memory", memory),
         ("path", path),
         ("starts", starts),
         ("admission", admission),
@@ -63,9 +64,14 @@
         cluster.create_service();
         let (count, slots) = (UPSTREAMS.to_string(), SLOTS.to_string());
         let (time, tail) = (SERVICE_MS.to_string(), TAIL.to_string());
-        let mut arguments =
-            vec!["--count", &count, "--slots", &slots, "--service-ms", &time, "--tail", &tail];
-        arguments.extend(more);
+        let defaults =
+            [("--count", &count), ("--slots", &slots), ("--service-ms", &time), ("--tail", &tail)];
+        let mut arguments = more.to_vec();
+        for (key, value) in defaults {
+            if !more.contains(&key) {
+                arguments.extend([key, value]);
+            }
+        }
         let all: Vec<_> = (0..cluster.nodes.len()).collect();
         let upstreams = vec![cluster.upstream("u", "west", &all, &arguments)];
         cluster.wait_upstreams("west", UPSTREAMS as usize);
@@ -82,7 +88,7 @@
             .args(["load", "--to", &list(&|at| nodes[at].client.to_string(), to)])
             .args(["--operator", &list(&|at| nodes[at].operator.to_string(), &running)])
             .args(["--rate", &rate.to_string(), "--seconds", &seconds.to_string()])
-            .args(["--ideal-ms", &SERVICE_MS.to_string()])
+            .args(if more.contains(&"--ideal-ms") { &[] as &[&str] } else { &["--ideal-ms", "50"] })
             .args(more)
             .output()
             .unwrap();
@@ -107,10 +113,11 @@
     let over = &report["over_ideal_ms"];
     let number = |value: &Value| format!("{:.2}", value.as_f64().unwrap_or(f64::NAN));
     println!(
-        "| {what} | {} | {} | {} | {} | {} | {} | {} |",
+        "| {what} | {} | {} | {} | {} | {} | {} | {} | {} |",
         report["states"],
         report["useful_tasks"],
         number(&over["p50"]),
+        number(&over["p90"]),
         number(&over["p99"]),
         number(&report["peer_messages_per_task"]),
         number(&report["peer_bytes_per_task"]),
@@ -120,9 +127,9 @@
 
 fn head() {
     println!(
-        "| run | states | useful tasks | over ideal p50 ms | p99 ms | messages/task | bytes/task | counters |"
+        "| run | states | useful tasks | over ideal p50 ms | p90 ms | p99 ms | messages/task | bytes/task | counters |"
     );
-    println!("|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|");
 }
 
 fn chosen() -> Value {
@@ -157,7 +164,7 @@
     println!(
         "| instances | zones | upstreams | services | cpu % of a core | memory MB | messages/s | bytes/s sent |"
     );
-    println!("|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|");
     let one: &[(&str, usize)] = &[("west", 3)];
     let two: &[(&str, usize)] = &[("west", 3), ("mid", 3)];
     let three: &[(&str, usize)] = &[("west", 3), ("mid", 3), ("east", 3)];
@@ -210,6 +217,24 @@
     }
 }
 
+/// Memory that a remembered job takes.
+fn memory() {
+    println!("| jobs of one task | remembered | memory MB of each instance |\n|---|---|---|");
+    let run = Run::new(3, &chosen(), &["--tail", "0", "--service-ms", "5"]);
+    let pids: Vec<_> = run.cluster.nodes.iter().map(|n| n.child.as_ref().unwrap().id()).collect();
+    for seconds in [1, 10, 10, 10] {
+        let report = run.load(&run.all(), 1_000.0, seconds, &["--ideal-ms", "5"]);
+        let resident: Vec<_> = pids.iter().map(|pid| format!("{:.1}", usage(*pid).1)).collect();
+        let status = run.cluster.status(0);
+        println!(
+            "| {} | {} | {} |",
+            report["useful_tasks"],
+            status["remembered"],
+            resident.join(" ")
+        );
+    }
+}
+
 /// Response time of single-task jobs at half of the slots, three seeds.
 fn path() {
     head();
--- a/crates/apricotroute/src/cli.rs
+++ b/crates/apricotroute/src/cli.rs
@@ -372,13 +372,7 @@
     let options = upstream_options(&mut arguments)?;
     finish(arguments)?;
     let ended = signals()?;
-    let fault = || error::Error::new("start runtime of", "the upstream");
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(1)
-        .enable_all()
-        .build()
-        .change_context_lazy(fault)?;
-    let runtime = sync::Arc::new(runtime);
+    let runtime = standin::runtime()?;
     let (mut upstreams, mut addresses, mut threads) = (Vec::new(), Vec::new(), Vec::new());
     for options in many(&options, count, odd, odd_time) {
         let upstream = standin::Standin::start(options, &runtime)?;
--- a/crates/apricotroute/src/demo.rs
+++ b/crates/apricotroute/src/demo.rs
@@ -73,13 +73,7 @@
     instance: &instance::Instance,
     over: &sync::Arc<atomic::AtomicBool>,
 ) -> error::Result<Vec<thread::JoinHandle<()>>> {
-    let fault = || error::Error::new("start upstreams of", "the demonstration");
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(1)
-        .enable_all()
-        .build()
-        .change_context_lazy(fault)?;
-    let runtime = sync::Arc::new(runtime);
+    let runtime = standin::runtime()?;
     let mut threads = Vec::new();
     for number in 1..=UPSTREAMS {
         let options = standin::Options {
--- a/crates/apricotroute/src/instance.rs
+++ b/crates/apricotroute/src/instance.rs
@@ -29,62 +29,34 @@
 impl Instance {
     /// Starts an instance.
     pub fn start(boot: &boot::Boot, log: slog::Logger) -> error::Result<Self> {
-        let fault = |step| error::Error::new(step, &boot.instance);
+        let fault = |step| move || error::Error::new(step, &boot.instance);
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(RUNTIME_THREADS)
             .thread_name("traffic")
             .enable_all()
             .build()
-            .change_context_lazy(|| fault("start runtime of"))?;
-        let spans = {
-            let _inside = runtime.enter();
-            let (file, otlp) = (boot.traces.file.as_deref(), boot.traces.otlp.as_deref());
-            span::Spans::open(file, otlp, boot.instance.as_str())
-                .change_context_lazy(|| fault("open spans of"))?
-        };
-        let life = u64::from(rand::random::<u32>().max(1));
-        let store = open_store(boot, life, &log)?;
-        let (control, channel) = control::Control::new(control::Clock::new());
-        let config = config(boot, life, store.as_ref());
-        let known = boot.peers.iter().map(|peer| peer.instance.clone()).collect();
-        let inbox = sync::Arc::new(control::Inbox { control: control.clone(), known });
-        peer::Server::open(&runtime, boot.peer, &boot.instance, inbox)
-            .change_context_lazy(|| fault("start"))?;
-        let mut outbox = peer::Outbox::new();
-        for peer in &boot.peers {
-            outbox = outbox.with_peer(&runtime, &boot.instance, &peer.instance, peer.peer);
-        }
-        let calls = sync::Arc::new(pool::Pool::new("task", control::MAX_CALLS));
-        let readers = sync::Arc::new(pool::Pool::new("reader", MAX_READERS));
-        let recovered = store.as_ref().map(store::Store::recovered).unwrap_or_default();
-        let parts = control::Parts {
-            config,
-            recovered,
-            outbox,
-            store,
-            pool: calls,
-            spans: spans.clone(),
-            log: log.clone(),
-        };
-        control.start(channel, parts);
+            .change_context_lazy(fault("start runtime of"))?;
+        let spans = open_spans(boot, &runtime).change_context_lazy(fault("open spans of"))?;
+        let control = start_control(boot, &runtime, &spans, &log)?;
         if let Ok(metrics) = metric::Metrics::new() {
             status::watch(metric::install(metrics), &control);
         }
+        let pool = sync::Arc::new(pool::Pool::new("reader", MAX_READERS));
         let client = client::Client {
             instance: boot.instance.clone(),
             zone: boot.zone.clone(),
             control: control.clone(),
-            pool: sync::Arc::clone(&readers),
+            pool: sync::Arc::clone(&pool),
             spans: spans.clone(),
         };
-        let client = http::Listener::open(&runtime, boot.client, sync::Arc::new(client))
-            .change_context_lazy(|| fault("start"))?;
-        let (instance, pool) = (boot.instance.clone(), readers);
+        let instance = boot.instance.clone();
         let operator = operator::Operator { instance, control: control.clone(), pool };
+        let client = http::Listener::open(&runtime, boot.client, sync::Arc::new(client))
+            .change_context_lazy(fault("start"))?;
         let operator = http::Listener::open(&runtime, boot.operator, sync::Arc::new(operator))
-            .change_context_lazy(|| fault("start"))?;
+            .change_context_lazy(fault("start"))?;
         slog::info!(log, "instance: Started.";
-            "client" => %client.address(), "operator" => %operator.address(), "life" => life);
+            "client" => %client.address(), "operator" => %operator.address());
         let drain = time::Duration::from_millis(boot.drain_ms);
         Ok(Self { runtime, control, client, operator, spans, log, drain })
     }
@@ -127,6 +99,46 @@
     }
 }
 
+fn open_spans(
+    boot: &boot::Boot,
+    runtime: &tokio::runtime::Runtime,
+) -> Result<span::Spans, link::Error> {
+    let _inside = runtime.enter();
+    let (file, otlp) = (boot.traces.file.as_deref(), boot.traces.otlp.as_deref());
+    span::Spans::open(file, otlp, boot.instance.as_str())
+}
+
+/// Opens the data folder and the streams to the other instances, and starts the control thread.
+fn start_control(
+    boot: &boot::Boot,
+    runtime: &tokio::runtime::Runtime,
+    spans: &span::Spans,
+    log: &slog::Logger,
+) -> error::Result<control::Control> {
+    let life = u64::from(rand::random::<u32>().max(1));
+    let store = open_store(boot, life, log)?;
+    let (control, channel) = control::Control::new(control::Clock::new());
+    let known = boot.peers.iter().map(|peer| peer.instance.clone()).collect();
+    let inbox = sync::Arc::new(control::Inbox { control: control.clone(), known });
+    peer::Server::open(runtime, boot.peer, &boot.instance, inbox)
+        .change_context_lazy(|| error::Error::new("start", &boot.instance))?;
+    let mut outbox = peer::Outbox::new();
+    for peer in &boot.peers {
+        outbox = outbox.with_peer(runtime, &boot.instance, &peer.instance, peer.peer);
+    }
+    let parts = control::Parts {
+        config: config(boot, life, store.as_ref()),
+        recovered: store.as_ref().map(store::Store::recovered).unwrap_or_default(),
+        outbox,
+        store,
+        pool: sync::Arc::new(pool::Pool::new("task", control::MAX_CALLS)),
+        spans: spans.clone(),
+        log: log.clone(),
+    };
+    control.start(channel, parts);
+    Ok(control)
+}
+
 fn open_store(
     boot: &boot::Boot,
     life: u64,
--- a/crates/apricotroute/src/load.rs
+++ b/crates/apricotroute/src/load.rs
@@ -308,8 +308,9 @@
 fn messages(options: &Options) -> error::Result<collections::BTreeMap<String, f64>> {
     let mut sums = collections::BTreeMap::new();
     for operator in &options.operators {
-        let text = remote::Remote::new(operator).get("/metrics")?.body;
-        for line in text.lines().filter(|line| !line.starts_with('#')) {
+        // An instance that was taken down on purpose counts no more.
+        let Ok(answer) = remote::Remote::new(operator).get("/metrics") else { continue };
+        for line in answer.body.lines().filter(|line| !line.starts_with('#')) {
             let Some((key, value)) = line.rsplit_once(' ') else {
                 continue;
             };
--- a/crates/apricotroute/src/standin.rs
+++ b/crates/apricotroute/src/standin.rs
@@ -74,6 +74,16 @@
     _listener: http::Listener,
 }
 
+/// A runtime that stand-ins run on.
+pub fn runtime() -> error::Result<sync::Arc<tokio::runtime::Runtime>> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .change_context_lazy(|| error::Error::new("start runtime of", "the upstream"))?;
+    Ok(sync::Arc::new(runtime))
+}
+
 impl Standin {
     /// Starts a stand-in; it does not announce itself yet.
     pub fn start(
--- a/crates/apricotroute/tests/harness/mod.rs
+++ b/crates/apricotroute/tests/harness/mod.rs
@@ -241,8 +241,17 @@
         get(self.nodes[at].operator, "/v1/status").map(|(_, body)| body).unwrap_or_default()
     }
 
-    /// Position of the leader of a group.
+    /// Position of the leader of a group, once there is one.
     pub fn leader(&self, group: &str) -> Option<usize> {
+        let mut found = None;
+        eventually(5_000, || {
+            found = self.leader_now(group);
+            found.is_some()
+        });
+        found
+    }
+
+    fn leader_now(&self, group: &str) -> Option<usize> {
         let running = self.nodes.iter().filter(|node| node.child.is_some());
         let names = running.filter_map(|node| {
             let status = get(node.operator, "/v1/status")?.1;
--- a/crates/apricotroute/tests/shutdown.rs
+++ b/crates/apricotroute/tests/shutdown.rs
@@ -112,3 +112,22 @@
     };
     assert!(eventually(1_000, gone));
 }
+
+#[test]
+fn passed_on() {
+    // A submission from another zone goes beyond an instance that shuts down.
+    let cluster = Plan::with_zones(&[("west", 2), ("mid", 1)]).start();
+    cluster.create_service();
+    let upstream = cluster.upstream("u1", "west", &[1], &["--service-ms", "1500"]);
+    cluster.wait_upstreams("west", 1);
+    let (to, spec) = (cluster.nodes[0].client, job(&mint("west"), 2, 10_000));
+    let waiting = thread::spawn(move || post(to, "/v1/jobs", &spec));
+    assert!(eventually(2_000, || upstream.starts().len() == 2));
+    cluster.signal(0, "-TERM");
+    pause(100);
+    for _ in 0..2 {
+        let (status, body) = cluster.submit(2, &job(&mint("west"), 1, 8_000));
+        assert_eq!(status, 200, "{body}");
+    }
+    assert_eq!(waiting.join().unwrap().0, 200);
+}
--- a/crates/coord/src/calls.rs
+++ b/crates/coord/src/calls.rs
@@ -34,10 +34,22 @@
     Nobody,
 }
 
+/// A submission on its way to its home zone.
+#[derive(Clone, Debug)]
+struct Passed {
+    spec: Spec,
+    /// Instances asked before.
+    tried: Vec<name::Name>,
+    /// Whether one of them fell silent, and may run it.
+    doubt: bool,
+    /// What the last one said that refused it because it shuts down.
+    refusal: Option<Verdict>,
+}
+
 #[derive(Clone, Debug)]
 enum Kind {
     /// A submission at its home zone, with the instances tried before.
-    Forward(Box<Spec>, Vec<name::Name>),
+    Forward(Box<Passed>),
     /// A job of this zone that runs in another one.
     Execute,
     /// The end of a job at its owner.
@@ -135,25 +147,22 @@
         } else {
             spec.left_ms
         };
-        self.forward_beyond(waiter, spec, Vec::new(), now.after(left) + GRACE, now);
+        let passed = Passed { spec, tried: Vec::new(), doubt: false, refusal: None };
+        self.forward_on(waiter, Box::new(passed), now.after(left) + GRACE, now);
     }
 
-    fn forward_beyond(
-        &mut self,
-        waiter: Waiter,
-        mut spec: Spec,
-        tried: Vec<name::Name>,
-        until: u64,
-        now: Now,
-    ) {
-        let Some(to) = self.pick_peer(spec.job.zone(), &tried, now) else {
-            let why = format!("zone {} is out of reach", spec.job.zone());
-            return self.reply(waiter, Verdict::unknown(why));
+    /// Passes a submission to an instance of its home zone that was not asked yet.
+    fn forward_on(&mut self, waiter: Waiter, mut passed: Box<Passed>, until: u64, now: Now) {
+        let zone = passed.spec.job.zone().clone();
+        let Some(to) = self.pick_peer(&zone, &passed.tried, now) else {
+            let unknown = Verdict::unknown(format!("zone {zone} is out of reach"));
+            let refusal = passed.refusal.filter(|_| !passed.doubt);
+            return self.reply(waiter, refusal.unwrap_or(unknown));
         };
         self.counts.forwards += 1;
-        spec.left_ms = (until.saturating_sub(now.mono + GRACE) / time::MS).max(1);
-        let kind = Kind::Forward(Box::new(spec.clone()), tried);
-        let call = self.call(waiter, kind, &spec.job, &to, until, now);
+        passed.spec.left_ms = (until.saturating_sub(now.mono + GRACE) / time::MS).max(1);
+        let spec = passed.spec.clone();
+        let call = self.call(waiter, Kind::Forward(passed), &spec.job, &to, until, now);
         self.send(&to, Body::Job(message::Job::Forward { call, spec }));
     }
 
@@ -360,17 +369,24 @@
         {
             self.answers.put(&call.job, answers.clone());
         }
-        let verdict = match (&call.kind, verdict) {
-            (Kind::Fetch(_), verdict) if !complete => {
-                drop(verdict);
+        let verdict = match (call.kind, verdict) {
+            (Kind::Fetch(_), _) if !complete => {
                 Verdict::unknown("the job is complete, but its answers are no longer held")
             }
             // An owner that no longer works on it: the journal has the end, or will have it.
             (Kind::Await, Verdict::Running) => {
                 return self.attach(call.waiter, &call.job, None, call.until, now);
             }
+            (
+                Kind::Forward(mut passed),
+                refusal @ Verdict::NotRun { kind: Refusal::Draining, .. },
+            ) => {
+                passed.tried.push(call.to);
+                passed.refusal = Some(refusal);
+                return self.forward_on(call.waiter, passed, call.until, now);
+            }
             // An instance that was asked before may have taken it in the meantime.
-            (Kind::Forward(_, tried), Verdict::NotRun { .. }) if !tried.is_empty() => {
+            (Kind::Forward(passed), Verdict::NotRun { .. }) if passed.doubt => {
                 Verdict::unknown("an instance of its zone that did not answer may run it")
             }
             (_, verdict) => verdict,
@@ -379,7 +395,7 @@
     }
 
     pub(crate) fn tick_calls(&mut self, now: Now) {
-        self.return_slots();
+        self.return_slots(now);
         if self.calls.is_empty() {
             return;
         }
@@ -421,7 +437,7 @@
     fn is_over(&self, call: &Call, now: Now) -> bool {
         let late = now.mono >= call.until;
         match &call.kind {
-            Kind::Forward(..) | Kind::Execute | Kind::Ask => late || self.is_silent(call, now),
+            Kind::Forward(_) | Kind::Execute | Kind::Ask => late || self.is_silent(call, now),
             Kind::Fetch(_) => late,
             Kind::Await => {
                 let ended = call.ended.is_some_and(|at| now.mono > at + OWNER_GRACE);
@@ -434,9 +450,10 @@
     fn resolve(&mut self, call: Call, now: Now) {
         let silent = self.is_silent(&call, now);
         match call.kind {
-            Kind::Forward(spec, mut tried) if silent && now.mono < call.until => {
-                tried.push(call.to);
-                self.forward_beyond(call.waiter, *spec, tried, call.until, now);
+            Kind::Forward(mut passed) if silent && now.mono < call.until => {
+                passed.tried.push(call.to);
+                passed.doubt = true;
+                self.forward_on(call.waiter, passed, call.until, now);
             }
             Kind::Await if call.ended.is_some() => {
                 self.attach(call.waiter, &call.job, None, call.until, now);
@@ -453,7 +470,7 @@
                 let verdict = Verdict::unknown("the zone that ran the job is out of reach");
                 self.on_foreign(&call.job, &verdict, now);
             }
-            Kind::Forward(..) | Kind::Ask => {
+            Kind::Forward(_) | Kind::Ask => {
                 let why = format!("instance {} of its zone did not answer", call.to);
                 self.reply(call.waiter, Verdict::unknown(why));
             }
--- a/crates/coord/src/core.rs
+++ b/crates/coord/src/core.rs
@@ -29,6 +29,8 @@
 /// Forgetting waits this much longer than the retention, milliseconds.
 const PRUNE_MARGIN_MS: u64 = 60_000;
 
+/// A running job without contact to the journal is given up after this, microseconds.
+pub(crate) const LOST_CONTACT: u64 = 5_000 * time::MS;
 /// An instance that starts waits this long for the settings group before it asks its neighbours,
 /// microseconds.
 const SEEK_AFTER: u64 = 3_000 * time::MS;
@@ -104,6 +106,7 @@
     pub(crate) prune_at: u64,
     pub(crate) duty_at: u64,
     pub(crate) seek_at: u64,
+    pub(crate) return_at: u64,
     pub(crate) asked_table: bool,
     pub(crate) leaving: collections::BTreeSet<name::Member>,
     pub(crate) members: collections::BTreeSet<name::Member>,
@@ -148,6 +151,7 @@
             renew_at: 0,
             prune_at: 0,
             duty_at: 0,
+            return_at: 0,
             seek_at: now.mono + SEEK_AFTER,
             asked_table: false,
             leaving: collections::BTreeSet::new(),
@@ -405,8 +409,7 @@
     fn settle_journal(&mut self, out: group::Output<table::Effect>, now: Now) {
         self.out.extend(out.sends.into_iter().map(|(to, body)| Output::Send(to, body)));
         if out.lost {
-            self.journal.machine_mut().table = table::Table::new();
-            self.lose_jobs(now);
+            self.lose_jobs();
             self.ready = false;
         }
         if out.restored || out.lost {
@@ -419,7 +422,7 @@
                 table::Effect::Admitted(job, owner) => self.on_admitted(&job, &owner, now),
                 table::Effect::Known(job, owner) => self.on_known(&job, &owner, now),
                 table::Effect::Limited(job, owner, retry) => {
-                    self.on_limited(&job, &owner, retry, now);
+                    self.on_limited(&job, &owner, retry);
                 }
                 table::Effect::Ended(job, outcome) => self.on_ended(&job, outcome, now),
                 // The owner proposes again once it is in.
@@ -456,7 +459,10 @@
     /// Once nothing is in progress: hand over leadership and shares, then report.
     fn tick_drain(&mut self, now: Now) {
         const FAREWELL: u64 = 1_000 * time::MS;
-        if !self.draining || !self.jobs.is_empty() || !self.calls.is_empty() {
+        // Without contact to the journal nothing more can be learnt of jobs that nobody waits for.
+        let lost = self.unleased(now.mono) > LOST_CONTACT;
+        let busy = self.jobs.values().any(|job| !lost || !job.waiters.is_empty());
+        if !self.draining || busy || !self.calls.is_empty() {
             return;
         }
         match self.left {
--- a/crates/coord/src/entry.rs
+++ b/crates/coord/src/entry.rs
@@ -56,13 +56,4 @@
         };
         Self(self.0.iter().map(swap).collect())
     }
-
-    /// These voters with one seat given to another instance.
-    #[must_use]
-    pub fn with_seat(&self, former: &name::Name, member: &name::Member) -> Self {
-        let swap = |m: &name::Member| {
-            if m.name == *former { member.clone() } else { m.clone() }
-        };
-        Self(self.0.iter().map(swap).collect())
-    }
 }
--- a/crates/coord/src/fleet.rs
+++ b/crates/coord/src/fleet.rs
@@ -171,9 +171,12 @@
         avoid: Option<&name::Name>,
         now: u64,
     ) -> Option<name::Name> {
-        let mut names = Vec::new();
-        let mut candidates = Vec::new();
-        for leased in self.of(service).filter(|leased| leased.is_open(now)) {
+        let names = self.services.get(service)?;
+        let mut places = smallvec::SmallVec::<[usize; 64]>::new();
+        let mut candidates = smallvec::SmallVec::<[place::Candidate; 64]>::new();
+        for (at, name) in names.iter().enumerate() {
+            let leased = self.table.get(name.as_str()).filter(|leased| leased.is_open(now));
+            let Some(leased) = leased else { continue };
             let fits = leased.info.room.is_none_or(|room| needs.fits(&room));
             let Some(load) = self.loads.get(&leased.info.name).filter(|_| fits) else {
                 continue;
@@ -181,21 +184,21 @@
             let slots = self.allowed(leased, now);
             let outstanding = load.outstanding;
             if outstanding < slots && load.health.admits(outstanding, now) {
-                names.push(leased.info.name.clone());
+                places.push(at);
                 candidates.push(place::Candidate { outstanding, slots, mean: load.health.mean });
             }
         }
-        if names.len() > 1
-            && let Some(at) = names.iter().position(|name| Some(name) == avoid)
+        if places.len() > 1
+            && let Some(at) = places.iter().position(|at| Some(&names[*at]) == avoid)
         {
-            names.swap_remove(at);
+            places.swap_remove(at);
             candidates.swap_remove(at);
         }
-        if names.is_empty() {
+        if places.is_empty() {
             return None;
         }
         let at = self.placer.pick(&candidates, &mut self.rng);
-        Some(names.swap_remove(at))
+        Some(names[places[at]].clone())
     }
 
     /// A task goes to the upstream; gives its address.
@@ -287,18 +290,16 @@
 
     /// Gives back borrowed slots that are idle, by lender.
     pub fn give_back(&mut self) -> collections::BTreeMap<name::Name, Vec<(name::Name, u32)>> {
-        let mut loans = std::mem::take(&mut self.loans);
-        let idle = |name: &name::Name| {
-            let held = self.table.get(name.as_str());
-            let own = held.map_or(0, |l| self.share_of(l).saturating_sub(loans_lent(&loans, l)));
-            let all = loans.borrowed(name, 0) + own;
-            all.saturating_sub(self.outstanding(name.as_str())).min(loans.borrowed(name, 0))
+        let idle = |leased: &Leased| {
+            let name = &leased.info.name;
+            let borrowed = self.loans.borrowed(name, 0);
+            let free =
+                (self.own(leased) + borrowed).saturating_sub(self.outstanding(name.as_str()));
+            (name.clone(), free.min(borrowed))
         };
-        let spare: collections::HashMap<_, _> =
-            self.table.iter().map(|l| (l.info.name.clone(), idle(&l.info.name))).collect();
-        let returns = loans.give_back(|name| spare.get(name).copied().unwrap_or(u32::MAX));
-        self.loans = loans;
-        returns
+        let idle: collections::HashMap<_, _> = self.table.iter().map(idle).collect();
+        // Loans on an upstream that is forgotten are of no use to anybody here.
+        self.loans.give_back(|name| idle.get(name).copied().unwrap_or(u32::MAX))
     }
 
     fn of(&self, service: &name::Name) -> impl Iterator<Item = &Leased> {
@@ -340,10 +341,6 @@
     }
 }
 
-fn loans_lent(loans: &share::Loans, leased: &Leased) -> u32 {
-    loans.lent(&leased.info.name)
-}
-
 /// Whether a service's upstreams could take a task, from worst to best.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Reach {
--- a/crates/coord/src/group.rs
+++ b/crates/coord/src/group.rs
@@ -37,6 +37,9 @@
 
     /// Replaces the whole state.
     fn restore(&mut self, state: &[u8]);
+
+    /// The member has left its formation, and what it agreed on counts no more.
+    fn reset(&mut self);
 }
 
 /// What does not change in the life of a group's member.
--- a/crates/coord/src/jobs.rs
+++ b/crates/coord/src/jobs.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     calls::Waiter,
-    core::Core,
+    core::{Core, LOST_CONTACT},
     event::{Output, Stop, Ticket},
     fleet,
     job::{Ending, Job, Phase, Slot},
@@ -22,8 +22,6 @@
 const HOLD: u64 = 2_500 * time::MS;
 /// An answer waits this long for its copies, microseconds.
 const COPY_PATIENCE: u64 = 1_000 * time::MS;
-/// A running job without contact to the journal is given up after this, microseconds.
-const LOST_CONTACT: u64 = 5_000 * time::MS;
 
 impl Core {
     pub(crate) fn on_submit(&mut self, ticket: Ticket, spec: Spec, now: Now) {
@@ -211,7 +209,7 @@
         }
     }
 
-    pub(crate) fn on_limited(&mut self, id: &id::JobId, owner: &name::Member, retry: u64, _: Now) {
+    pub(crate) fn on_limited(&mut self, id: &id::JobId, owner: &name::Member, retry: u64) {
         let admitting = self.jobs.get(id).is_some_and(|job| matches!(job.phase, Phase::Admitting));
         if owner == self.journal.me() && admitting {
             let verdict = Verdict::refuse(Refusal::Quota, "the team is at its quota", retry);
@@ -452,7 +450,7 @@
     }
 
     /// The journal is gone: its jobs can never be proved to have run or not.
-    pub(crate) fn lose_jobs(&mut self, _: Now) {
+    pub(crate) fn lose_jobs(&mut self) {
         let ids: Vec<_> =
             self.jobs.iter().filter(|(_, job)| job.journaled).map(|(id, _)| id.clone()).collect();
         for id in ids {
--- a/crates/coord/src/limit.rs
+++ b/crates/coord/src/limit.rs
@@ -10,6 +10,10 @@
     time::{self, Now},
 };
 
+/// The last task of a job is taken to last as long as this quantile of those observed.
+const LAST_TASK: f64 = 0.9;
+/// A wait is taken to be longer by one part in this many than the mean says.
+const CAUTION: u64 = 8;
 /// Shortest time after which a refused client is told to come back, milliseconds.
 const MIN_RETRY_MS: u64 = 50;
 /// Longest one.
@@ -120,13 +124,14 @@
         }
         let deadline = now.mono + left;
         let ahead = service.queue.ahead(spec.team.as_ref(), deadline) as u64;
-        let Some(typical) = service.times.quantile(0.5) else {
+        let Some(longest) = service.times.quantile(LAST_TASK) else {
             return Ok(());
         };
         let wait = (ahead + count).saturating_sub(free) * mean / slots;
-        if wait + typical > left {
+        let wait = wait + wait / CAUTION;
+        if wait + longest > left {
             let why = "the deadline cannot be met by the service times observed";
-            let retry = self.retry_after((wait + typical).saturating_sub(left));
+            let retry = self.retry_after((wait + longest).saturating_sub(left));
             return Err(Verdict::refuse(Refusal::Overload, why, retry));
         }
         Ok(())
--- a/crates/coord/src/machine.rs
+++ b/crates/coord/src/machine.rs
@@ -43,6 +43,10 @@
             self.tree = tree;
         }
     }
+
+    fn reset(&mut self) {
+        // Settings go on from formation to formation: an instance serves from the last it has.
+    }
 }
 
 /// A zone's journal as a state machine.
@@ -67,6 +71,10 @@
     fn restore(&mut self, state: &[u8]) {
         self.table = postcard::from_bytes(state).unwrap_or_default();
     }
+
+    fn reset(&mut self) {
+        self.table = table::Table::new();
+    }
 }
 
 /// Encodes a command or a state.
--- a/crates/coord/src/member.rs
+++ b/crates/coord/src/member.rs
@@ -20,12 +20,12 @@
     pub disk: bool,
 }
 
-/// Voters of the settings group: instances with disks, an odd number of at most
-/// [`SETTINGS_SEATS`], taken from the availability zones in turn.
+/// Voters of the settings group: instances with disks, at most [`SETTINGS_SEATS`], taken from the
+/// availability zones in turn.
 pub fn settings_seats(all: &[Instance]) -> Vec<name::Name> {
     let disks = all.iter().filter(|instance| instance.disk);
     let mut seats = in_turn(disks);
-    seats.truncate(odd(seats.len()).min(SETTINGS_SEATS));
+    seats.truncate(SETTINGS_SEATS);
     seats.sort();
     seats
 }
--- a/crates/coord/src/raft.rs
+++ b/crates/coord/src/raft.rs
@@ -232,11 +232,6 @@
         self.is_leader() || (self.leader.is_some() && now < self.heard + self.timing.election)
     }
 
-    /// When the last leader was heard from.
-    pub fn heard(&self) -> u64 {
-        self.heard
-    }
-
     /// End of this member's lease on its own clock.
     pub fn lease(&self, now: u64) -> u64 {
         match &self.role {
--- a/crates/coord/src/run.rs
+++ b/crates/coord/src/run.rs
@@ -29,14 +29,20 @@
     }
 
     fn dispatch(&mut self, service: &name::Name, now: Now) {
+        if self.services.get(service).is_none_or(|entry| entry.queue.is_empty()) {
+            return;
+        }
         let lease = if self.has_lease(now.mono) { self.journal.lease(now.mono) } else { 0 };
+        let mut free = self.fleet.room(service, now.mono).free;
         let mut passed = Vec::new();
-        while passed.len() < LOOK_AHEAD && self.fleet.room(service, now.mono).free > 0 {
+        while passed.len() < LOOK_AHEAD && free > 0 {
             let queue = self.services.get_mut(service).map(|service| &mut service.queue);
             let Some(task) = queue.and_then(crate::queue::Queue::pop) else {
                 break;
             };
-            if !self.start(&task, lease, None, now) {
+            if self.start(&task, lease, None, now) {
+                free -= 1;
+            } else {
                 passed.push(task);
             }
         }
@@ -205,19 +211,17 @@
     /// Starts a second attempt at a request that takes longer than the quantile set for it.
     pub(crate) fn hedge(&mut self, id: &id::JobId, now: Now) {
         let Some(job) = self.jobs.get(id) else { return };
-        let Some(service) = self.services.get_mut(&job.spec.service) else {
-            return;
-        };
-        let Some(limit) = service.times.quantile(job.policy.hedge_quantile) else {
-            return;
-        };
+        let service = job.spec.service.clone();
+        let times = self.services.get(&service).map(|entry| &entry.times);
+        let quantile = times.and_then(|times| times.quantile(job.policy.hedge_quantile));
+        let Some(limit) = quantile else { return };
         let late = |(index, attempt): (u32, &Attempt)| {
             let alone = matches!(&job.slots[index as usize], Slot::Running(a) if a.len() == 1);
             (alone && now.mono > attempt.since + limit).then(|| (index, attempt.upstream.clone()))
         };
         let late: Vec<_> = job.attempts().filter_map(late).collect();
         for (index, upstream) in late {
-            let budget = self.services.get_mut(&job_service(self, id)).map(|s| &mut s.budget);
+            let budget = self.services.get_mut(&service).map(|entry| &mut entry.budget);
             if !budget.is_some_and(crate::retry::Budget::spend) {
                 return;
             }
@@ -303,17 +307,15 @@
         self.dirty.insert(service.clone());
     }
 
-    /// Gives back borrowed slots that are idle.
-    pub(crate) fn return_slots(&mut self) {
-        if self.fleet.loans().total() == 0 {
+    /// Gives back borrowed slots that are idle, not at once: the next job may need them again.
+    pub(crate) fn return_slots(&mut self, now: Now) {
+        const PAUSE: u64 = 200 * time::MS;
+        if now.mono < self.return_at || self.fleet.loans().total() == 0 {
             return;
         }
+        self.return_at = now.mono + PAUSE;
         for (to, slots) in self.fleet.give_back() {
             self.send(&to, Body::Loan(message::Loan::Return { slots }));
         }
     }
 }
-
-fn job_service(core: &Core, id: &id::JobId) -> name::Name {
-    core.jobs.get(id).map_or_else(|| name::Name::new(""), |job| job.spec.service.clone())
-}
--- a/crates/coord/src/upkeep.rs
+++ b/crates/coord/src/upkeep.rs
@@ -62,6 +62,7 @@
         self.stage = Stage::Seeking(seeker);
         self.marks.clear();
         self.held.clear();
+        self.machine.reset();
         self.save(Save::Reset);
         self.out.lost = true;
     }
--- a/crates/coord/tests/queues.rs
+++ b/crates/coord/tests/queues.rs
@@ -112,6 +112,7 @@
     let zones: collections::BTreeSet<_> = spread.iter().map(|n| n.as_str().split_at(1).0).collect();
     assert_eq!((spread.len(), zones.len()), (5, 3), "{spread:?}");
     assert_eq!(member::settings_seats(&instances(&[("a", 3)], 0)), [] as [Name; 0]);
+    assert_eq!(member::settings_seats(&instances(&[("a", 3)], 2)).len(), 2, "all disks vote");
 }
 
 proptest! {
--- a/crates/coord/tests/sessions.rs
+++ b/crates/coord/tests/sessions.rs
@@ -225,3 +225,41 @@
     net.run(3_000);
     assert_eq!(lent(&net), 0, "long before the loan would lapse");
 }
+
+#[test]
+fn adopted_directly() {
+    let mut net = zone();
+    let old = net.mint("west");
+    net.submit(0, &old, 1, 8_000);
+    net.run(100);
+    net.finish(0, true);
+    net.isolate(0, true);
+    // The other two lose their memory and form the zone's journal anew.
+    for at in [1, 2] {
+        net.crash(at);
+        net.restart(at);
+    }
+    net.run(4_000);
+    net.heal();
+    // The third one hears of it from the new leader only.
+    for _ in 0..200 {
+        net.tick();
+        net.mail.retain(|mail| mail.to != 0 || !matches!(mail.body, Body::Form(..)));
+        while !net.mail.is_empty() {
+            net.deliver(0);
+            net.mail.retain(|mail| mail.to != 0 || !matches!(mail.body, Body::Form(..)));
+        }
+    }
+    for at in 0..3 {
+        let core = net.nodes[at].core.as_ref().unwrap();
+        assert_eq!(core.members().len(), 3, "{}", net.groups());
+    }
+    net.submit(0, &old, 1, 8_000);
+    let fresh = net.mint("west");
+    net.announce(0, "u1", 6);
+    net.submit(0, &fresh, 1, 8_000);
+    net.run(300);
+    net.finish(0, true);
+    net.run(300);
+    golden("adopted_directly", &net);
+}
--- a/crates/state/src/table.rs
+++ b/crates/state/src/table.rs
@@ -294,8 +294,13 @@
     /// The caller must answer ids that old without running them.
     pub fn prune(&mut self, before: u64) -> usize {
         self.floor = self.floor.max(before);
-        let held = self.jobs.len();
-        self.jobs.retain(|job, entry| entry.outcome.is_none() || job.minted() >= before);
-        held - self.jobs.len()
+        // All ids of a journal name the same zone, so they stand in the order of their age.
+        let old = self.jobs.iter().take_while(|(job, _)| job.minted() < before);
+        let ended = old.filter(|(_, entry)| entry.outcome.is_some());
+        let ended: Vec<_> = ended.map(|(job, _)| job.clone()).collect();
+        for job in &ended {
+            self.jobs.remove(job);
+        }
+        ended.len()
     }
 }
--- a/crates/state/src/tree.rs
+++ b/crates/state/src/tree.rs
@@ -1,7 +1,7 @@
 //! The settings tree: root, any group levels, services. Each path inherits from the level above
 //! and overrides only what differs.
 
-use std::collections;
+use std::{collections, ops};
 
 use serde_json::Value;
 
@@ -150,9 +150,20 @@
         Outcome::Accepted(self.version)
     }
 
-    /// Values in force at `path` and where each comes from; nothing if the path was never set.
+    /// Whether `path` is a level above one that was set.
+    fn is_above(&self, path: &str) -> bool {
+        let below = format!("{path}/");
+        let next = self
+            .paths
+            .range::<str, _>((ops::Bound::Included(below.as_str()), ops::Bound::Unbounded))
+            .next();
+        next.is_some_and(|(name, _)| name.as_str().starts_with(&below))
+    }
+
+    /// Values in force at `path` and where each comes from; nothing if neither the path nor any
+    /// below it was ever set.
     pub fn effective(&self, path: &str) -> Option<collections::BTreeMap<&'static str, Effective>> {
-        if !self.exists(path) {
+        if !self.exists(path) && !self.is_above(path) {
             return None;
         }
         Some(key::KEYS.iter().map(|key| (key.name, self.lookup(path, key))).collect())
--- a/crates/state/tests/tree.rs
+++ b/crates/state/tests/tree.rs
@@ -28,6 +28,10 @@
         assert_eq!((found.value.to_string().as_str(), found.origin.as_str()), (value, origin));
     }
     assert!(tree.effective("ireland/offers").is_none());
+    // A level above one that was set shows what it hands down; no job can name it.
+    tree.apply(change(5, None, "aotearoa/packhouse", "{}"));
+    assert_eq!(tree.effective("aotearoa").unwrap()["max_queue"].value.to_string(), "10");
+    assert!(tree.policy("aotearoa").is_none() && tree.effective("aotea").is_none());
     tree.apply(change(4, None, "ireland", r#"{"max_queue": null}"#));
     assert_eq!(tree.policy("ireland/quotes").unwrap().max_queue, 10);
 }
