Tell everybody of a settings change when it is committed

Cause: members other than the proposer heard of a commit with the next heartbeat, up to 400 ms later. Change: the leader of a durable group tells all at once; ruled out was a shorter heartbeat, which costs bytes when idle.

--- a/crates/apricotroute/tests/shutdown.rs
+++ b/crates/apricotroute/tests/shutdown.rs
@@ -131,3 +131,21 @@
     }
     assert_eq!(waiting.join().unwrap().0, 200);
 }
+
+#[test]
+fn isolated_drain() {
+    // Nobody waits any more for the job of an isolated instance: it holds up no shutdown.
+    let mut cluster = Plan::new(3).start();
+    cluster.create_service();
+    let _upstream = cluster.upstream("u1", "west", &[0], &["--mode", "hang", "--slots", "3"]);
+    cluster.wait_upstreams("west", 1);
+    let (to, spec) = (cluster.nodes[0].client, job(&mint("west"), 1, 60_000));
+    let waiting = thread::spawn(move || post(to, "/v1/jobs", &spec));
+    pause(300);
+    cluster.isolate(&[0], true);
+    let (status, body) = waiting.join().unwrap();
+    assert_eq!((status, &body["state"]), (503, &json!("unknown")), "{body}");
+    let start = time::Instant::now();
+    assert_eq!(cluster.terminate(0), Some(0));
+    assert!(start.elapsed() < time::Duration::from_secs(6), "{:?}", start.elapsed());
+}
--- a/crates/coord/src/replicate.rs
+++ b/crates/coord/src/replicate.rs
@@ -238,6 +238,10 @@
             return;
         }
         self.commit_to(index);
+        if self.durable {
+            // Settings change rarely, and are to be in force everywhere at once.
+            return self.broadcast(now);
+        }
         let Role::Leader(lead) = &mut self.role else {
             return;
         };
