Send answers to another neighbour when the first copy is late

Change: after 60 ms every other neighbour gets a copy, and any confirmation will do. Ruled out: a shorter patience, with which an answer can go out without any copy.

--- a/crates/coord/src/job.rs
+++ b/crates/coord/src/job.rs
@@ -35,6 +35,8 @@
     pub(crate) committed: bool,
     /// Copies of the answers that are not confirmed yet.
     pub(crate) copies: usize,
+    /// Whether every neighbour was sent one, because the chosen ones are late.
+    pub(crate) spread: bool,
     /// When the answer goes out without them, microseconds.
     pub(crate) patience: u64,
 }
--- a/crates/coord/src/jobs.rs
+++ b/crates/coord/src/jobs.rs
@@ -20,6 +20,8 @@
 const REPROPOSE: u64 = 300 * time::MS;
 /// A submission waits this long for a lease, microseconds; longer than an election takes.
 const HOLD: u64 = 2_500 * time::MS;
+/// After this, every other neighbour gets a copy too, microseconds.
+const COPY_LATE: u64 = 60 * time::MS;
 /// An answer waits this long for its copies, microseconds.
 const COPY_PATIENCE: u64 = 1_000 * time::MS;
 
@@ -319,13 +321,20 @@
         self.due.remove(&(job.deadline, id.clone()));
         let patience = now.mono + COPY_PATIENCE;
         let committed = !job.journaled;
-        job.retry = now.mono + REPROPOSE;
+        job.retry = now.mono + if copies > 0 { COPY_LATE } else { REPROPOSE };
         let waiters = match outcome {
             // The answer goes out once the journal holds it.
             table::Outcome::Complete => smallvec::SmallVec::new(),
             table::Outcome::Failed | table::Outcome::NotRun => std::mem::take(&mut job.waiters),
         };
-        let ending = Ending { outcome, verdict: verdict.clone(), committed, copies, patience };
+        let ending = Ending {
+            outcome,
+            verdict: verdict.clone(),
+            committed,
+            copies,
+            spread: false,
+            patience,
+        };
         job.phase = Phase::Ending(ending);
         for waiter in waiters {
             self.reply(waiter, verdict.clone());
@@ -376,17 +385,47 @@
         };
         let wanted = job.policy.answer_copies as usize;
         self.answers.put(id, answers.to_vec());
+        let peers = self.keepers(id);
+        let chosen = &peers[..wanted.min(peers.len())];
+        self.send_copies(id, answers, chosen);
+        chosen.len()
+    }
+
+    /// A copy is late, perhaps because its keeper is dead: every other neighbour gets one, and
+    /// any that confirms will do.
+    fn spread_copies(&mut self, id: &id::JobId) {
+        let peers = self.keepers(id);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let wanted = job.policy.answer_copies as usize;
+        let Phase::Ending(ending) = &mut job.phase else {
+            return;
+        };
+        if ending.spread || ending.copies == 0 {
+            return;
+        }
+        ending.spread = true;
+        if let Verdict::Complete(answers) = ending.verdict.clone() {
+            self.send_copies(id, &answers, &peers[wanted.min(peers.len())..]);
+        }
+    }
+
+    /// The zone's other instances, in the order in which they keep answers of this job.
+    fn keepers(&self, id: &id::JobId) -> Vec<name::Name> {
         let mut peers = self.neighbours();
         let count = peers.len();
         if count > 0 {
             peers.rotate_left(id::short(&id.to_string()) as usize % count);
         }
-        peers.truncate(wanted);
-        for to in &peers {
+        peers
+    }
+
+    fn send_copies(&mut self, id: &id::JobId, answers: &[message::Answer], to: &[name::Name]) {
+        for to in to {
             let copy = message::Job::Copy { job: id.clone(), answers: answers.to_vec() };
             self.send(to, Body::Job(copy));
         }
-        peers.len()
     }
 
     pub(crate) fn on_copied(&mut self, id: &id::JobId, now: Now) {
@@ -487,11 +526,15 @@
         };
         match &job.phase {
             Phase::Admitting => self.admit(id, now),
-            Phase::Ending(ending) if ending.committed => self.conclude(id, now),
             Phase::Ending(ending) => {
-                let outcome = ending.outcome;
+                let (outcome, committed) = (ending.outcome, ending.committed);
                 job.retry = now.mono + REPROPOSE;
-                self.propose_end(id, outcome, now);
+                self.spread_copies(id);
+                if committed {
+                    self.conclude(id, now);
+                } else {
+                    self.propose_end(id, outcome, now);
+                }
             }
             Phase::Running if job.retryable => self.hedge(id, now),
             Phase::Running => {}
