Give a resubmission without a deadline the service's default

Cause: whoever submitted a job again elsewhere without deadline_ms waited for one second in place of the service's deadline, and was told unknown (whole_path::no_deadline: 503 before, 200 after). Found by reading. Copies of answers have a module of their own.

--- a/crates/apricotroute/tests/whole_path.rs
+++ b/crates/apricotroute/tests/whole_path.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use harness::{Plan, SERVICE, check::Answers, job, mint, post};
+use harness::{Plan, SERVICE, check::Answers, eventually, job, mint, pause, post};
 use serde_json::json;
 
 #[test]
@@ -36,6 +36,26 @@
     assert_eq!((status, &body["state"]), (409, &json!("not_run")), "{body}");
 }
 
+#[test]
+fn no_deadline() {
+    // A job that names no deadline has the service's, also for whoever submits it again.
+    let cluster = Plan::new(3).start();
+    cluster.create_service();
+    let upstream = cluster.upstream("u1", "west", &[0], &["--service-ms", "2500"]);
+    cluster.wait_upstreams("west", 1);
+    let id = mint("west");
+    let mut spec = job(&id, 2, 1);
+    spec.as_object_mut().unwrap().remove("deadline_ms");
+    let (to, first) = (cluster.nodes[0].client, spec.clone());
+    let first = std::thread::spawn(move || post(to, "/v1/jobs", &first));
+    assert!(eventually(2_000, || upstream.starts().len() == 2));
+    // By now every instance has heard of it from the journal.
+    pause(400);
+    let (status, body) = cluster.submit(1, &spec);
+    assert_eq!(status, 200, "{body}");
+    assert_eq!(first.join().unwrap(), (200, body));
+}
+
 #[test]
 fn all_requests() {
     let cluster = Plan::new(1).start();
--- a/crates/coord/src/jobs.rs
+++ b/crates/coord/src/jobs.rs
@@ -6,12 +6,13 @@
 
 use crate::{
     calls::Waiter,
+    copies::{COPY_LATE, COPY_PATIENCE},
     core::{Core, LOST_CONTACT},
     event::{Output, Stop, Ticket},
     fleet,
     job::{Ending, Job, Phase, Slot},
     limit,
-    message::{self, Body, Refusal, Spec, Verdict},
+    message::{Refusal, Spec, Verdict},
     queue::Task,
     time::{self, Now},
 };
@@ -20,10 +21,6 @@
 const REPROPOSE: u64 = 300 * time::MS;
 /// A submission waits this long for a lease, microseconds; longer than an election takes.
 const HOLD: u64 = 2_500 * time::MS;
-/// After this, every other neighbour gets a copy too, microseconds.
-const COPY_LATE: u64 = 60 * time::MS;
-/// An answer waits this long for its copies, microseconds.
-const COPY_PATIENCE: u64 = 1_000 * time::MS;
 
 impl Core {
     pub(crate) fn on_submit(&mut self, ticket: Ticket, spec: Spec, now: Now) {
@@ -95,7 +92,8 @@
         }
         let known = self.table().get(&spec.job);
         if known.is_some_and(|entry| entry.outcome != Some(table::Outcome::NotRun)) {
-            let until = now.after(spec.left_ms);
+            let policy = self.tree().policy_at(spec.service.as_str());
+            let until = now.after(limit::deadline_ms(&spec, &policy));
             return self.attach(waiter, &spec.job, Some(digest), until, now);
         }
         let job = spec.job.clone();
@@ -379,64 +377,8 @@
         self.out.push(Output::Stop(Stop { task, attempt: number, address }));
     }
 
-    fn copy_answers(&mut self, id: &id::JobId, answers: &[message::Answer]) -> usize {
-        let Some(job) = self.jobs.get(id).filter(|job| job.journaled) else {
-            return 0;
-        };
-        let wanted = job.policy.answer_copies as usize;
-        self.answers.put(id, answers.to_vec());
-        let peers = self.keepers(id);
-        let chosen = &peers[..wanted.min(peers.len())];
-        self.send_copies(id, answers, chosen);
-        chosen.len()
-    }
-
-    /// A copy is late, perhaps because its keeper is dead: every other neighbour gets one, and
-    /// any that confirms will do.
-    fn spread_copies(&mut self, id: &id::JobId) {
-        let peers = self.keepers(id);
-        let Some(job) = self.jobs.get_mut(id) else {
-            return;
-        };
-        let wanted = job.policy.answer_copies as usize;
-        let Phase::Ending(ending) = &mut job.phase else {
-            return;
-        };
-        if ending.spread || ending.copies == 0 {
-            return;
-        }
-        ending.spread = true;
-        if let Verdict::Complete(answers) = ending.verdict.clone() {
-            self.send_copies(id, &answers, &peers[wanted.min(peers.len())..]);
-        }
-    }
-
-    /// The zone's other instances, in the order in which they keep answers of this job.
-    fn keepers(&self, id: &id::JobId) -> Vec<name::Name> {
-        let mut peers = self.neighbours();
-        let count = peers.len();
-        if count > 0 {
-            peers.rotate_left(id::short(&id.to_string()) as usize % count);
-        }
-        peers
-    }
-
-    fn send_copies(&mut self, id: &id::JobId, answers: &[message::Answer], to: &[name::Name]) {
-        for to in to {
-            let copy = message::Job::Copy { job: id.clone(), answers: answers.to_vec() };
-            self.send(to, Body::Job(copy));
-        }
-    }
-
-    pub(crate) fn on_copied(&mut self, id: &id::JobId, now: Now) {
-        if let Some(Job { phase: Phase::Ending(ending), .. }) = self.jobs.get_mut(id) {
-            ending.copies = ending.copies.saturating_sub(1);
-            self.conclude(id, now);
-        }
-    }
-
     /// Lets a job go once the journal holds its end and the copies are there, or are late.
-    fn conclude(&mut self, id: &id::JobId, now: Now) {
+    pub(crate) fn conclude(&mut self, id: &id::JobId, now: Now) {
         let Some(Job { phase: Phase::Ending(ending), .. }) = self.jobs.get(id) else {
             return;
         };
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -111,6 +111,7 @@
 pub mod cache;
 mod calls;
 mod change;
+mod copies;
 pub mod core;
 mod duty;
 mod election;
