Answer for a zone out of reach after one silence, not one an instance

Cause: a submission for a zone that is cut off was passed to one instance after the other, 1.5 s each (zone_faults::cut_off: 3.0 s for a zone of two). Change: while it is on its way all instances of the zone are pinged, and after a silence only one that has answered is asked. Ruled out: trusting what was heard before, since instances of different zones have no steady traffic. After: told within 2.5 s in the test, and an instance that lives is still found.

--- a/crates/apricotroute/tests/zone_faults.rs
+++ b/crates/apricotroute/tests/zone_faults.rs
@@ -2,6 +2,8 @@
 
 mod harness;
 
+use std::time;
+
 use harness::{Plan, check::Answers, eventually, job, mint, pause};
 use serde_json::json;
 
@@ -67,8 +69,10 @@
     }
     // Elsewhere nobody can tell about its jobs, and the other zones go on.
     let away = mint("west");
+    let start = time::Instant::now();
     let (status, body) = cluster.submit(2, &job(&away, 3, 5_000));
     assert_eq!((status, &body["state"]), (503, &json!("unknown")), "{body}");
+    assert!(start.elapsed() < time::Duration::from_millis(2_500), "{:?}", start.elapsed());
     let id = mint("mid");
     let (status, body) = cluster.submit(3, &job(&id, 3, 5_000));
     assert_eq!(status, 200, "{body}");
--- a/crates/coord/src/calls.rs
+++ b/crates/coord/src/calls.rs
@@ -154,7 +154,10 @@
     /// Passes a submission to an instance of its home zone that was not asked yet.
     fn forward_on(&mut self, waiter: Waiter, mut passed: Box<Passed>, until: u64, now: Now) {
         let zone = passed.spec.job.zone().clone();
-        let Some(to) = self.pick_peer(&zone, &passed.tried, now) else {
+        // After one that fell silent, only who has answered a ping in the meantime is asked.
+        let next = self.pick_peer(&zone, &passed.tried, now);
+        let next = next.filter(|to| !passed.doubt || self.is_fresh(to, now));
+        let Some(to) = next else {
             let unknown = Verdict::unknown(format!("zone {zone} is out of reach"));
             let refusal = passed.refusal.filter(|_| !passed.doubt);
             return self.reply(waiter, refusal.unwrap_or(unknown));
@@ -169,13 +172,16 @@
     /// An instance of another zone that was heard from lately, for a job that no upstream of this
     /// zone can take.
     pub(crate) fn pick_abroad(&self, now: Now) -> Option<name::Name> {
-        let fresh = |name: &name::Name| {
-            self.heard.get(name).is_some_and(|heard| now.mono < heard + SILENCE)
-        };
-        let abroad = self.config.all.iter().filter(|i| i.zone != *self.zone() && fresh(&i.name));
+        let away = self.config.all.iter().filter(|i| i.zone != *self.zone());
+        let abroad = away.filter(|i| self.is_fresh(&i.name, now));
         abroad.map(|instance| instance.name.clone()).next()
     }
 
+    /// Whether an instance was heard from lately.
+    fn is_fresh(&self, name: &name::Name, now: Now) -> bool {
+        self.heard.get(name).is_some_and(|heard| now.mono < heard + SILENCE)
+    }
+
     /// Has an admitted job run in another zone, with one message for all its tasks.
     pub(crate) fn execute_abroad(&mut self, spec: &Spec, to: &name::Name, now: Now) {
         let Some(job) = self.jobs.get_mut(&spec.job) else { return };
@@ -419,8 +425,13 @@
             return;
         }
         self.calls.pinged = now.mono;
-        let called: collections::BTreeSet<_> =
+        let mut called: collections::BTreeSet<_> =
             self.calls.map.values().map(|call| call.to.clone()).collect();
+        // A submission on its way may have to go to another instance of its zone.
+        let passed = self.calls.map.values().filter(|call| matches!(call.kind, Kind::Forward(_)));
+        let zones: collections::BTreeSet<_> = passed.map(|call| call.job.zone().clone()).collect();
+        let homes = self.config.all.iter().filter(|i| zones.contains(&i.zone));
+        called.extend(homes.map(|instance| instance.name.clone()));
         for to in called {
             let heard = self.heard.get(&to).copied().unwrap_or(0);
             if now.mono > heard + PING && to != self.config.me.name {
