Know who is there abroad where jobs may run abroad

Cause: a job may run in another zone only by an instance that was heard from lately, and instances of large zones hear nobody abroad but the leader of the settings group (zone_faults::abroad_from_anywhere: 503 at mid-2 before). Change: where the settings allow it anywhere, one instance of each other zone is pinged every 500 ms. Ruled out: passing jobs on without knowing, which may end them as failed. After: 200 at each instance.

--- a/crates/apricotroute/tests/zone_faults.rs
+++ b/crates/apricotroute/tests/zone_faults.rs
@@ -167,3 +167,21 @@
         answers.judge(&upstreams);
     }
 }
+
+#[test]
+fn abroad_from_anywhere() {
+    // Zones large enough to need no witness have no steady traffic between them.
+    let cluster = Plan::with_zones(&[("west", 3), ("mid", 3)]).start();
+    let allow = json!({"values": {"cross_zone": true}});
+    let (status, body) = cluster.set(0, harness::SERVICE, &allow);
+    assert_eq!(status, 200, "{body}");
+    cluster.wait_version(1);
+    // Whoever leads the settings group hears everybody; the other five do not.
+    let _upstream = cluster.upstream("u1", "west", &[0, 1, 2], &[]);
+    cluster.wait_upstreams("west", 1);
+    pause(3_000);
+    for at in 3..6 {
+        let (status, body) = cluster.submit(at, &job(&mint("mid"), 2, 5_000));
+        assert_eq!(status, 200, "at {at}: {body}");
+    }
+}
--- a/crates/coord/src/calls.rs
+++ b/crates/coord/src/calls.rs
@@ -7,6 +7,7 @@
 use crate::{
     core::Core,
     event::{Output, Reply, Ticket},
+    member,
     message::{self, Body, Refusal, Spec, Verdict},
     time::{self, Now},
 };
@@ -177,6 +178,27 @@
         abroad.map(|instance| instance.name.clone()).next()
     }
 
+    /// Where jobs may run abroad, one instance of each other zone is asked now and then whether it
+    /// is there: zones have no steady traffic of their own.
+    fn ping_abroad(&mut self, now: Now) {
+        const PAUSE: u64 = 500 * time::MS;
+        if now.mono < self.abroad_at {
+            return;
+        }
+        self.abroad_at = now.mono + PAUSE;
+        if !self.tree().any_cross_zone() {
+            return;
+        }
+        let turn = (now.mono / PAUSE) as usize;
+        for zone in member::zones(&self.config.all) {
+            let all = self.config.all.iter().filter(|i| i.zone == zone);
+            let names: Vec<_> = all.map(|instance| instance.name.clone()).collect();
+            if zone != *self.zone() {
+                self.send(&names[turn % names.len()], Body::Ping(true));
+            }
+        }
+    }
+
     /// Whether an instance was heard from lately.
     fn is_fresh(&self, name: &name::Name, now: Now) -> bool {
         self.heard.get(name).is_some_and(|heard| now.mono < heard + SILENCE)
@@ -402,6 +424,7 @@
 
     pub(crate) fn tick_calls(&mut self, now: Now) {
         self.return_slots(now);
+        self.ping_abroad(now);
         if self.calls.is_empty() {
             return;
         }
--- a/crates/state/src/tree.rs
+++ b/crates/state/src/tree.rs
@@ -202,6 +202,14 @@
         paths.max().unwrap_or(0).max(at(""))
     }
 
+    /// Whether any path lets its jobs run in another zone.
+    pub fn any_cross_zone(&self) -> bool {
+        let allows = |overrides: &Overrides| {
+            overrides.get("cross_zone").is_some_and(|value| value == "true")
+        };
+        self.paths.values().any(allows)
+    }
+
     fn lookup(&self, path: &str, key: &key::Key) -> Effective {
         let mut level = Some(path);
         while let Some(at) = level {
