--- a/crates/coord/src/calls.rs
+++ b/crates/coord/src/calls.rs
@@ -7,7 +7,7 @@
 use crate::{
     core::Core,
     event::{Output, Reply, Ticket},
-    member,
+    limit, member,
     message::{self, Body, Refusal, Spec, Verdict},
     time::{self, Now},
 };
@@ -143,11 +143,7 @@
 
     /// Passes a submission to its home zone.
     pub(crate) fn forward(&mut self, waiter: Waiter, spec: Spec, now: Now) {
-        let left = if spec.left_ms == 0 {
-            self.tree().policy_at(spec.service.as_str()).deadline_ms
-        } else {
-            spec.left_ms
-        };
+        let left = limit::deadline_ms(&spec, &self.tree().policy_at(spec.service.as_str()));
         let passed = Passed { spec, tried: Vec::new(), doubt: false, refusal: None };
         self.forward_on(waiter, Box::new(passed), now.after(left) + GRACE, now);
     }
--- a/crates/coord/src/core.rs
+++ b/crates/coord/src/core.rs
@@ -277,7 +277,7 @@
         let no_voters = member::settings_seats(&self.config.all).is_empty();
         let agreed = self.settings.raft().is_some_and(|raft| raft.commit() > 0);
         let holds = no_voters || agreed || self.tree().version() > 0;
-        self.ready |= formed && holds && self.has_lease(now.mono);
+        self.ready = holds && self.has_lease(now.mono);
     }
 
     fn on_peer(&mut self, from: &name::Name, body: Body, now: Now) {
@@ -461,10 +461,13 @@
     /// Once nothing is in progress: hand over leadership and shares, then report.
     fn tick_drain(&mut self, now: Now) {
         const FAREWELL: u64 = 1_000 * time::MS;
+        if !self.draining {
+            return;
+        }
         // Without contact to the journal nothing more can be learnt of jobs that nobody waits for.
         let lost = self.unleased(now.mono) > LOST_CONTACT;
         let busy = self.jobs.values().any(|job| !lost || !job.waiters.is_empty());
-        if !self.draining || busy || !self.calls.is_empty() {
+        if busy || !self.calls.is_empty() {
             return;
         }
         match self.left {
--- a/crates/coord/src/jobs.rs
+++ b/crates/coord/src/jobs.rs
@@ -186,8 +186,12 @@
         Some(job)
     }
 
+    fn is_admitting(&self, id: &id::JobId) -> bool {
+        self.jobs.get(id).is_some_and(|job| matches!(job.phase, Phase::Admitting))
+    }
+
     pub(crate) fn on_admitted(&mut self, id: &id::JobId, owner: &name::Member, now: Now) {
-        let admitting = self.jobs.get(id).is_some_and(|job| matches!(job.phase, Phase::Admitting));
+        let admitting = self.is_admitting(id);
         if owner != self.journal.me() {
             if admitting {
                 self.yield_to_owner(id, now);
@@ -202,7 +206,7 @@
 
     pub(crate) fn on_known(&mut self, id: &id::JobId, proposer: &name::Member, now: Now) {
         let mine = proposer == self.journal.me();
-        let admitting = self.jobs.get(id).is_some_and(|job| matches!(job.phase, Phase::Admitting));
+        let admitting = self.is_admitting(id);
         let owned = self.table().get(id).and_then(|entry| entry.owner.as_ref());
         if mine && admitting && owned != Some(self.journal.me()) {
             self.yield_to_owner(id, now);
@@ -210,7 +214,7 @@
     }
 
     pub(crate) fn on_limited(&mut self, id: &id::JobId, owner: &name::Member, retry: u64) {
-        let admitting = self.jobs.get(id).is_some_and(|job| matches!(job.phase, Phase::Admitting));
+        let admitting = self.is_admitting(id);
         if owner == self.journal.me() && admitting {
             let verdict = Verdict::refuse(Refusal::Quota, "the team is at its quota", retry);
             self.give_up(id, &verdict);
@@ -283,7 +287,7 @@
             return self.finish(id, table::Outcome::Failed, &Verdict::failed("cancelled"), now);
         }
         job.phase = Phase::Running;
-        let spec = sync::Arc::clone(&job.spec);
+        let (spec, deadline) = (sync::Arc::clone(&job.spec), job.deadline);
         let abroad = job.journaled && job.policy.cross_zone;
         if abroad
             && self.fleet.reach(&spec.service, &spec.needs, now.mono) != fleet::Reach::Open
@@ -291,13 +295,12 @@
         {
             return self.execute_abroad(&spec, &to, now);
         }
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        let service = self.services.entry(job.spec.service.clone()).or_default();
-        for index in 0..job.spec.tasks.len() as u32 {
+        let service = self.services.entry(spec.service.clone()).or_default();
+        for index in 0..spec.tasks.len() as u32 {
             let task = Task { job: id.clone(), index };
-            service.queue.push(job.spec.team.as_ref(), job.deadline, task);
+            service.queue.push(spec.team.as_ref(), deadline, task);
         }
-        self.dirty.insert(job.spec.service.clone());
+        self.dirty.insert(spec.service.clone());
     }
 
     /// Ends a job: nothing of it starts any more, what runs is told to stop.
@@ -379,16 +382,13 @@
 
     /// Lets a job go once the journal holds its end and the copies are there, or are late.
     pub(crate) fn conclude(&mut self, id: &id::JobId, now: Now) {
-        let Some(Job { phase: Phase::Ending(ending), .. }) = self.jobs.get(id) else {
-            return;
-        };
+        let Some(job) = self.jobs.get(id) else { return };
+        let Phase::Ending(ending) = &job.phase else { return };
         if !ending.committed || (ending.copies > 0 && now.mono < ending.patience) {
             return;
         }
         let verdict = ending.verdict.clone();
-        if matches!(verdict, Verdict::Complete(_))
-            && let Some(job) = self.jobs.get(id)
-        {
+        if matches!(verdict, Verdict::Complete(_)) {
             let over = (now.mono - job.arrived).saturating_sub(job.longest);
             self.out.push(Output::Over(job.spec.service.clone(), over));
         }
--- a/crates/coord/tests/net/mod.rs
+++ b/crates/coord/tests/net/mod.rs
@@ -321,6 +321,23 @@
         self.end(run, ok);
     }
 
+    /// Answers every running task, and those that start in the place of them.
+    pub fn finish_all(&mut self) {
+        while !self.running.is_empty() {
+            self.finish(0, true);
+        }
+    }
+
+    /// All instances die at the same moment and start again.
+    pub fn restart_all(&mut self) {
+        for at in 0..self.nodes.len() {
+            self.crash(at);
+        }
+        for at in 0..self.nodes.len() {
+            self.restart(at);
+        }
+    }
+
     fn end(&mut self, run: (usize, u64, Start), ok: bool) {
         let (owner, _, start) = run;
         let body = format!("{}", start.task.index).into();
--- a/crates/coord/tests/random_faults.rs
+++ b/crates/coord/tests/random_faults.rs
@@ -141,9 +141,7 @@
     net.run(300);
     net.submit(1, &job, 2, 5_000);
     net.run(500);
-    while !net.running.is_empty() {
-        net.finish(0, true);
-    }
+    net.finish_all();
     net.run(500);
     net.judge();
     let verdict = net.verdicts.iter().find(|(id, _)| *id == job.to_string());
--- a/crates/coord/tests/sessions.rs
+++ b/crates/coord/tests/sessions.rs
@@ -49,9 +49,7 @@
     net.run(3_000);
     net.freeze(0, false);
     // The answers of its tasks arrive; it starts nothing more, and is let in again.
-    while !net.running.is_empty() {
-        net.finish(0, true);
-    }
+    net.finish_all();
     net.run(1_000);
     golden("owner_frozen", &net);
 }
@@ -71,9 +69,7 @@
     // The same submission where the majority is.
     net.submit((leader + 1) % 3, &job, 2, 8_000);
     net.run(1_000);
-    while !net.running.is_empty() {
-        net.finish(0, true);
-    }
+    net.finish_all();
     net.run(1_000);
     net.heal();
     net.run(3_000);
@@ -88,12 +84,7 @@
     net.run(100);
     net.finish(0, true);
     net.run(100);
-    for at in 0..3 {
-        net.crash(at);
-    }
-    for at in 0..3 {
-        net.restart(at);
-    }
+    net.restart_all();
     net.run_until_ready(6_000);
     net.announce(0, "u1", 6);
     net.submit(1, &job, 1, 8_000);
@@ -152,12 +143,7 @@
         }
     }
     assert!(net.accepted.len() == 1, "only the service itself is acknowledged");
-    for at in 0..3 {
-        net.crash(at);
-    }
-    for at in 0..3 {
-        net.restart(at);
-    }
+    net.restart_all();
     net.run(4_000);
     net.run_until_ready(4_000);
     net.judge_settings();
@@ -172,12 +158,7 @@
         net.sync(1);
     }
     assert!(net.accepted.len() == 2);
-    for at in 0..3 {
-        net.crash(at);
-    }
-    for at in 0..3 {
-        net.restart(at);
-    }
+    net.restart_all();
     net.run(4_000);
     net.run_until_ready(4_000);
     net.judge_settings();
@@ -205,9 +186,7 @@
     net.announce(0, "u1", 4);
     net.mail.push(late);
     net.settle();
-    while !net.running.is_empty() {
-        net.finish(0, true);
-    }
+    net.finish_all();
     net.run(300);
     golden("forwarded_twice", &net);
 }
