--- a/crates/apricotroute/src/cli.rs
+++ b/crates/apricotroute/src/cli.rs
@@ -1,17 +1,18 @@
 //! The command line: arguments, help and exit codes.
 
-use std::{ffi, net, path, process, sync, sync::atomic, thread, time};
+use std::{ffi, io, net, path, process, sync, sync::atomic, thread, time};
 
 use error_stack::ResultExt as _;
 use serde_json::Value;
-use state::{boot, id, name};
+use state::{boot, id, locate, name, node as node_file};
 
-use crate::{demo, error, instance, load, logs, remote, standin, status};
+use crate::{demo, error, instance, load, logs, node, remote, standin, status};
 
 const HELP: &str = "\
 apricotroute: a dispatcher for tasks shorter than a second
 
   serve --settings FILE          run one instance until SIGTERM or SIGINT
+  node --settings FILE           run one instance that finds the others through seeds
   check FILE                     check a bootstrap file
   demo                           run one job on an instance inside this process
   submit --to IP:PORT FILE       submit a job file and print its answer
@@ -31,6 +32,13 @@
 a second signal does not shorten that, `drain_ms` of the file bounds it.
 ";
 
+const NODE: &str = "\
+apricotroute node --settings FILE
+
+Runs one instance of a system on the users' platform in the foreground, an entry or a keeper as
+its file says. SIGHUP reads the file again; SIGTERM and SIGINT let everything in progress end.
+";
+
 const CHECK: &str = "\
 apricotroute check FILE
 
@@ -111,6 +119,7 @@
     let (help, run): (&str, fn(Arguments) -> Ended) = match command.as_deref() {
         None => return no_command(arguments),
         Some("serve") => (SERVE, serve),
+        Some("node") => (NODE, run_node),
         Some("check") => (CHECK, check),
         Some("demo") => (DEMO, demo),
         Some("submit") => (SUBMIT, submit),
@@ -185,9 +194,13 @@
     }
 }
 
-fn read_boot(path: &path::Path) -> error::Result<Result<boot::Boot, process::ExitCode>> {
+/// Reads a settings file and shows its faults.
+fn read_file<T>(
+    path: &path::Path,
+    parse: impl FnOnce(&str) -> Result<T, Vec<locate::Fault>>,
+) -> error::Result<Result<T, process::ExitCode>> {
     let text = demo::read(path)?;
-    Ok(boot::Boot::parse(&text).map_err(|faults| {
+    Ok(parse(&text).map_err(|faults| {
         for fault in faults {
             eprintln!("{}: {fault}", path.display());
         }
@@ -198,8 +211,12 @@
 fn check(mut arguments: Arguments) -> Ended {
     let file = free(&mut arguments, "FILE")?;
     finish(arguments)?;
-    Ok(match read_boot(path::Path::new(&file))? {
-        Ok(_) => {
+    let parse = |text: &str| match node_file::Node::is_meant(text) {
+        true => node_file::Node::parse(text).map(drop),
+        false => boot::Boot::parse(text).map(drop),
+    };
+    Ok(match read_file(path::Path::new(&file), parse)? {
+        Ok(()) => {
             println!("{file}: ok");
             process::ExitCode::SUCCESS
         }
@@ -210,7 +227,7 @@
 fn serve(mut arguments: Arguments) -> Ended {
     let file = required(&mut arguments, "--settings")?;
     finish(arguments)?;
-    let boot = match read_boot(path::Path::new(&file))? {
+    let boot = match read_file(path::Path::new(&file), boot::Boot::parse)? {
         Ok(boot) => boot,
         Err(code) => return Ok(code),
     };
@@ -223,6 +240,21 @@
     Ok(process::ExitCode::SUCCESS)
 }
 
+fn run_node(mut arguments: Arguments) -> Ended {
+    let file = required(&mut arguments, "--settings")?;
+    finish(arguments)?;
+    let path = path::Path::new(&file);
+    let node = match read_file(path, node_file::Node::parse)? {
+        Ok(node) => node,
+        Err(code) => return Ok(code),
+    };
+    let (log, guard) = logs::logger_to(io::stdout(), &node.log, node.instance.as_str());
+    node::run(path, &node, &log)?;
+    drop(log);
+    drop(guard);
+    Ok(process::ExitCode::SUCCESS)
+}
+
 /// A flag that SIGTERM and SIGINT set.
 fn signals() -> error::Result<sync::Arc<atomic::AtomicBool>> {
     let flag = sync::Arc::new(atomic::AtomicBool::new(false));
--- a/crates/apricotroute/src/logs.rs
+++ b/crates/apricotroute/src/logs.rs
@@ -5,8 +5,17 @@
 use slog::Drain as _;
 use state::boot;
 
-/// A logger for the given settings, and the guard that writes out the rest when dropped.
+/// A logger to the standard error, and the guard that writes out the rest when dropped.
 pub fn logger(log: &boot::Log, instance: &str) -> (slog::Logger, slog_async::AsyncGuard) {
+    logger_to(io::stderr(), log, instance)
+}
+
+/// A logger to `to`. Lines wait in a bounded queue; what finds it full is counted and left out.
+pub fn logger_to(
+    to: impl io::Write + Send + 'static,
+    log: &boot::Log,
+    instance: &str,
+) -> (slog::Logger, slog_async::AsyncGuard) {
     let level = match log.level {
         boot::Level::Error => slog::Level::Error,
         boot::Level::Warning => slog::Level::Warning,
@@ -15,11 +24,11 @@
     };
     let (drain, guard) = match log.form {
         boot::Form::Json => {
-            let json = slog_json::Json::new(io::stderr()).add_default_keys().build();
+            let json = slog_json::Json::new(to).add_default_keys().build();
             slog_async::Async::new(json.fuse()).build_with_guard()
         }
         boot::Form::Text => {
-            let plain = slog_term::PlainSyncDecorator::new(io::stderr());
+            let plain = slog_term::PlainSyncDecorator::new(to);
             let text = slog_term::FullFormat::new(plain).build();
             slog_async::Async::new(text.fuse()).build_with_guard()
         }
--- a/crates/apricotroute/src/main.rs
+++ b/crates/apricotroute/src/main.rs
@@ -8,6 +8,7 @@
 mod instance;
 mod load;
 mod logs;
+mod node;
 mod operator;
 mod remote;
 mod reply;
--- /dev/null
+++ b/crates/apricotroute/src/node/control.rs
@@ -0,0 +1,339 @@
+//! The control thread: it alone owns the core. Everybody else talks to it through a channel and
+//! hears of state through a [`View`].
+
+use std::{collections, sync, sync::atomic, thread, time};
+
+use dispatch::{
+    core,
+    event::{self, Event, Output, Reply},
+    message, routing,
+};
+use link::{metric, peer};
+use state::name;
+
+use super::traffic::{self, Work};
+use crate::{control::Clock, store};
+
+/// Inputs that wait for the control thread at most.
+const INPUTS: usize = 65_536;
+/// Inputs taken before outputs are sent.
+const BATCH: usize = 256;
+/// Between two ticks.
+const TICK: time::Duration = time::Duration::from_millis(25);
+
+enum Input {
+    Event(Event),
+    Ask(event::Ticket, Event, platform::ReplyFn),
+}
+
+/// What other threads may read without asking.
+#[derive(Debug, Default)]
+pub struct View {
+    routing: sync::RwLock<sync::Arc<routing::Routing>>,
+    ready: atomic::AtomicBool,
+    draining: atomic::AtomicBool,
+    closed: atomic::AtomicBool,
+    open: atomic::AtomicUsize,
+}
+
+impl View {
+    /// Jobs that clients wait for.
+    pub fn open(&self) -> usize {
+        self.open.load(atomic::Ordering::Relaxed)
+    }
+
+    fn routing(&self) -> sync::Arc<routing::Routing> {
+        match self.routing.read() {
+            Ok(routing) => sync::Arc::clone(&routing),
+            Err(poisoned) => sync::Arc::clone(&poisoned.into_inner()),
+        }
+    }
+}
+
+/// A handle on the control thread.
+#[derive(Clone, Debug)]
+pub struct Control {
+    sender: crossbeam_channel::Sender<Input>,
+    tickets: sync::Arc<atomic::AtomicU64>,
+    view: sync::Arc<View>,
+    clock: Clock,
+}
+
+/// The channel to a control thread that does not run yet.
+#[derive(Debug)]
+pub struct Channel {
+    receiver: crossbeam_channel::Receiver<Input>,
+}
+
+/// What the control thread works with.
+#[derive(Debug)]
+pub struct Parts {
+    /// What the instance is.
+    pub config: core::Config,
+    /// The data folder, if there is one.
+    pub store: Option<store::Store>,
+    /// The traffic thread.
+    pub traffic: traffic::Sender,
+    /// Where logs go.
+    pub log: slog::Logger,
+}
+
+impl Control {
+    /// A handle and the channel that the thread is to be started with.
+    pub fn new() -> (Self, Channel) {
+        let (sender, receiver) = crossbeam_channel::bounded(INPUTS);
+        let (tickets, view) = (sync::Arc::default(), sync::Arc::default());
+        (Self { sender, tickets, view, clock: Clock::new() }, Channel { receiver })
+    }
+
+    /// Starts the thread.
+    pub fn start(&self, channel: Channel, parts: Parts) {
+        let control = self.clone();
+        let run = move || Thread::new(control, channel, parts).run();
+        if let Err(e) = thread::Builder::new().name("control".to_owned()).spawn(run) {
+            eprintln!("control: no thread: {e}");
+        }
+    }
+
+    /// What may be read without asking.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Tells of something that must not be lost; waits if the control thread is overwhelmed.
+    pub fn tell(&self, event: Event) {
+        // The channel is open as long as the process runs.
+        drop(self.sender.send(Input::Event(event)));
+    }
+
+    /// Finish what is in progress: no new clients are to be sent here.
+    pub fn drain(&self) {
+        self.view.draining.store(true, atomic::Ordering::Relaxed);
+        self.view.ready.store(false, atomic::Ordering::Relaxed);
+        self.tell(Event::Drain);
+    }
+
+    /// Refuse new jobs from here on.
+    pub fn close(&self) {
+        self.view.closed.store(true, atomic::Ordering::Relaxed);
+    }
+}
+
+/// The instance behind the listeners.
+#[derive(Debug)]
+pub struct Backend {
+    control: Control,
+    log: slog::Logger,
+}
+
+impl Backend {
+    /// Hands everything to the control thread.
+    pub fn new(control: Control, log: slog::Logger) -> Self {
+        Self { control, log }
+    }
+}
+
+impl platform::Backend for Backend {
+    fn ask(
+        &self,
+        event: Box<dyn FnOnce(event::Ticket) -> Event + Send>,
+        reply: platform::ReplyFn,
+    ) -> event::Ticket {
+        let ticket = self.control.tickets.fetch_add(1, atomic::Ordering::Relaxed);
+        let event = event(ticket);
+        let closed = self.control.view.closed.load(atomic::Ordering::Relaxed);
+        if closed && matches!(event, Event::Submit(..)) {
+            reply(core::refuse_draining());
+            return ticket;
+        }
+        if let Err(e) = self.control.sender.try_send(Input::Ask(ticket, event, reply))
+            && let Input::Ask(_, _, reply) = e.into_inner()
+        {
+            slog::warn!(self.log, "control: Overwhelmed, refusing.");
+            reply(Reply::Unavailable);
+        }
+        ticket
+    }
+
+    fn tell(&self, event: Event) {
+        self.control.tell(event);
+    }
+
+    fn routing(&self) -> sync::Arc<routing::Routing> {
+        self.control.view.routing()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.control.view.ready.load(atomic::Ordering::Relaxed)
+    }
+
+    fn is_draining(&self) -> bool {
+        self.control.view.draining.load(atomic::Ordering::Relaxed)
+    }
+
+    fn refused(&self, id: &str, status: u16, why: &str) {
+        slog::info!(self.log, "request: Answered at once."; "id" => id, "status" => status,
+            "why" => why);
+    }
+}
+
+/// Hands messages of other instances to the control thread.
+#[derive(Debug)]
+pub struct Inbox {
+    control: Control,
+}
+
+impl Inbox {
+    /// Hands everything to `control`.
+    pub fn new(control: Control) -> Self {
+        Self { control }
+    }
+}
+
+impl peer::Inbox for Inbox {
+    fn deliver(&self, from: &name::Name, body: bytes::Bytes) -> bool {
+        let Ok(body) = postcard::from_bytes::<message::Body>(&body) else {
+            return false;
+        };
+        let event = Input::Event(Event::Peer(from.clone(), body));
+        self.control.sender.try_send(event).is_ok()
+    }
+
+    /// Instances come and go; who they are is told by their heartbeats.
+    fn knows(&self, _name: &name::Name) -> bool {
+        true
+    }
+}
+
+struct Thread {
+    control: Control,
+    receiver: crossbeam_channel::Receiver<Input>,
+    core: core::Core,
+    replies: collections::HashMap<event::Ticket, platform::ReplyFn>,
+    batches: collections::BTreeMap<name::Name, Vec<bytes::Bytes>>,
+    work: Vec<Work>,
+    saves: store::Saves,
+    store: Option<crossbeam_channel::Sender<store::Saves>>,
+    traffic: traffic::Sender,
+    log: slog::Logger,
+}
+
+impl Thread {
+    fn new(control: Control, channel: Channel, parts: Parts) -> Self {
+        let core = core::Core::new(parts.config, control.clock.now());
+        let report = control.clone();
+        let saved = move |number| report.tell(Event::Saved(number));
+        let store = parts.store.map(|store| store.run(parts.log.clone(), saved));
+        Self {
+            control,
+            receiver: channel.receiver,
+            core,
+            replies: collections::HashMap::new(),
+            batches: collections::BTreeMap::new(),
+            work: Vec::new(),
+            saves: Vec::new(),
+            store,
+            traffic: parts.traffic,
+            log: parts.log,
+        }
+    }
+
+    fn run(mut self) {
+        let mut tick = time::Instant::now();
+        loop {
+            let wait = tick.saturating_duration_since(time::Instant::now());
+            match self.receiver.recv_timeout(wait) {
+                Ok(input) => {
+                    self.take(input);
+                    for _ in 0..BATCH {
+                        let Ok(input) = self.receiver.try_recv() else {
+                            break;
+                        };
+                        self.take(input);
+                    }
+                }
+                Err(crossbeam_channel::RecvTimeoutError::Timeout) => {}
+                Err(crossbeam_channel::RecvTimeoutError::Disconnected) => return,
+            }
+            if time::Instant::now() >= tick {
+                tick = time::Instant::now() + TICK;
+                self.take(Input::Event(Event::Tick));
+            }
+            self.flush();
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        let event = match input {
+            Input::Event(event) => event,
+            Input::Ask(ticket, event, reply) => {
+                self.replies.insert(ticket, reply);
+                event
+            }
+        };
+        if let Event::Left(ticket) = &event {
+            self.replies.remove(ticket);
+        }
+        for output in self.core.handle(event, self.control.clock.now()) {
+            self.put(output);
+        }
+    }
+
+    fn put(&mut self, output: Output) {
+        match output {
+            Output::Send(to, body) => {
+                let bytes = coord::machine::encode(&body);
+                metric::count_message(body.kind(), bytes.len());
+                self.batches.entry(to).or_default().push(bytes);
+            }
+            Output::Connect(to) => self.work.push(Work::Connect(to)),
+            Output::Redial(to) => self.work.push(Work::Redial(to)),
+            Output::Disconnect(to) => self.work.push(Work::Disconnect(to)),
+            Output::Save(number, save) => self.saves.push((number, save)),
+            Output::Call(call) => self.work.push(Work::Call(call)),
+            Output::Reply(ticket, reply) => {
+                if let Some(waiting) = self.replies.remove(&ticket) {
+                    waiting(reply);
+                }
+            }
+            Output::Document(document) => self.put_in_force(&document),
+            Output::Note(note) => {
+                slog::info!(self.log, "{}", note.text;
+                    "subject" => %note.subject, "detail" => note.detail);
+            }
+        }
+    }
+
+    fn put_in_force(&self, document: &message::Document) {
+        match platform::decode::routing(&document.body) {
+            Ok(routing) => {
+                if let Ok(mut held) = self.control.view.routing.write() {
+                    *held = sync::Arc::new(routing);
+                }
+            }
+            // It was checked before it was committed, by an instance of another version.
+            Err(fault) => slog::error!(self.log, "settings: A committed one cannot be read.";
+                "version" => document.version, "fault" => fault.why),
+        }
+    }
+
+    fn flush(&mut self) {
+        let batches = std::mem::take(&mut self.batches);
+        self.work.extend(batches.into_iter().map(|(to, bodies)| Work::Send(to, bodies)));
+        if !self.work.is_empty() {
+            // The traffic thread runs as long as the process does.
+            drop(self.traffic.send(std::mem::take(&mut self.work)));
+        }
+        if !self.saves.is_empty() {
+            let saves = std::mem::take(&mut self.saves);
+            if let Some(store) = &self.store {
+                // A store that stopped is never heard of again, which is what its voter needs.
+                drop(store.send(saves));
+            }
+        }
+        let (view, now) = (&self.control.view, self.control.clock.now());
+        let ready = self.core.is_ready(now) && !view.draining.load(atomic::Ordering::Relaxed);
+        view.ready.store(ready, atomic::Ordering::Relaxed);
+        view.open.store(self.core.open(), atomic::Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/apricotroute/src/node/mod.rs
@@ -0,0 +1,166 @@
+//! An instance that finds the others through seeds and owns upstreams: listeners, streams, the
+//! control thread and their end.
+
+mod control;
+mod reload;
+mod traffic;
+
+use std::{path, sync, thread, time};
+
+use dispatch::{core, event::Event, member};
+use error_stack::ResultExt as _;
+use link::{http, peer};
+use signal_hook::{consts, iterator};
+use state::node;
+
+use crate::{error, store};
+
+/// A lease is this share of the longest that upstreams grant, per cent: what is left covers the
+/// way there.
+const LEASE_SHARE: u64 = 95;
+/// An entry that shuts down takes clients this long: the balancer needs two misses of its
+/// question, one a second, to send them elsewhere.
+const LINGER: time::Duration = time::Duration::from_millis(2_600);
+/// A keeper stays this long, so that its successor has taken over.
+const HAND_OVER: time::Duration = time::Duration::from_millis(900);
+/// Time kept back from the grace for the last responses and log lines.
+const RESERVE: time::Duration = time::Duration::from_millis(500);
+
+/// Runs an instance until it is told to end.
+pub fn run(file: &path::Path, node: &node::Node, log: &slog::Logger) -> error::Result<()> {
+    let fault = |step| move || error::Error::new(step, &node.instance);
+    let signals = [consts::SIGTERM, consts::SIGINT, consts::SIGHUP];
+    let mut signals =
+        iterator::Signals::new(signals).change_context_lazy(fault("listen for signals of"))?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context_lazy(fault("start runtime of"))?;
+    let runtime = sync::Arc::new(runtime);
+    let (traffic, work) = traffic::channel();
+    let (control, channel) = control::Control::new();
+    let listeners = open(node, &runtime, &control, log)?;
+    let parts = parts(node, traffic, log)?;
+    control.start(channel, parts);
+    thread::Builder::new()
+        .name("traffic".to_owned())
+        .spawn({
+            let (runtime, control) = (sync::Arc::clone(&runtime), control.clone());
+            let me = peer_name(node);
+            move || traffic::run(&runtime, work, &control, &me)
+        })
+        .change_context_lazy(fault("start traffic of"))?;
+    reload::watch(&runtime, file, node, &control, log);
+    slog::info!(log, "node: Started."; "role" => ?node.role, "peer" => %node.peer,
+        "seeds" => ?node.seeds, "first" => node.first);
+    for signal in signals.forever() {
+        if signal != consts::SIGHUP {
+            break;
+        }
+        reload::again(file, node, &control, log);
+    }
+    drain(node, &control, log);
+    drop(listeners);
+    slog::info!(log, "node: Stopped."; "open" => control.view().open());
+    Ok(())
+}
+
+/// Lets what is in progress end.
+fn drain(node: &node::Node, control: &control::Control, log: &slog::Logger) {
+    const STEP: time::Duration = time::Duration::from_millis(50);
+    slog::info!(log, "node: Draining."; "open" => control.view().open());
+    control.drain();
+    let start = time::Instant::now();
+    let grace = time::Duration::from_millis(node.grace_ms).saturating_sub(RESERVE);
+    let least = match node.role {
+        node::Role::Entry => LINGER,
+        node::Role::Keeper => HAND_OVER,
+    };
+    thread::sleep(least.min(grace));
+    control.close();
+    while start.elapsed() < grace && control.view().open() > 0 {
+        thread::sleep(STEP);
+    }
+    // Let the last responses and messages leave.
+    thread::sleep(STEP * 2);
+}
+
+fn peer_name(node: &node::Node) -> state::Name {
+    state::Name::new(&node.peer.to_string())
+}
+
+fn open(
+    node: &node::Node,
+    runtime: &tokio::runtime::Runtime,
+    control: &control::Control,
+    log: &slog::Logger,
+) -> error::Result<Vec<http::Listener>> {
+    let fault = || error::Error::new("start", &node.instance);
+    let backend = sync::Arc::new(control::Backend::new(control.clone(), log.clone()));
+    let inbox = sync::Arc::new(control::Inbox::new(control.clone()));
+    peer::Server::open(runtime, node.peer, &peer_name(node), inbox).change_context_lazy(fault)?;
+    let mut listeners = Vec::new();
+    let mut listen = |address, handler| {
+        let listener = http::Listener::open(runtime, address, handler);
+        listener.change_context_lazy(fault).map(|listener| listeners.push(listener))
+    };
+    if let Some(address) = node.client {
+        listen(address, sync::Arc::new(platform::front::Front::new(sync::Arc::clone(&backend))))?;
+    }
+    if let Some(address) = node.ready {
+        listen(address, sync::Arc::new(platform::front::Ready::new(sync::Arc::clone(&backend))))?;
+    }
+    if let Some(address) = node.operator {
+        listen(address, sync::Arc::new(platform::control::Control::new(backend)))?;
+    }
+    Ok(listeners)
+}
+
+fn parts(
+    node: &node::Node,
+    traffic: traffic::Sender,
+    log: &slog::Logger,
+) -> error::Result<control::Parts> {
+    let wall = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
+    let role = match node.role {
+        node::Role::Entry => member::Role::Entry,
+        node::Role::Keeper => member::Role::Keeper,
+    };
+    let name = peer_name(node);
+    let life = wall.as_millis() as u64;
+    let me = member::Card { name: name.clone(), zone: node.zone.clone(), role, life };
+    let seeds = node.seed_peers();
+    let store = match &node.folder {
+        Some(folder) => Some(open_store(node, folder, seeds.contains(&name), log)?),
+        None => None,
+    };
+    let disk = store.as_ref().map(|store| core::Disk {
+        life: store.life,
+        recovered: store.recovered(),
+        first: node.first,
+    });
+    let lease = node.lease_ms * LEASE_SHARE / 100;
+    let config = core::Config { me, seeds, lease, seed: rand::random(), disk };
+    Ok(control::Parts { config, store, traffic, log: log.clone() })
+}
+
+fn open_store(
+    node: &node::Node,
+    folder: &path::Path,
+    founder: bool,
+    log: &slog::Logger,
+) -> error::Result<store::Store> {
+    let fresh = u64::from(rand::random::<u32>()) + dispatch::vault::FIRST_LIFE + 1;
+    let life = if node.first && founder { dispatch::vault::FIRST_LIFE } else { fresh };
+    let store = store::Store::open(folder, &peer_name(node), life)?;
+    if store.torn > 0 {
+        slog::warn!(log, "store: Cut an unfinished write."; "bytes" => store.torn);
+    }
+    slog::info!(log, "store: Opened."; "life" => store.life, "entries" => store.entries());
+    Ok(store)
+}
+
+/// Tells the control thread of other seeds.
+fn tell_seeds(node: &node::Node, control: &control::Control) {
+    control.tell(Event::Seeds(node.seed_peers()));
+}
--- /dev/null
+++ b/crates/apricotroute/src/node/traffic.rs
@@ -0,0 +1,111 @@
+//! The traffic thread: it runs the listeners, the streams to other instances and the calls to
+//! upstreams. It decides nothing.
+
+use std::{collections, sync};
+
+use dispatch::{event::Event, order::Call};
+use link::{caller, peer};
+use state::name;
+use tokio::sync::mpsc;
+
+use super::control;
+
+/// Work for the traffic thread.
+#[derive(Debug)]
+pub enum Work {
+    /// Send messages to an instance.
+    Send(name::Name, Vec<bytes::Bytes>),
+    /// Open the stream to an instance, if there is none.
+    Connect(name::Name),
+    /// Open it anew.
+    Redial(name::Name),
+    /// Close it.
+    Disconnect(name::Name),
+    /// Call an upstream.
+    Call(Call),
+}
+
+/// Where work is handed in.
+pub type Sender = mpsc::UnboundedSender<Vec<Work>>;
+/// Where it is taken.
+pub type Receiver = mpsc::UnboundedReceiver<Vec<Work>>;
+
+/// A channel for work. What is in it is bounded by what the core has under way.
+pub fn channel() -> (Sender, Receiver) {
+    mpsc::unbounded_channel()
+}
+
+/// Does the work until the process ends.
+pub fn run(
+    runtime: &sync::Arc<tokio::runtime::Runtime>,
+    mut work: Receiver,
+    control: &control::Control,
+    me: &name::Name,
+) {
+    let mut streams = Streams {
+        runtime: sync::Arc::clone(runtime),
+        me: me.clone(),
+        outbox: peer::Outbox::new(),
+        known: collections::BTreeSet::new(),
+    };
+    let caller = caller::Caller::new();
+    runtime.block_on(async {
+        while let Some(batch) = work.recv().await {
+            for one in batch {
+                match one {
+                    Work::Call(call) => start(&caller, control, call),
+                    other => streams.take(other),
+                }
+            }
+        }
+    });
+}
+
+fn start(caller: &caller::Caller, control: &control::Control, call: Call) {
+    let (caller, control) = (caller.clone(), control.clone());
+    tokio::spawn(async move {
+        let outcome = platform::upstream::call(&caller, &call).await;
+        control.tell(Event::Called(call.number, call.fence, outcome));
+    });
+}
+
+struct Streams {
+    runtime: sync::Arc<tokio::runtime::Runtime>,
+    me: name::Name,
+    outbox: peer::Outbox,
+    known: collections::BTreeSet<name::Name>,
+}
+
+impl Streams {
+    fn take(&mut self, work: Work) {
+        match work {
+            Work::Send(to, bodies) => {
+                self.connect(&to);
+                // A full queue is a stream that carries nothing; the core notices the silence.
+                let _sent = self.outbox.send(&to, bodies);
+            }
+            Work::Connect(to) => self.connect(&to),
+            Work::Redial(to) => {
+                self.disconnect(&to);
+                self.connect(&to);
+            }
+            Work::Disconnect(to) => self.disconnect(&to),
+            Work::Call(_) => {}
+        }
+    }
+
+    fn connect(&mut self, to: &name::Name) {
+        let Ok(address) = to.as_str().parse() else {
+            return;
+        };
+        if self.known.insert(to.clone()) {
+            let outbox = std::mem::take(&mut self.outbox);
+            self.outbox = outbox.with_peer(&self.runtime, &self.me, to, address);
+        }
+    }
+
+    fn disconnect(&mut self, to: &name::Name) {
+        self.known.remove(to);
+        self.outbox.drop_peer(to);
+    }
+}
--- a/crates/apricotroute/tests/layers.rs
+++ b/crates/apricotroute/tests/layers.rs
@@ -9,7 +9,8 @@
         ("coord", &["state"]),
         ("proto", &["state"]),
         ("link", &["proto", "state"]),
-        ("apricotroute", &["coord", "link", "proto", "state"]),
+        ("dispatch", &["coord", "state"]),
+        ("apricotroute", &["coord", "dispatch", "link", "platform", "proto", "state"]),
     ]
     .into();
     let crates = path::Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
--- a/crates/coord/src/core.rs
+++ b/crates/coord/src/core.rs
@@ -523,6 +523,9 @@
         seats,
         timing: SETTINGS_TIMING,
         durable: votes,
+        named: false,
+        compact_every: group::COMPACT_EVERY,
+        kept_entries: group::KEPT_ENTRIES,
     };
     group::Group::new(group, machine::Settings::default(), config.seed ^ 1)
 }
@@ -537,6 +540,9 @@
         seats,
         timing: JOURNAL_TIMING,
         durable: false,
+        named: false,
+        compact_every: group::COMPACT_EVERY,
+        kept_entries: group::KEPT_ENTRIES,
     };
     group::Group::new(group, machine::Journal::default(), config.seed ^ 2)
 }
--- a/crates/coord/src/group.rs
+++ b/crates/coord/src/group.rs
@@ -16,9 +16,9 @@
 /// Allowance for the difference between two wall clocks, in milliseconds.
 pub const SKEW_MS: u64 = 1_000;
 /// Log entries kept for slow followers when a snapshot covers them.
-const KEPT_ENTRIES: u64 = 2_048;
+pub(crate) const KEPT_ENTRIES: u64 = 2_048;
 /// Applied entries after which the log is compacted.
-const COMPACT_EVERY: u64 = 4_096;
+pub(crate) const COMPACT_EVERY: u64 = 4_096;
 /// A follower that does not vote is dropped when not heard of for this long, microseconds.
 pub(crate) const DROP_LEARNER: u64 = 10_000 * time::MS;
 /// Between two questions of a member that lost its leader, microseconds.
@@ -57,6 +57,13 @@
     pub timing: Timing,
     /// Whether entries are stored before they count.
     pub durable: bool,
+    /// Whether the first members are named from outside ([`Group::form`]), so that the group is
+    /// never formed by agreement and never left.
+    pub named: bool,
+    /// Applied entries after which the log is compacted.
+    pub compact_every: u64,
+    /// Entries kept then for slow followers.
+    pub kept_entries: u64,
 }
 
 /// Effects of the last calls.
@@ -115,6 +122,7 @@
     pub(crate) stage: Stage,
     pub(crate) machine: M,
     pub(crate) lives: collections::BTreeMap<name::Name, (u64, Option<Formation>)>,
+    pub(crate) looked: u64,
     pub(crate) issued: u64,
     pub(crate) done: u64,
     pub(crate) marks: collections::VecDeque<(u64, u64, u64)>,
@@ -133,6 +141,7 @@
             stage: Stage::Seeking(seeker),
             machine,
             lives: collections::BTreeMap::new(),
+            looked: 0,
             issued: 0,
             done: 0,
             marks: collections::VecDeque::new(),
@@ -219,11 +228,12 @@
     /// Lets time pass.
     pub fn tick(&mut self, now: time::Now) {
         match &mut self.stage {
+            Stage::Seeking(_) if self.config.named => self.look(now.mono),
             Stage::Seeking(_) => self.seek(now),
             Stage::Joined(joined) => {
                 joined.raft.tick(now.mono);
                 let orphan = !joined.raft.has_leader(now.mono);
-                if orphan && joined.raft.commit() == 0 {
+                if orphan && joined.raft.commit() == 0 && !self.config.named {
                     // The formation never came to be; another one may have.
                     self.leave();
                 } else if orphan {
@@ -469,7 +479,7 @@
             return;
         };
         let raft = &mut joined.raft;
-        if joined.applied < raft.log().base() + COMPACT_EVERY {
+        if joined.applied < raft.log().base() + self.config.compact_every {
             return;
         }
         if self.config.durable {
@@ -477,10 +487,10 @@
             let term = raft.log().term(index).unwrap_or_default();
             let voters = raft.voters_at(index);
             let state = self.machine.snapshot();
-            raft.compact(KEPT_ENTRIES);
+            raft.compact(self.config.kept_entries);
             self.save(Save::Snapshot { index, term, voters, state });
         } else {
-            raft.compact(KEPT_ENTRIES);
+            raft.compact(self.config.kept_entries);
         }
     }
 }
--- a/crates/coord/src/raft.rs
+++ b/crates/coord/src/raft.rs
@@ -261,12 +261,17 @@
         }
     }
 
+    /// Whether an entry of the present term is committed, so that a leader's commit index covers
+    /// everything that any leader before it has committed.
+    pub fn is_current(&self) -> bool {
+        self.log.term(self.commit) == Some(self.term)
+    }
+
     /// Whether the last voter change is committed, so that another may follow.
     pub fn is_settled(&self) -> bool {
         let is_change = |entry: &&Entry| matches!(entry.load, Load::Voters(_));
         let last = self.log.iter().rev().find(is_change);
-        let current = self.log.term(self.commit) == Some(self.term);
-        current && last.is_none_or(|entry| entry.index <= self.commit)
+        self.is_current() && last.is_none_or(|entry| entry.index <= self.commit)
     }
 
     /// Lets time pass.
--- a/crates/coord/src/upkeep.rs
+++ b/crates/coord/src/upkeep.rs
@@ -11,6 +11,12 @@
     time,
 };
 
+/// A voter that was silent this long loses its seat to another member, microseconds: longer than
+/// a freeze or a restart, well below the time in which a second disk may be lost.
+const RESEAT_LOST: u64 = 3_000 * time::MS;
+/// A member must have been heard this lately to take a seat, microseconds: two heartbeats.
+const RESEAT_HEARD: u64 = 500 * time::MS;
+
 impl<M: Machine> Group<M> {
     pub(crate) fn seek(&mut self, now: time::Now) {
         let Stage::Seeking(seeker) = &mut self.stage else {
@@ -36,6 +42,73 @@
         self.stage = Stage::Joined(Box::new(Joined { formation, raft, applied: 0, search: 0 }));
     }
 
+    /// Begins a group with the voters that were named from outside. Each of them does so by
+    /// itself, and the first leader is elected.
+    pub fn form(&mut self, formation: Formation, voters: Voters, now: u64) {
+        self.save(Save::Formed(formation, voters.clone()));
+        let raft = self.engine(raft::Stored { voters, ..raft::Stored::default() }, now);
+        self.stage = Stage::Joined(Box::new(Joined { formation, raft, applied: 0, search: 0 }));
+    }
+
+    /// Names every other instance that may belong to the group.
+    pub fn set_others(&mut self, others: Vec<name::Name>) {
+        self.config.others = others;
+    }
+
+    /// Sends a heartbeat now, if this member leads.
+    pub fn beat(&mut self, now: u64) {
+        if let Stage::Joined(joined) = &mut self.stage {
+            joined.raft.broadcast(now);
+            self.drain(now);
+        }
+    }
+
+    /// Gives the seats of voters that are lost to members that hold everything, and adds seats up
+    /// to `most`, one committed change at a time (Ongaro 2014, section 4.1).
+    pub fn reseat(&mut self, most: usize, now: u64) {
+        let Stage::Joined(joined) = &mut self.stage else {
+            return;
+        };
+        let raft = &mut joined.raft;
+        if !raft.is_leader() || !raft.is_settled() {
+            return;
+        }
+        let (commit, voters) = (raft.commit(), raft.voters().clone());
+        let fit = |(m, p): &(&name::Member, &raft::Progress)| {
+            let fresh = now < p.heard + RESEAT_HEARD && p.matched >= commit && p.matched > 0;
+            fresh && voters.seat(&m.name).is_none()
+        };
+        let fit: Vec<_> = raft.peers().filter(fit).map(|(m, _)| m.clone()).collect();
+        let Some(next) = fit.first() else {
+            return;
+        };
+        let lost = |m: &&name::Member| {
+            let heard = raft.peers().find(|(peer, _)| peer == m).map(|(_, p)| p.heard);
+            **m != self.config.me && heard.is_none_or(|heard| now > heard + RESEAT_LOST)
+        };
+        let lost = voters.0.iter().find(lost).cloned();
+        let seats = (voters.0.len() + fit.len()).min(most);
+        let seats = if seats % 2 == 0 { seats - 1 } else { seats };
+        let mut next_voters = voters.clone();
+        if let Some(lost) = lost {
+            next_voters.0.retain(|m| *m != lost);
+        } else if voters.0.len() < seats {
+            next_voters.0.push(next.clone());
+        } else {
+            return;
+        }
+        raft.propose(Load::Voters(next_voters), now);
+        self.drain(now);
+    }
+
+    /// Asks the others for a group to join.
+    pub(crate) fn look(&mut self, now: u64) {
+        if now >= self.looked {
+            self.looked = now + SEARCH;
+            self.probe();
+        }
+    }
+
     /// Joins the formation that a leader's message comes from, if this member belongs to none,
     /// or to one that is older and has no leader any more.
     pub(crate) fn adopt(&mut self, formation: Formation, body: &message::Raft, now: u64) {
--- /dev/null
+++ b/crates/dispatch/src/desk.rs
@@ -0,0 +1,247 @@
+//! The entry's side of a job: which scheduler has it, and what to do when that one is lost.
+//!
+//! A job is with one scheduler at a time. It goes to the scheduler of the entry's own zone, or to
+//! the one with the most free room if there is none at home. When a scheduler is lost, its
+//! successor gets the jobs again, marked as resumed: tasks that still run are found there.
+
+use std::collections;
+
+use state::name;
+
+use crate::{
+    claim,
+    event::Ticket,
+    job::{Job, Refusal, Verdict},
+    message::{Body, Load},
+    roster, time,
+};
+
+/// A scheduler is asked about jobs that it has had for this long, microseconds: one that is lost
+/// on the way costs little more.
+const ASK: u64 = 350 * time::MS;
+/// A job that no scheduler could be given is refused after this, microseconds: the time in which
+/// a zone replaces one (heartbeats missed for 500 ms, a turn or two of 300 ms).
+const NO_SCHEDULER: u64 = 1_400 * time::MS;
+/// A scheduler in another zone has dropped the jobs of an entry that it does not hear, and their
+/// leases are over, after this time.
+const DROPPED: u64 = 1_600 * time::MS;
+
+/// Effects of the last calls.
+#[derive(Debug, Default)]
+pub struct Output {
+    /// Messages.
+    pub sends: Vec<(name::Name, Body)>,
+    /// Verdicts for the tickets that wait for them.
+    pub verdicts: Vec<(Ticket, name::Name, Verdict)>,
+}
+
+#[derive(Debug)]
+struct Open {
+    job: Job,
+    tickets: smallvec::SmallVec<[Ticket; 1]>,
+    arrived: u64,
+    with: Option<claim::Claim>,
+    asked: u64,
+    given: bool,
+    lost: Option<u64>,
+}
+
+/// The jobs of the clients of one entry.
+#[derive(Debug, Default)]
+pub struct Desk {
+    open: collections::BTreeMap<name::Name, Open>,
+    tickets: collections::HashMap<Ticket, name::Name>,
+    loads: collections::BTreeMap<name::Name, Load>,
+    out: Output,
+}
+
+/// What a desk goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// Who is alive.
+    pub roster: &'a roster::Roster,
+    /// Who schedules.
+    pub claims: &'a claim::Claims,
+    /// Time.
+    pub now: u64,
+}
+
+impl Desk {
+    /// Takes the effects collected so far.
+    pub fn take(&mut self) -> Output {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Jobs that clients wait for.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Notes how full the upstreams of a zone are.
+    pub fn load(&mut self, zone: &name::Name, load: Load) {
+        self.loads.insert(zone.clone(), load);
+    }
+
+    /// Takes a job of a client.
+    pub fn submit(&mut self, ticket: Ticket, job: Job, view: View<'_>) {
+        let id = job.id.clone();
+        self.tickets.insert(ticket, id.clone());
+        if let Some(open) = self.open.get_mut(&id) {
+            open.tickets.push(ticket);
+            return;
+        }
+        let tickets = smallvec::smallvec![ticket];
+        let (arrived, asked) = (view.now, view.now);
+        let open = Open { job, tickets, arrived, with: None, asked, given: false, lost: None };
+        self.open.insert(id.clone(), open);
+        self.give(&id, view);
+    }
+
+    /// The client of a ticket has gone.
+    pub fn left(&mut self, ticket: Ticket) {
+        let Some(id) = self.tickets.remove(&ticket) else { return };
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.tickets.retain(|other| *other != ticket);
+        if !open.tickets.is_empty() {
+            return;
+        }
+        if let Some(open) = self.open.remove(&id)
+            && let Some(claim) = open.with
+        {
+            self.out.sends.push((claim.holder, Body::Cancel(id)));
+        }
+    }
+
+    /// A scheduler says how a job ended.
+    pub fn verdict(&mut self, from: &name::Name, id: &name::Name, verdict: Verdict) {
+        let with = self.open.get(id).and_then(|open| open.with.as_ref());
+        let current = with.is_some_and(|claim| claim.holder == *from);
+        let told = verdict == Verdict::Complete || verdict == Verdict::Failed;
+        if current || told {
+            self.close(id, &verdict);
+        }
+    }
+
+    /// A scheduler does not know a job that it was given.
+    pub fn unknown(&mut self, from: &name::Name, id: &name::Name, view: View<'_>) {
+        let Some(open) = self.open.get_mut(id) else { return };
+        if open.with.as_ref().is_some_and(|claim| claim.holder == *from) {
+            open.job.resumed = true;
+            open.with = None;
+            self.give(id, view);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, view: View<'_>) {
+        let now = view.now;
+        let mut ask: collections::BTreeMap<name::Name, Vec<name::Name>> =
+            collections::BTreeMap::new();
+        let mut again = Vec::new();
+        let mut over = Vec::new();
+        for (id, open) in &mut self.open {
+            if now >= open.arrived + open.job.patience * time::MS {
+                over.push((id.clone(), Self::last_word(open)));
+                continue;
+            }
+            match &open.with {
+                None if !open.given && now >= open.arrived + NO_SCHEDULER => {
+                    over.push((id.clone(), Verdict::NotRun(Refusal::NoScheduler)));
+                }
+                None => again.push(id.clone()),
+                Some(claim) if view.is_current(claim) => {
+                    open.lost = None;
+                    if now >= open.asked + ASK {
+                        open.asked = now;
+                        ask.entry(claim.holder.clone()).or_default().push(id.clone());
+                    }
+                }
+                Some(claim) => {
+                    let lost = *open.lost.get_or_insert(now);
+                    let next = view.claims.of(&claim.zone);
+                    let replaced = next.is_some_and(|next| {
+                        next != claim && view.roster.holds(next, now)
+                    });
+                    if replaced || now >= lost + DROPPED {
+                        open.job.resumed = true;
+                        open.with = None;
+                        again.push(id.clone());
+                    }
+                }
+            }
+        }
+        for (id, verdict) in over {
+            self.close(&id, &verdict);
+        }
+        for id in again {
+            self.give(&id, view);
+        }
+        let sends = ask.into_iter().map(|(to, ids)| (to, Body::Await(ids)));
+        self.out.sends.extend(sends);
+    }
+
+    fn last_word(open: &Open) -> Verdict {
+        if open.given { Verdict::GaveUp } else { Verdict::NotRun(Refusal::NoScheduler) }
+    }
+
+    fn close(&mut self, id: &name::Name, verdict: &Verdict) {
+        let Some(open) = self.open.remove(id) else { return };
+        for ticket in open.tickets {
+            self.tickets.remove(&ticket);
+            self.out.verdicts.push((ticket, id.clone(), verdict.clone()));
+        }
+    }
+
+    /// Gives a job to a scheduler, if one can be reached.
+    fn give(&mut self, id: &name::Name, view: View<'_>) {
+        let Some(open) = self.open.get(id) else { return };
+        let Some(claim) = self.choose(&open.job, view).cloned() else { return };
+        let need = cpu(&open.job);
+        if let Some(load) = self.loads.get_mut(&claim.zone) {
+            load.free -= need;
+        }
+        let Some(open) = self.open.get_mut(id) else { return };
+        let mut job = open.job.clone();
+        job.age += view.now.saturating_sub(open.arrived) / time::MS;
+        open.asked = view.now;
+        open.given = true;
+        open.lost = None;
+        open.with = Some(claim.clone());
+        self.out.sends.push((claim.holder, Body::Submit(Box::new(job))));
+    }
+
+    fn choose<'a>(&self, job: &Job, view: View<'a>) -> Option<&'a claim::Claim> {
+        let home = &view.roster.me().zone;
+        let reached = |claim: &&claim::Claim| view.roster.holds(claim, view.now);
+        let at_home = view.claims.of(home).filter(reached);
+        if job.resumed && at_home.is_some() {
+            return at_home;
+        }
+        let free = |claim: &claim::Claim| self.loads.get(&claim.zone).map_or(0, |load| load.free);
+        let need = cpu(job);
+        if at_home.is_some_and(|claim| free(claim) >= need) {
+            return at_home;
+        }
+        let abroad = view.claims.iter().filter(reached).filter(|claim| claim.zone != *home);
+        let best = abroad.max_by_key(|claim| free(claim));
+        match (at_home, best) {
+            (Some(home), Some(best)) if free(best) >= need => {
+                if free(home) >= need { Some(home) } else { Some(best) }
+            }
+            (Some(home), _) => Some(home),
+            (None, best) => best,
+        }
+    }
+}
+
+impl View<'_> {
+    fn is_current(&self, claim: &claim::Claim) -> bool {
+        let same = self.claims.of(&claim.zone).is_some_and(|held| held == claim);
+        same && self.roster.holds(claim, self.now)
+    }
+}
+
+/// Cores of all tasks of a job, thousandths.
+fn cpu(job: &Job) -> i64 {
+    job.steps.iter().map(|step| step.need.cpu as i64 * i64::from(step.count)).sum()
+}
--- /dev/null
+++ b/crates/dispatch/src/event.rs
@@ -0,0 +1,86 @@
+//! What an instance is told and what it does.
+
+use state::name;
+
+use crate::{job, message, order, upstream};
+
+/// A request that waits for a reply.
+pub type Ticket = u64;
+
+/// Something that has happened.
+#[derive(Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// A message of another instance.
+    Peer(name::Name, message::Body),
+    /// Stores up to this number are on disk.
+    Saved(u64),
+    /// A client hands in a job.
+    Submit(Ticket, Box<job::Job>),
+    /// The client of this ticket has gone.
+    Left(Ticket),
+    /// An upstream announces itself.
+    Announce(Ticket, upstream::Record),
+    /// An upstream says that it ends.
+    Withdraw(Ticket, name::Name),
+    /// The operator hands in a configuration.
+    Publish(Ticket, message::Document),
+    /// The operator asks for the newest configuration.
+    Read(Ticket),
+    /// What came of a call: its number and fencing token.
+    Called(u64, u64, order::Outcome),
+    /// The settings name other seeds.
+    Seeds(Vec<name::Name>),
+    /// Finish what is in progress and take nothing new.
+    Drain,
+}
+
+/// Something to do.
+#[derive(Debug, PartialEq)]
+pub enum Output {
+    /// Send a message.
+    Send(name::Name, message::Body),
+    /// Open a stream to an instance.
+    Connect(name::Name),
+    /// Open the stream to an instance anew.
+    Redial(name::Name),
+    /// Close the stream to an instance.
+    Disconnect(name::Name),
+    /// Store a change of the replicated configuration.
+    Save(u64, coord::raft::Save),
+    /// Call an upstream.
+    Call(order::Call),
+    /// Answer a ticket.
+    Reply(Ticket, Reply),
+    /// A newer configuration is in force here.
+    Document(message::Document),
+    /// A decision worth a log line.
+    Note(Note),
+}
+
+/// Answer to a ticket.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// How a job ended.
+    Verdict(job::Verdict),
+    /// It is taken note of.
+    Noted,
+    /// The newest configuration.
+    Newest(message::Document),
+    /// Another configuration holds this version.
+    Conflict,
+    /// This instance cannot tell, or cannot do it now.
+    Unavailable,
+}
+
+/// A decision worth a log line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Note {
+    /// What happened.
+    pub text: &'static str,
+    /// The job, upstream or instance that it is about.
+    pub subject: name::Name,
+    /// What decided it.
+    pub detail: String,
+}
--- /dev/null
+++ b/crates/dispatch/src/lane.rs
@@ -0,0 +1,220 @@
+//! One upstream as its owner sees it: fencing token, lease, and what may be running there.
+//!
+//! An order without an answer may have been carried out, or be carried out later. The owner then
+//! raises the fencing token and asks again: once the upstream has answered under the higher
+//! token, no earlier order can take effect any more, and its list says which ones did.
+
+use std::collections;
+
+use state::name;
+
+use crate::{
+    job,
+    order::{Call, Order, Running},
+    time, upstream,
+};
+
+/// How long an answer may wait for an end while tasks run, milliseconds. Between two answers a
+/// task that makes no progress is noticed.
+const WAIT_BUSY: u64 = 200;
+/// The same for an idle upstream.
+const WAIT_IDLE: u64 = 450;
+/// Time for the answer to an order, milliseconds: a hundred round trips between zones.
+const PATIENCE: u64 = 250;
+/// Pause before an upstream that did not answer is asked again, microseconds.
+const RETRY: u64 = 60 * time::MS;
+/// Steady clocks of upstreams may be this much slower, thousandths.
+const SLOW_CLOCK: u64 = 25;
+
+/// How sure the owner is about a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// The order is on its way.
+    Starting,
+    /// The upstream has said that it runs.
+    Running,
+    /// It may be running.
+    Doubt,
+}
+
+/// A run that takes room at an upstream.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Number of the run.
+    pub attempt: u32,
+    /// What it takes.
+    pub need: upstream::Room,
+    /// How sure it is.
+    pub stage: Stage,
+    /// Since when the stage holds.
+    pub since: u64,
+    /// Last progress: when, and how much was done.
+    pub progress: (u64, u32),
+    /// Whether nobody wants it any more, and when it was last told to stop.
+    pub unwanted: Option<u64>,
+}
+
+/// The clock of an upstream at one moment of ours.
+#[derive(Clone, Copy, Debug)]
+struct Clock {
+    theirs: u64,
+    ours: u64,
+}
+
+/// An upstream and what its owner knows of it.
+#[derive(Debug)]
+pub struct Lane {
+    /// What it says about itself.
+    pub record: upstream::Record,
+    /// What may be running there.
+    pub runs: collections::BTreeMap<job::Task, Run>,
+    /// How it did lately.
+    pub health: crate::health::Health,
+    pub(crate) fence: u64,
+    pub(crate) owned: bool,
+    pub(crate) silent: Option<u64>,
+    pub(crate) seen: u64,
+    pub(crate) full: u64,
+    clock: Option<Clock>,
+    granted: u64,
+    hold: Option<(u64, u64)>,
+    retry: u64,
+}
+
+impl Lane {
+    /// An upstream that is to be taken over with the fencing token `fence`.
+    pub fn new(record: upstream::Record, fence: u64) -> Self {
+        Self {
+            record,
+            runs: collections::BTreeMap::new(),
+            health: crate::health::Health::default(),
+            fence,
+            owned: false,
+            silent: None,
+            seen: 0,
+            full: 0,
+            clock: None,
+            granted: 0,
+            hold: None,
+            retry: 0,
+        }
+    }
+
+    /// Whether tasks may be started there.
+    pub fn is_open(&self, now: u64) -> bool {
+        self.owned
+            && self.silent.is_none()
+            && self.record.phase == upstream::Phase::Serving
+            && self.clock.is_some()
+            && now >= self.full
+    }
+
+    /// Whether it has answered this owner at all.
+    pub fn is_read(&self) -> bool {
+        self.owned
+    }
+
+    /// Room that is not taken.
+    pub fn free(&self) -> upstream::Room {
+        let taken = self.runs.values().map(|run| run.need);
+        self.record.room.less(taken.fold(upstream::Room::default(), upstream::Room::plus))
+    }
+
+    /// The call that is due, if one is.
+    pub fn due(&mut self, number: u64, lease: u64, now: u64) -> Option<Call> {
+        if self.hold.is_some() || now < self.retry {
+            return None;
+        }
+        let wait = match (self.owned && self.silent.is_none(), self.runs.is_empty()) {
+            (false, _) => 0,
+            (true, true) => WAIT_IDLE,
+            (true, false) => WAIT_BUSY,
+        };
+        let until = self.owned.then(|| self.grant(lease, now)).flatten();
+        self.hold = Some((number, now));
+        let order = Order::Hold { seen: self.seen, until, wait };
+        Some(self.call(number, order, wait + PATIENCE))
+    }
+
+    /// An order other than a hold.
+    pub fn call(&self, number: u64, order: Order, patience: u64) -> Call {
+        Call {
+            number,
+            upstream: self.record.id.clone(),
+            address: self.record.address.clone(),
+            fence: self.fence,
+            order,
+            patience,
+        }
+    }
+
+    /// An order with the usual time for its answer.
+    pub fn order(&self, number: u64, order: Order) -> Call {
+        self.call(number, order, PATIENCE)
+    }
+
+    /// The end of a lease that begins now, on the upstream's clock.
+    pub fn grant(&mut self, lease: u64, now: u64) -> Option<u64> {
+        let clock = self.clock?;
+        let until = clock.theirs + now.saturating_sub(clock.ours) / time::MS + lease;
+        let left = until.saturating_sub(clock.theirs) * time::MS;
+        let end = clock.ours + left + left * SLOW_CLOCK / 1_000;
+        self.granted = self.granted.max(end);
+        Some(until)
+    }
+
+    /// Whether every lease that was granted has run out, by any clock.
+    pub fn has_lapsed(&self, now: u64) -> bool {
+        now >= self.granted
+    }
+
+    /// Notes the upstream's clock from an answer.
+    pub fn tell_time(&mut self, theirs: u64, now: u64) {
+        self.clock = Some(Clock { theirs, ours: now });
+    }
+
+    /// Whether this is the hold under way; it is over then.
+    pub fn end_hold(&mut self, number: u64) -> Option<u64> {
+        let (held, sent) = self.hold?;
+        if held != number {
+            return None;
+        }
+        self.hold = None;
+        Some(sent)
+    }
+
+    /// An order had no answer: what was ordered may take effect until a higher token is seen.
+    pub fn doubt(&mut self, now: u64) {
+        self.fence += 1;
+        self.silent.get_or_insert(now);
+        self.hold = None;
+        self.retry = now;
+    }
+
+    /// A hold had no answer.
+    pub fn miss(&mut self, now: u64) {
+        self.silent.get_or_insert(now);
+        self.retry = now + RETRY;
+    }
+
+    /// The upstream has answered under the present token.
+    pub fn answered(&mut self) {
+        self.owned = true;
+        self.silent = None;
+    }
+
+    /// Runs that are neither running nor ended by a list that was asked for at `asked`.
+    pub fn missing(&self, running: &[Running], asked: u64) -> Vec<job::Task> {
+        let there = |task: &job::Task, run: &Run| {
+            running.iter().any(|row| row.task == *task && row.attempt == run.attempt)
+        };
+        let sure = |run: &Run| run.stage != Stage::Starting && run.since < asked;
+        let missing = self.runs.iter().filter(|(task, run)| sure(run) && !there(task, run));
+        missing.map(|(task, _)| task.clone()).collect()
+    }
+
+    /// Runs of tasks of `step` of `job`.
+    pub fn count(&self, job: &name::Name, step: u32) -> u32 {
+        self.runs.keys().filter(|task| task.job == *job && task.step == step).count() as u32
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,53 @@
+//! Dispatch over upstreams that are owned: who schedules a zone, which upstreams it has, and
+//! which task runs where. Everything is decided without I/O, clocks or threads.
+//!
+//! An instance is a [`Core`]. It is told what happens ([`event::Event`]) and when
+//! ([`time::Now`]), and says what to do ([`event::Output`]).
+//!
+//! - [`roster`] and [`claim`]: which instances are heard, and who schedules a zone.
+//! - [`upstream`] and [`lane`]: the table of upstreams, and one of them as its owner sees it.
+//! - [`sched`], [`active`], [`queue`], [`place`] and [`health`]: jobs, their order, and where
+//!   their tasks run.
+//! - [`desk`]: the entry's side of a job.
+//! - [`vault`] and [`routing`]: the replicated configuration, and what it says of a request.
+//!
+//! ```
+//! use dispatch::{Core, core, event, member, time};
+//!
+//! let me = member::Card {
+//!     name: "10.0.0.1:7000".into(),
+//!     zone: "west".into(),
+//!     role: member::Role::Entry,
+//!     life: 1_800_000_000_000,
+//! };
+//! let config = core::Config { me, seeds: Vec::new(), lease: 950, seed: 7, disk: None };
+//! let mut clock = time::Now::new(1, 1_800_000_000_000);
+//! let mut core = Core::new(config, clock);
+//! for _ in 0..100 {
+//!     clock = time::Now::new(clock.mono + 20 * time::MS, clock.wall + 20);
+//!     core.handle(event::Event::Tick, clock);
+//! }
+//! assert!(core.is_scheduler(), "nobody else is there");
+//! ```
+
+pub mod active;
+pub mod claim;
+pub mod core;
+pub mod desk;
+pub mod event;
+pub mod health;
+pub mod job;
+pub mod lane;
+pub mod member;
+pub mod message;
+pub mod order;
+pub mod place;
+pub mod queue;
+pub mod roster;
+pub mod routing;
+pub mod sched;
+pub mod time;
+pub mod upstream;
+pub mod vault;
+
+pub use core::Core;
--- /dev/null
+++ b/crates/dispatch/src/message.rs
@@ -0,0 +1,101 @@
+//! Messages between instances.
+
+use state::name;
+
+use crate::{claim, job, member, upstream};
+
+/// One message between two instances.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub enum Body {
+    /// A heartbeat.
+    Ping(Box<Ping>),
+    /// All instances that the sender knows.
+    Members(Vec<member::Card>),
+    /// News of upstreams.
+    Records(Vec<upstream::Record>),
+    /// Send me the configuration if yours is newer than this version.
+    Fetch(u64),
+    /// A committed configuration.
+    Document(Document),
+    /// Agreement on the configuration.
+    Agree(coord::message::Body),
+    /// Which version is the newest? The number comes back with the answer.
+    Confirm(u64),
+    /// The newest committed version, known since after the question was asked.
+    Confirmed(u64, u64),
+    /// A job for the scheduler of a zone.
+    Submit(Box<job::Job>),
+    /// Nobody waits for the job any more.
+    Cancel(name::Name),
+    /// Jobs that the sender still waits for.
+    Await(Vec<name::Name>),
+    /// The scheduler does not know the job.
+    Unknown(name::Name),
+    /// How a job ended.
+    Verdict(name::Name, job::Verdict),
+    /// A message for an instance that the sender does not reach itself: who sent it, for whom.
+    Relay(name::Name, name::Name, Box<Body>),
+}
+
+impl Body {
+    /// Short name of the kind, for counting.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Ping(_) => "ping",
+            Self::Members(_) => "members",
+            Self::Records(_) => "records",
+            Self::Fetch(_) => "fetch",
+            Self::Document(_) => "document",
+            Self::Agree(_) => "agree",
+            Self::Confirm(_) | Self::Confirmed(..) => "confirm",
+            Self::Submit(_) => "submit",
+            Self::Cancel(_) => "cancel",
+            Self::Await(_) | Self::Unknown(_) => "await",
+            Self::Verdict(..) => "verdict",
+            Self::Relay(..) => "relay",
+        }
+    }
+}
+
+/// A heartbeat: what the sender is and what it knows, in digests.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Ping {
+    /// The sender.
+    pub card: member::Card,
+    /// Whether the sender has heard the receiver lately, on the direct way.
+    pub echo: bool,
+    /// Whether the sender is shutting down.
+    pub draining: bool,
+    /// Whether the sender hears the scheduler of its zone.
+    pub led: bool,
+    /// Schedulers of the zones, as far as the sender knows.
+    pub claims: Vec<claim::Claim>,
+    /// Version of the configuration in force at the sender; 0 without one.
+    pub version: u64,
+    /// Digest of all instances that the sender knows.
+    pub members: u64,
+    /// Digest of the upstreams of the receiver's zone.
+    pub records: u64,
+    /// Room that is free at the sender's upstreams, if it is a scheduler.
+    pub load: Option<Load>,
+    /// Digests of the names of the instances that the sender hears itself.
+    pub hears: Vec<u32>,
+}
+
+/// How full the upstreams of a zone are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Load {
+    /// Free cores of upstreams that take work, thousandths; what waits is taken off.
+    pub free: i64,
+    /// All cores of upstreams that take work, thousandths.
+    pub total: i64,
+}
+
+/// A configuration as the operator wrote it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Document {
+    /// Its version, by the operator.
+    pub version: u64,
+    /// Its text.
+    pub body: bytes::Bytes,
+}
--- /dev/null
+++ b/crates/dispatch/src/roster.rs
@@ -0,0 +1,285 @@
+//! Which instances there are, and which of them are heard.
+//!
+//! Instances find one another through the seeds of their settings and tell each other whom they
+//! know. An instance is *alive* for another while heartbeats arrive in both directions, directly
+//! or relayed by a third one.
+
+use std::collections;
+
+use state::name;
+
+use crate::{claim, member, message, time};
+
+/// Between two heartbeats to the same instance, microseconds. Three of them fit into
+/// [`SILENT`], so that two in a row may be lost.
+pub const PING: u64 = 150 * time::MS;
+/// An instance that was silent this long is taken for lost, microseconds. It has to be well below
+/// the time after which a client submits a job again (1,300 ms), less a lease.
+pub const SILENT: u64 = 500 * time::MS;
+/// A stream that seems to carry nothing is dialled anew after this, microseconds.
+const REDIAL: u64 = 700 * time::MS;
+/// Two digests that differ are followed by the whole list at most this often, microseconds.
+const SYNC: u64 = 500 * time::MS;
+/// An instance that was not heard for this long is forgotten, microseconds: longer than any
+/// outage that ends with the instance coming back at its address.
+const FORGET: u64 = 30_000 * time::MS;
+/// An instance answers heartbeats of one that it does not choose itself this long, microseconds.
+const RETURN: u64 = 2_000 * time::MS;
+
+/// What is known of another instance.
+#[derive(Clone, Debug, Default)]
+pub struct Peer {
+    /// How it introduced itself.
+    pub card: Option<member::Card>,
+    /// Its last heartbeat.
+    pub ping: Option<message::Ping>,
+    heard: u64,
+    direct: u64,
+    echoed: u64,
+    pinged: u64,
+    redialled: u64,
+    synced: u64,
+    since: u64,
+}
+
+/// The instances that this one knows.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    me: member::Card,
+    start: u64,
+    seeds: Vec<name::Name>,
+    peers: collections::BTreeMap<name::Name, Peer>,
+    forgotten: collections::BTreeMap<name::Name, u64>,
+}
+
+impl Roster {
+    /// A roster that knows the seeds.
+    pub fn new(me: member::Card, seeds: &[name::Name], now: u64) -> Self {
+        let mut roster = Self {
+            me,
+            start: now,
+            seeds: Vec::new(),
+            peers: collections::BTreeMap::new(),
+            forgotten: collections::BTreeMap::new(),
+        };
+        roster.set_seeds(seeds, now);
+        roster
+    }
+
+    /// Takes other seeds.
+    pub fn set_seeds(&mut self, seeds: &[name::Name], now: u64) {
+        self.seeds = seeds.iter().filter(|name| **name != self.me.name).cloned().collect();
+        for name in self.seeds.clone() {
+            let fresh = Peer { since: now, ..Peer::default() };
+            self.peers.entry(name).or_insert(fresh);
+        }
+    }
+
+    /// This instance.
+    pub fn me(&self) -> &member::Card {
+        &self.me
+    }
+
+    /// When this instance started.
+    pub fn start(&self) -> u64 {
+        self.start
+    }
+
+    /// Every other instance that is known.
+    pub fn names(&self) -> impl Iterator<Item = &name::Name> {
+        self.peers.keys()
+    }
+
+    /// What is known of an instance.
+    pub fn peer(&self, name: &name::Name) -> Option<&Peer> {
+        self.peers.get(name)
+    }
+
+    /// Whether heartbeats of the instance arrive and its answers show that it hears this one.
+    pub fn is_alive(&self, name: &name::Name, now: u64) -> bool {
+        *name == self.me.name || self.peers.get(name).is_some_and(|peer| peer.is_alive(now))
+    }
+
+    /// Whether the instance is alive without a relay.
+    pub fn is_direct(&self, name: &name::Name, now: u64) -> bool {
+        self.peers.get(name).is_some_and(|peer| peer.is_direct(now))
+    }
+
+    /// Whether the holder of a claim is alive, in the same life, and stays.
+    pub fn holds(&self, claim: &claim::Claim, now: u64) -> bool {
+        if claim.holder == self.me.name {
+            return claim.life == self.me.life;
+        }
+        self.peers.get(&claim.holder).is_some_and(|peer| {
+            let same = peer.card.as_ref().is_some_and(|card| card.life == claim.life);
+            same && peer.is_alive(now) && !peer.is_draining()
+        })
+    }
+
+    /// The other instances of this zone that are alive and stay.
+    pub fn mates(&self, now: u64) -> impl Iterator<Item = &member::Card> {
+        let alive = self.peers.values().filter(move |peer| peer.is_alive(now));
+        let staying = alive.filter(|peer| !peer.is_draining());
+        staying.filter_map(|peer| peer.card.as_ref()).filter(|card| card.zone == self.me.zone)
+    }
+
+    /// Whether another instance of this zone hears the zone's scheduler.
+    pub fn mate_is_led(&self, now: u64) -> bool {
+        let led = |peer: &Peer| peer.ping.as_ref().is_some_and(|ping| ping.led);
+        self.mates(now).any(|card| self.peers.get(&card.name).is_some_and(led))
+    }
+
+    /// All keepers that are known, this instance left out.
+    pub fn keepers(&self) -> impl Iterator<Item = &name::Name> {
+        let keeper = |peer: &Peer| {
+            peer.card.as_ref().is_some_and(|card| card.role == member::Role::Keeper)
+        };
+        self.peers.iter().filter(move |(_, peer)| keeper(peer)).map(|(name, _)| name)
+    }
+
+    /// Takes a heartbeat; true if it is the first of this life of its sender.
+    pub fn heard(&mut self, ping: message::Ping, direct: bool, now: u64) -> bool {
+        let name = ping.card.name.clone();
+        let fresh = Peer { since: now, ..Peer::default() };
+        let peer = self.peers.entry(name).or_insert(fresh);
+        let known = peer.card.as_ref().map_or(0, |card| card.life);
+        if ping.card.life < known {
+            return false;
+        }
+        peer.heard = now;
+        if direct {
+            peer.direct = now;
+            if ping.echo {
+                peer.echoed = now;
+            }
+        }
+        let first = ping.card.life > known || peer.ping.is_none();
+        peer.card = Some(ping.card.clone());
+        peer.ping = Some(ping);
+        first
+    }
+
+    /// Learns of instances that another one knows.
+    pub fn learn(&mut self, cards: Vec<member::Card>, now: u64) {
+        for card in cards {
+            let stale = self.forgotten.get(&card.name).is_some_and(|life| card.life <= *life);
+            if card.name == self.me.name || stale {
+                continue;
+            }
+            let fresh = Peer { since: now, ..Peer::default() };
+            let peer = self.peers.entry(card.name.clone()).or_insert(fresh);
+            if peer.card.as_ref().is_none_or(|held| held.life < card.life) {
+                peer.card = Some(card);
+            }
+        }
+    }
+
+    /// Every instance that introduced itself, this one included.
+    pub fn cards(&self) -> Vec<member::Card> {
+        let others = self.peers.values().filter_map(|peer| peer.card.clone());
+        others.chain([self.me.clone()]).collect()
+    }
+
+    /// Digest of [`Self::cards`].
+    pub fn digest(&self) -> u64 {
+        let one = |name: &name::Name, life: u64| {
+            xxhash_rust::xxh3::xxh3_64_with_seed(name.as_str().as_bytes(), life)
+        };
+        let others = self.peers.values().filter_map(|peer| peer.card.as_ref());
+        let others = others.map(|card| one(&card.name, card.life));
+        others.fold(one(&self.me.name, self.me.life), |sum, hash| sum ^ hash)
+    }
+
+    /// Whether the whole list is due to an instance whose digest differs.
+    pub fn is_sync_due(&mut self, name: &name::Name, now: u64) -> bool {
+        let Some(peer) = self.peers.get_mut(name) else { return false };
+        let due = now >= peer.synced + SYNC;
+        if due {
+            peer.synced = now;
+        }
+        due
+    }
+
+    /// The instances that a heartbeat is due to. `chosen` says whom this instance wants to hear.
+    pub fn due(&mut self, chosen: impl Fn(&name::Name) -> bool, now: u64) -> Vec<name::Name> {
+        let (zone, mut due) = (self.me.zone.clone(), Vec::new());
+        for (name, peer) in &mut self.peers {
+            let near = peer.card.as_ref().is_none_or(|card| {
+                card.zone == zone || card.role == member::Role::Keeper
+            });
+            let wanted = near || chosen(name) || now < peer.heard + RETURN && peer.heard > 0;
+            if wanted && now >= peer.pinged + PING {
+                peer.pinged = now;
+                due.push(name.clone());
+            }
+        }
+        due
+    }
+
+    /// Whether the instance was heard directly lately, as its heartbeats are to be told.
+    pub fn echo(&self, name: &name::Name, now: u64) -> bool {
+        self.peers.get(name).is_some_and(|peer| peer.direct > 0 && now < peer.direct + SILENT)
+    }
+
+    /// Streams that seem to carry nothing any more.
+    pub fn mute(&mut self, now: u64) -> Vec<name::Name> {
+        let mut mute = Vec::new();
+        for (name, peer) in &mut self.peers {
+            let spoke = peer.direct > 0 && now < peer.direct + FORGET;
+            let last = peer.echoed.max(peer.redialled).max(peer.since);
+            if spoke && now >= last + REDIAL {
+                peer.redialled = now;
+                mute.push(name.clone());
+            }
+        }
+        mute
+    }
+
+    /// Forgets instances that are gone for long, and names them.
+    pub fn forget(&mut self, now: u64) -> Vec<name::Name> {
+        let seeds = &self.seeds;
+        let gone = |(name, peer): (&name::Name, &Peer)| {
+            let last = peer.heard.max(peer.since);
+            (now >= last + FORGET && !seeds.contains(name)).then(|| name.clone())
+        };
+        let gone: Vec<_> = self.peers.iter().filter_map(gone).collect();
+        for name in &gone {
+            let life = self.peers.remove(name).and_then(|peer| peer.card).map(|card| card.life);
+            self.forgotten.insert(name.clone(), life.unwrap_or(0));
+        }
+        gone
+    }
+
+    /// An instance that hears `name` and is heard directly here.
+    pub fn relay(&self, name: &name::Name, now: u64) -> Option<&name::Name> {
+        let hash = short(name);
+        let hears = |peer: &Peer| peer.ping.as_ref().is_some_and(|ping| ping.hears.contains(&hash));
+        let mut direct = self.peers.iter().filter(|(_, peer)| peer.is_direct(now) && hears(peer));
+        direct.next().map(|(name, _)| name)
+    }
+
+    /// Digests of the names of the instances that are heard directly.
+    pub fn hears(&self, now: u64) -> Vec<u32> {
+        let direct = self.peers.iter().filter(|(_, peer)| peer.is_direct(now));
+        direct.map(|(name, _)| short(name)).collect()
+    }
+}
+
+impl Peer {
+    fn is_direct(&self, now: u64) -> bool {
+        self.direct > 0 && now < self.direct + SILENT && now < self.echoed + SILENT
+    }
+
+    fn is_alive(&self, now: u64) -> bool {
+        let relayed = self.heard > self.direct && now < self.heard + SILENT;
+        self.is_direct(now) || relayed
+    }
+
+    fn is_draining(&self) -> bool {
+        self.ping.as_ref().is_some_and(|ping| ping.draining)
+    }
+}
+
+fn short(name: &name::Name) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(name.as_str().as_bytes()) as u32
+}
--- /dev/null
+++ b/crates/dispatch/src/sched.rs
@@ -0,0 +1,800 @@
+//! The scheduler of a zone: it owns the zone's upstreams and runs jobs on them.
+
+use std::collections;
+
+use state::name;
+
+use crate::{
+    active::{Active, Phase},
+    job::{Job, Refusal, Task, Verdict},
+    lane::{Lane, Run, Stage},
+    message,
+    order::{Call, End, Ended, Order, Outcome, Reason, Running},
+    place, queue, time, upstream,
+};
+
+/// Runs that a former scheduler started may go on this long after the claim, unless their
+/// upstream has answered: the time in which that scheduler drops an entry's jobs (500 ms) and a
+/// lease (1,000 ms on a clock 2% slow).
+const FORMER: u64 = 1_550 * time::MS;
+/// Runs of unknown jobs are stopped this long after they were found; until then an entry may
+/// hand the job in again, microseconds.
+const ORPHAN: u64 = 700 * time::MS;
+/// Ends of unknown jobs are kept this long for the same reason.
+const KEEP_ENDS: u64 = 3_000 * time::MS;
+/// Verdicts are kept this long, for entries that did not get them.
+const KEEP_VERDICTS: u64 = 4_000 * time::MS;
+/// A job that its entry has not asked for this long is dropped: its cancelling was lost.
+const FORSAKEN: u64 = 1_500 * time::MS;
+/// A task that made no progress for this long hangs, microseconds. Percents of a task of 3,600 ms,
+/// the longest known, change every 36 ms.
+const HANG: u64 = 280 * time::MS;
+/// An unwanted run is told to stop again after this, microseconds.
+const STOP_AGAIN: u64 = 150 * time::MS;
+/// An upstream without room for what should fit is left alone this long, microseconds.
+const FULL: u64 = 30 * time::MS;
+/// An upstream that never answers is given up after this, microseconds.
+const GIVE_UP: u64 = 12_000 * time::MS;
+/// A number of a run that was seen ended is passed over by this many.
+const SKIP: u32 = 16;
+
+/// Effects of the last calls.
+#[derive(Debug, Default)]
+pub struct Output {
+    /// Calls to upstreams.
+    pub calls: Vec<Call>,
+    /// Verdicts for entries.
+    pub verdicts: Vec<(name::Name, name::Name, Verdict)>,
+    /// Upstreams that are gone; `true` if that life of them is over for good.
+    pub gone: Vec<(name::Name, bool)>,
+    /// Upstreams that have seen a higher fencing token than any this scheduler used.
+    pub outranked: Vec<name::Name>,
+    /// Decisions worth a log line.
+    pub notes: Vec<crate::event::Note>,
+}
+
+/// What a call was for, kept until its outcome is known.
+#[derive(Clone, Debug)]
+enum Sent {
+    Hold,
+    Start(Task, u32),
+    Stop(Task),
+}
+
+/// The scheduler of one zone.
+#[derive(Debug)]
+pub struct Sched {
+    /// Upstreams of the zone.
+    pub lanes: collections::BTreeMap<name::Name, Lane>,
+    jobs: collections::BTreeMap<name::Name, Active>,
+    sent: collections::HashMap<u64, (name::Name, u64, Sent)>,
+    ends: collections::HashMap<Task, (End, u64)>,
+    orphans: collections::BTreeMap<Task, u64>,
+    verdicts: collections::HashMap<name::Name, (Verdict, u64)>,
+    epoch: u64,
+    since: u64,
+    lease: u64,
+    number: u64,
+    dirty: bool,
+    out: Output,
+}
+
+impl Sched {
+    /// A scheduler that has claimed its zone with `epoch`. Leases are `lease` milliseconds long.
+    pub fn new(epoch: u64, lease: u64, now: u64) -> Self {
+        Self {
+            lanes: collections::BTreeMap::new(),
+            jobs: collections::BTreeMap::new(),
+            sent: collections::HashMap::new(),
+            ends: collections::HashMap::new(),
+            orphans: collections::BTreeMap::new(),
+            verdicts: collections::HashMap::new(),
+            epoch,
+            since: now,
+            lease,
+            number: now << 8,
+            dirty: false,
+            out: Output::default(),
+        }
+    }
+
+    /// Takes the effects collected so far.
+    pub fn take(&mut self) -> Output {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Jobs under way.
+    pub fn jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Room of the upstreams that take work, less what waits.
+    pub fn load(&self, now: u64) -> message::Load {
+        let open = self.lanes.values().filter(|lane| lane.is_open(now));
+        let open = open.filter(|lane| !lane.health.is_aside(now));
+        let mut load = message::Load::default();
+        for lane in open {
+            load.free += lane.free().cpu as i64;
+            load.total += lane.record.room.cpu as i64;
+        }
+        for active in self.jobs.values() {
+            load.free -= waiting_cpu(active);
+        }
+        load
+    }
+
+    /// Takes over a higher epoch, for upstreams that have seen another token.
+    pub fn raise(&mut self, epoch: u64) {
+        self.epoch = epoch;
+    }
+
+    /// Takes news of an upstream of the zone.
+    pub fn record(&mut self, record: &upstream::Record, now: u64) {
+        let known = self.lanes.get_mut(&record.id);
+        match (known, record.phase) {
+            (Some(lane), _) if record.serial == u64::MAX && lane.record.serial != u64::MAX => {
+                self.bury(&record.id.clone(), now);
+            }
+            (Some(lane), _) => {
+                if record.phase != upstream::Phase::Gone {
+                    lane.record = record.clone();
+                }
+            }
+            (None, upstream::Phase::Gone) => {}
+            (None, _) => {
+                let lane = Lane::new(record.clone(), self.epoch);
+                self.lanes.insert(record.id.clone(), lane);
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// Takes a job from an entry.
+    pub fn submit(&mut self, job: Job, entry: &name::Name, now: u64) {
+        if let Some((verdict, _)) = self.verdicts.get(&job.id)
+            && job.resumed
+        {
+            self.out.verdicts.push((entry.clone(), job.id, verdict.clone()));
+            return;
+        }
+        if let Some(active) = self.jobs.get_mut(&job.id) {
+            active.entry = entry.clone();
+            active.awaited = now;
+            return;
+        }
+        if let Some(refusal) = self.check(&job, now) {
+            self.out.verdicts.push((entry.clone(), job.id, Verdict::NotRun(refusal)));
+            return;
+        }
+        let id = job.id.clone();
+        self.jobs.insert(id.clone(), Active::new(job, entry, now));
+        self.adopt(&id, now);
+        self.dirty = true;
+    }
+
+    /// Why a job is refused at once, if it is.
+    fn check(&self, job: &Job, now: u64) -> Option<Refusal> {
+        if job.resumed {
+            return None;
+        }
+        let serves = |lane: &&Lane| lane.record.service == job.service && lane.is_read();
+        let mut known = self.lanes.values().filter(serves).peekable();
+        if known.peek().is_some() {
+            let fits = |need: &upstream::Room| {
+                self.lanes.values().filter(serves).any(|lane| need.fits(&lane.record.room))
+            };
+            if !job.steps.iter().all(|step| fits(&step.need)) {
+                return Some(Refusal::TooLarge);
+            }
+        }
+        let line = self.jobs.values().map(|active| (active.due(), waiting_cpu(active)));
+        queue::refuse(job, line, self.load(now), now).map(Refusal::Overload)
+    }
+
+    /// Attaches runs and ends of a former scheduler to a job that was handed in again.
+    fn adopt(&mut self, id: &name::Name, now: u64) {
+        let orphans: Vec<_> = self.orphans.keys().filter(|task| task.job == *id).cloned().collect();
+        for task in orphans {
+            self.orphans.remove(&task);
+            let holder = self.lanes.iter_mut().find_map(|(name, lane)| {
+                lane.runs.get_mut(&task).map(|run| {
+                    run.unwanted = None;
+                    (name.clone(), run.attempt)
+                })
+            });
+            if let (Some((name, attempt)), Some(active)) = (holder, self.jobs.get_mut(id)) {
+                active.set(&task, Phase::Placed(name));
+                if let Some(item) = active.item_mut(&task) {
+                    item.attempt = attempt;
+                }
+            }
+        }
+        let done = self.ends.iter().filter(|(task, (end, _))| task.job == *id && *end == End::Done);
+        let done: Vec<_> = done.map(|(task, _)| task.clone()).collect();
+        if let Some(active) = self.jobs.get_mut(id) {
+            for task in done {
+                active.set(&task, Phase::Done);
+            }
+        }
+        self.settle(id, now);
+    }
+
+    /// Nobody waits for the job any more.
+    pub fn cancel(&mut self, id: &name::Name, entry: &name::Name, now: u64) {
+        if self.jobs.get(id).is_some_and(|active| active.entry == *entry) {
+            self.drop_job(id, now);
+        }
+    }
+
+    /// An entry still waits for these jobs.
+    pub fn awaited(&mut self, ids: &[name::Name], entry: &name::Name, now: u64) -> Vec<name::Name> {
+        let mut unknown = Vec::new();
+        for id in ids {
+            if let Some(active) = self.jobs.get_mut(id) {
+                active.awaited = now;
+                active.entry = entry.clone();
+            } else if let Some((verdict, _)) = self.verdicts.get(id) {
+                self.out.verdicts.push((entry.clone(), id.clone(), verdict.clone()));
+            } else {
+                unknown.push(id.clone());
+            }
+        }
+        unknown
+    }
+
+    /// Lets time pass. `alive` tells which entries are heard.
+    pub fn tick(&mut self, alive: impl Fn(&name::Name) -> bool, now: u64) {
+        self.drop_forsaken(&alive, now);
+        self.expire(now);
+        self.lapse(now);
+        self.stop_unwanted(now);
+        self.give_up_lost(now);
+        self.ends.retain(|_, (_, at)| now < *at + KEEP_ENDS);
+        self.verdicts.retain(|_, (_, at)| now < *at + KEEP_VERDICTS);
+        self.dirty = true;
+    }
+
+    /// Starts what can be started and asks whom it is time to ask.
+    pub fn run(&mut self, now: u64) {
+        if std::mem::take(&mut self.dirty) {
+            self.dispatch(now);
+        }
+        let (lease, mut calls) = (self.lease, Vec::new());
+        for lane in self.lanes.values_mut() {
+            self.number += 1;
+            if let Some(call) = lane.due(self.number, lease, now) {
+                self.sent.insert(call.number, (call.upstream.clone(), now, Sent::Hold));
+                calls.push(call);
+            }
+        }
+        self.out.calls.extend(calls);
+    }
+
+    /// Takes the outcome of a call.
+    pub fn called(&mut self, number: u64, fence: u64, outcome: Outcome, now: u64) {
+        let Some((id, asked, sent)) = self.sent.remove(&number) else {
+            return;
+        };
+        self.dirty = true;
+        let Some(lane) = self.lanes.get_mut(&id) else {
+            return;
+        };
+        if let Some(clock) = clock_of(&outcome) {
+            lane.tell_time(clock, now);
+        }
+        let current = fence == lane.fence;
+        match &outcome {
+            Outcome::Replaced => return self.replaced(&id, now),
+            Outcome::Refused(Reason::Fence, _) if current => {
+                self.outranked(&id, number);
+            }
+            _ => {}
+        }
+        match sent {
+            Sent::Hold => self.held(&id, number, asked, current, outcome, now),
+            Sent::Start(task, attempt) => self.started(&id, &task, attempt, outcome, now),
+            Sent::Stop(task) => self.stopped(&id, &task, outcome, now),
+        }
+    }
+
+    fn outranked(&mut self, id: &name::Name, number: u64) {
+        if let Some(lane) = self.lanes.get_mut(id) {
+            lane.end_hold(number);
+            lane.owned = false;
+            lane.fence = self.epoch.max(lane.fence);
+        }
+        self.out.outranked.push(id.clone());
+    }
+
+    /// Goes above the token that upstreams have seen.
+    pub fn overrule(&mut self, now: u64) {
+        for lane in self.lanes.values_mut().filter(|lane| !lane.owned) {
+            lane.fence = lane.fence.max(self.epoch);
+            lane.miss(now);
+        }
+    }
+
+    fn held(
+        &mut self,
+        id: &name::Name,
+        number: u64,
+        asked: u64,
+        current: bool,
+        outcome: Outcome,
+        now: u64,
+    ) {
+        let Some(lane) = self.lanes.get_mut(id) else { return };
+        let under_way = lane.end_hold(number).is_some();
+        match outcome {
+            Outcome::Held { running, ended, .. } => {
+                if !current || !under_way {
+                    return;
+                }
+                lane.answered();
+                self.take_ends(id, ended, now);
+                self.take_running(id, &running, asked, now);
+            }
+            Outcome::Refused(Reason::Fence, _) => {}
+            _ if under_way => {
+                lane.miss(now);
+                let silent = lane.silent.unwrap_or(now);
+                if silent == now {
+                    self.note("lane: No answer.", id, &format!("{outcome:?}"));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn take_ends(&mut self, id: &name::Name, ended: Vec<Ended>, now: u64) {
+        for end in ended {
+            let Some(lane) = self.lanes.get_mut(id) else { return };
+            if end.number <= lane.seen {
+                continue;
+            }
+            lane.seen = end.number;
+            let run = lane.runs.get(&end.task);
+            let known = run.is_some_and(|run| run.attempt == end.attempt);
+            if known {
+                lane.runs.remove(&end.task);
+            }
+            self.orphans.remove(&end.task);
+            match end.end {
+                End::Done => lane.health.good(),
+                End::Failed if known => {
+                    if lane.health.bad(now) {
+                        self.note("lane: Put aside, it fails what it starts.", id, "");
+                    }
+                }
+                End::Failed | End::Stopped | End::Lapsed => {}
+            }
+            self.end_task(id, &end, known, now);
+        }
+    }
+
+    fn end_task(&mut self, id: &name::Name, end: &Ended, known: bool, now: u64) {
+        let task = &end.task;
+        let Some(active) = self.jobs.get_mut(&task.job) else {
+            self.ends.insert(task.clone(), (end.end, now));
+            return;
+        };
+        let Some(item) = active.item_mut(task) else {
+            return;
+        };
+        let here = item.phase == Phase::Placed(id.clone());
+        match end.end {
+            End::Done => {
+                let former = active.set(task, Phase::Done);
+                if let Some(Phase::Placed(other)) = former
+                    && other != *id
+                {
+                    self.unwant(&other, task);
+                }
+            }
+            End::Failed if known => {
+                item.failures += 1;
+                if item.failures >= active.job.attempts.max(1) {
+                    return self.finish(&task.job.clone(), Verdict::Failed, now);
+                }
+                if here {
+                    active.set(task, Phase::Waiting);
+                }
+            }
+            End::Failed | End::Stopped | End::Lapsed => {
+                if here && known {
+                    active.set(task, Phase::Waiting);
+                }
+            }
+        }
+        self.settle(&task.job.clone(), now);
+    }
+
+    fn take_running(&mut self, id: &name::Name, running: &[Running], asked: u64, now: u64) {
+        let Some(lane) = self.lanes.get_mut(id) else { return };
+        for task in lane.missing(running, asked) {
+            lane.runs.remove(&task);
+            if let Some(active) = self.jobs.get_mut(&task.job)
+                && active.item(&task).is_some_and(|item| item.phase == Phase::Placed(id.clone()))
+            {
+                active.set(&task, Phase::Waiting);
+            }
+        }
+        let mut hung = Vec::new();
+        for row in running {
+            let Some(lane) = self.lanes.get_mut(id) else { return };
+            let need = need_of(&self.jobs, &row.task);
+            match lane.runs.get_mut(&row.task) {
+                Some(run) if run.attempt == row.attempt => {
+                    if run.stage != Stage::Running {
+                        run.stage = Stage::Running;
+                        run.since = run.since.min(asked);
+                    }
+                    if run.progress.1 != row.percent {
+                        run.progress = (now, row.percent);
+                    } else if now >= run.progress.0 + HANG && run.unwanted.is_none() {
+                        hung.push(row.task.clone());
+                    }
+                }
+                Some(_) => {}
+                None => {
+                    let run = Run {
+                        attempt: row.attempt,
+                        need: need.unwrap_or(lane.record.room),
+                        stage: Stage::Running,
+                        since: now,
+                        progress: (now, row.percent),
+                        unwanted: None,
+                    };
+                    lane.runs.insert(row.task.clone(), run);
+                    self.found(id, &row.task, row.attempt, now);
+                }
+            }
+        }
+        for task in hung {
+            self.hung(id, &task, now);
+        }
+    }
+
+    /// A run that this scheduler did not start.
+    fn found(&mut self, id: &name::Name, task: &Task, attempt: u32, now: u64) {
+        let Some(active) = self.jobs.get_mut(&task.job) else {
+            self.orphans.insert(task.clone(), now + ORPHAN);
+            return;
+        };
+        let waits = active.item(task).is_some_and(|item| item.phase == Phase::Waiting);
+        if waits {
+            active.set(task, Phase::Placed(id.clone()));
+            if let Some(item) = active.item_mut(task) {
+                item.attempt = item.attempt.max(attempt);
+            }
+        } else {
+            self.unwant(id, task);
+        }
+    }
+
+    fn hung(&mut self, id: &name::Name, task: &Task, now: u64) {
+        self.note("lane: A task makes no progress, stopping it.", id, &task.job.to_string());
+        if let Some(lane) = self.lanes.get_mut(id)
+            && lane.health.bad(now)
+        {
+            self.note("lane: Put aside, its tasks make no progress.", id, "");
+        }
+        self.unwant(id, task);
+    }
+
+    fn started(&mut self, id: &name::Name, task: &Task, attempt: u32, outcome: Outcome, now: u64) {
+        let Some(lane) = self.lanes.get_mut(id) else { return };
+        let Some(run) = lane.runs.get_mut(task).filter(|run| run.attempt == attempt) else {
+            return;
+        };
+        match outcome {
+            Outcome::Done(_) | Outcome::Held { .. } => {
+                if run.stage == Stage::Starting {
+                    run.stage = Stage::Running;
+                    run.since = now;
+                    run.progress = (now, 0);
+                }
+                return;
+            }
+            Outcome::Lost => {
+                run.stage = Stage::Doubt;
+                run.since = now;
+                lane.doubt(now);
+                return self.note("lane: A start had no answer.", id, &task.job.to_string());
+            }
+            Outcome::Refused(reason, _) => {
+                lane.runs.remove(task);
+                match reason {
+                    Reason::Room | Reason::Late => lane.full = now + FULL,
+                    Reason::Unhealthy => {
+                        lane.full = now + FULL * 3;
+                        lane.health.bad(now);
+                    }
+                    Reason::Old | Reason::Fence | Reason::Invalid => {}
+                }
+                self.refused(id, task, reason, now);
+            }
+            Outcome::Unsent => {
+                lane.runs.remove(task);
+                lane.miss(now);
+                self.refused(id, task, Reason::Unhealthy, now);
+            }
+            Outcome::Replaced => {}
+        }
+    }
+
+    /// A start was refused: the task did not run and waits again.
+    fn refused(&mut self, id: &name::Name, task: &Task, reason: Reason, now: u64) {
+        self.note("lane: A start was refused.", id, &format!("{} {reason:?}", task.job));
+        let Some(active) = self.jobs.get_mut(&task.job) else { return };
+        let Some(item) = active.item_mut(task) else { return };
+        if item.phase != Phase::Placed(id.clone()) {
+            return;
+        }
+        match reason {
+            Reason::Old => item.attempt += SKIP,
+            Reason::Invalid => item.failures += 1,
+            _ => {}
+        }
+        if item.failures >= active.job.attempts.max(1) {
+            return self.finish(&task.job.clone(), Verdict::Failed, now);
+        }
+        active.set(task, Phase::Waiting);
+    }
+
+    fn stopped(&mut self, id: &name::Name, task: &Task, outcome: Outcome, now: u64) {
+        let Some(lane) = self.lanes.get_mut(id) else { return };
+        if outcome == Outcome::Lost {
+            lane.doubt(now);
+        }
+        let _ = task;
+    }
+
+    /// Another life of the upstream is at its address: nothing of the former one runs.
+    fn replaced(&mut self, id: &name::Name, now: u64) {
+        self.note("lane: Replaced by another life.", id, "");
+        self.out.gone.push((id.clone(), true));
+        self.bury(id, now);
+    }
+
+    fn bury(&mut self, id: &name::Name, now: u64) {
+        if let Some(lane) = self.lanes.remove(id) {
+            for task in lane.runs.into_keys() {
+                self.requeue(id, &task);
+            }
+        }
+        let _ = now;
+        self.dirty = true;
+    }
+
+    fn requeue(&mut self, id: &name::Name, task: &Task) {
+        self.orphans.remove(task);
+        if let Some(active) = self.jobs.get_mut(&task.job)
+            && active.item(task).is_some_and(|item| item.phase == Phase::Placed(id.clone()))
+        {
+            active.set(task, Phase::Waiting);
+        }
+    }
+
+    /// Marks a run as not wanted any more; it is told to stop.
+    fn unwant(&mut self, id: &name::Name, task: &Task) {
+        if let Some(run) = self.lanes.get_mut(id).and_then(|lane| lane.runs.get_mut(task)) {
+            run.unwanted.get_or_insert(0);
+        }
+        self.dirty = true;
+    }
+
+    /// Ends a job if all its tasks are done.
+    fn settle(&mut self, id: &name::Name, now: u64) {
+        if self.jobs.get(id).is_some_and(Active::is_complete) {
+            self.finish(id, Verdict::Complete, now);
+        }
+    }
+
+    fn finish(&mut self, id: &name::Name, verdict: Verdict, now: u64) {
+        if let Some(active) = self.jobs.get(id) {
+            self.out.verdicts.push((active.entry.clone(), id.clone(), verdict.clone()));
+            self.verdicts.insert(id.clone(), (verdict, now));
+        }
+        self.drop_job(id, now);
+    }
+
+    fn drop_job(&mut self, id: &name::Name, now: u64) {
+        let Some(active) = self.jobs.remove(id) else { return };
+        for (step, items) in active.items.iter().enumerate() {
+            for (index, item) in items.iter().enumerate() {
+                if let Phase::Placed(lane) = &item.phase {
+                    let task = Task { job: id.clone(), step: step as u32, index: index as u32 };
+                    self.unwant(&lane.clone(), &task);
+                }
+            }
+        }
+        let _ = now;
+        self.dirty = true;
+    }
+
+    /// Drops jobs that no entry waits for, so that another scheduler may take them.
+    fn drop_forsaken(&mut self, alive: &impl Fn(&name::Name) -> bool, now: u64) {
+        let forsaken = |active: &Active| !alive(&active.entry) || now >= active.awaited + FORSAKEN;
+        let gone = self.jobs.iter().filter(|(_, active)| forsaken(active));
+        for id in gone.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            self.note("job: Dropped, its entry is not heard.", &id, "");
+            self.drop_job(&id, now);
+        }
+    }
+
+    /// Ends jobs that can't be answered in time any more.
+    fn expire(&mut self, now: u64) {
+        let mut over = Vec::new();
+        for (id, active) in &self.jobs {
+            if now >= active.end() {
+                over.push((id.clone(), active.started));
+            } else if !active.started && queue::is_hopeless(active, now) {
+                over.push((id.clone(), false));
+            }
+        }
+        for (id, started) in over {
+            let refusal = Refusal::Overload(queue::retry_after(self.load(now)));
+            let verdict = if started { Verdict::GaveUp } else { Verdict::NotRun(refusal) };
+            self.finish(&id, verdict, now);
+        }
+    }
+
+    /// Counts runs as over where the last lease has run out and nobody can have renewed it.
+    fn lapse(&mut self, now: u64) {
+        let mut lapsed = Vec::new();
+        for (id, lane) in &mut self.lanes {
+            if lane.silent.is_some() && lane.has_lapsed(now) && !lane.runs.is_empty() {
+                let runs = std::mem::take(&mut lane.runs);
+                lapsed.extend(runs.into_keys().map(|task| (id.clone(), task)));
+            }
+        }
+        for (id, task) in lapsed {
+            self.requeue(&id, &task);
+        }
+    }
+
+    fn stop_unwanted(&mut self, now: u64) {
+        let due = |at: u64| now >= at;
+        let orphans = self.orphans.iter().filter(|(_, at)| due(**at));
+        for task in orphans.map(|(task, _)| task.clone()).collect::<Vec<_>>() {
+            self.orphans.remove(&task);
+            for lane in self.lanes.values_mut() {
+                if let Some(run) = lane.runs.get_mut(&task) {
+                    run.unwanted.get_or_insert(0);
+                }
+            }
+        }
+        self.send_stops(now);
+    }
+
+    fn send_stops(&mut self, now: u64) {
+        for (id, lane) in &mut self.lanes {
+            if !lane.owned || lane.silent.is_some() {
+                continue;
+            }
+            let mut stops = Vec::new();
+            for (task, run) in &mut lane.runs {
+                let due = run.unwanted.is_some_and(|at| at == 0 || now >= at + STOP_AGAIN);
+                if due && run.stage != Stage::Starting {
+                    run.unwanted = Some(now);
+                    stops.push((task.clone(), run.attempt));
+                }
+            }
+            for (task, attempt) in stops {
+                self.number += 1;
+                let order = Order::Stop { task: task.clone(), attempt };
+                self.sent.insert(self.number, (id.clone(), now, Sent::Stop(task)));
+                self.out.calls.push(lane.order(self.number, order));
+            }
+        }
+    }
+
+    fn give_up_lost(&mut self, now: u64) {
+        let lost = |lane: &Lane| {
+            let since = if lane.owned { lane.silent } else { Some(lane.silent.unwrap_or(now)) };
+            since.is_some_and(|since| now >= since + GIVE_UP) && lane.runs.is_empty()
+        };
+        let lost = self.lanes.iter().filter(|(_, lane)| lost(lane)).map(|(id, _)| id.clone());
+        for id in lost.collect::<Vec<_>>() {
+            self.note("lane: Given up, it does not answer.", &id, "");
+            self.out.gone.push((id.clone(), false));
+            self.lanes.remove(&id);
+        }
+    }
+
+    /// Whether a run of a resumed job may still go on at an upstream that has not answered yet.
+    fn is_barred(&self, now: u64) -> bool {
+        now < self.since + FORMER && self.lanes.values().any(|lane| !lane.is_read())
+    }
+
+    /// Places waiting tasks, the most urgent job first.
+    fn dispatch(&mut self, now: u64) {
+        self.send_stops(now);
+        let barred = self.is_barred(now);
+        let mut line: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, active)| active.waiting() > 0 && !(active.job.resumed && barred))
+            .map(|(id, active)| (queue::rank(active, now), id.clone()))
+            .collect();
+        line.sort();
+        let mut room = place::Room::new(&self.lanes, now);
+        for (_, id) in line {
+            if room.is_full() {
+                break;
+            }
+            self.dispatch_job(&id, &mut room, now);
+        }
+    }
+
+    fn dispatch_job(&mut self, id: &name::Name, room: &mut place::Room, now: u64) {
+        let Some(active) = self.jobs.get(id) else { return };
+        let mut chosen = Vec::new();
+        for (step, items) in active.items.iter().enumerate() {
+            if !active.is_due(step) {
+                continue;
+            }
+            for (index, item) in items.iter().enumerate() {
+                if item.phase != Phase::Waiting {
+                    continue;
+                }
+                let task = Task { job: id.clone(), step: step as u32, index: index as u32 };
+                let Some(lane) = room.place(&self.lanes, &active.job, &task) else {
+                    break;
+                };
+                chosen.push((task, lane, item.attempt + 1));
+            }
+        }
+        for (task, lane, attempt) in chosen {
+            self.start(&task, &lane, attempt, now);
+        }
+    }
+
+    fn start(&mut self, task: &Task, id: &name::Name, attempt: u32, now: u64) {
+        let Some(active) = self.jobs.get_mut(&task.job) else { return };
+        let Some(lane) = self.lanes.get_mut(id) else { return };
+        let Some(until) = lane.grant(self.lease, now) else { return };
+        let need = active.job.steps[task.step as usize].need;
+        active.set(task, Phase::Placed(id.clone()));
+        if let Some(item) = active.item_mut(task) {
+            item.attempt = attempt;
+        }
+        let stage = Stage::Starting;
+        let run = Run { attempt, need, stage, since: now, progress: (now, 0), unwanted: None };
+        lane.runs.insert(task.clone(), run);
+        self.number += 1;
+        let spec = active.job.spec.clone();
+        let order = Order::Start { task: task.clone(), attempt, spec, until };
+        self.sent.insert(self.number, (id.clone(), now, Sent::Start(task.clone(), attempt)));
+        self.out.calls.push(lane.order(self.number, order));
+    }
+
+    fn note(&mut self, text: &'static str, subject: &name::Name, detail: &str) {
+        let note = crate::event::Note { text, subject: subject.clone(), detail: detail.to_owned() };
+        self.out.notes.push(note);
+    }
+}
+
+fn clock_of(outcome: &Outcome) -> Option<u64> {
+    match outcome {
+        Outcome::Done(clock) | Outcome::Held { clock, .. } => Some(*clock),
+        Outcome::Refused(_, clock) => *clock,
+        _ => None,
+    }
+}
+
+fn waiting_cpu(active: &Active) -> i64 {
+    if active.waiting() == 0 {
+        return 0;
+    }
+    let step = active.job.steps.iter().map(|step| step.need.cpu).max().unwrap_or(0);
+    step as i64 * i64::from(active.waiting())
+}
+
+fn need_of(
+    jobs: &collections::BTreeMap<name::Name, Active>,
+    task: &Task,
+) -> Option<upstream::Room> {
+    jobs.get(&task.job)?.job.steps.get(task.step as usize).map(|step| step.need)
+}
--- /dev/null
+++ b/crates/dispatch/src/upstream.rs
@@ -0,0 +1,135 @@
+//! The table of upstreams, spread by news and mended by digests.
+
+use std::collections;
+
+use state::name;
+
+/// Whether an upstream takes new work.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
+pub enum Phase {
+    /// Takes work.
+    Serving,
+    /// Finishes what it has and takes nothing new.
+    Leaving,
+    /// This life of it has ended, or it has been out of reach for long.
+    Gone,
+}
+
+/// What an upstream can hold, or what a task needs.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct Room {
+    /// Processor, thousandths of a core.
+    pub cpu: u64,
+    /// Memory, megabytes.
+    pub memory: u64,
+    /// Accelerators.
+    pub accelerators: u64,
+}
+
+impl Room {
+    /// Whether all of it fits into `room`.
+    pub fn fits(&self, room: &Self) -> bool {
+        self.cpu <= room.cpu
+            && self.memory <= room.memory
+            && self.accelerators <= room.accelerators
+    }
+
+    /// This room with `other` added.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu + other.cpu,
+            memory: self.memory + other.memory,
+            accelerators: self.accelerators + other.accelerators,
+        }
+    }
+
+    /// This room without `other`, never below nothing.
+    #[must_use]
+    pub fn less(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.saturating_sub(other.cpu),
+            memory: self.memory.saturating_sub(other.memory),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
+
+/// What one life of an upstream says about itself.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Record {
+    /// Its name; each life of an upstream has another one.
+    pub id: name::Name,
+    /// Service whose tasks it runs.
+    pub service: name::Name,
+    /// Address of its calls, `IP:PORT`.
+    pub address: name::Name,
+    /// Availability zone it is in.
+    pub zone: name::Name,
+    /// What it can hold.
+    pub room: Room,
+    /// Its kind, its rack.
+    pub labels: smallvec::SmallVec<[name::Name; 2]>,
+    /// Whether it takes new work.
+    pub phase: Phase,
+    /// Rises with each announcement; [`u64::MAX`] is final.
+    pub serial: u64,
+}
+
+/// The upstreams that an instance knows of.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    records: collections::BTreeMap<name::Name, Record>,
+}
+
+impl Table {
+    /// Takes a record; true if it changes what is known but for the serial number.
+    pub fn merge(&mut self, record: Record) -> bool {
+        let Some(held) = self.records.get_mut(&record.id) else {
+            self.records.insert(record.id.clone(), record);
+            return true;
+        };
+        if (record.serial, record.phase) <= (held.serial, held.phase) {
+            return false;
+        }
+        let serial = std::mem::replace(&mut held.serial, record.serial);
+        let changed = *held != record;
+        // Only the last word about an upstream is worth keeping apart from the next one.
+        debug_assert!(serial <= record.serial, "serial numbers rise");
+        *held = record;
+        changed
+    }
+
+    /// Notes that an upstream is gone; `last` says that this life of it never comes back.
+    pub fn bury(&mut self, id: &name::Name, last: bool) -> Option<Record> {
+        let held = self.records.get_mut(id)?;
+        held.phase = Phase::Gone;
+        if last {
+            held.serial = u64::MAX;
+        }
+        Some(held.clone())
+    }
+
+    /// The record of an upstream.
+    pub fn get(&self, id: &name::Name) -> Option<&Record> {
+        self.records.get(id)
+    }
+
+    /// All upstreams of a zone.
+    pub fn of_zone<'a>(&'a self, zone: &'a name::Name) -> impl Iterator<Item = &'a Record> {
+        self.records.values().filter(move |record| record.zone == *zone)
+    }
+
+    /// Digest of the upstreams of a zone, without their serial numbers.
+    pub fn digest(&self, zone: &name::Name) -> u64 {
+        let one = |record: &Record| {
+            let text = format!("{} {} {:?}", record.id, record.address, record.phase);
+            xxhash_rust::xxh3::xxh3_64(text.as_bytes())
+        };
+        self.of_zone(zone).map(one).fold(0, |sum, hash| sum ^ hash)
+    }
+}
--- a/crates/link/src/http.rs
+++ b/crates/link/src/http.rs
@@ -85,10 +85,44 @@
     }
 }
 
+/// What is to be done when a client leaves before it has its response.
+type LeftFn = Box<dyn FnOnce() + Send>;
+type Left = sync::Arc<sync::Mutex<Option<LeftFn>>>;
+
 /// Takes the response to one request; dropped without one, the client gets a 500.
-#[derive(Debug)]
 pub struct Responder {
     sender: async_sync::oneshot::Sender<Response>,
+    left: Left,
+}
+
+impl std::fmt::Debug for Responder {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Responder").field("open", &self.is_open()).finish_non_exhaustive()
+    }
+}
+
+/// Runs what was asked for if the wait for a response is given up.
+struct Wait {
+    left: Left,
+}
+
+impl Wait {
+    /// The response is there.
+    fn end(&self) {
+        drop(self.take());
+    }
+
+    fn take(&self) -> Option<LeftFn> {
+        self.left.lock().ok()?.take()
+    }
+}
+
+impl Drop for Wait {
+    fn drop(&mut self) {
+        if let Some(left) = self.take() {
+            left();
+        }
+    }
 }
 
 impl Responder {
@@ -98,6 +132,13 @@
         drop(self.sender.send(response));
     }
 
+    /// Has `left` run if the client leaves before it has its response.
+    pub fn on_left(&self, left: impl FnOnce() + Send + 'static) {
+        if let Ok(mut held) = self.left.lock() {
+            *held = Some(Box::new(left));
+        }
+    }
+
     /// Whether the client still waits.
     pub fn is_open(&self) -> bool {
         !self.sender.is_closed()
@@ -255,8 +296,12 @@
     let path = head.uri.path().to_owned();
     let request = Request { method: head.method, path, headers: head.headers, body };
     let (sender, receiver) = async_sync::oneshot::channel();
-    shared.handler.handle(request, Responder { sender });
-    match receiver.await {
+    let wait = Wait { left: Left::default() };
+    let left = sync::Arc::clone(&wait.left);
+    shared.handler.handle(request, Responder { sender, left });
+    let response = receiver.await;
+    wait.end();
+    match response {
         Ok(response) => encode(response, false),
         Err(_) => encode(Response::text(500, "no response\n"), true),
     }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -9,6 +9,7 @@
 //! assert_eq!(parent.child().trace(), parent.trace());
 //! ```
 
+pub mod caller;
 pub mod error;
 pub mod http;
 pub mod metric;
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -63,6 +63,11 @@
         self
     }
 
+    /// Ends the stream to `to`.
+    pub fn drop_peer(&mut self, to: &name::Name) {
+        self.streams.remove(to);
+    }
+
     /// Sends a batch of encoded bodies; it is lost if the peer is out of reach for long.
     pub fn send(&self, to: &name::Name, bodies: Vec<Bytes>) -> bool {
         let stream = self.streams.get(to);
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -22,6 +22,8 @@
 pub mod key;
 pub mod locate;
 pub mod name;
+pub mod node;
+mod reader;
 pub mod table;
 pub mod tree;
 pub mod upstream;
--- /dev/null
+++ b/crates/state/src/node.rs
@@ -0,0 +1,166 @@
+//! The bootstrap file of an instance that finds the others through seeds.
+
+use std::{net, path};
+
+use crate::{
+    boot,
+    locate::{Fault, Located},
+    name,
+    reader::{Members, Reader},
+};
+
+/// Shares of the time between the order to end and the forced end, milliseconds: what is in
+/// progress gets most of it, and the last part is left to flush and exit.
+const DEFAULT_GRACE_MS: u64 = 6_000;
+/// Longest lease that upstreams grant by default, milliseconds.
+const DEFAULT_LEASE_MS: u64 = 1_000;
+
+/// What an instance does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Takes clients' jobs.
+    Entry,
+    /// Holds the configuration and hears of upstreams.
+    Keeper,
+}
+
+/// Settings that such an instance starts with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    /// Name of the instance, for logs.
+    pub instance: name::Name,
+    /// Availability zone it is in.
+    pub zone: name::Name,
+    /// What it does.
+    pub role: Role,
+    /// Where clients reach an entry.
+    pub client: Option<net::SocketAddr>,
+    /// Where the balancer asks an entry whether it takes clients.
+    pub ready: Option<net::SocketAddr>,
+    /// Where operators and upstreams reach a keeper.
+    pub operator: Option<net::SocketAddr>,
+    /// Where the other instances reach it.
+    pub peer: net::SocketAddr,
+    /// Where its metrics are read.
+    pub metrics: Option<net::SocketAddr>,
+    /// Folder of a keeper's durable state.
+    pub folder: Option<path::PathBuf>,
+    /// Operator addresses of some keepers.
+    pub seeds: Vec<net::SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    pub first: bool,
+    /// Longest lease that upstreams grant, milliseconds.
+    pub lease_ms: u64,
+    /// Time from SIGTERM to the forced end, milliseconds.
+    pub grace_ms: u64,
+    /// What is logged and how.
+    pub log: boot::Log,
+}
+
+impl Node {
+    /// Checks a bootstrap file.
+    ///
+    /// # Errors
+    ///
+    /// Every fault found, in the order of its lines.
+    ///
+    /// ```
+    /// let faults = state::node::Node::parse("{\"role\": \"king\"}").unwrap_err();
+    /// assert!(faults.iter().any(|fault| fault.path == "$.role"));
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
+        let root = Located::parse(text).map_err(|fault| vec![fault])?;
+        let mut reader = Reader::default();
+        let node = reader.node(&root);
+        reader.faults.sort();
+        match node {
+            Some(node) if reader.faults.is_empty() => Ok(node),
+            _ => Err(reader.faults),
+        }
+    }
+
+    /// Whether a file is meant for such an instance: it names a role.
+    pub fn is_meant(text: &str) -> bool {
+        let root = Located::parse(text).ok();
+        let members = root.as_ref().and_then(Located::members);
+        members.is_some_and(|members| members.contains_key("role"))
+    }
+
+    /// Addresses of the streams of the seeds: every instance uses the same port for them.
+    pub fn seed_peers(&self) -> Vec<name::Name> {
+        let peer = |seed: &net::SocketAddr| net::SocketAddr::new(seed.ip(), self.peer.port());
+        self.seeds.iter().map(|seed| name::Name::new(&peer(seed).to_string())).collect()
+    }
+}
+
+impl Reader {
+    fn node(&mut self, root: &Located<'_>) -> Option<Node> {
+        const ROLES: &[(&str, Role)] = &[("entry", Role::Entry), ("keeper", Role::Keeper)];
+        let mut map = self.object(root)?;
+        let instance = self.name(root, &mut map, "instance");
+        let zone = self.name(root, &mut map, "availability_zone");
+        let role = self.required(root, &mut map, "role");
+        let role = role.and_then(|at| self.choice(&at, ROLES));
+        let entry = role == Some(Role::Entry);
+        let client = self.address_of(root, &mut map, "client_address", entry);
+        let ready = self.address_of(root, &mut map, "ready_address", entry);
+        let operator = self.address_of(root, &mut map, "operator_address", !entry);
+        let peer = self.address(root, &mut map, "peer_address");
+        let metrics = self.address_of(root, &mut map, "metrics_address", false);
+        let folder = map.remove("data_folder").and_then(|at| self.text(&at));
+        let seeds = self.seeds(&mut map);
+        let first = map.remove("first_start").and_then(|at| self.flag(&at));
+        let lease = map.remove("lease_ms").and_then(|at| self.whole(&at));
+        let grace = map.remove("grace_ms").and_then(|at| self.whole(&at));
+        let log = map.remove("log").map_or_else(boot::Log::default, |at| self.log(&at));
+        self.leftover(map);
+        Some(Node {
+            instance: instance?,
+            zone: zone?,
+            role: role?,
+            client,
+            ready,
+            operator,
+            peer: peer?,
+            metrics,
+            folder: folder.map(path::PathBuf::from),
+            seeds,
+            first: first.unwrap_or(false),
+            lease_ms: lease.unwrap_or(DEFAULT_LEASE_MS),
+            grace_ms: grace.unwrap_or(DEFAULT_GRACE_MS),
+            log,
+        })
+    }
+
+    fn address_of<'a>(
+        &mut self,
+        root: &Located<'a>,
+        map: &mut Members<'a>,
+        key: &str,
+        required: bool,
+    ) -> Option<net::SocketAddr> {
+        if !required && !map.contains_key(key) {
+            return None;
+        }
+        self.address(root, map, key)
+    }
+
+    fn seeds(&mut self, map: &mut Members<'_>) -> Vec<net::SocketAddr> {
+        let Some(at) = map.remove("seeds") else {
+            return Vec::new();
+        };
+        let Some(items) = at.items() else {
+            self.faults.push(at.fault("expected an array"));
+            return Vec::new();
+        };
+        let mut seeds = Vec::new();
+        for item in &items {
+            let address = item.value().as_str().and_then(|text| text.parse().ok());
+            match address {
+                Some(address) => seeds.push(address),
+                None => self.faults.push(item.fault("expected IP:PORT")),
+            }
+        }
+        seeds
+    }
+}
