Keep a job with one zone until nothing of it can run there

Cause: a job whose scheduler was replaced was handed in again at the entry's own zone although its tasks ran in another one; runs that a new scheduler found were kept alive for 700 ms; an entry that came back within 500 ms was taken for its former self. In each case the client's next try could start a task that still ran.

--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -316,6 +316,9 @@
         let known = self.roster.peer(&from).is_some();
         if self.roster.heard(ping, direct, now.mono) {
             self.note("peer: Heard.", &from, String::new());
+            if let Some(sched) = &mut self.sched {
+                sched.forget_entry(&from, now.mono);
+            }
         }
         if !known {
             self.out.push(Output::Connect(from.clone()));
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -44,6 +44,8 @@
     asked: u64,
     given: bool,
     lost: Option<u64>,
+    /// Zone where tasks of it may run; no other scheduler may have it.
+    pin: Option<name::Name>,
 }
 
 /// The jobs of the clients of one entry.
@@ -92,7 +94,7 @@
         }
         let tickets = smallvec::smallvec![ticket];
         let (arrived, asked) = (view.now, view.now);
-        let open = Open { job, tickets, arrived, with: None, asked, given: false, lost: None };
+        let open = Open { job, tickets, arrived, with: None, asked, given: false, lost: None, pin: None };
         self.open.insert(id.clone(), open);
         self.give(&id, view);
     }
@@ -126,8 +128,7 @@
     pub fn unknown(&mut self, from: &name::Name, id: &name::Name, view: View<'_>) {
         let Some(open) = self.open.get_mut(id) else { return };
         if open.with.as_ref().is_some_and(|claim| claim.holder == *from) {
-            open.job.resumed = true;
-            open.with = None;
+            open.resume();
             self.give(id, view);
         }
     }
@@ -144,6 +145,10 @@
                 over.push((id.clone(), Self::last_word(open)));
                 continue;
             }
+            if open.lost.is_some_and(|lost| now >= lost + DROPPED) {
+                open.resume();
+                open.pin = None;
+            }
             match &open.with {
                 None if !open.given && now >= open.arrived + NO_SCHEDULER => {
                     over.push((id.clone(), Verdict::NotRun(Refusal::NoScheduler)));
@@ -157,14 +162,10 @@
                     }
                 }
                 Some(claim) => {
-                    let lost = *open.lost.get_or_insert(now);
+                    open.lost.get_or_insert(now);
                     let next = view.claims.of(&claim.zone);
-                    let replaced = next.is_some_and(|next| {
-                        next != claim && view.roster.holds(next, now)
-                    });
-                    if replaced || now >= lost + DROPPED {
-                        open.job.resumed = true;
-                        open.with = None;
+                    if next.is_some_and(|next| next != claim && view.roster.holds(next, now)) {
+                        open.resume();
                         again.push(id.clone());
                     }
                 }
@@ -195,7 +196,7 @@
     /// Gives a job to a scheduler, if one can be reached.
     fn give(&mut self, id: &name::Name, view: View<'_>) {
         let Some(open) = self.open.get(id) else { return };
-        let Some(claim) = self.choose(&open.job, view).cloned() else { return };
+        let Some(claim) = self.choose(open, view).cloned() else { return };
         let need = cpu(&open.job);
         if let Some(load) = self.loads.get_mut(&claim.zone) {
             load.free -= need;
@@ -206,17 +207,18 @@
         open.asked = view.now;
         open.given = true;
         open.lost = None;
+        open.pin = Some(claim.zone.clone());
         open.with = Some(claim.clone());
         self.out.sends.push((claim.holder, Body::Submit(Box::new(job))));
     }
 
-    fn choose<'a>(&self, job: &Job, view: View<'a>) -> Option<&'a claim::Claim> {
-        let home = &view.roster.me().zone;
+    fn choose<'a>(&self, open: &Open, view: View<'a>) -> Option<&'a claim::Claim> {
+        let (job, home) = (&open.job, &view.roster.me().zone);
         let reached = |claim: &&claim::Claim| view.roster.holds(claim, view.now);
-        let at_home = view.claims.of(home).filter(reached);
-        if job.resumed && at_home.is_some() {
-            return at_home;
+        if let Some(zone) = &open.pin {
+            return view.claims.of(zone).filter(reached);
         }
+        let at_home = view.claims.of(home).filter(reached);
         let free = |claim: &claim::Claim| self.loads.get(&claim.zone).map_or(0, |load| load.free);
         let need = cpu(job);
         if at_home.is_some_and(|claim| free(claim) >= need) {
@@ -234,6 +236,14 @@
     }
 }
 
+impl Open {
+    /// Takes the job back from its scheduler; tasks of it may run on.
+    fn resume(&mut self) {
+        self.job.resumed = true;
+        self.with = None;
+    }
+}
+
 impl View<'_> {
     fn is_current(&self, claim: &claim::Claim) -> bool {
         let same = self.claims.of(&claim.zone).is_some_and(|held| held == claim);
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -18,14 +18,17 @@
 /// lease (1,000 ms on a clock 2% slow).
 const FORMER: u64 = 1_550 * time::MS;
 /// Runs of unknown jobs are stopped this long after they were found; until then an entry may
-/// hand the job in again, microseconds.
-const ORPHAN: u64 = 700 * time::MS;
+/// hand the job in again, microseconds. If its entry was lost with the former scheduler, the
+/// client comes back 1,300 ms after that, perhaps in another zone, and nothing may run then:
+/// this is what is left after 950 ms, the latest at which a run of the former one is found.
+const ORPHAN: u64 = 200 * time::MS;
 /// Ends of unknown jobs are kept this long for the same reason.
 const KEEP_ENDS: u64 = 3_000 * time::MS;
 /// Verdicts are kept this long, for entries that did not get them.
 const KEEP_VERDICTS: u64 = 4_000 * time::MS;
 /// A job that its entry has not asked for this long is dropped: its cancelling was lost.
-const FORSAKEN: u64 = 1_500 * time::MS;
+/// Longer than two questions of the entry (350 ms each) are apart.
+const FORSAKEN: u64 = 900 * time::MS;
 /// A task that made no progress for this long hangs, microseconds. Percents of a task of 3,600 ms,
 /// the longest known, change every 36 ms.
 const HANG: u64 = 280 * time::MS;
@@ -226,6 +229,14 @@
         }
     }
 
+    /// An entry has come back without its memory: nobody waits for its jobs any more.
+    pub fn forget_entry(&mut self, entry: &name::Name, now: u64) {
+        let of_entry = self.jobs.iter().filter(|(_, active)| active.entry == *entry);
+        for id in of_entry.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            self.drop_job(&id, now);
+        }
+    }
+
     /// An entry still waits for these jobs.
     pub fn awaited(&mut self, ids: &[name::Name], entry: &name::Name, now: u64) -> Vec<name::Name> {
         let mut unknown = Vec::new();
