--- a/crates/dispatch/src/active.rs
+++ b/crates/dispatch/src/active.rs
@@ -37,6 +37,8 @@
     pub arrived: u64,
     /// When the entry was last known to wait for it.
     pub awaited: u64,
+    /// The entry's clock when it last said that it waits.
+    pub stamp: u64,
     /// Whether a task of it may have been started, here or elsewhere.
     pub started: bool,
     /// Its tasks, step by step.
@@ -52,8 +54,8 @@
             job.steps.iter().map(|step| vec![item.clone(); step.count as usize]).collect();
         let waiting = job.steps.iter().map(|step| step.count).sum();
         let arrived = now.saturating_sub(job.age * time::MS);
-        let (entry, started) = (entry.clone(), job.resumed);
-        Self { job, entry, arrived, awaited: now, started, items, waiting }
+        let (entry, started, stamp) = (entry.clone(), job.resumed, job.stamp);
+        Self { job, entry, arrived, awaited: now, stamp, started, items, waiting }
     }
 
     /// Tasks that wait.
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -10,10 +10,15 @@
     member,
     message::{Body, Document, Ping},
     roster, sched,
-    time::Now,
+    time::{MS, Now},
     upstream, vault,
 };
 
+/// An instance that did nothing for this long has been stopped, microseconds: what it knows of the
+/// others is too old to go on by. A client that lost its entry comes back after 1,300 ms, and it
+/// takes [`roster::SILENT`] to notice that loss.
+const STOPPED: u64 = 600 * MS;
+
 /// What an instance is.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -54,6 +59,7 @@
     document: Document,
     draining: bool,
     leads: bool,
+    last: Now,
     out: Vec<Output>,
 }
 
@@ -80,6 +86,7 @@
             document: Document::default(),
             draining: false,
             leads: false,
+            last: now,
             out,
         };
         core.adopt_vault();
@@ -88,6 +95,7 @@
 
     /// Takes one event and gives its effects.
     pub fn handle(&mut self, event: Event, now: Now) -> Vec<Output> {
+        self.notice_stop(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Peer(from, body) => self.on_peer(&from, body, true, now),
@@ -127,6 +135,23 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Trusts nobody after a time in which this instance was stopped. The wall clock shows it
+    /// where the monotonic one was stopped as well.
+    fn notice_stop(&mut self, now: Now) {
+        let last = std::mem::replace(&mut self.last, now);
+        let wall = now.wall.saturating_sub(last.wall) * MS;
+        let gap = now.mono.saturating_sub(last.mono).max(wall);
+        if gap < STOPPED {
+            return;
+        }
+        self.roster.distrust(now.mono);
+        if let Some(sched) = &mut self.sched {
+            sched.drop_all(now.mono);
+        }
+        let me = self.roster.me().name.clone();
+        self.note("node: Was stopped, trusting nobody until heard again.", &me, gap.to_string());
+    }
+
     /// Whether clients may be sent here.
     pub fn is_ready(&self, now: Now) -> bool {
         let reached = |claim: &claim::Claim| self.roster.holds(claim, now.mono);
@@ -170,7 +195,7 @@
         }
         if let Some(sched) = &mut self.sched {
             let roster = &self.roster;
-            sched.tick(|entry| roster.is_alive(entry, now.mono), now.mono);
+            sched.tick(|entry| roster.clock(entry, now.mono), now.mono);
         }
         let (view, desk) = view(&self.roster, &self.claims, &mut self.desk, now);
         desk.tick(view);
@@ -217,6 +242,7 @@
         let zone = &self.roster.me().zone;
         Ping {
             card: self.roster.me().clone(),
+            clock: now.mono,
             echo: false,
             draining: self.draining,
             led: self.claims.is_led(zone, &self.roster, now.mono),
@@ -265,9 +291,9 @@
                     sched.cancel(&id, from, now.mono);
                 }
             }
-            Body::Await(ids) => {
+            Body::Await(ids, stamp) => {
                 let unknown = match &mut self.sched {
-                    Some(sched) => sched.awaited(&ids, from, now.mono),
+                    Some(sched) => sched.awaited(&ids, from, stamp, now.mono),
                     None => ids,
                 };
                 for id in unknown {
@@ -517,7 +543,8 @@
 
     fn settle_sched(&mut self, now: Now) {
         let Some(sched) = &mut self.sched else { return };
-        sched.run(now.mono);
+        let roster = &self.roster;
+        sched.run(|entry| roster.clock(entry, now.mono), now.mono);
         let out = sched.take();
         self.out.extend(out.calls.into_iter().map(Output::Call));
         self.out.extend(out.notes.into_iter().map(Output::Note));
@@ -552,8 +579,7 @@
         }
         let Some(sched) = &mut self.sched else { return };
         let claim = self.claims.overrule(&me, now.wall);
-        sched.raise(claim.epoch);
-        sched.overrule(now.mono);
+        sched.overrule(claim.epoch, now.mono);
     }
 
     fn send(&mut self, to: &name::Name, body: Body, now: Now) {
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -18,13 +18,13 @@
 
 /// A scheduler is asked about jobs that it has had for this long, microseconds: one that is lost
 /// on the way costs little more.
-const ASK: u64 = 350 * time::MS;
+const ASK: u64 = 300 * time::MS;
 /// A job that no scheduler could be given is refused after this, microseconds: the time in which
 /// a zone replaces one (heartbeats missed for 500 ms, a turn or two of 300 ms).
 const NO_SCHEDULER: u64 = 1_400 * time::MS;
-/// A scheduler in another zone has dropped the jobs of an entry that it does not hear, and their
-/// leases are over, after this time.
-const DROPPED: u64 = 1_600 * time::MS;
+/// A scheduler in another zone has dropped the jobs of an entry that says nothing of them any more
+/// (900 ms), and their leases are over (1,000 ms on a clock 2% slow), after this time.
+const DROPPED: u64 = 2_000 * time::MS;
 
 /// Effects of the last calls.
 #[derive(Debug, Default)]
@@ -178,7 +178,7 @@
         for id in again {
             self.give(&id, view);
         }
-        let sends = ask.into_iter().map(|(to, ids)| (to, Body::Await(ids)));
+        let sends = ask.into_iter().map(|(to, ids)| (to, Body::Await(ids, now)));
         self.out.sends.extend(sends);
     }
 
@@ -204,6 +204,7 @@
         }
         let Some(open) = self.open.get_mut(id) else { return };
         let mut job = open.job.clone();
+        job.stamp = view.now;
         job.age += view.now.saturating_sub(open.arrived) / time::MS;
         open.asked = view.now;
         open.given = true;
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -47,6 +47,8 @@
     pub age: u64,
     /// Whether another scheduler may have started tasks of it.
     pub resumed: bool,
+    /// The entry's monotonic clock when it handed the job in, microseconds.
+    pub stamp: u64,
 }
 
 impl Job {
--- a/crates/dispatch/src/lane.rs
+++ b/crates/dispatch/src/lane.rs
@@ -194,6 +194,14 @@
         self.retry = now;
     }
 
+    /// Somebody else may have owned it meanwhile: what it runs is to be read again.
+    pub fn take_over(&mut self, epoch: u64, now: u64) {
+        self.fence = self.fence.max(epoch);
+        self.owned = false;
+        self.hold = None;
+        self.retry = now;
+    }
+
     /// A hold had no answer.
     pub fn miss(&mut self, now: u64) {
         self.silent.get_or_insert(now);
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -27,8 +27,8 @@
     Submit(Box<job::Job>),
     /// Nobody waits for the job any more.
     Cancel(name::Name),
-    /// Jobs that the sender still waits for.
-    Await(Vec<name::Name>),
+    /// Jobs that the sender still waits for, and its monotonic clock, microseconds.
+    Await(Vec<name::Name>, u64),
     /// The scheduler does not know the job.
     Unknown(name::Name),
     /// How a job ended.
@@ -50,7 +50,7 @@
             Self::Confirm(_) | Self::Confirmed(..) => "confirm",
             Self::Submit(_) => "submit",
             Self::Cancel(_) => "cancel",
-            Self::Await(_) | Self::Unknown(_) => "await",
+            Self::Await(..) | Self::Unknown(_) => "await",
             Self::Verdict(..) => "verdict",
             Self::Relay(..) => "relay",
         }
@@ -62,6 +62,8 @@
 pub struct Ping {
     /// The sender.
     pub card: member::Card,
+    /// The sender's monotonic clock, microseconds.
+    pub clock: u64,
     /// Whether the sender has heard the receiver lately, on the direct way.
     pub echo: bool,
     /// Whether the sender is shutting down.
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -16,6 +16,8 @@
 /// An instance that was silent this long is taken for lost, microseconds. It has to be well below
 /// the time after which a client submits a job again (1,300 ms), less a lease.
 pub const SILENT: u64 = 500 * time::MS;
+/// After a stop, what is heard within this time was sent before, microseconds.
+const STALE: u64 = 50 * time::MS;
 /// A stream that seems to carry nothing is dialled anew after this, microseconds.
 const REDIAL: u64 = 700 * time::MS;
 /// Two digests that differ are followed by the whole list at most this often, microseconds.
@@ -50,6 +52,7 @@
     seeds: Vec<name::Name>,
     peers: collections::BTreeMap<name::Name, Peer>,
     forgotten: collections::BTreeMap<name::Name, u64>,
+    distrust: u64,
 }
 
 impl Roster {
@@ -61,6 +64,7 @@
             seeds: Vec::new(),
             peers: collections::BTreeMap::new(),
             forgotten: collections::BTreeMap::new(),
+            distrust: 0,
         };
         roster.set_seeds(seeds, now);
         roster
@@ -100,6 +104,15 @@
         *name == self.me.name || self.peers.get(name).is_some_and(|peer| peer.is_alive(now))
     }
 
+    /// The clock of an instance that is alive, as its last heartbeat told it, microseconds.
+    pub fn clock(&self, name: &name::Name, now: u64) -> Option<u64> {
+        if *name == self.me.name {
+            return Some(now);
+        }
+        let peer = self.peers.get(name).filter(|peer| peer.is_alive(now))?;
+        peer.ping.as_ref().map(|ping| ping.clock)
+    }
+
     /// Whether the instance is alive without a relay.
     pub fn is_direct(&self, name: &name::Name, now: u64) -> bool {
         self.peers.get(name).is_some_and(|peer| peer.is_direct(now))
@@ -158,11 +171,16 @@
         let fresh = Peer { since: now, ..Peer::default() };
         let peer = self.peers.entry(name).or_insert(fresh);
         let known = peer.card.as_ref().map_or(0, |card| card.life);
-        if ping.card.life < known {
+        let later =
+            |held: &message::Ping| held.card.life == ping.card.life && held.clock > ping.clock;
+        if ping.card.life < known || peer.ping.as_ref().is_some_and(later) {
             return false;
         }
-        peer.heard = now;
-        if direct {
+        let trusted = now >= self.distrust;
+        if trusted {
+            peer.heard = now;
+        }
+        if direct && trusted {
             peer.direct = now;
             if ping.echo {
                 peer.echoed = now;
@@ -174,6 +192,17 @@
         first
     }
 
+    /// Counts everybody as silent, and what is heard within the next moment as old: it waited
+    /// while this instance was stopped.
+    pub fn distrust(&mut self, now: u64) {
+        self.distrust = now + STALE;
+        for peer in self.peers.values_mut() {
+            peer.heard = 0;
+            peer.direct = 0;
+            peer.echoed = 0;
+        }
+    }
+
     /// Learns of instances that another one knows.
     pub fn learn(&mut self, cards: Vec<member::Card>, now: u64) {
         for card in cards {
@@ -255,7 +284,7 @@
     pub fn forget(&mut self, now: u64) -> Vec<name::Name> {
         let seeds = &self.seeds;
         let gone = |(name, peer): (&name::Name, &Peer)| {
-            let last = peer.heard.max(peer.since);
+            let last = peer.heard.max(peer.since).max(self.distrust);
             (now >= last + FORGET && !seeds.contains(name)).then(|| name.clone())
         };
         let gone: Vec<_> = self.peers.iter().filter_map(gone).collect();
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -10,7 +10,7 @@
     lane::{Lane, Run, Stage},
     message,
     order::{Call, End, Ended, Order, Outcome, Reason, Running},
-    place, queue, time, upstream,
+    place, queue, roster, time, upstream,
 };
 
 /// Runs that a former scheduler started may go on this long after the claim, unless their
@@ -29,6 +29,10 @@
 /// A job that its entry has not asked for this long is dropped: its cancelling was lost.
 /// Longer than two questions of the entry (350 ms each) are apart.
 const FORSAKEN: u64 = 900 * time::MS;
+/// A task is started only if its entry has asked for the job this short before its last heartbeat,
+/// by its own clock, microseconds: longer than its questions (300 ms) are apart. What waited in
+/// buffers longer than that may be another scheduler's job by now.
+const FRESH: u64 = 450 * time::MS;
 /// A task that made no progress for this long hangs, microseconds. Percents of a task of 3,600 ms,
 /// the longest known, change every 36 ms.
 const HANG: u64 = 280 * time::MS;
@@ -126,11 +130,6 @@
         load
     }
 
-    /// Takes over a higher epoch, for upstreams that have seen another token.
-    pub fn raise(&mut self, epoch: u64) {
-        self.epoch = epoch;
-    }
-
     /// Takes news of an upstream of the zone.
     pub fn record(&mut self, record: &upstream::Record, now: u64) {
         let known = self.lanes.get_mut(&record.id);
@@ -166,6 +165,7 @@
         if let Some(active) = self.jobs.get_mut(&job.id) {
             active.entry = entry.clone();
             active.awaited = now;
+            active.stamp = job.stamp;
             return;
         }
         if let Some(refusal) = self.check(&job, now) {
@@ -235,6 +235,13 @@
         }
     }
 
+    /// Nobody is known to wait for anything any more.
+    pub fn drop_all(&mut self, now: u64) {
+        for id in self.jobs.keys().cloned().collect::<Vec<_>>() {
+            self.drop_job(&id, now);
+        }
+    }
+
     /// An entry has come back without its memory: nobody waits for its jobs any more.
     pub fn forget_entry(&mut self, entry: &name::Name, now: u64) {
         let of_entry = self.jobs.iter().filter(|(_, active)| active.entry == *entry);
@@ -244,11 +251,18 @@
     }
 
     /// An entry still waits for these jobs.
-    pub fn awaited(&mut self, ids: &[name::Name], entry: &name::Name, now: u64) -> Vec<name::Name> {
+    pub fn awaited(
+        &mut self,
+        ids: &[name::Name],
+        entry: &name::Name,
+        stamp: u64,
+        now: u64,
+    ) -> Vec<name::Name> {
         let mut unknown = Vec::new();
         for id in ids {
             if let Some(active) = self.jobs.get_mut(id) {
                 active.awaited = now;
+                active.stamp = stamp;
                 active.entry = entry.clone();
             } else if let Some((verdict, _)) = self.verdicts.get(id) {
                 self.out.verdicts.push((entry.clone(), id.clone(), verdict.clone()));
@@ -259,8 +273,8 @@
         unknown
     }
 
-    /// Lets time pass. `alive` tells which entries are heard.
-    pub fn tick(&mut self, alive: impl Fn(&name::Name) -> bool, now: u64) {
+    /// Lets time pass. `alive` gives the clocks of the entries that are heard.
+    pub fn tick(&mut self, alive: impl Fn(&name::Name) -> Option<u64>, now: u64) {
         self.drop_forsaken(&alive, now);
         self.expire(now);
         self.lapse(now);
@@ -271,10 +285,12 @@
         self.dirty = true;
     }
 
-    /// Starts what can be started and asks whom it is time to ask.
-    pub fn run(&mut self, now: u64) {
+    /// Starts what can be started and asks whom it is time to ask. `alive` gives the clocks
+    /// of the entries that are heard: a job that waited in this instance's buffers while it was stopped may have been
+    /// handed to another scheduler since.
+    pub fn run(&mut self, alive: impl Fn(&name::Name) -> Option<u64>, now: u64) {
         if std::mem::take(&mut self.dirty) {
-            self.dispatch(now);
+            self.dispatch(&alive, now);
         }
         let (lease, mut calls) = (self.lease, Vec::new());
         for lane in self.lanes.values_mut() {
@@ -318,17 +334,23 @@
         if let Some(lane) = self.lanes.get_mut(id) {
             lane.end_hold(number);
             lane.owned = false;
-            lane.fence = self.epoch.max(lane.fence);
         }
         self.out.outranked.push(id.clone());
     }
 
-    /// Goes above the token that upstreams have seen.
-    pub fn overrule(&mut self, now: u64) {
-        for lane in self.lanes.values_mut().filter(|lane| !lane.owned) {
-            lane.fence = lane.fence.max(self.epoch);
-            lane.miss(now);
+    /// Takes all upstreams over again, above the token that some of them have seen: whoever used
+    /// it may have started anything anywhere.
+    pub fn overrule(&mut self, epoch: u64, now: u64) {
+        self.epoch = epoch;
+        self.since = now;
+        for lane in self.lanes.values_mut() {
+            lane.take_over(epoch, now);
+        }
+        for active in self.jobs.values_mut() {
+            active.job.resumed = true;
+            active.started = true;
         }
+        self.dirty = true;
     }
 
     fn held(
@@ -631,8 +653,11 @@
     }
 
     /// Drops jobs that no entry waits for, so that another scheduler may take them.
-    fn drop_forsaken(&mut self, alive: &impl Fn(&name::Name) -> bool, now: u64) {
-        let forsaken = |active: &Active| !alive(&active.entry) || now >= active.awaited + FORSAKEN;
+    fn drop_forsaken(&mut self, alive: &impl Fn(&name::Name) -> Option<u64>, now: u64) {
+        let forsaken = |active: &Active| {
+            let time = if alive(&active.entry).is_some() { FORSAKEN } else { roster::SILENT };
+            now >= active.awaited + time
+        };
         let gone = self.jobs.iter().filter(|(_, active)| forsaken(active));
         for id in gone.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
             self.note("job: Dropped, its entry is not heard.", &id, "");
@@ -726,13 +751,17 @@
     }
 
     /// Places waiting tasks, the most urgent job first.
-    fn dispatch(&mut self, now: u64) {
+    fn dispatch(&mut self, alive: &impl Fn(&name::Name) -> Option<u64>, now: u64) {
         self.send_stops(now);
         let barred = self.is_barred(now);
+        let fresh = |active: &Active| {
+            alive(&active.entry).is_some_and(|clock| clock <= active.stamp + FRESH)
+        };
         let mut line: Vec<_> = self
             .jobs
             .iter()
             .filter(|(_, active)| active.waiting() > 0 && !(active.job.resumed && barred))
+            .filter(|(_, active)| fresh(active))
             .map(|(id, active)| (queue::rank(active, now), id.clone()))
             .collect();
         line.sort();
--- a/crates/dispatch/tests/owner.rs
+++ b/crates/dispatch/tests/owner.rs
@@ -42,6 +42,7 @@
         patience: 3_000,
         age: 0,
         resumed: false,
+        stamp: 0,
     }
 }
 
@@ -75,9 +76,9 @@
     }
 
     fn calls(&mut self) -> Vec<Call> {
-        self.sched.awaited(&["j".into()], &"entry".into(), self.now);
-        self.sched.tick(|_| true, self.now);
-        self.sched.run(self.now);
+        self.sched.awaited(&["j".into()], &"entry".into(), self.now, self.now);
+        self.sched.tick(|_| Some(self.now), self.now);
+        self.sched.run(|_| Some(self.now), self.now);
         self.sched.take().calls
     }
 
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -275,6 +275,7 @@
             patience: 4_000,
             age: 0,
             resumed: false,
+            stamp: 0,
         };
         let zone = zone_name(zone);
         let request = Request { job, zone, at: None, sent: self.now, verdict: None };
