--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -259,6 +259,9 @@
                 tick = time::Instant::now() + TICK;
                 self.take(Input::Event(Event::Tick));
             }
+            for output in self.core.settle(self.control.clock.now()) {
+                self.put(output);
+            }
             self.flush();
         }
     }
@@ -274,9 +277,7 @@
         if let Event::Left(ticket) = &event {
             self.replies.remove(ticket);
         }
-        for output in self.core.handle(event, self.control.clock.now()) {
-            self.put(output);
-        }
+        self.core.tell(event, self.control.clock.now());
     }
 
     fn put(&mut self, output: Output) {
--- a/crates/dispatch/src/claim.rs
+++ b/crates/dispatch/src/claim.rs
@@ -73,6 +73,19 @@
         self.claims.values()
     }
 
+    /// The schedulers that an instance of `zone` keeps in touch with: its own, and the one of the
+    /// next zone, where jobs go for which there is no room at home. With all of them, heartbeats
+    /// would grow with the product of zones and instances.
+    pub fn watched<'a>(&'a self, zone: &'a name::Name) -> impl Iterator<Item = &'a Claim> {
+        let after = self.claims.range::<str, _>((
+            std::ops::Bound::Excluded(zone.as_str()),
+            std::ops::Bound::Unbounded,
+        ));
+        let next = after.map(|(_, claim)| claim).chain(self.claims.values());
+        let next = next.filter(move |claim| claim.zone != *zone).take(1);
+        self.of(zone).into_iter().chain(next)
+    }
+
     /// Whether the scheduler of `zone` is heard.
     pub fn is_led(&self, zone: &name::Name, roster: &roster::Roster, now: u64) -> bool {
         self.of(zone).is_some_and(|claim| roster.holds(claim, now))
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -95,6 +95,13 @@
 
     /// Takes one event and gives its effects.
     pub fn handle(&mut self, event: Event, now: Now) -> Vec<Output> {
+        self.tell(event, now);
+        self.settle(now)
+    }
+
+    /// Takes one event. Its effects come with the next [`Self::settle`]: placing tasks once for
+    /// many events costs little more than once for one.
+    pub fn tell(&mut self, event: Event, now: Now) {
         self.notice_stop(now);
         match event {
             Event::Tick => self.tick(now),
@@ -131,7 +138,11 @@
             }
             Event::Drain => self.drain(now),
         }
-        self.settle(now);
+    }
+
+    /// Gives the effects of what was told.
+    pub fn settle(&mut self, now: Now) -> Vec<Output> {
+        self.settle_parts(now);
         std::mem::take(&mut self.out)
     }
 
@@ -214,9 +225,9 @@
     }
 
     fn beat(&mut self, now: Now) {
-        let claims = &self.claims;
-        let holder = |name: &name::Name| claims.iter().any(|claim| claim.holder == *name);
-        let due = self.roster.due(holder, now.mono);
+        let zone = self.roster.me().zone.clone();
+        let holders: Vec<_> = self.claims.watched(&zone).map(|claim| &claim.holder).collect();
+        let due = self.roster.due(|name| holders.contains(&name), now.mono);
         if due.is_empty() {
             return;
         }
@@ -519,7 +530,7 @@
     }
 
     /// Moves the effects of the parts on.
-    fn settle(&mut self, now: Now) {
+    fn settle_parts(&mut self, now: Now) {
         self.settle_sched(now);
         let desk = self.desk.take();
         for (to, body) in desk.sends {
--- a/crates/dispatch/src/lane.rs
+++ b/crates/dispatch/src/lane.rs
@@ -139,6 +139,11 @@
         Some(self.call(number, order, wait + PATIENCE))
     }
 
+    /// Whether a hold is under way.
+    pub fn is_asked(&self) -> bool {
+        self.hold.is_some()
+    }
+
     /// An order other than a hold.
     pub fn call(&self, number: u64, order: Order, patience: u64) -> Call {
         Call {
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -16,6 +16,11 @@
 /// An instance that was silent this long is taken for lost, microseconds. It has to be well below
 /// the time after which a client submits a job again (1,300 ms), less a lease.
 pub const SILENT: u64 = 500 * time::MS;
+/// Up to so many other instances, everybody hears its whole zone and all keepers; heartbeats then
+/// take under 1% of a core each.
+const FEW: usize = 16;
+/// Entries of a zone that hear all of it, next to its keepers: two may be lost with them.
+const DEPUTIES: usize = 3;
 /// After a stop, what is heard within this time was sent before, microseconds.
 const STALE: u64 = 50 * time::MS;
 /// A stream that seems to carry nothing is dialled anew after this, microseconds.
@@ -53,6 +58,8 @@
     peers: collections::BTreeMap<name::Name, Peer>,
     forgotten: collections::BTreeMap<name::Name, u64>,
     distrust: u64,
+    digest: u64,
+    deputies: Vec<name::Name>,
 }
 
 impl Roster {
@@ -65,8 +72,11 @@
             peers: collections::BTreeMap::new(),
             forgotten: collections::BTreeMap::new(),
             distrust: 0,
+            digest: 0,
+            deputies: Vec::new(),
         };
         roster.set_seeds(seeds, now);
+        roster.refresh();
         roster
     }
 
@@ -140,7 +150,8 @@
     /// that are known, itself included, or half without the one that ranks first.
     pub fn is_cut_off(&self, now: u64) -> bool {
         let cards = self.peers.values().filter_map(|peer| peer.card.as_ref());
-        let mut zone: Vec<_> = cards.filter(|card| card.zone == self.me.zone).collect();
+        let near = cards.filter(|card| card.zone == self.me.zone && self.is_near(card));
+        let mut zone: Vec<_> = near.collect();
         zone.push(&self.me);
         let heard = |card: &member::Card| self.is_alive(&card.name, now);
         let count = zone.iter().filter(|card| heard(card)).count();
@@ -189,6 +200,9 @@
         let first = ping.card.life > known || peer.ping.is_none();
         peer.card = Some(ping.card.clone());
         peer.ping = Some(ping);
+        if first {
+            self.refresh();
+        }
         first
     }
 
@@ -216,6 +230,7 @@
                 peer.card = Some(card);
             }
         }
+        self.refresh();
     }
 
     /// Every instance that introduced itself, this one included.
@@ -226,12 +241,36 @@
 
     /// Digest of [`Self::cards`].
     pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Works out anew what follows from who there is.
+    fn refresh(&mut self) {
         let one = |name: &name::Name, life: u64| {
             xxhash_rust::xxh3::xxh3_64_with_seed(name.as_str().as_bytes(), life)
         };
         let others = self.peers.values().filter_map(|peer| peer.card.as_ref());
-        let others = others.map(|card| one(&card.name, card.life));
-        others.fold(one(&self.me.name, self.me.life), |sum, hash| sum ^ hash)
+        let hashes = others.map(|card| one(&card.name, card.life));
+        self.digest = hashes.fold(one(&self.me.name, self.me.life), |sum, hash| sum ^ hash);
+        let others = self.peers.values().filter_map(|peer| peer.card.as_ref());
+        let mut zone: Vec<_> =
+            others.chain([&self.me]).filter(|c| c.zone == self.me.zone).collect();
+        zone.sort_by_key(|card| card.rank());
+        let keepers = zone.iter().filter(|card| card.role == member::Role::Keeper).count();
+        self.deputies =
+            zone.into_iter().take(keepers + DEPUTIES).map(|card| card.name.clone()).collect();
+    }
+
+    /// Whether this instance is to hear `card` in any case. Where instances are few everybody
+    /// hears the zone and all keepers. Where they are many, entries hear the keepers and deputies
+    /// of their zone, and only these hear everybody else, by answering.
+    fn is_near(&self, card: &member::Card) -> bool {
+        let keeper = card.role == member::Role::Keeper;
+        if self.peers.len() <= FEW {
+            return card.zone == self.me.zone || keeper;
+        }
+        let both = keeper && self.me.role == member::Role::Keeper;
+        both || self.deputies.contains(&card.name)
     }
 
     /// Whether the whole list is due to an instance whose digest differs.
@@ -246,12 +285,10 @@
 
     /// The instances that a heartbeat is due to. `chosen` says whom this instance wants to hear.
     pub fn due(&mut self, chosen: impl Fn(&name::Name) -> bool, now: u64) -> Vec<name::Name> {
-        let (zone, mut due) = (self.me.zone.clone(), Vec::new());
-        for (name, peer) in &mut self.peers {
-            let near = peer
-                .card
-                .as_ref()
-                .is_none_or(|card| card.zone == zone || card.role == member::Role::Keeper);
+        let near = |peer: &Peer| peer.card.as_ref().is_none_or(|card| self.is_near(card));
+        let near: Vec<_> = self.peers.values().map(near).collect();
+        let mut due = Vec::new();
+        for ((name, peer), near) in self.peers.iter_mut().zip(near) {
             let wanted = near || chosen(name) || now < peer.heard + RETURN && peer.heard > 0;
             if wanted && now >= peer.pinged + PING {
                 peer.pinged = now;
@@ -292,6 +329,9 @@
             let life = self.peers.remove(name).and_then(|peer| peer.card).map(|card| card.life);
             self.forgotten.insert(name.clone(), life.unwrap_or(0));
         }
+        if !gone.is_empty() {
+            self.refresh();
+        }
         gone
     }
 
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -82,6 +82,8 @@
     since: u64,
     lease: u64,
     number: u64,
+    /// Upstreams without a hold under way.
+    unasked: collections::BTreeSet<name::Name>,
     dirty: bool,
     out: Output,
 }
@@ -100,6 +102,7 @@
             since: now,
             lease,
             number: now << 8,
+            unasked: collections::BTreeSet::new(),
             dirty: false,
             out: Output::default(),
         }
@@ -146,6 +149,7 @@
             (None, _) => {
                 let lane = Lane::new(record.clone(), self.epoch);
                 self.lanes.insert(record.id.clone(), lane);
+                self.unasked.insert(record.id.clone());
             }
         }
         self.dirty = true;
@@ -292,15 +296,20 @@
         if std::mem::take(&mut self.dirty) {
             self.dispatch(&alive, now);
         }
-        let (lease, mut calls) = (self.lease, Vec::new());
-        for lane in self.lanes.values_mut() {
+        for id in std::mem::take(&mut self.unasked) {
+            let Some(lane) = self.lanes.get_mut(&id) else { continue };
             self.number += 1;
-            if let Some(call) = lane.due(self.number, lease, now) {
-                self.sent.insert(call.number, (call.upstream.clone(), now, Sent::Hold));
-                calls.push(call);
+            match lane.due(self.number, self.lease, now) {
+                Some(call) => {
+                    self.sent.insert(call.number, (id, now, Sent::Hold));
+                    self.out.calls.push(call);
+                }
+                None if !lane.is_asked() => {
+                    self.unasked.insert(id);
+                }
+                None => {}
             }
         }
-        self.out.calls.extend(calls);
     }
 
     /// Takes the outcome of a call.
@@ -309,6 +318,7 @@
             return;
         };
         self.dirty = true;
+        self.unasked.insert(id.clone());
         let Some(lane) = self.lanes.get_mut(&id) else {
             return;
         };
@@ -346,6 +356,7 @@
         for lane in self.lanes.values_mut() {
             lane.take_over(epoch, now);
         }
+        self.unasked.extend(self.lanes.keys().cloned());
         for active in self.jobs.values_mut() {
             active.job.resumed = true;
             active.started = true;
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -82,12 +82,14 @@
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     records: collections::BTreeMap<name::Name, Record>,
+    digests: collections::BTreeMap<name::Name, u64>,
 }
 
 impl Table {
     /// Takes a record; true if it changes what is known but for the serial number.
     pub fn merge(&mut self, record: Record) -> bool {
         let Some(held) = self.records.get_mut(&record.id) else {
+            self.digests.remove(&record.zone);
             self.records.insert(record.id.clone(), record);
             return true;
         };
@@ -98,6 +100,10 @@
         let changed = *held != record;
         // Only the last word about an upstream is worth keeping apart from the next one.
         debug_assert!(serial <= record.serial, "serial numbers rise");
+        if changed {
+            self.digests.remove(&held.zone);
+            self.digests.remove(&record.zone);
+        }
         *held = record;
         changed
     }
@@ -105,6 +111,7 @@
     /// Notes that an upstream is gone; `last` says that this life of it never comes back.
     pub fn bury(&mut self, id: &name::Name, last: bool) -> Option<Record> {
         let held = self.records.get_mut(id)?;
+        self.digests.remove(&held.zone);
         held.phase = Phase::Gone;
         if last {
             held.serial = u64::MAX;
@@ -123,11 +130,16 @@
     }
 
     /// Digest of the upstreams of a zone, without their serial numbers.
-    pub fn digest(&self, zone: &name::Name) -> u64 {
+    pub fn digest(&mut self, zone: &name::Name) -> u64 {
+        if let Some(digest) = self.digests.get(zone) {
+            return *digest;
+        }
         let one = |record: &Record| {
             let text = format!("{} {} {:?}", record.id, record.address, record.phase);
             xxhash_rust::xxh3::xxh3_64(text.as_bytes())
         };
-        self.of_zone(zone).map(one).fold(0, |sum, hash| sum ^ hash)
+        let digest = self.of_zone(zone).map(one).fold(0, |sum, hash| sum ^ hash);
+        self.digests.insert(zone.clone(), digest);
+        digest
     }
 }
