--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -206,6 +206,17 @@
         }
     }
 
+    /// An empty keeper takes the place of one that is gone, at another address.
+    pub fn move_keeper(&mut self, at: usize, name: &str) {
+        self.wipe(at);
+        let former = std::mem::replace(&mut self.instances[at].card.name, Name::new(name));
+        // Whoever starts from now on is told the present keepers.
+        for seed in self.seeds.iter_mut().filter(|seed| **seed == former) {
+            *seed = Name::new(name);
+        }
+        self.start(at);
+    }
+
     pub fn freeze(&mut self, at: usize) {
         self.instances[at].frozen = true;
     }
