--- a/crates/link/src/caller.rs
+++ b/crates/link/src/caller.rs
@@ -24,7 +24,7 @@
     /// Method.
     pub method: hyper::Method,
     /// Path.
-    pub path: &'static str,
+    pub path: std::borrow::Cow<'static, str>,
     /// Further headers.
     pub headers: Vec<(&'static str, String)>,
     /// JSON body.
@@ -53,6 +53,8 @@
 
 /// The method of most calls.
 pub const POST: hyper::Method = hyper::Method::POST;
+/// The method of calls that may be repeated.
+pub const PUT: hyper::Method = hyper::Method::PUT;
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 
@@ -153,7 +155,7 @@
 fn encode(request: Request) -> hyper::Request<Full<Bytes>> {
     let mut builder = hyper::Request::builder()
         .method(request.method)
-        .uri(request.path)
+        .uri(request.path.as_ref())
         .header(header::HOST, request.address.to_string())
         .header(header::CONTENT_TYPE, "application/json");
     for (name, value) in &request.headers {
