--- a/crates/apricotroute/src/cli.rs
+++ b/crates/apricotroute/src/cli.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 use state::{boot, id, locate, name, node as node_file};
 
-use crate::{demo, error, instance, load, logs, node, remote, standin, status};
+use crate::{demo, demo_platform, error, instance, load, logs, node, remote, standin, status};
 
 const HELP: &str = "\
 apricotroute: a dispatcher for tasks shorter than a second
@@ -46,10 +46,12 @@
 ";
 
 const DEMO: &str = "\
-apricotroute demo
+apricotroute demo [--platform]
 
 Runs one instance with stand-in upstreams inside this process, submits one job and prints its
 answer as JSON.
+
+  --platform   a keeper, an entry and upstreams that speak the calls of the users' platform
 ";
 
 const SUBMIT: &str = "\
@@ -272,9 +274,10 @@
     }
 }
 
-fn demo(arguments: Arguments) -> Ended {
+fn demo(mut arguments: Arguments) -> Ended {
+    let on_platform = arguments.contains("--platform");
     finish(arguments)?;
-    println!("{}", demo::run()?);
+    println!("{}", if on_platform { demo_platform::run()? } else { demo::run()? });
     Ok(process::ExitCode::SUCCESS)
 }
 
--- a/crates/apricotroute/src/main.rs
+++ b/crates/apricotroute/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod control;
 mod demo;
+mod demo_platform;
 mod error;
 mod instance;
 mod load;
--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -6,13 +6,13 @@
 use dispatch::{
     core,
     event::{self, Event, Output, Reply},
-    message, routing,
+    job, message, order, routing,
 };
 use link::{metric, peer};
 use state::name;
 
 use super::{
-    mailbox,
+    lines, mailbox,
     traffic::{self, Work},
 };
 use crate::{control::Clock, store};
@@ -210,12 +210,13 @@
 struct Thread {
     control: Control,
     core: core::Core,
-    replies: collections::HashMap<event::Ticket, platform::ReplyFn>,
+    replies: collections::HashMap<event::Ticket, (platform::ReplyFn, time::Instant)>,
     batches: collections::BTreeMap<name::Name, Vec<bytes::Bytes>>,
     work: Vec<Work>,
     saves: store::Saves,
     store: Option<crossbeam_channel::Sender<store::Saves>>,
     traffic: traffic::Sender,
+    lines: lines::Lines,
     log: slog::Logger,
 }
 
@@ -235,6 +236,7 @@
             saves: Vec::new(),
             store,
             traffic: parts.traffic,
+            lines: lines::Lines::new(),
             log: parts.log,
         }
     }
@@ -261,7 +263,7 @@
         let event = match input {
             Input::Event(event) => event,
             Input::Ask(ticket, event, reply) => {
-                self.replies.insert(ticket, reply);
+                self.replies.insert(ticket, (reply, time::Instant::now()));
                 event
             }
         };
@@ -282,17 +284,18 @@
             Output::Redial(to) => self.work.push(Work::Redial(to)),
             Output::Disconnect(to) => self.work.push(Work::Disconnect(to)),
             Output::Save(number, save) => self.saves.push((number, save)),
-            Output::Call(call) => self.work.push(Work::Call(call)),
+            Output::Call(call) => {
+                metric::count_call(kind(&call.order));
+                self.work.push(Work::Call(call));
+            }
             Output::Reply(ticket, reply) => {
-                if let Some(waiting) = self.replies.remove(&ticket) {
+                if let Some((waiting, since)) = self.replies.remove(&ticket) {
+                    metric::note_reply(outcome(&reply), since.elapsed());
                     waiting(reply);
                 }
             }
             Output::Document(document) => self.put_in_force(&document),
-            Output::Note(note) => {
-                slog::info!(self.log, "{}", note.text;
-                    "subject" => %note.subject, "detail" => note.detail);
-            }
+            Output::Note(note) => self.lines.write(&self.log, &note),
         }
     }
 
@@ -329,3 +332,26 @@
         view.open.store(self.core.open(), atomic::Ordering::Relaxed);
     }
 }
+
+/// Short name of an order, for counting.
+fn kind(order: &order::Order) -> &'static str {
+    match order {
+        order::Order::Hold { .. } => "hold",
+        order::Order::Start { .. } => "start",
+        order::Order::Stop { .. } => "stop",
+    }
+}
+
+/// Short name of a reply, for counting.
+fn outcome(reply: &Reply) -> &'static str {
+    match reply {
+        Reply::Verdict(job::Verdict::Complete) => "complete",
+        Reply::Verdict(job::Verdict::Failed) => "failed",
+        Reply::Verdict(job::Verdict::GaveUp) => "gave_up",
+        Reply::Verdict(job::Verdict::NotRun(refusal)) => refusal.name(),
+        Reply::Noted => "noted",
+        Reply::Newest(_) => "newest",
+        Reply::Conflict => "conflict",
+        Reply::Unavailable => "unavailable",
+    }
+}
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! control thread and their end.
 
 mod control;
+mod lines;
 mod mailbox;
 mod reload;
 mod traffic;
@@ -10,7 +11,7 @@
 
 use dispatch::{core, event::Event, member};
 use error_stack::ResultExt as _;
-use link::{http, peer};
+use link::{http, metric, peer};
 use signal_hook::{consts, iterator};
 use state::node;
 
@@ -28,62 +29,104 @@
 const RESERVE: time::Duration = time::Duration::from_millis(500);
 
 /// Runs an instance until it is told to end.
-pub fn run(file: &path::Path, node: &node::Node, log: &slog::Logger) -> error::Result<()> {
-    let fault = |step| move || error::Error::new(step, &node.instance);
+pub fn run(file: &path::Path, settings: &node::Node, log: &slog::Logger) -> error::Result<()> {
     let signals = [consts::SIGTERM, consts::SIGINT, consts::SIGHUP];
-    let mut signals =
-        iterator::Signals::new(signals).change_context_lazy(fault("listen for signals of"))?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .change_context_lazy(fault("start runtime of"))?;
-    let runtime = sync::Arc::new(runtime);
-    let (traffic, work) = traffic::channel();
-    let control = control::Control::new();
-    let listeners = open(node, &runtime, &control, log)?;
-    let parts = parts(node, traffic, log)?;
-    control.start(parts);
-    thread::Builder::new()
-        .name("traffic".to_owned())
-        .spawn({
-            let (runtime, control) = (sync::Arc::clone(&runtime), control.clone());
-            let me = peer_name(node);
-            move || traffic::run(&runtime, work, &control, &me)
-        })
-        .change_context_lazy(fault("start traffic of"))?;
-    reload::watch(&runtime, file, node, &control, log);
-    slog::info!(log, "node: Started."; "role" => ?node.role, "peer" => %node.peer,
-        "seeds" => ?node.seeds, "first" => node.first);
+    let mut signals = iterator::Signals::new(signals)
+        .change_context_lazy(|| error::Error::new("listen for signals of", &settings.instance))?;
+    let node = Node::start(settings, log)?;
+    reload::watch(&node.runtime, file, settings, &node.control, log);
     for signal in signals.forever() {
         if signal != consts::SIGHUP {
             break;
         }
-        reload::again(file, node, &control, log);
+        reload::again(file, settings, &node.control, log);
     }
-    drain(node, &control, log);
-    drop(listeners);
-    slog::info!(log, "node: Stopped."; "open" => control.view().open());
+    node.stop();
     Ok(())
 }
 
-/// Lets what is in progress end.
-fn drain(node: &node::Node, control: &control::Control, log: &slog::Logger) {
-    const STEP: time::Duration = time::Duration::from_millis(50);
-    slog::info!(log, "node: Draining."; "open" => control.view().open());
-    control.drain();
-    let start = time::Instant::now();
-    let grace = time::Duration::from_millis(node.grace_ms).saturating_sub(RESERVE);
-    let least = match node.role {
-        node::Role::Entry => LINGER,
-        node::Role::Keeper => HAND_OVER,
-    };
-    thread::sleep(least.min(grace));
-    control.close();
-    while start.elapsed() < grace && control.view().open() > 0 {
-        thread::sleep(STEP);
+/// A running instance.
+#[derive(Debug)]
+pub struct Node {
+    settings: node::Node,
+    runtime: sync::Arc<tokio::runtime::Runtime>,
+    control: control::Control,
+    /// Open until the end: the balancer sends clients for a while after it was told not to.
+    _listeners: Vec<http::Listener>,
+    log: slog::Logger,
+}
+
+impl Node {
+    /// Starts an instance.
+    pub fn start(settings: &node::Node, log: &slog::Logger) -> error::Result<Self> {
+        let fault = |step| move || error::Error::new(step, &settings.instance);
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .change_context_lazy(fault("start runtime of"))?;
+        let runtime = sync::Arc::new(runtime);
+        let (traffic, work) = traffic::channel();
+        let control = control::Control::new();
+        let listeners = open(settings, &runtime, &control, log)?;
+        control.start(parts(settings, traffic, log)?);
+        thread::Builder::new()
+            .name("traffic".to_owned())
+            .spawn({
+                let (runtime, control) = (sync::Arc::clone(&runtime), control.clone());
+                let me = peer_name(settings);
+                move || traffic::run(&runtime, work, &control, &me)
+            })
+            .change_context_lazy(fault("start traffic of"))?;
+        slog::info!(log, "node: Started."; "role" => ?settings.role, "peer" => %settings.peer,
+            "seeds" => ?settings.seeds, "first" => settings.first);
+        let (settings, log) = (settings.clone(), log.clone());
+        Ok(Self { settings, runtime, control, _listeners: listeners, log })
+    }
+
+    /// Ends gracefully: what is in progress is finished first, within the grace of the settings.
+    pub fn stop(self) {
+        const STEP: time::Duration = time::Duration::from_millis(50);
+        let (control, start) = (&self.control, time::Instant::now());
+        slog::info!(self.log, "node: Draining."; "open" => control.view().open());
+        control.drain();
+        let grace = time::Duration::from_millis(self.settings.grace_ms).saturating_sub(RESERVE);
+        let least = match self.settings.role {
+            node::Role::Entry => LINGER,
+            node::Role::Keeper => HAND_OVER,
+        };
+        thread::sleep(least.min(grace));
+        control.close();
+        while start.elapsed() < grace && control.view().open() > 0 {
+            thread::sleep(STEP);
+        }
+        // Let the last responses and messages leave.
+        thread::sleep(STEP * 2);
+        slog::info!(self.log, "node: Stopped."; "open" => control.view().open());
+    }
+}
+
+/// Shows the metrics of this process.
+struct Measures;
+
+impl Measures {
+    fn new() -> Self {
+        if let Ok(metrics) = metric::Metrics::new() {
+            metric::install(metrics);
+        }
+        Self
+    }
+}
+
+impl http::Handler for Measures {
+    fn handle(&self, request: http::Request, responder: http::Responder) {
+        let text = metric::metrics().map(metric::Metrics::text).unwrap_or_default();
+        let known = request.path == "/metrics";
+        responder.send(http::Response::text(if known { 200 } else { 404 }, text));
+    }
+
+    fn fault(&self, _fault: http::Fault) -> http::Response {
+        http::Response::text(400, "cannot read the request\n")
     }
-    // Let the last responses and messages leave.
-    thread::sleep(STEP * 2);
 }
 
 fn peer_name(node: &node::Node) -> state::Name {
@@ -111,6 +154,9 @@
     if let Some(address) = node.ready {
         listen(address, sync::Arc::new(platform::front::Ready::new(sync::Arc::clone(&backend))))?;
     }
+    if let Some(address) = node.metrics {
+        listen(address, sync::Arc::new(Measures::new()))?;
+    }
     if let Some(address) = node.operator {
         listen(address, sync::Arc::new(platform::control::Control::new(backend)))?;
     }
--- a/crates/apricotroute/tests/command_line.rs
+++ b/crates/apricotroute/tests/command_line.rs
@@ -16,8 +16,9 @@
 
 #[test]
 fn help_everywhere() {
-    let commands =
-        ["serve", "check", "demo", "submit", "job", "settings", "status", "load", "upstream"];
+    let commands = [
+        "serve", "check", "demo", "submit", "job", "settings", "status", "load", "upstream", "node",
+    ];
     for command in commands {
         let (code, out, _) = run(&[command, "--help"]);
         assert_eq!(code, Some(0));
@@ -33,6 +34,8 @@
         &["dance"],
         &["demo", "--loud"],
         &["serve"],
+        &["node"],
+        &["node", "--settings", "no-such-file.json"],
         &["serve", "--settings", "no-such-file.json"],
         &["check", "no-such-file.json"],
         &["submit", "--to", "127.0.0.1:1", "no-such-file.json"],
@@ -47,6 +50,33 @@
     }
 }
 
+#[test]
+fn demonstration_on_platform() {
+    let (code, out, err) = run(&["demo", "--platform"]);
+    assert_eq!(code, Some(0), "{err}");
+    assert_eq!(out.trim(), r#"{"State":"completed"}"#);
+}
+
+#[test]
+fn node_file_faults() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("node.json");
+    fs::write(&file, "{\n\"role\": \"entry\",\n\"seeds\": [7],\n\"colour\": 1\n}").unwrap();
+    let (code, _, err) = run(&["check", file.to_str().unwrap()]);
+    assert_eq!(code, Some(2));
+    for fault in [
+        "$.instance (line 1): missing",
+        "$.availability_zone (line 1): missing",
+        "$.client_address (line 1): missing",
+        "$.ready_address (line 1): missing",
+        "$.peer_address (line 1): missing",
+        "$.seeds[0] (line 3): expected IP:PORT",
+        "$.colour (line 4): unknown key",
+    ] {
+        assert!(err.contains(fault), "{fault} in {err}");
+    }
+}
+
 #[test]
 fn demonstration() {
     let (code, out, err) = run(&["demo"]);
--- a/crates/dispatch/src/claim.rs
+++ b/crates/dispatch/src/claim.rs
@@ -46,7 +46,7 @@
 /// The highest claims that an instance has heard of.
 #[derive(Clone, Debug, Default)]
 pub struct Claims {
-    claims: collections::BTreeMap<name::Name, Claim>,
+    highest: collections::BTreeMap<name::Name, Claim>,
     vacant: Option<u64>,
     barred: u64,
 }
@@ -55,33 +55,33 @@
     /// Takes a claim; true if it is the highest for its zone now.
     pub fn merge(&mut self, claim: &Claim) -> bool {
         let key = |claim: &Claim| (claim.epoch, claim.holder.clone());
-        let held = self.claims.get(&claim.zone);
+        let held = self.highest.get(&claim.zone);
         if held.is_some_and(|held| key(held) >= key(claim)) {
             return false;
         }
-        self.claims.insert(claim.zone.clone(), claim.clone());
+        self.highest.insert(claim.zone.clone(), claim.clone());
         true
     }
 
     /// The claim to a zone.
     pub fn of(&self, zone: &name::Name) -> Option<&Claim> {
-        self.claims.get(zone)
+        self.highest.get(zone)
     }
 
     /// All claims.
     pub fn iter(&self) -> impl Iterator<Item = &Claim> {
-        self.claims.values()
+        self.highest.values()
     }
 
     /// The schedulers that an instance of `zone` keeps in touch with: its own, and the one of the
     /// next zone, where jobs go for which there is no room at home. With all of them, heartbeats
     /// would grow with the product of zones and instances.
     pub fn watched<'a>(&'a self, zone: &'a name::Name) -> impl Iterator<Item = &'a Claim> {
-        let after = self.claims.range::<str, _>((
+        let after = self.highest.range::<str, _>((
             std::ops::Bound::Excluded(zone.as_str()),
             std::ops::Bound::Unbounded,
         ));
-        let next = after.map(|(_, claim)| claim).chain(self.claims.values());
+        let next = after.map(|(_, claim)| claim).chain(self.highest.values());
         let next = next.filter(move |claim| claim.zone != *zone).take(1);
         self.of(zone).into_iter().chain(next)
     }
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -116,7 +116,7 @@
                 desk.submit(ticket, *job, view);
             }
             Event::Left(ticket) => self.desk.left(ticket),
-            Event::Announce(ticket, record) => self.announce(ticket, record, now),
+            Event::Announce(ticket, record) => self.announce(ticket, &record, now),
             Event::Withdraw(ticket, id) => self.withdraw(ticket, &id, now),
             Event::Publish(ticket, document) => match &mut self.vault {
                 Some(vault) => vault.publish(ticket, document, now.mono),
@@ -157,7 +157,7 @@
         }
         self.roster.distrust(now.mono);
         if let Some(sched) = &mut self.sched {
-            sched.drop_all(now.mono);
+            sched.drop_all();
         }
         let me = self.roster.me().name.clone();
         self.note("node: Was stopped, trusting nobody until heard again.", &me, gap.to_string());
@@ -258,7 +258,7 @@
             claims: self.claims.iter().cloned().collect(),
             version: self.document.version,
             members: self.roster.digest(),
-            records: 0,
+            records: None,
             load: self.sched.as_ref().map(|sched| sched.load(now.mono)),
             hears: self.roster.hears(now.mono),
         }
@@ -267,8 +267,9 @@
     fn on_peer(&mut self, from: &name::Name, body: Body, direct: bool, now: Now) {
         match body {
             Body::Ping(ping) => self.on_ping(*ping, direct, now),
-            Body::Members(cards) => {
-                self.roster.learn(cards, now.mono);
+            Body::Members(cards, gone) => {
+                let lost = self.roster.learn(cards, gone, now.mono);
+                self.out.extend(lost.into_iter().map(Output::Disconnect));
                 let names: Vec<_> = self.roster.names().cloned().collect();
                 self.out.extend(names.into_iter().map(Output::Connect));
             }
@@ -281,7 +282,7 @@
             Body::Document(document) => self.adopt(document, now),
             Body::Agree(body) => {
                 if let Some(vault) = &mut self.vault {
-                    vault.agree(from, body, now);
+                    vault.agree(from, *body, now);
                 }
             }
             Body::Confirm(number) => {
@@ -297,7 +298,7 @@
             Body::Submit(job) => self.on_submit(from, *job, now),
             Body::Cancel(id) => {
                 if let Some(sched) = &mut self.sched {
-                    sched.cancel(&id, from, now.mono);
+                    sched.cancel(&id, from);
                 }
             }
             Body::Await(ids, stamp) => {
@@ -310,7 +311,7 @@
                 }
             }
             Body::Unknown(id) => self.desk.unknown(from, &id),
-            Body::Verdict(id, verdict) => self.desk.verdict(from, &id, verdict),
+            Body::Verdict(id, verdict) => self.desk.verdict(from, &id, &verdict, now.mono),
             Body::Relay(origin, to, body) if to == self.roster.me().name => {
                 if !matches!(*body, Body::Relay(..)) {
                     self.on_peer(&origin, *body, false, now);
@@ -351,7 +352,7 @@
             // It has just started: what it lacks comes with the answer to this.
             self.beat_now(&from, now);
             if let Some(sched) = &mut self.sched {
-                sched.forget_entry(&from, now.mono);
+                sched.forget_entry(&from);
             }
         }
         if !known {
@@ -361,10 +362,13 @@
             self.send(&from, Body::Fetch(self.document.version), now);
         }
         let zone = self.roster.me().zone.clone();
-        let differs = (members != self.roster.digest(), records != self.table.digest(&zone));
+        let differs = (
+            members != self.roster.digest(),
+            records.is_some_and(|digest| digest != self.table.digest(&zone)),
+        );
         if differs != (false, false) && self.roster.is_sync_due(&from, now.mono) {
             if differs.0 {
-                self.send(&from, Body::Members(self.roster.cards()), now);
+                self.send(&from, Body::Members(self.roster.cards(), self.roster.gone()), now);
             }
             if differs.1 {
                 let records = self.table.of_zone(&zone).cloned().collect();
@@ -389,7 +393,7 @@
     fn lead(&mut self, claim: &claim::Claim, now: Now) {
         let mut sched = sched::Sched::new(claim.epoch, self.lease, now.mono);
         for record in self.table.of_zone(&claim.zone) {
-            sched.record(record, now.mono);
+            sched.record(record);
         }
         self.sched = Some(sched);
         self.note("zone: Scheduling.", &claim.holder, format!("epoch {}", claim.epoch));
@@ -419,23 +423,23 @@
             self.send(from, Body::Records(newer), now);
         }
         for record in news {
-            self.tell_sched(&record, now);
+            self.tell_sched(&record);
         }
     }
 
-    fn tell_sched(&mut self, record: &upstream::Record, now: Now) {
+    fn tell_sched(&mut self, record: &upstream::Record) {
         if record.zone == self.roster.me().zone
             && let Some(sched) = &mut self.sched
         {
-            sched.record(record, now.mono);
+            sched.record(record);
         }
     }
 
-    fn announce(&mut self, ticket: Ticket, record: upstream::Record, now: Now) {
+    fn announce(&mut self, ticket: Ticket, record: &upstream::Record, now: Now) {
         if self.table.merge(record.clone()) {
             let detail = format!("{:?} at {} in {}", record.phase, record.address, record.zone);
             self.note("upstream: Announced.", &record.id, detail);
-            self.spread(&record, now);
+            self.spread(record, now);
         }
         self.reply(ticket, Reply::Noted);
     }
@@ -450,7 +454,7 @@
 
     /// Tells every instance that may schedule the upstream of its news.
     fn spread(&mut self, record: &upstream::Record, now: Now) {
-        self.tell_sched(record, now);
+        self.tell_sched(record);
         let names: Vec<_> = self.roster.names().cloned().collect();
         for to in names {
             let concerned =
@@ -523,7 +527,10 @@
     /// Completes a heartbeat with what is meant for its receiver.
     fn address_ping(&mut self, ping: Ping, to: &name::Name, now: Now) -> Ping {
         let card = self.roster.peer(to).and_then(|peer| peer.card.as_ref());
-        let records = card.map_or(0, |card| self.table.digest(&card.zone));
+        let me = self.roster.me();
+        // Entries hold their own zone's upstreams only.
+        let held = |card: &&member::Card| me.role == member::Role::Keeper || card.zone == me.zone;
+        let records = card.filter(held).map(|card| self.table.digest(&card.zone));
         Ping { echo: self.roster.echo(to, now.mono), records, ..ping }
     }
 
@@ -534,7 +541,8 @@
         for (to, body) in desk.sends {
             self.send(&to, body, now);
         }
-        for (ticket, _, verdict) in desk.verdicts {
+        self.out.extend(desk.notes.into_iter().map(Output::Note));
+        for (ticket, verdict) in desk.verdicts {
             self.reply(ticket, Reply::Verdict(verdict));
         }
         if let Some(vault) = &mut self.vault {
@@ -560,7 +568,7 @@
         for (to, id, verdict) in out.verdicts {
             if to == self.roster.me().name {
                 let me = to.clone();
-                self.desk.verdict(&me, &id, verdict);
+                self.desk.verdict(&me, &id, &verdict, now.mono);
             } else {
                 self.send(&to, Body::Verdict(id, verdict), now);
             }
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     claim,
-    event::Ticket,
+    event::{Note, Ticket},
     job::{Job, Refusal, Verdict},
     message::{Body, Load},
     roster, time,
@@ -32,7 +32,9 @@
     /// Messages.
     pub sends: Vec<(name::Name, Body)>,
     /// Verdicts for the tickets that wait for them.
-    pub verdicts: Vec<(Ticket, name::Name, Verdict)>,
+    pub verdicts: Vec<(Ticket, Verdict)>,
+    /// Decisions worth a log line.
+    pub notes: Vec<Note>,
 }
 
 #[derive(Debug)]
@@ -108,6 +110,8 @@
         if !open.tickets.is_empty() {
             return;
         }
+        let detail = "its client has left".to_owned();
+        self.out.notes.push(Note { text: "job: Cancelled.", subject: id.clone(), detail });
         if let Some(open) = self.open.remove(&id)
             && let Some(claim) = open.with
         {
@@ -116,12 +120,12 @@
     }
 
     /// A scheduler says how a job ended.
-    pub fn verdict(&mut self, from: &name::Name, id: &name::Name, verdict: Verdict) {
+    pub fn verdict(&mut self, from: &name::Name, id: &name::Name, verdict: &Verdict, now: u64) {
         let with = self.open.get(id).and_then(|open| open.with.as_ref());
         let current = with.is_some_and(|claim| claim.holder == *from);
-        let told = verdict == Verdict::Complete || verdict == Verdict::Failed;
+        let told = matches!(verdict, Verdict::Complete | Verdict::Failed);
         if current || told {
-            self.close(id, &verdict);
+            self.close(id, verdict, now);
         }
     }
 
@@ -174,7 +178,7 @@
             }
         }
         for (id, verdict) in over {
-            self.close(&id, &verdict);
+            self.close(&id, &verdict, now);
         }
         for id in again {
             self.give(&id, view);
@@ -187,11 +191,18 @@
         if open.given { Verdict::GaveUp } else { Verdict::NotRun(Refusal::NoScheduler) }
     }
 
-    fn close(&mut self, id: &name::Name, verdict: &Verdict) {
+    fn close(&mut self, id: &name::Name, verdict: &Verdict, now: u64) {
         let Some(open) = self.open.remove(id) else { return };
+        let took = now.saturating_sub(open.arrived) / time::MS;
+        let zone = open.pin.as_ref().map_or("none", name::Name::as_str);
+        let detail = format!(
+            "{verdict:?} after {took} ms, objective {} ms, zone {zone}, resumed {}",
+            open.job.objective, open.job.resumed
+        );
+        self.out.notes.push(Note { text: "job: Answered.", subject: id.clone(), detail });
         for ticket in open.tickets {
             self.tickets.remove(&ticket);
-            self.out.verdicts.push((ticket, id.clone(), verdict.clone()));
+            self.out.verdicts.push((ticket, verdict.clone()));
         }
     }
 
@@ -200,9 +211,10 @@
         let Some(open) = self.open.get(id) else { return };
         let Some(claim) = self.choose(open, view).cloned() else { return };
         let need = cpu(&open.job);
-        if let Some(load) = self.loads.get_mut(&claim.zone) {
+        let free = self.loads.get_mut(&claim.zone).map_or(0, |load| {
             load.free -= need;
-        }
+            load.free
+        });
         let Some(open) = self.open.get_mut(id) else { return };
         let mut job = open.job.clone();
         job.stamp = view.now;
@@ -211,6 +223,12 @@
         open.given = true;
         open.lost = None;
         open.pin = Some(claim.zone.clone());
+        let detail = format!(
+            "to {} in {}, epoch {}, {free} of its free cores left by the last heartbeat, age {} ms, \
+             resumed {}",
+            claim.holder, claim.zone, claim.epoch, job.age, job.resumed
+        );
+        self.out.notes.push(Note { text: "job: Handed over.", subject: id.clone(), detail });
         open.with = Some(claim.clone());
         self.out.sends.push((claim.holder, Body::Submit(Box::new(job))));
     }
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -74,7 +74,7 @@
     Unavailable,
 }
 
-/// A decision worth a log line.
+/// A decision worth a log line. Its text names its kind.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Note {
     /// What happened.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod member;
 pub mod message;
 pub mod order;
+mod outcome;
 pub mod place;
 pub mod queue;
 pub mod roster;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -9,8 +9,8 @@
 pub enum Body {
     /// A heartbeat.
     Ping(Box<Ping>),
-    /// All instances that the sender knows.
-    Members(Vec<member::Card>),
+    /// All instances that the sender knows, and those that it has forgotten, with their last life.
+    Members(Vec<member::Card>, Vec<(name::Name, u64)>),
     /// News of upstreams.
     Records(Vec<upstream::Record>),
     /// Send me the configuration if yours is newer than this version.
@@ -18,7 +18,7 @@
     /// A committed configuration.
     Document(Document),
     /// Agreement on the configuration.
-    Agree(coord::message::Body),
+    Agree(Box<coord::message::Body>),
     /// Which version is the newest? The number comes back with the answer.
     Confirm(u64),
     /// The newest committed version, known since after the question was asked.
@@ -42,7 +42,7 @@
     pub fn kind(&self) -> &'static str {
         match self {
             Self::Ping(_) => "ping",
-            Self::Members(_) => "members",
+            Self::Members(..) => "members",
             Self::Records(_) => "records",
             Self::Fetch(_) => "fetch",
             Self::Document(_) => "document",
@@ -58,6 +58,7 @@
 }
 
 /// A heartbeat: what the sender is and what it knows, in digests.
+#[expect(clippy::struct_excessive_bools, reason = "independent facts, not states of one thing")]
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Ping {
     /// The sender.
@@ -78,8 +79,8 @@
     pub version: u64,
     /// Digest of all instances that the sender knows.
     pub members: u64,
-    /// Digest of the upstreams of the receiver's zone.
-    pub records: u64,
+    /// Digest of the upstreams of the receiver's zone, if the sender holds these.
+    pub records: Option<u64>,
     /// Room that is free at the sender's upstreams, if it is a scheduler.
     pub load: Option<Load>,
     /// Digests of the names of the instances that the sender hears itself.
--- /dev/null
+++ b/crates/dispatch/src/outcome.rs
@@ -0,0 +1,315 @@
+//! What a scheduler makes of the answers of its upstreams: runs that began, go on, and ended.
+
+use std::collections;
+
+use state::name;
+
+use crate::{
+    active::{Active, Phase},
+    job::{Task, Verdict},
+    lane::{Run, Stage},
+    order::{End, Ended, Outcome, Reason, Running},
+    sched::{Sched, Sent},
+    time, upstream,
+};
+
+/// A task that made no progress for this long hangs, microseconds. Percents of a task of 3,600 ms,
+/// the longest known, change every 36 ms.
+const HANG: u64 = 280 * time::MS;
+/// An upstream without room for what should fit is left alone this long, microseconds.
+const FULL: u64 = 30 * time::MS;
+/// A number of a run that was seen ended is passed over by this many.
+const SKIP: u32 = 16;
+/// Runs of unknown jobs are stopped this long after they were found; until then an entry may
+/// hand the job in again, microseconds. If its entry was lost with the former scheduler, the
+/// client comes back 1,300 ms after that, perhaps in another zone, and nothing may run then:
+/// this is what is left after 950 ms, the latest at which a run of the former one is found.
+const ORPHAN: u64 = 200 * time::MS;
+
+impl Sched {
+    /// Takes the outcome of a call.
+    pub fn called(&mut self, number: u64, fence: u64, outcome: Outcome, now: u64) {
+        let Some((id, asked, sent)) = self.sent.remove(&number) else {
+            return;
+        };
+        self.dirty = true;
+        self.unasked.insert(id.clone());
+        let Some(lane) = self.lanes.get_mut(&id) else {
+            return;
+        };
+        if let Some(clock) = clock_of(&outcome) {
+            lane.tell_time(clock, now);
+        }
+        let current = fence == lane.fence;
+        match &outcome {
+            Outcome::Replaced => return self.replaced(&id),
+            Outcome::Refused(Reason::Fence, _) if current => {
+                self.outranked(&id, number);
+            }
+            _ => {}
+        }
+        match sent {
+            Sent::Hold => self.held(&id, number, asked, current, outcome, now),
+            Sent::Start(task, attempt) => self.started(&id, &task, attempt, &outcome, now),
+            Sent::Stop => self.stopped(&id, &outcome, now),
+        }
+    }
+
+    fn outranked(&mut self, id: &name::Name, number: u64) {
+        if let Some(lane) = self.lanes.get_mut(id) {
+            lane.end_hold(number);
+            lane.owned = false;
+        }
+        self.out.outranked.push(id.clone());
+    }
+
+    fn held(
+        &mut self,
+        id: &name::Name,
+        number: u64,
+        asked: u64,
+        current: bool,
+        outcome: Outcome,
+        now: u64,
+    ) {
+        let Some(lane) = self.lanes.get_mut(id) else { return };
+        let under_way = lane.end_hold(number).is_some();
+        match outcome {
+            Outcome::Held { running, ended, .. } => {
+                if !current || !under_way {
+                    return;
+                }
+                lane.answered();
+                self.take_ends(id, ended, now);
+                self.take_running(id, &running, asked, now);
+            }
+            Outcome::Refused(Reason::Fence, _) => {}
+            _ if under_way => {
+                lane.miss(now);
+                let silent = lane.silent.unwrap_or(now);
+                if silent == now {
+                    self.note("lane: No answer.", id, &format!("{outcome:?}"));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn take_ends(&mut self, id: &name::Name, ended: Vec<Ended>, now: u64) {
+        for end in ended {
+            let Some(lane) = self.lanes.get_mut(id) else { return };
+            if end.number <= lane.seen {
+                continue;
+            }
+            lane.seen = end.number;
+            let run = lane.runs.get(&end.task);
+            let known = run.is_some_and(|run| run.attempt == end.attempt);
+            if known {
+                lane.runs.remove(&end.task);
+            }
+            self.orphans.remove(&end.task);
+            match end.end {
+                End::Done => lane.health.good(),
+                End::Failed if known => {
+                    if lane.health.bad(now) {
+                        self.note("lane: Put aside, it fails what it starts.", id, "");
+                    }
+                }
+                End::Failed | End::Stopped | End::Lapsed => {}
+            }
+            self.end_task(id, &end, known, now);
+        }
+    }
+
+    fn end_task(&mut self, id: &name::Name, end: &Ended, known: bool, now: u64) {
+        let task = &end.task;
+        let Some(active) = self.jobs.get_mut(&task.job) else {
+            self.ends.insert(task.clone(), (end.end, now));
+            return;
+        };
+        let Some(item) = active.item_mut(task) else {
+            return;
+        };
+        let here = item.phase == Phase::Placed(id.clone());
+        match end.end {
+            End::Done => {
+                let former = active.set(task, Phase::Done);
+                if let Some(Phase::Placed(other)) = former
+                    && other != *id
+                {
+                    self.unwant(&other, task);
+                }
+            }
+            End::Failed if known => {
+                item.failures += 1;
+                if item.failures >= active.job.attempts.max(1) {
+                    return self.finish(&task.job.clone(), Verdict::Failed, now);
+                }
+                if here {
+                    active.set(task, Phase::Waiting);
+                }
+            }
+            End::Failed | End::Stopped | End::Lapsed => {
+                if here && known {
+                    active.set(task, Phase::Waiting);
+                }
+            }
+        }
+        self.settle(&task.job.clone(), now);
+    }
+
+    fn take_running(&mut self, id: &name::Name, running: &[Running], asked: u64, now: u64) {
+        let Some(lane) = self.lanes.get_mut(id) else { return };
+        for task in lane.missing(running, asked) {
+            lane.runs.remove(&task);
+            if let Some(active) = self.jobs.get_mut(&task.job)
+                && active.item(&task).is_some_and(|item| item.phase == Phase::Placed(id.clone()))
+            {
+                active.set(&task, Phase::Waiting);
+            }
+        }
+        let mut hung = Vec::new();
+        for row in running {
+            let Some(lane) = self.lanes.get_mut(id) else { return };
+            let need = need_of(&self.jobs, &row.task);
+            match lane.runs.get_mut(&row.task) {
+                Some(run) if run.attempt == row.attempt => {
+                    if run.stage != Stage::Running {
+                        run.stage = Stage::Running;
+                        run.since = run.since.min(asked);
+                    }
+                    if run.progress.1 != row.percent {
+                        run.progress = (now, row.percent);
+                    } else if now >= run.progress.0 + HANG && run.unwanted.is_none() {
+                        hung.push(row.task.clone());
+                    }
+                }
+                Some(_) => {}
+                None => {
+                    let run = Run {
+                        attempt: row.attempt,
+                        need: need.unwrap_or(lane.record.room),
+                        stage: Stage::Running,
+                        since: now,
+                        progress: (now, row.percent),
+                        unwanted: None,
+                    };
+                    lane.runs.insert(row.task.clone(), run);
+                    self.found(id, &row.task, row.attempt, now);
+                }
+            }
+        }
+        for task in hung {
+            self.hung(id, &task, now);
+        }
+    }
+
+    /// A run that this scheduler did not start.
+    fn found(&mut self, id: &name::Name, task: &Task, attempt: u32, now: u64) {
+        let Some(active) = self.jobs.get_mut(&task.job) else {
+            self.orphans.insert(task.clone(), now + ORPHAN);
+            return;
+        };
+        let waits = active.item(task).is_some_and(|item| item.phase == Phase::Waiting);
+        if waits {
+            active.set(task, Phase::Placed(id.clone()));
+            if let Some(item) = active.item_mut(task) {
+                item.attempt = item.attempt.max(attempt);
+            }
+        } else {
+            self.unwant(id, task);
+        }
+    }
+
+    fn hung(&mut self, id: &name::Name, task: &Task, now: u64) {
+        self.note("lane: A task makes no progress, stopping it.", id, &task.job.to_string());
+        if let Some(lane) = self.lanes.get_mut(id)
+            && lane.health.bad(now)
+        {
+            self.note("lane: Put aside, its tasks make no progress.", id, "");
+        }
+        self.unwant(id, task);
+    }
+
+    fn started(&mut self, id: &name::Name, task: &Task, attempt: u32, outcome: &Outcome, now: u64) {
+        let Some(lane) = self.lanes.get_mut(id) else { return };
+        let Some(run) = lane.runs.get_mut(task).filter(|run| run.attempt == attempt) else {
+            return;
+        };
+        match outcome {
+            Outcome::Done(_) | Outcome::Held { .. } => {
+                if run.stage == Stage::Starting {
+                    run.stage = Stage::Running;
+                    run.since = now;
+                    run.progress = (now, 0);
+                }
+            }
+            Outcome::Lost => {
+                run.stage = Stage::Doubt;
+                run.since = now;
+                lane.doubt(now);
+                self.note("lane: A start had no answer.", id, &task.job.to_string());
+            }
+            Outcome::Refused(reason, _) => {
+                lane.runs.remove(task);
+                match reason {
+                    Reason::Room | Reason::Late => lane.full = now + FULL,
+                    Reason::Unhealthy => {
+                        lane.full = now + FULL * 3;
+                        lane.health.bad(now);
+                    }
+                    Reason::Old | Reason::Fence | Reason::Invalid => {}
+                }
+                self.refused(id, task, *reason, now);
+            }
+            Outcome::Unsent => {
+                lane.runs.remove(task);
+                lane.miss(now);
+                self.refused(id, task, Reason::Unhealthy, now);
+            }
+            Outcome::Replaced => {}
+        }
+    }
+
+    /// A start was refused: the task did not run and waits again.
+    fn refused(&mut self, id: &name::Name, task: &Task, reason: Reason, now: u64) {
+        self.note("lane: A start was refused.", id, &format!("{} {reason:?}", task.job));
+        let Some(active) = self.jobs.get_mut(&task.job) else { return };
+        let Some(item) = active.item_mut(task) else { return };
+        if item.phase != Phase::Placed(id.clone()) {
+            return;
+        }
+        match reason {
+            Reason::Old => item.attempt += SKIP,
+            Reason::Invalid => item.failures += 1,
+            _ => {}
+        }
+        if item.failures >= active.job.attempts.max(1) {
+            return self.finish(&task.job.clone(), Verdict::Failed, now);
+        }
+        active.set(task, Phase::Waiting);
+    }
+
+    fn stopped(&mut self, id: &name::Name, outcome: &Outcome, now: u64) {
+        if let Some(lane) = self.lanes.get_mut(id)
+            && *outcome == Outcome::Lost
+        {
+            lane.doubt(now);
+        }
+    }
+}
+
+fn clock_of(outcome: &Outcome) -> Option<u64> {
+    match outcome {
+        Outcome::Done(clock) | Outcome::Held { clock, .. } => Some(*clock),
+        Outcome::Refused(_, clock) => *clock,
+        _ => None,
+    }
+}
+
+fn need_of(
+    jobs: &collections::BTreeMap<name::Name, Active>,
+    task: &Task,
+) -> Option<upstream::Room> {
+    jobs.get(&task.job)?.job.steps.get(task.step as usize).map(|step| step.need)
+}
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -218,8 +218,29 @@
         }
     }
 
-    /// Learns of instances that another one knows.
-    pub fn learn(&mut self, cards: Vec<member::Card>, now: u64) {
+    /// Learns of instances that another one knows or has forgotten; gives those that are forgotten
+    /// here, too, by that.
+    pub fn learn(
+        &mut self,
+        cards: Vec<member::Card>,
+        gone: Vec<(name::Name, u64)>,
+        now: u64,
+    ) -> Vec<name::Name> {
+        let mut lost = Vec::new();
+        for (name, life) in gone {
+            let stale = self.peers.get(&name).is_some_and(|peer| {
+                let old = peer.card.as_ref().is_some_and(|card| card.life <= life);
+                old && now >= peer.heard + FORGET
+            });
+            if stale && !self.seeds.contains(&name) {
+                self.peers.remove(&name);
+                lost.push(name.clone());
+            }
+            if !self.peers.contains_key(&name) {
+                let held = self.forgotten.entry(name).or_default();
+                *held = life.max(*held);
+            }
+        }
         for card in cards {
             let stale = self.forgotten.get(&card.name).is_some_and(|life| card.life <= *life);
             if card.name == self.me.name || stale {
@@ -232,6 +253,12 @@
             }
         }
         self.refresh();
+        lost
+    }
+
+    /// The instances that were forgotten, with their last life.
+    pub fn gone(&self) -> Vec<(name::Name, u64)> {
+        self.forgotten.iter().map(|(name, life)| (name.clone(), *life)).collect()
     }
 
     /// Every instance that introduced itself, this one included.
@@ -317,12 +344,17 @@
         mute
     }
 
-    /// Forgets instances that are gone for long, and names them.
+    /// Forgets instances that are gone for long, and names them. Of those that this instance does
+    /// not hear itself it learns from the others.
     pub fn forget(&mut self, now: u64) -> Vec<name::Name> {
         let seeds = &self.seeds;
+        let near = |peer: &Peer| {
+            peer.heard > 0 || peer.card.as_ref().is_none_or(|card| self.is_near(card))
+        };
         let gone = |(name, peer): (&name::Name, &Peer)| {
             let last = peer.heard.max(peer.since).max(self.distrust);
-            (now >= last + FORGET && !seeds.contains(name)).then(|| name.clone())
+            let due = now >= last + FORGET && near(peer) && !seeds.contains(name);
+            due.then(|| name.clone())
         };
         let gone: Vec<_> = self.peers.iter().filter_map(gone).collect();
         for name in &gone {
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -9,7 +9,7 @@
     job::{Job, Refusal, Task, Verdict},
     lane::{Lane, Run, Stage},
     message,
-    order::{Call, End, Ended, Order, Outcome, Reason, Running},
+    order::{Call, End, Order},
     place, queue, roster, time, upstream,
 };
 
@@ -17,11 +17,6 @@
 /// upstream has answered: the time in which that scheduler drops an entry's jobs (500 ms) and a
 /// lease (1,000 ms on a clock 2% slow).
 const FORMER: u64 = 1_550 * time::MS;
-/// Runs of unknown jobs are stopped this long after they were found; until then an entry may
-/// hand the job in again, microseconds. If its entry was lost with the former scheduler, the
-/// client comes back 1,300 ms after that, perhaps in another zone, and nothing may run then:
-/// this is what is left after 950 ms, the latest at which a run of the former one is found.
-const ORPHAN: u64 = 200 * time::MS;
 /// Ends of unknown jobs are kept this long for the same reason.
 const KEEP_ENDS: u64 = 3_000 * time::MS;
 /// Verdicts are kept this long, for entries that did not get them.
@@ -33,17 +28,10 @@
 /// by its own clock, microseconds: longer than its questions (300 ms) are apart. What waited in
 /// buffers longer than that may be another scheduler's job by now.
 const FRESH: u64 = 450 * time::MS;
-/// A task that made no progress for this long hangs, microseconds. Percents of a task of 3,600 ms,
-/// the longest known, change every 36 ms.
-const HANG: u64 = 280 * time::MS;
 /// An unwanted run is told to stop again after this, microseconds.
 const STOP_AGAIN: u64 = 150 * time::MS;
-/// An upstream without room for what should fit is left alone this long, microseconds.
-const FULL: u64 = 30 * time::MS;
 /// An upstream that never answers is given up after this, microseconds.
 const GIVE_UP: u64 = 12_000 * time::MS;
-/// A number of a run that was seen ended is passed over by this many.
-const SKIP: u32 = 16;
 
 /// Effects of the last calls.
 #[derive(Debug, Default)]
@@ -62,10 +50,10 @@
 
 /// What a call was for, kept until its outcome is known.
 #[derive(Clone, Debug)]
-enum Sent {
+pub(crate) enum Sent {
     Hold,
     Start(Task, u32),
-    Stop(Task),
+    Stop,
 }
 
 /// The scheduler of one zone.
@@ -73,19 +61,19 @@
 pub struct Sched {
     /// Upstreams of the zone.
     pub lanes: collections::BTreeMap<name::Name, Lane>,
-    jobs: collections::BTreeMap<name::Name, Active>,
-    sent: collections::HashMap<u64, (name::Name, u64, Sent)>,
-    ends: collections::HashMap<Task, (End, u64)>,
-    orphans: collections::BTreeMap<Task, u64>,
-    verdicts: collections::HashMap<name::Name, (Verdict, u64)>,
-    epoch: u64,
-    since: u64,
-    lease: u64,
-    number: u64,
+    pub(crate) jobs: collections::BTreeMap<name::Name, Active>,
+    pub(crate) sent: collections::HashMap<u64, (name::Name, u64, Sent)>,
+    pub(crate) ends: collections::HashMap<Task, (End, u64)>,
+    pub(crate) orphans: collections::BTreeMap<Task, u64>,
+    pub(crate) verdicts: collections::HashMap<name::Name, (Verdict, u64)>,
+    pub(crate) epoch: u64,
+    pub(crate) since: u64,
+    pub(crate) lease: u64,
+    pub(crate) number: u64,
     /// Upstreams without a hold under way.
-    unasked: collections::BTreeSet<name::Name>,
-    dirty: bool,
-    out: Output,
+    pub(crate) unasked: collections::BTreeSet<name::Name>,
+    pub(crate) dirty: bool,
+    pub(crate) out: Output,
 }
 
 impl Sched {
@@ -134,11 +122,11 @@
     }
 
     /// Takes news of an upstream of the zone.
-    pub fn record(&mut self, record: &upstream::Record, now: u64) {
+    pub fn record(&mut self, record: &upstream::Record) {
         let known = self.lanes.get_mut(&record.id);
         match (known, record.phase) {
             (Some(lane), _) if record.serial == u64::MAX && lane.record.serial != u64::MAX => {
-                self.bury(&record.id.clone(), now);
+                self.bury(&record.id.clone());
             }
             (Some(lane), _) => {
                 if record.phase != upstream::Phase::Gone {
@@ -173,6 +161,9 @@
             return;
         }
         if let Some(refusal) = self.check(&job, now) {
+            let load = self.load(now);
+            let detail = format!("{refusal:?}, {} of {} cores free", load.free, load.total);
+            self.note("job: Refused.", &job.id, &detail);
             self.out.verdicts.push((entry.clone(), job.id, Verdict::NotRun(refusal)));
             return;
         }
@@ -233,24 +224,24 @@
     }
 
     /// Nobody waits for the job any more.
-    pub fn cancel(&mut self, id: &name::Name, entry: &name::Name, now: u64) {
+    pub fn cancel(&mut self, id: &name::Name, entry: &name::Name) {
         if self.jobs.get(id).is_some_and(|active| active.entry == *entry) {
-            self.drop_job(id, now);
+            self.drop_job(id);
         }
     }
 
     /// Nobody is known to wait for anything any more.
-    pub fn drop_all(&mut self, now: u64) {
+    pub fn drop_all(&mut self) {
         for id in self.jobs.keys().cloned().collect::<Vec<_>>() {
-            self.drop_job(&id, now);
+            self.drop_job(&id);
         }
     }
 
     /// An entry has come back without its memory: nobody waits for its jobs any more.
-    pub fn forget_entry(&mut self, entry: &name::Name, now: u64) {
+    pub fn forget_entry(&mut self, entry: &name::Name) {
         let of_entry = self.jobs.iter().filter(|(_, active)| active.entry == *entry);
         for id in of_entry.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
-            self.drop_job(&id, now);
+            self.drop_job(&id);
         }
     }
 
@@ -312,42 +303,6 @@
         }
     }
 
-    /// Takes the outcome of a call.
-    pub fn called(&mut self, number: u64, fence: u64, outcome: Outcome, now: u64) {
-        let Some((id, asked, sent)) = self.sent.remove(&number) else {
-            return;
-        };
-        self.dirty = true;
-        self.unasked.insert(id.clone());
-        let Some(lane) = self.lanes.get_mut(&id) else {
-            return;
-        };
-        if let Some(clock) = clock_of(&outcome) {
-            lane.tell_time(clock, now);
-        }
-        let current = fence == lane.fence;
-        match &outcome {
-            Outcome::Replaced => return self.replaced(&id, now),
-            Outcome::Refused(Reason::Fence, _) if current => {
-                self.outranked(&id, number);
-            }
-            _ => {}
-        }
-        match sent {
-            Sent::Hold => self.held(&id, number, asked, current, outcome, now),
-            Sent::Start(task, attempt) => self.started(&id, &task, attempt, outcome, now),
-            Sent::Stop(task) => self.stopped(&id, &task, outcome, now),
-        }
-    }
-
-    fn outranked(&mut self, id: &name::Name, number: u64) {
-        if let Some(lane) = self.lanes.get_mut(id) {
-            lane.end_hold(number);
-            lane.owned = false;
-        }
-        self.out.outranked.push(id.clone());
-    }
-
     /// Takes all upstreams over again, above the token that some of them have seen: whoever used
     /// it may have started anything anywhere.
     pub fn overrule(&mut self, epoch: u64, now: u64) {
@@ -364,260 +319,23 @@
         self.dirty = true;
     }
 
-    fn held(
-        &mut self,
-        id: &name::Name,
-        number: u64,
-        asked: u64,
-        current: bool,
-        outcome: Outcome,
-        now: u64,
-    ) {
-        let Some(lane) = self.lanes.get_mut(id) else { return };
-        let under_way = lane.end_hold(number).is_some();
-        match outcome {
-            Outcome::Held { running, ended, .. } => {
-                if !current || !under_way {
-                    return;
-                }
-                lane.answered();
-                self.take_ends(id, ended, now);
-                self.take_running(id, &running, asked, now);
-            }
-            Outcome::Refused(Reason::Fence, _) => {}
-            _ if under_way => {
-                lane.miss(now);
-                let silent = lane.silent.unwrap_or(now);
-                if silent == now {
-                    self.note("lane: No answer.", id, &format!("{outcome:?}"));
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn take_ends(&mut self, id: &name::Name, ended: Vec<Ended>, now: u64) {
-        for end in ended {
-            let Some(lane) = self.lanes.get_mut(id) else { return };
-            if end.number <= lane.seen {
-                continue;
-            }
-            lane.seen = end.number;
-            let run = lane.runs.get(&end.task);
-            let known = run.is_some_and(|run| run.attempt == end.attempt);
-            if known {
-                lane.runs.remove(&end.task);
-            }
-            self.orphans.remove(&end.task);
-            match end.end {
-                End::Done => lane.health.good(),
-                End::Failed if known => {
-                    if lane.health.bad(now) {
-                        self.note("lane: Put aside, it fails what it starts.", id, "");
-                    }
-                }
-                End::Failed | End::Stopped | End::Lapsed => {}
-            }
-            self.end_task(id, &end, known, now);
-        }
-    }
-
-    fn end_task(&mut self, id: &name::Name, end: &Ended, known: bool, now: u64) {
-        let task = &end.task;
-        let Some(active) = self.jobs.get_mut(&task.job) else {
-            self.ends.insert(task.clone(), (end.end, now));
-            return;
-        };
-        let Some(item) = active.item_mut(task) else {
-            return;
-        };
-        let here = item.phase == Phase::Placed(id.clone());
-        match end.end {
-            End::Done => {
-                let former = active.set(task, Phase::Done);
-                if let Some(Phase::Placed(other)) = former
-                    && other != *id
-                {
-                    self.unwant(&other, task);
-                }
-            }
-            End::Failed if known => {
-                item.failures += 1;
-                if item.failures >= active.job.attempts.max(1) {
-                    return self.finish(&task.job.clone(), Verdict::Failed, now);
-                }
-                if here {
-                    active.set(task, Phase::Waiting);
-                }
-            }
-            End::Failed | End::Stopped | End::Lapsed => {
-                if here && known {
-                    active.set(task, Phase::Waiting);
-                }
-            }
-        }
-        self.settle(&task.job.clone(), now);
-    }
-
-    fn take_running(&mut self, id: &name::Name, running: &[Running], asked: u64, now: u64) {
-        let Some(lane) = self.lanes.get_mut(id) else { return };
-        for task in lane.missing(running, asked) {
-            lane.runs.remove(&task);
-            if let Some(active) = self.jobs.get_mut(&task.job)
-                && active.item(&task).is_some_and(|item| item.phase == Phase::Placed(id.clone()))
-            {
-                active.set(&task, Phase::Waiting);
-            }
-        }
-        let mut hung = Vec::new();
-        for row in running {
-            let Some(lane) = self.lanes.get_mut(id) else { return };
-            let need = need_of(&self.jobs, &row.task);
-            match lane.runs.get_mut(&row.task) {
-                Some(run) if run.attempt == row.attempt => {
-                    if run.stage != Stage::Running {
-                        run.stage = Stage::Running;
-                        run.since = run.since.min(asked);
-                    }
-                    if run.progress.1 != row.percent {
-                        run.progress = (now, row.percent);
-                    } else if now >= run.progress.0 + HANG && run.unwanted.is_none() {
-                        hung.push(row.task.clone());
-                    }
-                }
-                Some(_) => {}
-                None => {
-                    let run = Run {
-                        attempt: row.attempt,
-                        need: need.unwrap_or(lane.record.room),
-                        stage: Stage::Running,
-                        since: now,
-                        progress: (now, row.percent),
-                        unwanted: None,
-                    };
-                    lane.runs.insert(row.task.clone(), run);
-                    self.found(id, &row.task, row.attempt, now);
-                }
-            }
-        }
-        for task in hung {
-            self.hung(id, &task, now);
-        }
-    }
-
-    /// A run that this scheduler did not start.
-    fn found(&mut self, id: &name::Name, task: &Task, attempt: u32, now: u64) {
-        let Some(active) = self.jobs.get_mut(&task.job) else {
-            self.orphans.insert(task.clone(), now + ORPHAN);
-            return;
-        };
-        let waits = active.item(task).is_some_and(|item| item.phase == Phase::Waiting);
-        if waits {
-            active.set(task, Phase::Placed(id.clone()));
-            if let Some(item) = active.item_mut(task) {
-                item.attempt = item.attempt.max(attempt);
-            }
-        } else {
-            self.unwant(id, task);
-        }
-    }
-
-    fn hung(&mut self, id: &name::Name, task: &Task, now: u64) {
-        self.note("lane: A task makes no progress, stopping it.", id, &task.job.to_string());
-        if let Some(lane) = self.lanes.get_mut(id)
-            && lane.health.bad(now)
-        {
-            self.note("lane: Put aside, its tasks make no progress.", id, "");
-        }
-        self.unwant(id, task);
-    }
-
-    fn started(&mut self, id: &name::Name, task: &Task, attempt: u32, outcome: Outcome, now: u64) {
-        let Some(lane) = self.lanes.get_mut(id) else { return };
-        let Some(run) = lane.runs.get_mut(task).filter(|run| run.attempt == attempt) else {
-            return;
-        };
-        match outcome {
-            Outcome::Done(_) | Outcome::Held { .. } => {
-                if run.stage == Stage::Starting {
-                    run.stage = Stage::Running;
-                    run.since = now;
-                    run.progress = (now, 0);
-                }
-                return;
-            }
-            Outcome::Lost => {
-                run.stage = Stage::Doubt;
-                run.since = now;
-                lane.doubt(now);
-                return self.note("lane: A start had no answer.", id, &task.job.to_string());
-            }
-            Outcome::Refused(reason, _) => {
-                lane.runs.remove(task);
-                match reason {
-                    Reason::Room | Reason::Late => lane.full = now + FULL,
-                    Reason::Unhealthy => {
-                        lane.full = now + FULL * 3;
-                        lane.health.bad(now);
-                    }
-                    Reason::Old | Reason::Fence | Reason::Invalid => {}
-                }
-                self.refused(id, task, reason, now);
-            }
-            Outcome::Unsent => {
-                lane.runs.remove(task);
-                lane.miss(now);
-                self.refused(id, task, Reason::Unhealthy, now);
-            }
-            Outcome::Replaced => {}
-        }
-    }
-
-    /// A start was refused: the task did not run and waits again.
-    fn refused(&mut self, id: &name::Name, task: &Task, reason: Reason, now: u64) {
-        self.note("lane: A start was refused.", id, &format!("{} {reason:?}", task.job));
-        let Some(active) = self.jobs.get_mut(&task.job) else { return };
-        let Some(item) = active.item_mut(task) else { return };
-        if item.phase != Phase::Placed(id.clone()) {
-            return;
-        }
-        match reason {
-            Reason::Old => item.attempt += SKIP,
-            Reason::Invalid => item.failures += 1,
-            _ => {}
-        }
-        if item.failures >= active.job.attempts.max(1) {
-            return self.finish(&task.job.clone(), Verdict::Failed, now);
-        }
-        active.set(task, Phase::Waiting);
-    }
-
-    fn stopped(&mut self, id: &name::Name, task: &Task, outcome: Outcome, now: u64) {
-        let Some(lane) = self.lanes.get_mut(id) else { return };
-        if outcome == Outcome::Lost {
-            lane.doubt(now);
-        }
-        let _ = task;
-    }
-
     /// Another life of the upstream is at its address: nothing of the former one runs.
-    fn replaced(&mut self, id: &name::Name, now: u64) {
+    pub(crate) fn replaced(&mut self, id: &name::Name) {
         self.note("lane: Replaced by another life.", id, "");
         self.out.gone.push((id.clone(), true));
-        self.bury(id, now);
+        self.bury(id);
     }
 
-    fn bury(&mut self, id: &name::Name, now: u64) {
+    fn bury(&mut self, id: &name::Name) {
         if let Some(lane) = self.lanes.remove(id) {
             for task in lane.runs.into_keys() {
                 self.requeue(id, &task);
             }
         }
-        let _ = now;
         self.dirty = true;
     }
 
-    fn requeue(&mut self, id: &name::Name, task: &Task) {
+    pub(crate) fn requeue(&mut self, id: &name::Name, task: &Task) {
         self.orphans.remove(task);
         if let Some(active) = self.jobs.get_mut(&task.job)
             && active.item(task).is_some_and(|item| item.phase == Phase::Placed(id.clone()))
@@ -627,7 +345,7 @@
     }
 
     /// Marks a run as not wanted any more; it is told to stop.
-    fn unwant(&mut self, id: &name::Name, task: &Task) {
+    pub(crate) fn unwant(&mut self, id: &name::Name, task: &Task) {
         if let Some(run) = self.lanes.get_mut(id).and_then(|lane| lane.runs.get_mut(task)) {
             run.unwanted.get_or_insert(0);
         }
@@ -635,21 +353,29 @@
     }
 
     /// Ends a job if all its tasks are done.
-    fn settle(&mut self, id: &name::Name, now: u64) {
+    pub(crate) fn settle(&mut self, id: &name::Name, now: u64) {
         if self.jobs.get(id).is_some_and(Active::is_complete) {
             self.finish(id, Verdict::Complete, now);
         }
     }
 
-    fn finish(&mut self, id: &name::Name, verdict: Verdict, now: u64) {
+    pub(crate) fn finish(&mut self, id: &name::Name, verdict: Verdict, now: u64) {
         if let Some(active) = self.jobs.get(id) {
+            let detail = format!(
+                "{verdict:?} {} ms after it arrived, {} tasks still waited, for {}",
+                now.saturating_sub(active.arrived) / time::MS,
+                active.waiting(),
+                active.entry
+            );
+            let note = crate::event::Note { text: "job: Ended.", subject: id.clone(), detail };
+            self.out.notes.push(note);
             self.out.verdicts.push((active.entry.clone(), id.clone(), verdict.clone()));
             self.verdicts.insert(id.clone(), (verdict, now));
         }
-        self.drop_job(id, now);
+        self.drop_job(id);
     }
 
-    fn drop_job(&mut self, id: &name::Name, now: u64) {
+    fn drop_job(&mut self, id: &name::Name) {
         let Some(active) = self.jobs.remove(id) else { return };
         for (step, items) in active.items.iter().enumerate() {
             for (index, item) in items.iter().enumerate() {
@@ -659,7 +385,6 @@
                 }
             }
         }
-        let _ = now;
         self.dirty = true;
     }
 
@@ -672,7 +397,7 @@
         let gone = self.jobs.iter().filter(|(_, active)| forsaken(active));
         for id in gone.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
             self.note("job: Dropped, its entry is not heard.", &id, "");
-            self.drop_job(&id, now);
+            self.drop_job(&id);
         }
     }
 
@@ -737,7 +462,7 @@
             for (task, attempt) in stops {
                 self.number += 1;
                 let order = Order::Stop { task: task.clone(), attempt };
-                self.sent.insert(self.number, (id.clone(), now, Sent::Stop(task)));
+                self.sent.insert(self.number, (id.clone(), now, Sent::Stop));
                 self.out.calls.push(lane.order(self.number, order));
             }
         }
@@ -825,25 +550,27 @@
         lane.runs.insert(task.clone(), run);
         self.number += 1;
         let spec = active.job.spec.clone();
+        let detail = format!(
+            "task {}.{} run {attempt}, {} ms after it arrived, {} cores left there, token {}",
+            task.step,
+            task.index,
+            now.saturating_sub(active.arrived) / time::MS,
+            lane.free().cpu,
+            lane.fence
+        );
+        let (text, subject) = ("job: Starting a task.", task.job.clone());
+        self.out.notes.push(crate::event::Note { text, subject, detail });
         let order = Order::Start { task: task.clone(), attempt, spec, until };
         self.sent.insert(self.number, (id.clone(), now, Sent::Start(task.clone(), attempt)));
         self.out.calls.push(lane.order(self.number, order));
     }
 
-    fn note(&mut self, text: &'static str, subject: &name::Name, detail: &str) {
+    pub(crate) fn note(&mut self, text: &'static str, subject: &name::Name, detail: &str) {
         let note = crate::event::Note { text, subject: subject.clone(), detail: detail.to_owned() };
         self.out.notes.push(note);
     }
 }
 
-fn clock_of(outcome: &Outcome) -> Option<u64> {
-    match outcome {
-        Outcome::Done(clock) | Outcome::Held { clock, .. } => Some(*clock),
-        Outcome::Refused(_, clock) => *clock,
-        _ => None,
-    }
-}
-
 fn waiting_cpu(active: &Active) -> i64 {
     if active.waiting() == 0 {
         return 0;
@@ -851,10 +578,3 @@
     let step = active.job.steps.iter().map(|step| step.need.cpu).max().unwrap_or(0);
     step as i64 * i64::from(active.waiting())
 }
-
-fn need_of(
-    jobs: &collections::BTreeMap<name::Name, Active>,
-    task: &Task,
-) -> Option<upstream::Room> {
-    jobs.get(&task.job)?.job.steps.get(task.step as usize).map(|step| step.need)
-}
--- a/crates/dispatch/src/vault.rs
+++ b/crates/dispatch/src/vault.rs
@@ -175,7 +175,7 @@
     /// Takes the effects collected so far.
     pub fn take(&mut self) -> Output {
         let group = self.group.take();
-        let sends = group.sends.into_iter().map(|(to, body)| (to, Body::Agree(body)));
+        let sends = group.sends.into_iter().map(|(to, body)| (to, Body::Agree(Box::new(body))));
         self.out.sends.extend(sends);
         self.out.saves.extend(group.saves);
         for applied in group.effects {
--- a/crates/dispatch/tests/configuration.rs
+++ b/crates/dispatch/tests/configuration.rs
@@ -30,9 +30,9 @@
     world.reply(ticket).cloned()
 }
 
-fn newest(version: u64, text: &str) -> Option<Reply> {
+fn newest(version: u64, text: &str) -> Reply {
     let body = text.to_owned().into();
-    Some(Reply::Newest(Document { version, body }))
+    Reply::Newest(Document { version, body })
 }
 
 #[test]
@@ -58,10 +58,10 @@
     assert!(replies.contains(&Some(Reply::Noted)) && replies.contains(&Some(Reply::Conflict)));
     let held = if replies[0] == Some(Reply::Noted) { "one" } else { "other" };
     for keeper in KEEPERS {
-        assert_eq!(read(&mut world, keeper), newest(5, held));
+        assert_eq!(read(&mut world, keeper), Some(newest(5, held)));
         assert_eq!(publish(&mut world, keeper, 5, held), Some(Reply::Noted), "sent again");
         assert_eq!(publish(&mut world, keeper, 4, "older"), Some(Reply::Noted));
-        assert_eq!(read(&mut world, keeper), newest(5, held), "an older one changes nothing");
+        assert_eq!(read(&mut world, keeper), Some(newest(5, held)), "an older one changes nothing");
     }
 }
 
@@ -76,7 +76,7 @@
     assert_eq!(publish(&mut world, 0, 3, "lost"), Some(Reply::Unavailable));
     world.cut_zone(0, false);
     world.run(3_000);
-    assert_eq!(read(&mut world, 0), newest(2, "newer"));
+    assert_eq!(read(&mut world, 0), Some(newest(2, "newer")));
 }
 
 #[test]
@@ -95,7 +95,11 @@
                 world.start(at);
             }
             world.run(4_000);
-            assert_eq!(read(&mut world, wiped), newest(9, "text"), "seed {seed}, lost {wiped}");
+            assert_eq!(
+                read(&mut world, wiped),
+                Some(newest(9, "text")),
+                "seed {seed}, lost {wiped}"
+            );
         }
     }
 }
@@ -111,7 +115,7 @@
         world.start(keeper);
         world.run(4_000);
     }
-    assert_eq!(read(&mut world, KEEPERS[0]), newest(3, "text"));
+    assert_eq!(read(&mut world, KEEPERS[0]), Some(newest(3, "text")));
 }
 
 #[test]
@@ -124,7 +128,7 @@
         world.run(1_000);
         world.move_keeper(keeper, &format!("10.{keeper}.7.7:7"));
         world.run(8_000);
-        assert_eq!(read(&mut world, keeper), newest(version, "text"));
+        assert_eq!(read(&mut world, keeper), Some(newest(version, "text")));
     }
 }
 
@@ -140,7 +144,7 @@
     world.run(2_000);
     world.start(KEEPERS[2]);
     world.run(3_000);
-    assert_eq!(read(&mut world, KEEPERS[2]), newest(200, "text"));
+    assert_eq!(read(&mut world, KEEPERS[2]), Some(newest(200, "text")));
 }
 
 fn route(host: &str, prefix: &str, service: &str, timeout: u64) -> Route {
--- a/crates/dispatch/tests/owner.rs
+++ b/crates/dispatch/tests/owner.rs
@@ -68,7 +68,7 @@
         let now = 1_000 * MS;
         let mut sched = Sched::new(1_000, 950, now);
         for id in upstreams {
-            sched.record(&record(id), now);
+            sched.record(&record(id));
         }
         let mut play = Self { sched, now };
         let calls = play.calls();
@@ -99,11 +99,11 @@
     calls.iter().filter_map(start).collect()
 }
 
-fn is_stop(call: &&Call) -> bool {
+fn is_stop(call: &Call) -> bool {
     matches!(call.order, Order::Stop { .. })
 }
 
-fn is_hold(call: &&Call) -> bool {
+fn is_hold(call: &Call) -> bool {
     matches!(call.order, Order::Hold { .. })
 }
 
@@ -117,7 +117,7 @@
     assert_eq!(holds.len(), 2);
     play.wait(250);
     let calls = play.calls();
-    assert_eq!(calls.iter().filter(is_stop).count(), 1, "nobody has asked for it");
+    assert_eq!(calls.iter().filter(|call| is_stop(call)).count(), 1, "nobody has asked for it");
     play.sched.submit(Job { resumed: true, ..job("j", 1) }, &"entry".into(), play.now);
     assert_eq!(starts(&play.calls()), [], "the former run may still go on");
     play.answer(&holds[0], held(vec![], vec![ended(1, "j", 0, End::Stopped)], play.now));
@@ -135,7 +135,7 @@
     let calls = play.calls();
     let start = calls.iter().find(|call| matches!(call.order, Order::Start { .. })).unwrap();
     play.answer(start, Outcome::Done(CLOCK + play.now / MS));
-    play.sched.cancel(&"j".into(), &"entry".into(), play.now);
+    play.sched.cancel(&"j".into(), &"entry".into());
     play.sched.submit(job("j", 1), &"entry".into(), play.now);
     assert_eq!(starts(&play.calls()), []);
 }
@@ -154,7 +154,7 @@
     let calls = play.calls();
     assert_eq!(starts(&calls), []);
     let hold = calls.iter().find(|call| call.upstream == start.upstream).unwrap();
-    assert!(is_hold(&hold) && hold.fence > start.fence);
+    assert!(is_hold(hold) && hold.fence > start.fence);
     play.wait(2);
     play.answer(hold, held(vec![], vec![], play.now));
     let again = starts(&play.calls());
@@ -169,9 +169,9 @@
     play.sched.submit(job("j", 1), &"entry".into(), play.now);
     let calls = play.calls();
     let start = calls.iter().find(|call| matches!(call.order, Order::Start { .. })).unwrap();
-    let hold = calls.iter().find(is_hold).unwrap();
+    let hold = calls.iter().find(|call| is_hold(call)).unwrap();
     play.answer(start, Outcome::Done(CLOCK + play.now / MS));
-    play.sched.record(&record("u2"), play.now);
+    play.sched.record(&record("u2"));
     let take = play.calls();
     play.answer(&take[0], held(vec![], vec![], play.now));
     play.wait(300);
@@ -190,7 +190,7 @@
     play.answer(&holds[0], held(vec![], vec![], play.now));
     play.sched.submit(Job { attempts: 1, ..job("j", 1) }, &"entry".into(), play.now);
     let calls = play.calls();
-    let hold = calls.iter().find(is_hold).unwrap();
+    let hold = calls.iter().find(|call| is_hold(call)).unwrap();
     play.answer(hold, held(vec![], vec![ended(1, "j", 0, End::Failed)], play.now));
     let verdicts = play.sched.take().verdicts;
     assert_eq!(verdicts, [("entry".into(), "j".into(), Verdict::Failed)]);
--- a/crates/dispatch/tests/takeover.rs
+++ b/crates/dispatch/tests/takeover.rs
@@ -32,6 +32,22 @@
     assert_eq!(world.complete(), 75);
 }
 
+#[test]
+fn quiet_lists() {
+    // Heartbeats carry digests; while nothing changes no list is sent.
+    let mut world = ready(1);
+    let mut check = |what: &str| {
+        world.run(40_000);
+        world.sent.clear();
+        world.run(5_000);
+        let kinds: Vec<_> = world.sent.keys().copied().collect();
+        assert_eq!(kinds, ["agree", "ping"], "{what}: {:?}", world.sent);
+        world.kill(8);
+    };
+    check("all are there");
+    check("one is gone for good");
+}
+
 #[test]
 fn keeper_lost() {
     for seed in 0..10 {
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -100,6 +100,8 @@
     pub replies: Vec<(u64, Reply)>,
     /// Time that each instance's decisions took, on this machine.
     pub spent: BTreeMap<usize, std::time::Duration>,
+    /// Messages between instances, by kind.
+    pub sent: BTreeMap<&'static str, u64>,
     tickets: BTreeMap<u64, Name>,
     queue: BinaryHeap<Due>,
     order: u64,
@@ -124,6 +126,7 @@
             starts: BTreeMap::new(),
             replies: Vec::new(),
             spent: BTreeMap::new(),
+            sent: BTreeMap::new(),
             tickets: BTreeMap::new(),
             queue: BinaryHeap::new(),
             order: 0,
@@ -409,7 +412,7 @@
             }
         }
         self.check();
-        if self.now / TICK % 50 == 0 {
+        if (self.now / TICK).is_multiple_of(50) {
             for at in 0..self.upstreams.len() {
                 self.announce(at, Phase::Serving);
             }
@@ -537,6 +540,7 @@
         let life = self.instances[at].life;
         match output {
             Output::Send(to, body) => {
+                *self.sent.entry(body.kind()).or_default() += 1;
                 if let Some(to) = self.instances.iter().position(|i| i.card.name == to) {
                     let same = self.instances[to].card.zone == self.instances[at].card.zone;
                     let delay = if same { 200 } else { 900 };
--- a/crates/link/src/caller.rs
+++ b/crates/link/src/caller.rs
@@ -91,7 +91,7 @@
         let mut sender = self.sender(request.address, request.patience).await?;
         let address = request.address;
         let whole = async {
-            let response = sender.send_request(encode(request)).await.map_err(failure)?;
+            let response = sender.send_request(encode(request)).await.map_err(|e| failure(&e))?;
             let status = response.status().as_u16();
             let body = Limited::new(response.into_body(), MAX_BODY).collect().await;
             let body = body.ok().ok_or(Failure::Lost)?.to_bytes();
@@ -164,6 +164,6 @@
     builder.body(Full::new(request.body)).unwrap_or_default()
 }
 
-fn failure(error: hyper::Error) -> Failure {
+fn failure(error: &hyper::Error) -> Failure {
     if error.is_canceled() { Failure::Unsent } else { Failure::Lost }
 }
--- a/crates/link/src/metric.rs
+++ b/crates/link/src/metric.rs
@@ -19,6 +19,8 @@
     messages: Counter<u64>,
     bytes: Counter<u64>,
     over: Histogram<f64>,
+    calls: Counter<u64>,
+    replies: Histogram<f64>,
 }
 
 static METRICS: sync::OnceLock<Metrics> = sync::OnceLock::new();
@@ -47,10 +49,13 @@
         let provider = sdk::SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("apricotroute");
         let bounds = vec![0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0];
+        let seconds = vec![0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
         Ok(Self {
             messages: meter.u64_counter("peer_messages").build(),
             bytes: meter.u64_counter("peer_bytes").build(),
             over: meter.f64_histogram("over_ideal_ms").with_boundaries(bounds).build(),
+            calls: meter.u64_counter("upstream_calls").build(),
+            replies: meter.f64_histogram("reply_seconds").with_boundaries(seconds).build(),
             registry,
             provider,
         })
@@ -109,3 +114,17 @@
         metrics.over.record(ms, &[KeyValue::new("service", service.to_owned())]);
     }
 }
+
+/// Counts a call to an upstream by what it orders.
+pub fn count_call(order: &'static str) {
+    if let Some(metrics) = metrics() {
+        metrics.calls.add(1, &[KeyValue::new("order", order)]);
+    }
+}
+
+/// Notes how long a reply took, by its outcome.
+pub fn note_reply(outcome: &'static str, took: std::time::Duration) {
+    if let Some(metrics) = metrics() {
+        metrics.replies.record(took.as_secs_f64(), &[KeyValue::new("outcome", outcome)]);
+    }
+}
