--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -273,7 +273,7 @@
                 let names: Vec<_> = self.roster.names().cloned().collect();
                 self.out.extend(names.into_iter().map(Output::Connect));
             }
-            Body::Records(records) => self.on_records(from, records, now),
+            Body::Records(records, whole) => self.on_records(from, records, whole, now),
             Body::Fetch(version) => {
                 if self.document.version > version {
                     self.send(from, Body::Document(self.document.clone()), now);
@@ -372,7 +372,7 @@
             }
             if differs.1 {
                 let records = self.table.of_zone(&zone).cloned().collect();
-                self.send(&from, Body::Records(records), now);
+                self.send(&from, Body::Records(records, true), now);
             }
         }
         self.yield_to_higher();
@@ -401,7 +401,13 @@
         self.beat_all(now);
     }
 
-    fn on_records(&mut self, from: &name::Name, records: Vec<upstream::Record>, now: Now) {
+    fn on_records(
+        &mut self,
+        from: &name::Name,
+        records: Vec<upstream::Record>,
+        whole: bool,
+        now: Now,
+    ) {
         let zone = records.first().map(|record| record.zone.clone());
         let mut news = Vec::new();
         let listed: std::collections::BTreeMap<_, _> = records
@@ -418,9 +424,8 @@
             listed.get(&record.id).is_none_or(|held| *held < (record.serial, record.phase))
         });
         let newer: Vec<_> = newer.cloned().collect();
-        // A single record is news; only a whole list is answered with what it lacks.
-        if listed.len() != 1 && !newer.is_empty() {
-            self.send(from, Body::Records(newer), now);
+        if whole && !newer.is_empty() {
+            self.send(from, Body::Records(newer, false), now);
         }
         for record in news {
             self.tell_sched(&record);
@@ -462,7 +467,7 @@
                     card.zone == record.zone || card.role == member::Role::Keeper
                 });
             if concerned {
-                self.send(&to, Body::Records(vec![record.clone()]), now);
+                self.send(&to, Body::Records(vec![record.clone()], false), now);
             }
         }
     }
--- a/crates/dispatch/tests/takeover.rs
+++ b/crates/dispatch/tests/takeover.rs
@@ -48,6 +48,28 @@
     check("one is gone for good");
 }
 
+#[test]
+fn lists_end() {
+    // Two instances that each lack upstreams of the other tell them once, not for ever.
+    let mut world = ready(2);
+    for other in 1..9 {
+        world.cut(0, other, true);
+        world.cut(other, 0, true);
+    }
+    for at in 0..8 {
+        world.upstreams[at].crash(&format!("i-0-{at}-1"));
+    }
+    world.run(3_000);
+    for other in 1..9 {
+        world.cut(0, other, false);
+        world.cut(other, 0, false);
+    }
+    world.run(2_000);
+    world.sent.clear();
+    world.run(2_000);
+    assert_eq!(world.sent.get("records"), None, "{:?}", world.sent);
+}
+
 #[test]
 fn keeper_lost() {
     for seed in 0..10 {
