--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -79,6 +79,8 @@
     pub job: Job,
     zone: Name,
     pub at: Option<usize>,
+    /// When the client first handed it in.
+    pub first: u64,
     pub sent: u64,
     pub verdict: Option<(Verdict, u64)>,
 }
@@ -295,7 +297,8 @@
             stamp: 0,
         };
         let zone = zone_name(zone);
-        let request = Request { job, zone, at: None, sent: self.now, verdict: None };
+        let request =
+            Request { job, zone, at: None, first: self.now, sent: self.now, verdict: None };
         self.requests.insert(id.clone(), request);
         self.push(self.now, What::Submit { id: id.clone() });
         id
