--- a/crates/apricotroute/src/cli.rs
+++ b/crates/apricotroute/src/cli.rs
@@ -213,9 +213,12 @@
 fn check(mut arguments: Arguments) -> Ended {
     let file = free(&mut arguments, "FILE")?;
     finish(arguments)?;
-    let parse = |text: &str| match node_file::Node::is_meant(text) {
-        true => node_file::Node::parse(text).map(drop),
-        false => boot::Boot::parse(text).map(drop),
+    let parse = |text: &str| {
+        if node_file::Node::is_meant(text) {
+            node_file::Node::parse(text).map(drop)
+        } else {
+            boot::Boot::parse(text).map(drop)
+        }
     };
     Ok(match read_file(path::Path::new(&file), parse)? {
         Ok(()) => {
--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -172,9 +172,13 @@
         self.control.view.draining.load(atomic::Ordering::Relaxed)
     }
 
-    fn refused(&self, id: &str, status: u16, why: &str) {
-        slog::info!(self.log, "request: Answered at once."; "id" => id, "status" => status,
-            "why" => why);
+    fn taken(&self, request: &str, id: &str) {
+        slog::info!(self.log, "request: Taken."; "request" => request, "id" => id);
+    }
+
+    fn refused(&self, request: &str, id: &str, status: u16, why: &str) {
+        slog::info!(self.log, "request: Answered at once."; "request" => request, "id" => id,
+            "status" => status, "why" => why);
     }
 }
 
--- a/crates/apricotroute/src/node/reload.rs
+++ b/crates/apricotroute/src/node/reload.rs
@@ -7,7 +7,7 @@
 use super::control;
 
 /// Between two looks at the file.
-const LOOK: time::Duration = time::Duration::from_millis(1_000);
+const LOOK: time::Duration = time::Duration::from_secs(1);
 
 /// Looks at the file from time to time and takes what has changed.
 pub fn watch(
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -8,7 +8,7 @@
     event::{Event, Note, Output, Reply, Ticket},
     job::{Refusal, Verdict},
     member,
-    message::{Body, Document, Ping},
+    message::{Body, Document},
     roster, sched,
     time::{MS, Now},
     upstream, vault,
@@ -49,18 +49,18 @@
 /// All decisions of one instance.
 #[derive(Debug)]
 pub struct Core {
-    lease: u64,
-    roster: roster::Roster,
-    claims: claim::Claims,
-    table: upstream::Table,
-    sched: Option<sched::Sched>,
-    desk: desk::Desk,
-    vault: Option<vault::Vault>,
-    document: Document,
-    draining: bool,
-    leads: bool,
-    last: Now,
-    out: Vec<Output>,
+    pub(crate) lease: u64,
+    pub(crate) roster: roster::Roster,
+    pub(crate) claims: claim::Claims,
+    pub(crate) table: upstream::Table,
+    pub(crate) sched: Option<sched::Sched>,
+    pub(crate) desk: desk::Desk,
+    pub(crate) vault: Option<vault::Vault>,
+    pub(crate) document: Document,
+    pub(crate) draining: bool,
+    pub(crate) leads: bool,
+    pub(crate) last: Now,
+    pub(crate) out: Vec<Output>,
 }
 
 impl Core {
@@ -148,7 +148,7 @@
 
     /// Trusts nobody after a time in which this instance was stopped. The wall clock shows it
     /// where the monotonic one was stopped as well.
-    fn notice_stop(&mut self, now: Now) {
+    pub(crate) fn notice_stop(&mut self, now: Now) {
         let last = std::mem::replace(&mut self.last, now);
         let wall = now.wall.saturating_sub(last.wall) * MS;
         let gap = now.mono.saturating_sub(last.mono).max(wall);
@@ -189,7 +189,7 @@
         &self.document
     }
 
-    fn tick(&mut self, now: Now) {
+    pub(crate) fn tick(&mut self, now: Now) {
         self.beat(now);
         for name in self.roster.mute(now.mono) {
             self.note("peer: Nothing comes back, dialling anew.", &name, String::new());
@@ -224,162 +224,8 @@
         }
     }
 
-    fn beat(&mut self, now: Now) {
-        let zone = self.roster.me().zone.clone();
-        let holders: Vec<_> = self.claims.watched(&zone).map(|claim| &claim.holder).collect();
-        let due = self.roster.due(|name| holders.contains(&name), now.mono);
-        if due.is_empty() {
-            return;
-        }
-        let ping = self.ping(now);
-        for to in due {
-            let ping = self.address_ping(ping.clone(), &to, now);
-            let body = Body::Ping(Box::new(ping));
-            if !self.roster.is_direct(&to, now.mono)
-                && let Some(relay) = self.roster.relay(&to, now.mono).cloned()
-            {
-                let me = self.roster.me().name.clone();
-                let relayed = Body::Relay(me, to.clone(), Box::new(body.clone()));
-                self.out.push(Output::Send(relay, relayed));
-            }
-            self.out.push(Output::Send(to, body));
-        }
-    }
-
-    fn ping(&self, now: Now) -> Ping {
-        let zone = &self.roster.me().zone;
-        Ping {
-            card: self.roster.me().clone(),
-            clock: now.mono,
-            echo: false,
-            urgent: false,
-            draining: self.draining,
-            led: self.claims.is_led(zone, &self.roster, now.mono),
-            claims: self.claims.iter().cloned().collect(),
-            version: self.document.version,
-            members: self.roster.digest(),
-            records: None,
-            load: self.sched.as_ref().map(|sched| sched.load(now.mono)),
-            hears: self.roster.hears(now.mono),
-        }
-    }
-
-    fn on_peer(&mut self, from: &name::Name, body: Body, direct: bool, now: Now) {
-        match body {
-            Body::Ping(ping) => self.on_ping(*ping, direct, now),
-            Body::Members(cards, gone) => {
-                let lost = self.roster.learn(cards, gone, now.mono);
-                self.out.extend(lost.into_iter().map(Output::Disconnect));
-                let names: Vec<_> = self.roster.names().cloned().collect();
-                self.out.extend(names.into_iter().map(Output::Connect));
-            }
-            Body::Records(records, whole) => self.on_records(from, records, whole, now),
-            Body::Fetch(version) => {
-                if self.document.version > version {
-                    self.send(from, Body::Document(self.document.clone()), now);
-                }
-            }
-            Body::Document(document) => self.adopt(document, now),
-            Body::Agree(body) => {
-                if let Some(vault) = &mut self.vault {
-                    vault.agree(from, *body, now);
-                }
-            }
-            Body::Confirm(number) => {
-                if let Some(vault) = &mut self.vault {
-                    vault.confirm(from, number, now.mono);
-                }
-            }
-            Body::Confirmed(number, version) => {
-                if let Some(vault) = &mut self.vault {
-                    vault.confirmed(number, version);
-                }
-            }
-            Body::Submit(job) => self.on_submit(from, *job, now),
-            Body::Cancel(id) => {
-                if let Some(sched) = &mut self.sched {
-                    sched.cancel(&id, from);
-                }
-            }
-            Body::Await(ids, stamp) => {
-                let unknown = match &mut self.sched {
-                    Some(sched) => sched.awaited(&ids, from, stamp, now.mono),
-                    None => ids,
-                };
-                for id in unknown {
-                    self.send(from, Body::Unknown(id), now);
-                }
-            }
-            Body::Unknown(id) => self.desk.unknown(from, &id),
-            Body::Verdict(id, verdict) => self.desk.verdict(from, &id, &verdict, now.mono),
-            Body::Relay(origin, to, body) if to == self.roster.me().name => {
-                if !matches!(*body, Body::Relay(..)) {
-                    self.on_peer(&origin, *body, false, now);
-                }
-            }
-            Body::Relay(origin, to, body) => {
-                if self.roster.is_direct(&to, now.mono) {
-                    self.out.push(Output::Send(to.clone(), Body::Relay(origin, to, body)));
-                }
-            }
-        }
-    }
-
-    fn on_submit(&mut self, from: &name::Name, job: crate::job::Job, now: Now) {
-        match &mut self.sched {
-            Some(sched) => sched.submit(job, from, now.mono),
-            None => self.send(from, Body::Unknown(job.id), now),
-        }
-    }
-
-    fn on_ping(&mut self, ping: Ping, direct: bool, now: Now) {
-        let from = ping.card.name.clone();
-        if from == self.roster.me().name {
-            return;
-        }
-        for claim in &ping.claims {
-            if self.claims.merge(claim) {
-                self.note("zone: Claimed.", &claim.holder, claim.zone.to_string());
-            }
-        }
-        if let Some(load) = ping.load {
-            self.desk.load(&ping.card.zone, load);
-        }
-        let (version, members, records) = (ping.version, ping.members, ping.records);
-        let known = self.roster.peer(&from).is_some();
-        if self.roster.heard(ping, direct, now.mono) {
-            self.note("peer: Heard.", &from, String::new());
-            // It has just started: what it lacks comes with the answer to this.
-            self.beat_now(&from, now);
-            if let Some(sched) = &mut self.sched {
-                sched.forget_entry(&from);
-            }
-        }
-        if !known {
-            self.out.push(Output::Connect(from.clone()));
-        }
-        if version > self.document.version {
-            self.send(&from, Body::Fetch(self.document.version), now);
-        }
-        let zone = self.roster.me().zone.clone();
-        let differs = (
-            members != self.roster.digest(),
-            records.is_some_and(|digest| digest != self.table.digest(&zone)),
-        );
-        if differs != (false, false) && self.roster.is_sync_due(&from, now.mono) {
-            if differs.0 {
-                self.send(&from, Body::Members(self.roster.cards(), self.roster.gone()), now);
-            }
-            if differs.1 {
-                let records = self.table.of_zone(&zone).cloned().collect();
-                self.send(&from, Body::Records(records, true), now);
-            }
-        }
-        self.yield_to_higher();
-    }
-
     /// Stops scheduling when another instance has the higher claim.
-    fn yield_to_higher(&mut self) {
+    pub(crate) fn yield_to_higher(&mut self) {
         let me = self.roster.me();
         let holder = self.claims.of(&me.zone);
         let mine = holder.is_some_and(|claim| claim.holder == me.name && claim.life == me.life);
@@ -390,7 +236,7 @@
         }
     }
 
-    fn lead(&mut self, claim: &claim::Claim, now: Now) {
+    pub(crate) fn lead(&mut self, claim: &claim::Claim, now: Now) {
         let mut sched = sched::Sched::new(claim.epoch, self.lease, now.mono);
         for record in self.table.of_zone(&claim.zone) {
             sched.record(record);
@@ -401,38 +247,7 @@
         self.beat_all(now);
     }
 
-    fn on_records(
-        &mut self,
-        from: &name::Name,
-        records: Vec<upstream::Record>,
-        whole: bool,
-        now: Now,
-    ) {
-        let zone = records.first().map(|record| record.zone.clone());
-        let mut news = Vec::new();
-        let listed: std::collections::BTreeMap<_, _> = records
-            .iter()
-            .map(|record| (record.id.clone(), (record.serial, record.phase)))
-            .collect();
-        for record in records {
-            if self.table.merge(record.clone()) {
-                news.push(record);
-            }
-        }
-        let zone = zone.unwrap_or_else(|| self.roster.me().zone.clone());
-        let newer = self.table.of_zone(&zone).filter(|record| {
-            listed.get(&record.id).is_none_or(|held| *held < (record.serial, record.phase))
-        });
-        let newer: Vec<_> = newer.cloned().collect();
-        if whole && !newer.is_empty() {
-            self.send(from, Body::Records(newer, false), now);
-        }
-        for record in news {
-            self.tell_sched(&record);
-        }
-    }
-
-    fn tell_sched(&mut self, record: &upstream::Record) {
+    pub(crate) fn tell_sched(&mut self, record: &upstream::Record) {
         if record.zone == self.roster.me().zone
             && let Some(sched) = &mut self.sched
         {
@@ -440,7 +255,7 @@
         }
     }
 
-    fn announce(&mut self, ticket: Ticket, record: &upstream::Record, now: Now) {
+    pub(crate) fn announce(&mut self, ticket: Ticket, record: &upstream::Record, now: Now) {
         if self.table.merge(record.clone()) {
             let detail = format!("{:?} at {} in {}", record.phase, record.address, record.zone);
             self.note("upstream: Announced.", &record.id, detail);
@@ -449,7 +264,7 @@
         self.reply(ticket, Reply::Noted);
     }
 
-    fn withdraw(&mut self, ticket: Ticket, id: &name::Name, now: Now) {
+    pub(crate) fn withdraw(&mut self, ticket: Ticket, id: &name::Name, now: Now) {
         if let Some(record) = self.table.bury(id, true) {
             self.note("upstream: Withdrawn.", id, String::new());
             self.spread(&record, now);
@@ -458,7 +273,7 @@
     }
 
     /// Tells every instance that may schedule the upstream of its news.
-    fn spread(&mut self, record: &upstream::Record, now: Now) {
+    pub(crate) fn spread(&mut self, record: &upstream::Record, now: Now) {
         self.tell_sched(record);
         let names: Vec<_> = self.roster.names().cloned().collect();
         for to in names {
@@ -472,7 +287,7 @@
         }
     }
 
-    fn adopt(&mut self, document: Document, now: Now) {
+    pub(crate) fn adopt(&mut self, document: Document, now: Now) {
         if document.version <= self.document.version {
             return;
         }
@@ -485,21 +300,7 @@
         }
     }
 
-    /// Tells the others of a newer configuration without waiting for the next heartbeat.
-    fn announce_version(&mut self, now: Now) {
-        let near = |card: &member::Card| {
-            card.role == member::Role::Entry && card.zone == self.roster.me().zone
-        };
-        let names = self.roster.names().filter(|name| {
-            self.roster.peer(name).and_then(|peer| peer.card.as_ref()).is_some_and(near)
-        });
-        let names: Vec<_> = names.cloned().collect();
-        for to in names {
-            self.beat_now(&to, now);
-        }
-    }
-
-    fn adopt_vault(&mut self) {
+    pub(crate) fn adopt_vault(&mut self) {
         let Some(vault) = &self.vault else { return };
         if vault.document().version > self.document.version {
             let document = vault.document().clone();
@@ -507,7 +308,7 @@
         }
     }
 
-    fn drain(&mut self, now: Now) {
+    pub(crate) fn drain(&mut self, now: Now) {
         self.draining = true;
         if let Some(vault) = &mut self.vault {
             vault.hand_over(now.mono);
@@ -515,32 +316,8 @@
         self.beat_all(now);
     }
 
-    fn beat_all(&mut self, now: Now) {
-        let names: Vec<_> = self.roster.names().cloned().collect();
-        for to in names {
-            self.beat_now(&to, now);
-        }
-    }
-
-    /// Sends a heartbeat with something new in it.
-    fn beat_now(&mut self, to: &name::Name, now: Now) {
-        let ping = Ping { urgent: true, ..self.ping(now) };
-        let ping = self.address_ping(ping, to, now);
-        self.send(to, Body::Ping(Box::new(ping)), now);
-    }
-
-    /// Completes a heartbeat with what is meant for its receiver.
-    fn address_ping(&mut self, ping: Ping, to: &name::Name, now: Now) -> Ping {
-        let card = self.roster.peer(to).and_then(|peer| peer.card.as_ref());
-        let me = self.roster.me();
-        // Entries hold their own zone's upstreams only.
-        let held = |card: &&member::Card| me.role == member::Role::Keeper || card.zone == me.zone;
-        let records = card.filter(held).map(|card| self.table.digest(&card.zone));
-        Ping { echo: self.roster.echo(to, now.mono), records, ..ping }
-    }
-
     /// Moves the effects of the parts on.
-    fn settle_parts(&mut self, now: Now) {
+    pub(crate) fn settle_parts(&mut self, now: Now) {
         self.settle_sched(now);
         let desk = self.desk.take();
         for (to, body) in desk.sends {
@@ -563,7 +340,7 @@
         }
     }
 
-    fn settle_sched(&mut self, now: Now) {
+    pub(crate) fn settle_sched(&mut self, now: Now) {
         let Some(sched) = &mut self.sched else { return };
         let roster = &self.roster;
         sched.run(|entry| roster.clock(entry, now.mono), now.mono);
@@ -589,7 +366,7 @@
     }
 
     /// Upstreams have seen a higher token although nobody with a higher claim is heard.
-    fn outranked(&mut self, ids: &[name::Name], now: Now) {
+    pub(crate) fn outranked(&mut self, ids: &[name::Name], now: Now) {
         let me = self.roster.me().clone();
         let detail = format!("{} in all", ids.len());
         self.note("zone: Outranked at an upstream.", &ids[0], detail);
@@ -604,25 +381,11 @@
         sched.overrule(claim.epoch, now.mono);
     }
 
-    fn send(&mut self, to: &name::Name, body: Body, now: Now) {
-        let me = self.roster.me().name.clone();
-        if *to == me {
-            return self.on_peer(&me, body, true, now);
-        }
-        if !self.roster.is_direct(to, now.mono)
-            && let Some(relay) = self.roster.relay(to, now.mono).cloned()
-        {
-            let body = Body::Relay(me, to.clone(), Box::new(body));
-            return self.out.push(Output::Send(relay, body));
-        }
-        self.out.push(Output::Send(to.clone(), body));
-    }
-
-    fn reply(&mut self, ticket: Ticket, reply: Reply) {
+    pub(crate) fn reply(&mut self, ticket: Ticket, reply: Reply) {
         self.out.push(Output::Reply(ticket, reply));
     }
 
-    fn note(&mut self, text: &'static str, subject: &name::Name, detail: String) {
+    pub(crate) fn note(&mut self, text: &'static str, subject: &name::Name, detail: String) {
         self.out.push(Output::Note(Note { text, subject: subject.clone(), detail }));
     }
 }
@@ -632,7 +395,7 @@
     Reply::Verdict(Verdict::NotRun(Refusal::Draining))
 }
 
-fn view<'a>(
+pub(crate) fn view<'a>(
     roster: &'a roster::Roster,
     claims: &'a claim::Claims,
     desk: &'a mut desk::Desk,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -42,12 +42,14 @@
 pub mod message;
 pub mod order;
 mod outcome;
+mod peers;
 pub mod place;
 pub mod queue;
 pub mod roster;
 pub mod routing;
 pub mod sched;
 pub mod time;
+mod upkeep;
 pub mod upstream;
 pub mod vault;
 
--- /dev/null
+++ b/crates/dispatch/src/peers.rs
@@ -0,0 +1,251 @@
+//! An instance's talk with the others: heartbeats and what follows from them, and the messages.
+
+use state::name;
+
+use crate::{
+    core::Core,
+    event::Output,
+    job, member,
+    message::{Body, Ping},
+    time::Now,
+    upstream,
+};
+
+impl Core {
+    pub(crate) fn beat(&mut self, now: Now) {
+        let zone = self.roster.me().zone.clone();
+        let holders: Vec<_> = self.claims.watched(&zone).map(|claim| &claim.holder).collect();
+        let due = self.roster.due(|name| holders.contains(&name), now.mono);
+        if due.is_empty() {
+            return;
+        }
+        let ping = self.ping(now);
+        for to in due {
+            let ping = self.address_ping(ping.clone(), &to, now);
+            let body = Body::Ping(Box::new(ping));
+            if !self.roster.is_direct(&to, now.mono)
+                && let Some(relay) = self.roster.relay(&to, now.mono).cloned()
+            {
+                let me = self.roster.me().name.clone();
+                let relayed = Body::Relay(me, to.clone(), Box::new(body.clone()));
+                self.out.push(Output::Send(relay, relayed));
+            }
+            self.out.push(Output::Send(to, body));
+        }
+    }
+
+    pub(crate) fn ping(&self, now: Now) -> Ping {
+        let zone = &self.roster.me().zone;
+        Ping {
+            card: self.roster.me().clone(),
+            clock: now.mono,
+            echo: false,
+            urgent: false,
+            draining: self.draining,
+            led: self.claims.is_led(zone, &self.roster, now.mono),
+            claims: self.claims.iter().cloned().collect(),
+            version: self.document.version,
+            members: self.roster.digest(),
+            records: None,
+            load: self.sched.as_ref().map(|sched| sched.load(now.mono)),
+            hears: self.roster.hears(now.mono),
+        }
+    }
+
+    pub(crate) fn on_peer(&mut self, from: &name::Name, body: Body, direct: bool, now: Now) {
+        match body {
+            Body::Ping(ping) => self.on_ping(*ping, direct, now),
+            Body::Members(cards, gone) => {
+                let lost = self.roster.learn(cards, gone, now.mono);
+                self.out.extend(lost.into_iter().map(Output::Disconnect));
+                let names: Vec<_> = self.roster.names().cloned().collect();
+                self.out.extend(names.into_iter().map(Output::Connect));
+            }
+            Body::Records(records, whole) => self.on_records(from, records, whole, now),
+            Body::Fetch(version) => {
+                if self.document.version > version {
+                    self.send(from, Body::Document(self.document.clone()), now);
+                }
+            }
+            Body::Document(document) => self.adopt(document, now),
+            Body::Agree(body) => {
+                if let Some(vault) = &mut self.vault {
+                    vault.agree(from, *body, now);
+                }
+            }
+            Body::Confirm(number) => {
+                if let Some(vault) = &mut self.vault {
+                    vault.confirm(from, number, now.mono);
+                }
+            }
+            Body::Confirmed(number, version) => {
+                if let Some(vault) = &mut self.vault {
+                    vault.confirmed(number, version);
+                }
+            }
+            Body::Submit(job) => self.on_submit(from, *job, now),
+            Body::Cancel(id) => {
+                if let Some(sched) = &mut self.sched {
+                    sched.cancel(&id, from);
+                }
+            }
+            Body::Await(ids, stamp) => {
+                let unknown = match &mut self.sched {
+                    Some(sched) => sched.awaited(&ids, from, stamp, now.mono),
+                    None => ids,
+                };
+                for id in unknown {
+                    self.send(from, Body::Unknown(id), now);
+                }
+            }
+            Body::Unknown(id) => self.desk.unknown(from, &id),
+            Body::Verdict(id, verdict) => self.desk.verdict(from, &id, &verdict, now.mono),
+            Body::Relay(origin, to, body) if to == self.roster.me().name => {
+                if !matches!(*body, Body::Relay(..)) {
+                    self.on_peer(&origin, *body, false, now);
+                }
+            }
+            Body::Relay(origin, to, body) => {
+                if self.roster.is_direct(&to, now.mono) {
+                    self.out.push(Output::Send(to.clone(), Body::Relay(origin, to, body)));
+                }
+            }
+        }
+    }
+
+    pub(crate) fn on_submit(&mut self, from: &name::Name, job: job::Job, now: Now) {
+        match &mut self.sched {
+            Some(sched) => sched.submit(job, from, now.mono),
+            None => self.send(from, Body::Unknown(job.id), now),
+        }
+    }
+
+    pub(crate) fn on_ping(&mut self, ping: Ping, direct: bool, now: Now) {
+        let from = ping.card.name.clone();
+        if from == self.roster.me().name {
+            return;
+        }
+        for claim in &ping.claims {
+            if self.claims.merge(claim) {
+                self.note("zone: Claimed.", &claim.holder, claim.zone.to_string());
+            }
+        }
+        if let Some(load) = ping.load {
+            self.desk.load(&ping.card.zone, load);
+        }
+        let (version, members, records) = (ping.version, ping.members, ping.records);
+        let known = self.roster.peer(&from).is_some();
+        if self.roster.heard(ping, direct, now.mono) {
+            self.note("peer: Heard.", &from, String::new());
+            // It has just started: what it lacks comes with the answer to this.
+            self.beat_now(&from, now);
+            if let Some(sched) = &mut self.sched {
+                sched.forget_entry(&from);
+            }
+        }
+        if !known {
+            self.out.push(Output::Connect(from.clone()));
+        }
+        if version > self.document.version {
+            self.send(&from, Body::Fetch(self.document.version), now);
+        }
+        let zone = self.roster.me().zone.clone();
+        let differs = (
+            members != self.roster.digest(),
+            records.is_some_and(|digest| digest != self.table.digest(&zone)),
+        );
+        if differs != (false, false) && self.roster.is_sync_due(&from, now.mono) {
+            if differs.0 {
+                self.send(&from, Body::Members(self.roster.cards(), self.roster.gone()), now);
+            }
+            if differs.1 {
+                let records = self.table.of_zone(&zone).cloned().collect();
+                self.send(&from, Body::Records(records, true), now);
+            }
+        }
+        self.yield_to_higher();
+    }
+
+    pub(crate) fn on_records(
+        &mut self,
+        from: &name::Name,
+        records: Vec<upstream::Record>,
+        whole: bool,
+        now: Now,
+    ) {
+        let zone = records.first().map(|record| record.zone.clone());
+        let mut news = Vec::new();
+        let listed: std::collections::BTreeMap<_, _> = records
+            .iter()
+            .map(|record| (record.id.clone(), (record.serial, record.phase)))
+            .collect();
+        for record in records {
+            if self.table.merge(record.clone()) {
+                news.push(record);
+            }
+        }
+        let zone = zone.unwrap_or_else(|| self.roster.me().zone.clone());
+        let newer = self.table.of_zone(&zone).filter(|record| {
+            listed.get(&record.id).is_none_or(|held| *held < (record.serial, record.phase))
+        });
+        let newer: Vec<_> = newer.cloned().collect();
+        if whole && !newer.is_empty() {
+            self.send(from, Body::Records(newer, false), now);
+        }
+        for record in news {
+            self.tell_sched(&record);
+        }
+    }
+
+    /// Tells the others of a newer configuration without waiting for the next heartbeat.
+    pub(crate) fn announce_version(&mut self, now: Now) {
+        let near = |card: &member::Card| {
+            card.role == member::Role::Entry && card.zone == self.roster.me().zone
+        };
+        let names = self.roster.names().filter(|name| {
+            self.roster.peer(name).and_then(|peer| peer.card.as_ref()).is_some_and(near)
+        });
+        let names: Vec<_> = names.cloned().collect();
+        for to in names {
+            self.beat_now(&to, now);
+        }
+    }
+
+    pub(crate) fn beat_all(&mut self, now: Now) {
+        let names: Vec<_> = self.roster.names().cloned().collect();
+        for to in names {
+            self.beat_now(&to, now);
+        }
+    }
+
+    /// Sends a heartbeat with something new in it.
+    pub(crate) fn beat_now(&mut self, to: &name::Name, now: Now) {
+        let ping = Ping { urgent: true, ..self.ping(now) };
+        let ping = self.address_ping(ping, to, now);
+        self.send(to, Body::Ping(Box::new(ping)), now);
+    }
+
+    /// Completes a heartbeat with what is meant for its receiver.
+    pub(crate) fn address_ping(&mut self, ping: Ping, to: &name::Name, now: Now) -> Ping {
+        let card = self.roster.peer(to).and_then(|peer| peer.card.as_ref());
+        let me = self.roster.me();
+        // Entries hold their own zone's upstreams only.
+        let held = |card: &&member::Card| me.role == member::Role::Keeper || card.zone == me.zone;
+        let records = card.filter(held).map(|card| self.table.digest(&card.zone));
+        Ping { echo: self.roster.echo(to, now.mono), records, ..ping }
+    }
+
+    pub(crate) fn send(&mut self, to: &name::Name, body: Body, now: Now) {
+        let me = self.roster.me().name.clone();
+        if *to == me {
+            return self.on_peer(&me, body, true, now);
+        }
+        if !self.roster.is_direct(to, now.mono)
+            && let Some(relay) = self.roster.relay(to, now.mono).cloned()
+        {
+            let body = Body::Relay(me, to.clone(), Box::new(body));
+            return self.out.push(Output::Send(relay, body));
+        }
+        self.out.push(Output::Send(to.clone(), body));
+    }
+}
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -10,7 +10,7 @@
     lane::{Lane, Run, Stage},
     message,
     order::{Call, End, Order},
-    place, queue, roster, time, upstream,
+    place, queue, time, upstream,
 };
 
 /// Runs that a former scheduler started may go on this long after the claim, unless their
@@ -21,17 +21,10 @@
 const KEEP_ENDS: u64 = 3_000 * time::MS;
 /// Verdicts are kept this long, for entries that did not get them.
 const KEEP_VERDICTS: u64 = 4_000 * time::MS;
-/// A job that its entry has not asked for this long is dropped: its cancelling was lost.
-/// Longer than two questions of the entry (350 ms each) are apart.
-const FORSAKEN: u64 = 900 * time::MS;
 /// A task is started only if its entry has asked for the job this short before its last heartbeat,
 /// by its own clock, microseconds: longer than its questions (300 ms) are apart. What waited in
 /// buffers longer than that may be another scheduler's job by now.
 const FRESH: u64 = 450 * time::MS;
-/// An unwanted run is told to stop again after this, microseconds.
-const STOP_AGAIN: u64 = 150 * time::MS;
-/// An upstream that never answers is given up after this, microseconds.
-const GIVE_UP: u64 = 12_000 * time::MS;
 
 /// Effects of the last calls.
 #[derive(Debug, Default)]
@@ -174,7 +167,7 @@
     }
 
     /// Why a job is refused at once, if it is.
-    fn check(&self, job: &Job, now: u64) -> Option<Refusal> {
+    pub(crate) fn check(&self, job: &Job, now: u64) -> Option<Refusal> {
         if job.resumed {
             return None;
         }
@@ -193,7 +186,7 @@
     }
 
     /// Attaches runs and ends of a former scheduler to a job that was handed in again.
-    fn adopt(&mut self, id: &name::Name, now: u64) {
+    pub(crate) fn adopt(&mut self, id: &name::Name, now: u64) {
         self.orphans.retain(|task, _| task.job != *id);
         let mut found = Vec::new();
         for (name, lane) in &mut self.lanes {
@@ -326,7 +319,7 @@
         self.bury(id);
     }
 
-    fn bury(&mut self, id: &name::Name) {
+    pub(crate) fn bury(&mut self, id: &name::Name) {
         if let Some(lane) = self.lanes.remove(id) {
             for task in lane.runs.into_keys() {
                 self.requeue(id, &task);
@@ -375,7 +368,7 @@
         self.drop_job(id);
     }
 
-    fn drop_job(&mut self, id: &name::Name) {
+    pub(crate) fn drop_job(&mut self, id: &name::Name) {
         let Some(active) = self.jobs.remove(id) else { return };
         for (step, items) in active.items.iter().enumerate() {
             for (index, item) in items.iter().enumerate() {
@@ -388,106 +381,13 @@
         self.dirty = true;
     }
 
-    /// Drops jobs that no entry waits for, so that another scheduler may take them.
-    fn drop_forsaken(&mut self, alive: &impl Fn(&name::Name) -> Option<u64>, now: u64) {
-        let forsaken = |active: &Active| {
-            let time = if alive(&active.entry).is_some() { FORSAKEN } else { roster::SILENT };
-            now >= active.awaited + time
-        };
-        let gone = self.jobs.iter().filter(|(_, active)| forsaken(active));
-        for id in gone.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
-            self.note("job: Dropped, its entry is not heard.", &id, "");
-            self.drop_job(&id);
-        }
-    }
-
-    /// Ends jobs that can't be answered in time any more.
-    fn expire(&mut self, now: u64) {
-        let mut over = Vec::new();
-        for (id, active) in &self.jobs {
-            if now >= active.end() {
-                over.push((id.clone(), active.started));
-            } else if !active.started && queue::is_hopeless(active, now) {
-                over.push((id.clone(), false));
-            }
-        }
-        for (id, started) in over {
-            let refusal = Refusal::Overload(queue::retry_after(self.load(now)));
-            let verdict = if started { Verdict::GaveUp } else { Verdict::NotRun(refusal) };
-            self.finish(&id, verdict, now);
-        }
-    }
-
-    /// Counts runs as over where the last lease has run out and nobody can have renewed it.
-    fn lapse(&mut self, now: u64) {
-        let mut lapsed = Vec::new();
-        for (id, lane) in &mut self.lanes {
-            if lane.silent.is_some() && lane.has_lapsed(now) && !lane.runs.is_empty() {
-                let runs = std::mem::take(&mut lane.runs);
-                lapsed.extend(runs.into_keys().map(|task| (id.clone(), task)));
-            }
-        }
-        for (id, task) in lapsed {
-            self.requeue(&id, &task);
-        }
-    }
-
-    fn stop_unwanted(&mut self, now: u64) {
-        let due = |at: u64| now >= at;
-        let orphans = self.orphans.iter().filter(|(_, at)| due(**at));
-        for task in orphans.map(|(task, _)| task.clone()).collect::<Vec<_>>() {
-            self.orphans.remove(&task);
-            for lane in self.lanes.values_mut() {
-                if let Some(run) = lane.runs.get_mut(&task) {
-                    run.unwanted.get_or_insert(0);
-                }
-            }
-        }
-        self.send_stops(now);
-    }
-
-    fn send_stops(&mut self, now: u64) {
-        for (id, lane) in &mut self.lanes {
-            if !lane.owned || lane.silent.is_some() {
-                continue;
-            }
-            let mut stops = Vec::new();
-            for (task, run) in &mut lane.runs {
-                let due = run.unwanted.is_some_and(|at| at == 0 || now >= at + STOP_AGAIN);
-                if due && run.stage != Stage::Starting {
-                    run.unwanted = Some(now);
-                    stops.push((task.clone(), run.attempt));
-                }
-            }
-            for (task, attempt) in stops {
-                self.number += 1;
-                let order = Order::Stop { task: task.clone(), attempt };
-                self.sent.insert(self.number, (id.clone(), now, Sent::Stop));
-                self.out.calls.push(lane.order(self.number, order));
-            }
-        }
-    }
-
-    fn give_up_lost(&mut self, now: u64) {
-        let lost = |lane: &Lane| {
-            let since = if lane.owned { lane.silent } else { Some(lane.silent.unwrap_or(now)) };
-            since.is_some_and(|since| now >= since + GIVE_UP) && lane.runs.is_empty()
-        };
-        let lost = self.lanes.iter().filter(|(_, lane)| lost(lane)).map(|(id, _)| id.clone());
-        for id in lost.collect::<Vec<_>>() {
-            self.note("lane: Given up, it does not answer.", &id, "");
-            self.out.gone.push((id.clone(), false));
-            self.lanes.remove(&id);
-        }
-    }
-
     /// Whether a run of a resumed job may still go on at an upstream that has not answered yet.
-    fn is_barred(&self, now: u64) -> bool {
+    pub(crate) fn is_barred(&self, now: u64) -> bool {
         now < self.since + FORMER && self.lanes.values().any(|lane| !lane.is_read())
     }
 
     /// Places waiting tasks, the most urgent job first.
-    fn dispatch(&mut self, alive: &impl Fn(&name::Name) -> Option<u64>, now: u64) {
+    pub(crate) fn dispatch(&mut self, alive: &impl Fn(&name::Name) -> Option<u64>, now: u64) {
         self.send_stops(now);
         let barred = self.is_barred(now);
         let fresh = |active: &Active| {
@@ -510,7 +410,7 @@
         }
     }
 
-    fn dispatch_job(&mut self, id: &name::Name, room: &mut place::Room, now: u64) {
+    pub(crate) fn dispatch_job(&mut self, id: &name::Name, room: &mut place::Room, now: u64) {
         let Some(active) = self.jobs.get(id) else { return };
         let mut chosen = Vec::new();
         for (step, items) in active.items.iter().enumerate() {
@@ -536,7 +436,7 @@
         }
     }
 
-    fn start(&mut self, task: &Task, id: &name::Name, attempt: u32, now: u64) {
+    pub(crate) fn start(&mut self, task: &Task, id: &name::Name, attempt: u32, now: u64) {
         let Some(active) = self.jobs.get_mut(&task.job) else { return };
         let Some(lane) = self.lanes.get_mut(id) else { return };
         let Some(until) = lane.grant(self.lease, now) else { return };
--- /dev/null
+++ b/crates/dispatch/src/upkeep.rs
@@ -0,0 +1,117 @@
+//! What a scheduler does because time has passed: jobs that nobody waits for, leases that are
+//! over, runs that nobody wants.
+
+use state::name;
+
+use crate::{
+    active::Active,
+    job::{Refusal, Verdict},
+    lane::{Lane, Stage},
+    order::Order,
+    queue, roster,
+    sched::{Sched, Sent},
+    time,
+};
+
+/// A job that its entry has not asked for this long is dropped: its cancelling was lost.
+/// Longer than two questions of the entry (350 ms each) are apart.
+const FORSAKEN: u64 = 900 * time::MS;
+/// An unwanted run is told to stop again after this, microseconds.
+const STOP_AGAIN: u64 = 150 * time::MS;
+/// An upstream that never answers is given up after this, microseconds.
+const GIVE_UP: u64 = 12_000 * time::MS;
+
+impl Sched {
+    /// Drops jobs that no entry waits for, so that another scheduler may take them.
+    pub(crate) fn drop_forsaken(&mut self, alive: &impl Fn(&name::Name) -> Option<u64>, now: u64) {
+        let forsaken = |active: &Active| {
+            let time = if alive(&active.entry).is_some() { FORSAKEN } else { roster::SILENT };
+            now >= active.awaited + time
+        };
+        let gone = self.jobs.iter().filter(|(_, active)| forsaken(active));
+        for id in gone.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            self.note("job: Dropped, its entry is not heard.", &id, "");
+            self.drop_job(&id);
+        }
+    }
+
+    /// Ends jobs that can't be answered in time any more.
+    pub(crate) fn expire(&mut self, now: u64) {
+        let mut over = Vec::new();
+        for (id, active) in &self.jobs {
+            if now >= active.end() {
+                over.push((id.clone(), active.started));
+            } else if !active.started && queue::is_hopeless(active, now) {
+                over.push((id.clone(), false));
+            }
+        }
+        for (id, started) in over {
+            let refusal = Refusal::Overload(queue::retry_after(self.load(now)));
+            let verdict = if started { Verdict::GaveUp } else { Verdict::NotRun(refusal) };
+            self.finish(&id, verdict, now);
+        }
+    }
+
+    /// Counts runs as over where the last lease has run out and nobody can have renewed it.
+    pub(crate) fn lapse(&mut self, now: u64) {
+        let mut lapsed = Vec::new();
+        for (id, lane) in &mut self.lanes {
+            if lane.silent.is_some() && lane.has_lapsed(now) && !lane.runs.is_empty() {
+                let runs = std::mem::take(&mut lane.runs);
+                lapsed.extend(runs.into_keys().map(|task| (id.clone(), task)));
+            }
+        }
+        for (id, task) in lapsed {
+            self.requeue(&id, &task);
+        }
+    }
+
+    pub(crate) fn stop_unwanted(&mut self, now: u64) {
+        let due = |at: u64| now >= at;
+        let orphans = self.orphans.iter().filter(|(_, at)| due(**at));
+        for task in orphans.map(|(task, _)| task.clone()).collect::<Vec<_>>() {
+            self.orphans.remove(&task);
+            for lane in self.lanes.values_mut() {
+                if let Some(run) = lane.runs.get_mut(&task) {
+                    run.unwanted.get_or_insert(0);
+                }
+            }
+        }
+        self.send_stops(now);
+    }
+
+    pub(crate) fn send_stops(&mut self, now: u64) {
+        for (id, lane) in &mut self.lanes {
+            if !lane.owned || lane.silent.is_some() {
+                continue;
+            }
+            let mut stops = Vec::new();
+            for (task, run) in &mut lane.runs {
+                let due = run.unwanted.is_some_and(|at| at == 0 || now >= at + STOP_AGAIN);
+                if due && run.stage != Stage::Starting {
+                    run.unwanted = Some(now);
+                    stops.push((task.clone(), run.attempt));
+                }
+            }
+            for (task, attempt) in stops {
+                self.number += 1;
+                let order = Order::Stop { task: task.clone(), attempt };
+                self.sent.insert(self.number, (id.clone(), now, Sent::Stop));
+                self.out.calls.push(lane.order(self.number, order));
+            }
+        }
+    }
+
+    pub(crate) fn give_up_lost(&mut self, now: u64) {
+        let lost = |lane: &Lane| {
+            let since = if lane.owned { lane.silent } else { Some(lane.silent.unwrap_or(now)) };
+            since.is_some_and(|since| now >= since + GIVE_UP) && lane.runs.is_empty()
+        };
+        let lost = self.lanes.iter().filter(|(_, lane)| lost(lane)).map(|(id, _)| id.clone());
+        for id in lost.collect::<Vec<_>>() {
+            self.note("lane: Given up, it does not answer.", &id, "");
+            self.out.gone.push((id.clone(), false));
+            self.lanes.remove(&id);
+        }
+    }
+}
