Serve sooner after a loss of everything

An instance now waits 250 ms, not 600, for an older scheduler, whose answer takes some 30 ms; a new scheduler refuses nothing until its upstreams have answered.

--- a/crates/dispatch/src/claim.rs
+++ b/crates/dispatch/src/claim.rs
@@ -10,9 +10,10 @@
 
 use crate::{member, roster, time};
 
-/// An instance that starts waits this long for an older scheduler to be heard of, microseconds:
-/// four heartbeats.
-const SETTLE: u64 = 600 * time::MS;
+/// An instance that starts waits this long for an older scheduler to be heard of, microseconds.
+/// First heartbeats are answered at once: that takes some 30 ms, and 130 ms where a stream has to
+/// be dialled twice. After a loss of everything nobody serves meanwhile.
+const SETTLE: u64 = 250 * time::MS;
 /// Each better candidate gets this much longer to claim first, microseconds: two heartbeats.
 const TURN: u64 = 300 * time::MS;
 /// An instance that hears nobody of its zone although there are others claims only after this
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -17,6 +17,9 @@
 /// upstream has answered: the time in which that scheduler drops an entry's jobs (500 ms) and a
 /// lease (1,000 ms on a clock 2% slow).
 const FORMER: u64 = 1_550 * time::MS;
+/// A new scheduler refuses nothing for want of room until its upstreams have answered, or this
+/// time has passed, microseconds: an order's patience (250 ms) and one more round.
+const SURVEY: u64 = 300 * time::MS;
 /// Ends of unknown jobs are kept this long for the same reason.
 const KEEP_ENDS: u64 = 3_000 * time::MS;
 /// Verdicts are kept this long, for entries that did not get them.
@@ -181,6 +184,9 @@
                 return Some(Refusal::TooLarge);
             }
         }
+        if now < self.since + SURVEY && self.lanes.values().any(|lane| !lane.is_read()) {
+            return None;
+        }
         let line = self.jobs.values().map(|active| (active.due(), waiting_cpu(active)));
         queue::refuse(job, line, self.load(now), now).map(Refusal::Overload)
     }
--- a/crates/dispatch/tests/owner.rs
+++ b/crates/dispatch/tests/owner.rs
@@ -184,6 +184,19 @@
     assert_eq!(starts(&play.calls()), [("u2".into(), task("j", 0))]);
 }
 
+#[test]
+fn refused_too_soon() {
+    // A scheduler that has just begun does not know its room yet: nothing is refused for want of
+    // what the next answers will tell of.
+    let (mut play, holds) = Play::new(&["u1", "u2", "u3", "u4", "u5", "u6", "u7", "u8"]);
+    play.answer(&holds[0], held(vec![], vec![], play.now));
+    for number in 0..20 {
+        play.sched.submit(job(&format!("j{number}"), 1), &"entry".into(), play.now);
+    }
+    let refused = play.sched.take().verdicts;
+    assert_eq!(refused, []);
+}
+
 #[test]
 fn failed_task() {
     let (mut play, holds) = Play::new(&["u1"]);
--- a/crates/dispatch/tests/takeover.rs
+++ b/crates/dispatch/tests/takeover.rs
@@ -140,6 +140,35 @@
     }
 }
 
+#[test]
+fn scheduled_soon() {
+    // After a loss of everything the zones have schedulers again 400 ms after the start.
+    let mut world = ready(4);
+    for at in 0..9 {
+        world.kill(at);
+    }
+    world.run(1_000);
+    for at in 0..9 {
+        world.start(at);
+    }
+    world.run(400);
+    for zone in 0..3 {
+        assert_eq!(world.schedulers(zone).len(), 1, "zone {zone}");
+    }
+}
+
+#[test]
+fn restart_beside_scheduler() {
+    // An instance that starts while its zone has a scheduler leaves the zone to it.
+    let mut world = ready(4);
+    world.kill(0);
+    world.run(2_000);
+    let holder = world.schedulers(0);
+    world.start(0);
+    world.run(2_000);
+    assert_eq!(world.schedulers(0), holder);
+}
+
 #[test]
 fn zone_cut() {
     for seed in 0..10 {
