--- a/crates/dispatch/src/claim.rs
+++ b/crates/dispatch/src/claim.rs
@@ -35,7 +35,7 @@
 pub struct Claim {
     /// The availability zone.
     pub zone: name::Name,
-    /// When it was made, or later, in milliseconds since the Unix epoch, with [`OWNER_BITS`] of the
+    /// When it was made, or later, in milliseconds since the Unix epoch, with some bits of the
     /// holder's name below: the holder's first fencing token. The higher claim counts.
     pub epoch: u64,
     /// The instance.
