--- a/crates/dispatch/tests/owner.rs
+++ b/crates/dispatch/tests/owner.rs
@@ -140,6 +140,38 @@
     assert_eq!(starts(&play.calls()), []);
 }
 
+#[test]
+fn client_left() {
+    let (mut play, holds) = Play::new(&["u1"]);
+    play.answer(&holds[0], held(vec![], vec![], play.now));
+    play.sched.submit(job("j", 2), &"entry".into(), play.now);
+    let calls = play.calls();
+    for start in calls.iter().filter(|call| matches!(call.order, Order::Start { .. })) {
+        play.answer(start, Outcome::Done(CLOCK + play.now / MS));
+    }
+    play.sched.cancel(&"j".into(), &"entry".into());
+    let stops = play.calls().iter().filter(|call| is_stop(call)).count();
+    assert_eq!(stops, 2, "what nobody waits for is stopped at once");
+}
+
+#[test]
+fn former_life() {
+    // A late heartbeat of a former life at the same address changes nothing for the present one.
+    let (mut play, holds) = Play::new(&["new"]);
+    play.answer(&holds[0], held(vec![], vec![], play.now));
+    play.sched.submit(job("j", 1), &"entry".into(), play.now);
+    let calls = play.calls();
+    assert_eq!(starts(&calls), [("new".into(), task("j", 0))]);
+    play.sched.record(&record("old"));
+    let calls = play.calls();
+    let hold = calls.iter().find(|call| call.upstream.as_str() == "old").unwrap();
+    play.answer(hold, Outcome::Replaced);
+    let gone = play.sched.take().gone;
+    assert_eq!(gone, [(Name::new("old"), true)]);
+    assert!(play.sched.lanes.contains_key("new") && !play.sched.lanes.contains_key("old"));
+    assert_eq!(starts(&play.calls()), [], "the task runs on");
+}
+
 #[test]
 fn unanswered_start() {
     // Until the upstream has answered under a higher token, the task starts nowhere else.
