--- a/crates/apricotroute/src/demo_platform.rs
+++ b/crates/apricotroute/src/demo_platform.rs
@@ -4,13 +4,13 @@
 use std::{net, thread, time};
 
 use error_stack::ResultExt as _;
+use platform::sample;
 use serde_json::json;
 use state::node as settings;
 
 use crate::{error, logs, node, remote};
 
 const SERVICE: &str = "polish-board";
-const HOST: &str = "shop.example";
 const UPSTREAMS: usize = 2;
 /// Instances use the same ports, so each has a loopback address of its own.
 const KEEPER: u8 = 2;
@@ -86,27 +86,21 @@
 }
 
 fn publish(operator: net::SocketAddr) -> error::Result<()> {
-    let config = json!({
-        "Version": 1,
-        "Routes": [{"Host": HOST, "PathPrefix": "/prices/", "TimeoutMs": 1500,
-            "LatencyGoalMs": 60, "Service": SERVICE, "MaxAttempts": 3, "Stretch": 1.6}],
-        "Services": [{"Name": SERVICE}],
-    });
+    let config = sample::config(SERVICE);
     let operator = remote::Remote::new(&operator.to_string());
     again("publish a configuration of", || {
-        let answer = operator.put("/apricotroute/config", config.to_string().as_bytes());
+        let answer = operator.put(sample::CONFIG_PATH, config.as_bytes());
         answer.ok().filter(|answer| answer.status == 200).map(|_| ())
     })
 }
 
 fn submit(client: net::SocketAddr) -> error::Result<String> {
-    let step = json!({"Count": 8, "Cpu": 14_000, "MemMb": 64, "EstimateMs": 60});
-    let job = json!({"Spec": "a price", "BestEffort": true, "Steps": [step]}).to_string();
+    let job = sample::job(8);
     let agent: ureq::Agent =
         ureq::Agent::config_builder().http_status_as_error(false).build().into();
-    let url = format!("http://{client}/prices/00000000000000a1");
+    let url = format!("http://{client}{}", sample::JOB_PATH);
     again("submit job of", || {
-        let sent = agent.post(&url).header("Host", HOST).send(job.as_bytes());
+        let sent = agent.post(&url).header("Host", sample::HOST).send(job.as_bytes());
         let mut response = sent.ok().filter(|response| response.status().as_u16() == 200)?;
         response.body_mut().read_to_string().ok()
     })
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -12,6 +12,8 @@
 };
 
 impl Core {
+    /// Sends the heartbeats that are due, also through a third instance where the direct way is
+    /// silent.
     pub(crate) fn beat(&mut self, now: Now) {
         let zone = self.roster.me().zone.clone();
         let holders: Vec<_> = self.claims.watched(&zone).map(|claim| &claim.holder).collect();
@@ -34,6 +36,7 @@
         }
     }
 
+    /// A heartbeat, but for what depends on its receiver.
     pub(crate) fn ping(&self, now: Now) -> Ping {
         let zone = &self.roster.me().zone;
         Ping {
@@ -52,6 +55,7 @@
         }
     }
 
+    /// Takes a message; `direct` says that it came from its sender without a relay.
     pub(crate) fn on_peer(&mut self, from: &name::Name, body: Body, direct: bool, now: Now) {
         match body {
             Body::Ping(ping) => self.on_ping(*ping, direct, now),
@@ -113,6 +117,7 @@
         }
     }
 
+    /// Takes a job, if this instance schedules its zone.
     pub(crate) fn on_submit(&mut self, from: &name::Name, job: job::Job, now: Now) {
         match &mut self.sched {
             Some(sched) => sched.submit(job, from, now.mono),
@@ -120,6 +125,7 @@
         }
     }
 
+    /// Takes a heartbeat, and asks for what the sender knows better.
     pub(crate) fn on_ping(&mut self, ping: Ping, direct: bool, now: Now) {
         let from = ping.card.name.clone();
         if from == self.roster.me().name {
@@ -166,6 +172,7 @@
         self.yield_to_higher();
     }
 
+    /// Takes news of upstreams.
     pub(crate) fn on_records(
         &mut self,
         from: &name::Name,
