Never call a job not run that another scheduler has had

The first now knows by the second submission, and an entry tells its client of a resumed job that it was given up. Ruled out for this rule: late orders, cached verdicts.

--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -124,9 +124,15 @@
         let with = self.open.get(id).and_then(|open| open.with.as_ref());
         let current = with.is_some_and(|claim| claim.holder == *from);
         let told = matches!(verdict, Verdict::Complete | Verdict::Failed);
-        if current || told {
-            self.close(id, verdict, now);
+        if !current && !told {
+            return;
+        }
+        // A scheduler speaks for itself only; one that had the job before may have started it.
+        let resumed = self.open.get(id).is_some_and(|open| open.job.resumed);
+        if resumed && matches!(verdict, Verdict::NotRun(_)) {
+            return self.close(id, &Verdict::GaveUp, now);
         }
+        self.close(id, verdict, now);
     }
 
     /// A scheduler does not know a job that it was given. It is given again when time passes, not
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -154,6 +154,9 @@
             active.entry = entry.clone();
             active.awaited = now;
             active.stamp = job.stamp;
+            // It was another scheduler's meanwhile.
+            active.job.resumed |= job.resumed;
+            active.started |= job.resumed;
             return;
         }
         if let Some(refusal) = self.check(&job, now) {
--- a/crates/dispatch/tests/owner.rs
+++ b/crates/dispatch/tests/owner.rs
@@ -14,6 +14,7 @@
 struct Play {
     sched: Sched,
     now: u64,
+    verdicts: Vec<(Name, Name, Verdict)>,
 }
 
 fn record(id: &str) -> Record {
@@ -70,16 +71,18 @@
         for id in upstreams {
             sched.record(&record(id));
         }
-        let mut play = Self { sched, now };
+        let mut play = Self { sched, now, verdicts: Vec::new() };
         let calls = play.calls();
         (play, calls)
     }
 
     fn calls(&mut self) -> Vec<Call> {
-        self.sched.awaited(&["j".into()], &"entry".into(), self.now, self.now);
+        self.sched.awaited(&["j".into(), "first".into()], &"entry".into(), self.now, self.now);
         self.sched.tick(|_| Some(self.now), self.now);
         self.sched.run(|_| Some(self.now), self.now);
-        self.sched.take().calls
+        let out = self.sched.take();
+        self.verdicts.extend(out.verdicts);
+        out.calls
     }
 
     fn answer(&mut self, call: &Call, outcome: Outcome) {
@@ -140,6 +143,26 @@
     assert_eq!(starts(&play.calls()), []);
 }
 
+#[test]
+fn back_from_another() {
+    // A job went to another scheduler and came back while this one still had it waiting: it may
+    // have run there, so it is never called not run here.
+    let (mut play, holds) = Play::new(&["u1"]);
+    play.answer(&holds[0], held(vec![], vec![], play.now));
+    play.sched.submit(job("first", 2), &"entry".into(), play.now);
+    play.sched.submit(job("j", 2), &"entry".into(), play.now);
+    play.calls();
+    play.sched.submit(Job { resumed: true, ..job("j", 2) }, &"entry".into(), play.now);
+    for _ in 0..80 {
+        play.wait(40);
+        play.calls();
+        let verdicts = &play.verdicts;
+        let untrue =
+            verdicts.iter().any(|(_, id, v)| id.as_str() == "j" && matches!(v, Verdict::NotRun(_)));
+        assert!(!untrue, "{verdicts:?}");
+    }
+}
+
 #[test]
 fn client_left() {
     let (mut play, holds) = Play::new(&["u1"]);
