--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -282,9 +282,9 @@
         self.dirty = true;
     }
 
-    /// Starts what can be started and asks whom it is time to ask. `alive` gives the clocks
-    /// of the entries that are heard: a job that waited in this instance's buffers while it was stopped may have been
-    /// handed to another scheduler since.
+    /// Starts what can be started and asks whom it is time to ask. `alive` gives the clocks of the
+    /// entries that are heard: a job that waited in this instance's buffers while it was stopped
+    /// may have been handed to another scheduler since.
     pub fn run(&mut self, alive: impl Fn(&name::Name) -> Option<u64>, now: u64) {
         if std::mem::take(&mut self.dirty) {
             self.dispatch(&alive, now);
--- a/crates/dispatch/src/upkeep.rs
+++ b/crates/dispatch/src/upkeep.rs
@@ -14,7 +14,7 @@
 };
 
 /// A job that its entry has not asked for this long is dropped: its cancelling was lost.
-/// Longer than two questions of the entry (350 ms each) are apart.
+/// Longer than two questions of the entry (300 ms each) are apart.
 const FORSAKEN: u64 = 900 * time::MS;
 /// An unwanted run is told to stop again after this, microseconds.
 const STOP_AGAIN: u64 = 150 * time::MS;
