Explain a request from the logs of several processes

`apricotroute explain ID FILE...` prints the lines of a request in order of time, by the client's name or the job's id, with what changed at the instances that had it. Golden test command_line::explained. Log lines tell room with its unit.

--- a/crates/apricotroute/src/cli.rs
+++ b/crates/apricotroute/src/cli.rs
@@ -6,7 +6,9 @@
 use serde_json::Value;
 use state::{boot, id, locate, name, node as node_file};
 
-use crate::{demo, demo_platform, error, instance, load, logs, node, remote, standin, status};
+use crate::{
+    demo, demo_platform, error, explain, instance, load, logs, node, remote, standin, status,
+};
 
 const HELP: &str = "\
 apricotroute: a dispatcher for tasks shorter than a second
@@ -19,6 +21,7 @@
   job --to IP:PORT show ID       say how a job stands; `cancel ID` cancels it
   settings --to IP:PORT get PATH read settings; also `set PATH JSON` and `log`
   status --to IP:PORT            groups, members, upstreams, shares and queues
+  explain ID FILE...             the story of one request from the logs of several processes
   load --to IP:PORT[,...]        open-loop load with response times over the ideal
   upstream --to IP:PORT[,...]    a stand-in upstream for trials and tests
 
@@ -128,6 +131,7 @@
         Some("job") => (JOB, job),
         Some("settings") => (SETTINGS, settings),
         Some("status") => (STATUS, show_status),
+        Some("explain") => (explain::HELP, explain_request),
         Some("load") => (load::HELP, run_load),
         Some("upstream") => (UPSTREAM, upstream),
         Some(other) => {
@@ -396,6 +400,18 @@
     Ok(plain_code(&answer))
 }
 
+fn explain_request(mut arguments: Arguments) -> Ended {
+    const UNTOLD: u8 = 1;
+    let id = free(&mut arguments, "ID")?;
+    let files: Vec<_> = arguments.finish().into_iter().map(path::PathBuf::from).collect();
+    if files.is_empty() {
+        return Err(error_stack::Report::new(error::Error::new("read argument", "FILE")));
+    }
+    let story = explain::Story::read(&id, &files)?;
+    print!("{story}");
+    Ok(process::ExitCode::from(if story.is_empty() { UNTOLD } else { 0 }))
+}
+
 fn run_load(mut arguments: Arguments) -> Ended {
     let options = load::options(&mut arguments)?;
     finish(arguments)?;
--- a/crates/apricotroute/src/main.rs
+++ b/crates/apricotroute/src/main.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod demo_platform;
 mod error;
+mod explain;
 mod instance;
 mod load;
 mod logs;
--- a/crates/apricotroute/src/node/lines.rs
+++ b/crates/apricotroute/src/node/lines.rs
@@ -10,6 +10,9 @@
 /// What counts as a second.
 const SPAN: time::Duration = time::Duration::from_secs(1);
 
+/// Line that says how many of a kind were left out, as `count`.
+pub const LEFT_OUT: &str = "log: Lines were left out.";
+
 /// How many lines of each kind were written.
 #[derive(Debug)]
 pub struct Lines {
@@ -46,7 +49,7 @@
         kind.written += 1;
         let left_out = std::mem::take(&mut kind.left_out);
         if left_out > 0 {
-            slog::warn!(log, "log: Lines were left out."; "kind" => note.text, "count" => left_out);
+            slog::warn!(log, "{LEFT_OUT}"; "kind" => note.text, "count" => left_out);
         }
         slog::info!(log, "{}", note.text; "id" => %note.subject, "detail" => &note.detail);
     }
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -2,7 +2,7 @@
 //! control thread and their end.
 
 mod control;
-mod lines;
+pub mod lines;
 mod mailbox;
 mod reload;
 mod traffic;
--- a/crates/apricotroute/tests/command_line.rs
+++ b/crates/apricotroute/tests/command_line.rs
@@ -17,7 +17,8 @@
 #[test]
 fn help_everywhere() {
     let commands = [
-        "serve", "check", "demo", "submit", "job", "settings", "status", "load", "upstream", "node",
+        "serve", "check", "demo", "submit", "job", "settings", "status", "load", "upstream",
+        "node", "explain",
     ];
     for command in commands {
         let (code, out, _) = run(&[command, "--help"]);
@@ -41,6 +42,8 @@
         &["submit", "--to", "127.0.0.1:1", "no-such-file.json"],
         &["load", "--to", "127.0.0.1:1", "--rate", "fast"],
         &["job", "--to", "127.0.0.1:1", "dance", "x"],
+        &["explain", "x"],
+        &["explain", "x", "no-such-file.log"],
         &["upstream", "--to", "127.0.0.1:1", "--mode", "dance"],
     ];
     for arguments in cases {
@@ -129,3 +132,21 @@
     let log: Value = serde_json::from_str(&out).unwrap();
     assert_eq!(log["changes"][1]["outcome"], "conflict", "{out}");
 }
+
+/// A log that stands beside the tests.
+fn log(name: &str) -> String {
+    format!("{}/tests/logs/{name}", env!("CARGO_MANIFEST_DIR"))
+}
+
+#[test]
+fn explained() {
+    // By the job's id and by the client's own name of the request, whatever the order of the files.
+    let (entry, keepers) = (log("entry.log"), log("keepers.log"));
+    let (code, story, _) = run(&["explain", "ac38592eefa64e04", &entry, &keepers]);
+    assert_eq!(code, Some(0));
+    insta::assert_snapshot!(story);
+    assert_eq!(run(&["explain", "c12c5358b82cab6d", &keepers, &entry]).1, story);
+    // Nothing tells of another one.
+    let (code, out, _) = run(&["explain", "ac38", &entry, &keepers]);
+    assert_eq!((code, out.as_str()), (Some(1), "no line tells of it\n"));
+}
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -230,7 +230,7 @@
         open.lost = None;
         open.pin = Some(claim.zone.clone());
         let detail = format!(
-            "to {} in {}, epoch {}, {free} of its free cores left by the last heartbeat, age {} ms, \
+            "to {} in {}, epoch {}, {free}m of its free cores left by the last heartbeat, age {} ms, \
              resumed {}",
             claim.holder, claim.zone, claim.epoch, job.age, job.resumed
         );
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -161,7 +161,7 @@
         }
         if let Some(refusal) = self.check(&job, now) {
             let load = self.load(now);
-            let detail = format!("{refusal:?}, {} of {} cores free", load.free, load.total);
+            let detail = format!("{refusal:?}, {}m of {}m cores free", load.free, load.total);
             self.note("job: Refused.", &job.id, &detail);
             self.out.verdicts.push((entry.clone(), job.id, Verdict::NotRun(refusal)));
             return;
@@ -460,7 +460,7 @@
         self.number += 1;
         let spec = active.job.spec.clone();
         let detail = format!(
-            "task {}.{} run {attempt}, {} ms after it arrived, {} cores left there, token {}",
+            "task {}.{} run {attempt}, {} ms after it arrived, {}m cores left there, token {}",
             task.step,
             task.index,
             now.saturating_sub(active.arrived) / time::MS,
