--- /dev/null
+++ b/crates/coord/tests/restarts.rs
@@ -0,0 +1,47 @@
+//! An instance that dies and starts again and again finds its way back each time.
+
+mod net;
+
+use net::{Net, SERVICE};
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+
+/// Plays one seed: the first instance dies around an admission, at any moment of the exchange, and
+/// starts again while the others are in any state; it has to be ready within 5 s each time.
+fn play(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut net = Net::new(&[("west", 3)], 3);
+    net.run_until_ready(6_000);
+    net.change(0, 1 << 64, None, SERVICE);
+    net.run(500);
+    for _ in 0..6 {
+        let id = net.mint("west");
+        net.submit(0, &id, 4, 10_000);
+        for _ in 0..rng.random_range(0..40) {
+            match rng.random_range(0..4) {
+                0 => net.tick(),
+                1 => net.sync(rng.random_range(0..3)),
+                _ if net.mail.is_empty() => {}
+                _ => net.deliver(rng.random_range(0..net.mail.len())),
+            }
+        }
+        net.crash(0);
+        // From at once to beyond the time after which the others expel it.
+        net.run(rng.random_range(0..100) * rng.random_range(1..40));
+        net.submit(1, &id, 4, 10_000);
+        net.run(rng.random_range(0..40));
+        net.restart(0);
+        net.run_until_ready(5_000);
+    }
+    net.judge();
+}
+
+#[test]
+fn ready_again() {
+    // A fixed range, so that CI gives the same verdict every time; RESTART_SEEDS=A..B looks further.
+    let range = std::env::var("RESTART_SEEDS").unwrap_or_else(|_| "0..60".to_owned());
+    let (from, to) = range.split_once("..").expect("RESTART_SEEDS is A..B");
+    for seed in from.parse().expect("a number")..to.parse().expect("a number") {
+        let played = std::panic::catch_unwind(|| play(seed));
+        assert!(played.is_ok(), "seed {seed}");
+    }
+}
