--- a/crates/apricotroute/src/demo_platform.rs
+++ b/crates/apricotroute/src/demo_platform.rs
@@ -77,6 +77,7 @@
             task_cpu: 14_000,
             length: time::Duration::from_millis(60),
             max_lease: time::Duration::from_secs(1),
+            address: net::SocketAddr::from(([127, 0, 0, 1], 0)),
             to: vec![operator],
         };
         platform::standin::Standin::start(runtime, options)
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -142,7 +142,8 @@
     let fault = || error::Error::new("start", &node.instance);
     let backend = sync::Arc::new(control::Backend::new(control.clone(), log.clone()));
     let inbox = sync::Arc::new(control::Inbox::new(control.clone()));
-    peer::Server::open(runtime, node.peer, &peer_name(node), inbox).change_context_lazy(fault)?;
+    let peer = node.peer_listen.unwrap_or(node.peer);
+    peer::Server::open(runtime, peer, &peer_name(node), inbox).change_context_lazy(fault)?;
     let mut listeners = Vec::new();
     let mut listen = |address, handler| {
         let listener = http::Listener::open(runtime, address, handler);
--- a/crates/state/src/node.rs
+++ b/crates/state/src/node.rs
@@ -41,6 +41,8 @@
     pub operator: Option<net::SocketAddr>,
     /// Where the other instances reach it.
     pub peer: net::SocketAddr,
+    /// Where it listens for them, if that is another address than the one that it tells them.
+    pub peer_listen: Option<net::SocketAddr>,
     /// Where its metrics are read.
     pub metrics: Option<net::SocketAddr>,
     /// Folder of a keeper's durable state.
@@ -106,6 +108,7 @@
         let ready = self.address_of(root, &mut map, "ready_address", entry);
         let operator = self.address_of(root, &mut map, "operator_address", !entry);
         let peer = self.address(root, &mut map, "peer_address");
+        let peer_listen = self.address_of(root, &mut map, "peer_listen", false);
         let metrics = self.address_of(root, &mut map, "metrics_address", false);
         let folder = map.remove("data_folder").and_then(|at| self.text(&at));
         let seeds = self.seeds(&mut map);
@@ -122,6 +125,7 @@
             ready,
             operator,
             peer: peer?,
+            peer_listen,
             metrics,
             folder: folder.map(path::PathBuf::from),
             seeds,
