Believe an instance whose time of day was set back before it started

Cause: an incarnation is the time of day at the start, and the others ignore a lower one than they know: such an instance was passed over until it was forgotten after 30 s. It now learns its former life from the others and takes a higher one. takeover::clock_back fails before the change.

--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -60,6 +60,15 @@
         match body {
             Body::Ping(ping) => self.on_ping(*ping, direct, now),
             Body::Members(cards, gone) => {
+                if self.roster.outlive(&cards) {
+                    let life = self.roster.me().life.to_string();
+                    self.note(
+                        "node: A former life had a later clock, taking a higher one.",
+                        from,
+                        life,
+                    );
+                    self.yield_to_higher();
+                }
                 let lost = self.roster.learn(cards, gone, now.mono);
                 self.out.extend(lost.into_iter().map(Output::Disconnect));
                 let names: Vec<_> = self.roster.names().cloned().collect();
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -223,6 +223,18 @@
         }
     }
 
+    /// Takes a higher life than any that others know of this instance, and tells whether it had to:
+    /// the time of day was set back since they began, and nobody would believe this one.
+    pub fn outlive(&mut self, cards: &[member::Card]) -> bool {
+        let own = cards.iter().filter(|card| card.name == self.me.name);
+        let Some(last) = own.map(|card| card.life).max().filter(|life| *life > self.me.life) else {
+            return false;
+        };
+        self.me.life = last + 1;
+        self.refresh();
+        true
+    }
+
     /// Learns of instances that another one knows or has forgotten; gives those that are forgotten
     /// here, too, by that.
     pub fn learn(
--- a/crates/dispatch/tests/takeover.rs
+++ b/crates/dispatch/tests/takeover.rs
@@ -223,6 +223,27 @@
     }
 }
 
+#[test]
+fn clock_back() {
+    // An instance that starts again with its time of day set back is believed all the same.
+    for seed in 0..10 {
+        let mut world = ready(seed);
+        for at in [0, 1] {
+            world.kill(at);
+        }
+        world.skew = -60_000;
+        for at in [0, 1] {
+            world.start(at);
+        }
+        world.run(2_500);
+        assert_eq!(world.schedulers(0), [0], "seed {seed}: the keeper has its zone again");
+        load(&mut world, 3, 1_000, 40);
+        world.run(3_000);
+        assert_eq!(world.complete(), 25, "seed {seed}");
+        assert_eq!(world.faults, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 #[test]
 fn zone_cut() {
     for seed in 0..10 {
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -94,6 +94,8 @@
     pub cuts: BTreeSet<(usize, usize)>,
     /// Upstream and instance that do not reach each other.
     pub walls: BTreeSet<(usize, usize)>,
+    /// How far the time of day is off at instances that start from now on, milliseconds.
+    pub skew: i64,
     /// Messages between instances wait this much longer, microseconds: their receivers are busy.
     pub busy: u64,
     /// One order in so many is carried out late and never answered; 0 for none.
@@ -127,6 +129,7 @@
             requests: BTreeMap::new(),
             cuts: BTreeSet::new(),
             walls: BTreeSet::new(),
+            skew: 0,
             busy: 0,
             late: 0,
             faults: Vec::new(),
@@ -178,7 +181,7 @@
     /// Starts an instance, or starts it again with an empty memory.
     pub fn start(&mut self, at: usize) {
         let (now, seeds, seed) = (self.clock(), self.seeds.clone(), self.rng.random());
-        let life = WALL + self.now / MS;
+        let life = (WALL + self.now / MS).saturating_add_signed(self.skew);
         let instance = &mut self.instances[at];
         instance.life += 1;
         instance.frozen = false;
