Soak real processes with random faults from outside

Keepers, entries and stand-in upstreams run as processes on loopback behind relays that cut one way, delay, break off and silence streams; signals, lost and torn disks, wrong clocks, upstreams that crash, leave, fail, hang and go mute come in series that overlap. What callers, operators and upstreams see is judged: no two runs at a time, whole answers, a true 'not run', reads never older than an acknowledgement, no entry going back, drains obeyed, no process ending by itself.

--- a/crates/apricotroute/src/control.rs
+++ b/crates/apricotroute/src/control.rs
@@ -80,18 +80,27 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: time::Instant,
+    /// Added to the time of day, milliseconds.
+    offset: i64,
 }
 
 impl Clock {
     /// Monotonic time counts from here.
     pub fn new() -> Self {
-        Self { start: time::Instant::now() }
+        Self { start: time::Instant::now(), offset: 0 }
+    }
+
+    /// The same with a time of day that is off by so many milliseconds.
+    #[must_use]
+    pub fn with_offset(self, offset: i64) -> Self {
+        Self { offset, ..self }
     }
 
     /// Both clocks now.
     pub fn now(&self) -> Now {
         let wall = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
-        Now::new(self.mono(), wall.map_or(0, |wall| wall.as_millis() as u64))
+        let wall = wall.map_or(0, |wall| wall.as_millis() as u64);
+        Now::new(self.mono(), wall.saturating_add_signed(self.offset))
     }
 
     /// The monotonic clock, microseconds. It never reads 0.
--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -74,10 +74,10 @@
 
 impl Control {
     /// A handle on a thread that does not run yet.
-    pub fn new() -> Self {
+    pub fn new(clock: Clock) -> Self {
         let mailbox = sync::Arc::new(mailbox::Mailbox::new());
         let (tickets, view) = (sync::Arc::default(), sync::Arc::default());
-        Self { mailbox, tickets, view, clock: Clock::new() }
+        Self { mailbox, tickets, view, clock }
     }
 
     /// Starts the thread.
@@ -89,6 +89,11 @@
         }
     }
 
+    /// The clocks that decisions go by.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
     /// What may be read without asking.
     pub fn view(&self) -> &View {
         &self.view
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -66,9 +66,11 @@
             .change_context_lazy(fault("start runtime of"))?;
         let runtime = sync::Arc::new(runtime);
         let (traffic, work) = traffic::channel();
-        let control = control::Control::new();
+        let clock = crate::control::Clock::new().with_offset(settings.clock_offset);
+        let control = control::Control::new(clock);
         let listeners = open(settings, &runtime, &control, log)?;
-        control.start(parts(settings, traffic, log)?);
+        let life = control.clock().now().wall;
+        control.start(parts(settings, life, traffic, log)?);
         thread::Builder::new()
             .name("traffic".to_owned())
             .spawn({
@@ -166,16 +168,15 @@
 
 fn parts(
     node: &node::Node,
+    life: u64,
     traffic: traffic::Sender,
     log: &slog::Logger,
 ) -> error::Result<control::Parts> {
-    let wall = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
     let role = match node.role {
         node::Role::Entry => member::Role::Entry,
         node::Role::Keeper => member::Role::Keeper,
     };
     let name = peer_name(node);
-    let life = wall.as_millis() as u64;
     let me = member::Card { name: name.clone(), zone: node.zone.clone(), role, life };
     let seeds = node.seed_peers();
     let store = match &node.folder {
--- a/crates/apricotroute/tests/platform_path.rs
+++ b/crates/apricotroute/tests/platform_path.rs
@@ -117,7 +117,7 @@
         format!("{head}Content-Type: application/json\r\nContent-Length: 400\r\n\r\n{{\"Spec\"");
     let beat =
         "PUT /apricotroute/instances/i-x HTTP/1.1\r\nHost: x\r\nContent-Length: 900\r\n\r\n{";
-    let held: Vec<_> = (0..200)
+    let open: Vec<_> = (0..200)
         .flat_map(|_| {
             [half_sent(client, head), half_sent(client, &body), half_sent(operator, beat)]
         })
@@ -128,7 +128,7 @@
     assert_eq!(system.read(0), (200, config(4)));
     assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
     // Those that never come to an end are told so.
-    let mut slow = &held[1];
+    let mut slow = &open[1];
     slow.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
     let mut text = [0; 12];
     slow.read_exact(&mut text).unwrap();
--- /dev/null
+++ b/crates/apricotroute/tests/soak.rs
@@ -0,0 +1,45 @@
+//! Random faults on a system of real processes.
+//!
+//! CI plays one short seed. `SOAK_SEEDS=A..B` plays others, `SOAK_MS` says for how long each, and
+//! `SOAK_ENTRIES` how many entries a zone has. A seed gives the whole plan of faults; how
+//! the processes take turns differs from run to run. A run that fails keeps its logs in the folder
+//! that it names.
+
+mod system;
+
+#[path = "soak/judge.rs"]
+mod judge;
+#[path = "soak/load.rs"]
+mod load;
+#[path = "soak/plan.rs"]
+mod plan;
+#[path = "soak/play.rs"]
+mod play;
+
+use std::time::Duration;
+
+/// Seeds that failed once, with what was at fault.
+const REGRESSIONS: &[u64] = &[];
+
+fn variable<T: std::str::FromStr>(name: &str) -> Option<T> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+fn soak(net: u8, seed: u64) {
+    let span = Duration::from_millis(variable("SOAK_MS").unwrap_or(8_000));
+    let entries = variable("SOAK_ENTRIES").unwrap_or(2);
+    let size = plan::Size { zones: 3, keepers: 1, entries, upstreams: 5 };
+    play::play(net, seed, size, span);
+}
+
+#[test]
+fn seeds() {
+    let range = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1..2".to_owned());
+    let (from, to) = range.split_once("..").expect("SOAK_SEEDS is A..B");
+    let range = from.parse().expect("a number")..to.parse().expect("a number");
+    for seed in REGRESSIONS.iter().copied().chain(range) {
+        // Several runs beside each other need addresses of their own.
+        soak(variable("SOAK_NET").unwrap_or(100), seed);
+        eprintln!("seed {seed} held");
+    }
+}
--- a/crates/apricotroute/tests/system/relay.rs
+++ b/crates/apricotroute/tests/system/relay.rs
@@ -155,7 +155,7 @@
             return;
         }
         match read {
-            Err(_) => continue,
+            Err(_) => {}
             Ok(Ok(count)) if count > 0 => {
                 tokio::time::sleep(faults.pause(sender, receiver)).await;
                 if to.write_all(&buffer[..count]).await.is_err() {
--- a/crates/state/src/node.rs
+++ b/crates/state/src/node.rs
@@ -57,6 +57,8 @@
     pub grace_ms: u64,
     /// What is logged and how.
     pub log: boot::Log,
+    /// Added to the time of day, milliseconds: shows in trials what a wrong clock does.
+    pub clock_offset: i64,
 }
 
 impl Node {
@@ -115,6 +117,7 @@
         let first = map.remove("first_start").and_then(|at| self.flag(&at));
         let lease = map.remove("lease_ms").and_then(|at| self.whole(&at));
         let grace = map.remove("grace_ms").and_then(|at| self.whole(&at));
+        let offset = map.remove("clock_offset_ms").and_then(|at| self.signed(&at));
         let log = map.remove("log").map_or_else(boot::Log::default, |at| self.log(&at));
         self.leftover(map);
         Some(Node {
@@ -133,6 +136,7 @@
             lease_ms: lease.unwrap_or(DEFAULT_LEASE_MS),
             grace_ms: grace.unwrap_or(DEFAULT_GRACE_MS),
             log,
+            clock_offset: offset.unwrap_or(0),
         })
     }
 
--- a/crates/state/src/reader.rs
+++ b/crates/state/src/reader.rs
@@ -90,6 +90,10 @@
         at.value().as_u64().or_else(|| self.reject(at, "expected a whole number from 0"))
     }
 
+    pub(crate) fn signed(&mut self, at: &Located<'_>) -> Option<i64> {
+        at.value().as_i64().or_else(|| self.reject(at, "expected a whole number"))
+    }
+
     pub(crate) fn flag(&mut self, at: &Located<'_>) -> Option<bool> {
         at.value().as_bool().or_else(|| self.reject(at, "expected true or false"))
     }
