End a process whose standard output nobody reads

Found by output_blocked: with a blocked standard output jobs were served, and SIGTERM never ended the process, since it waited for its last log lines to be written. It now waits 300 ms for them.

--- a/crates/apricotroute/src/cli.rs
+++ b/crates/apricotroute/src/cli.rs
@@ -245,7 +245,7 @@
     let instance = instance::Instance::start(&boot, log)?;
     wait(&ended);
     instance.stop();
-    drop(guard);
+    logs::flush(guard);
     Ok(process::ExitCode::SUCCESS)
 }
 
@@ -260,7 +260,7 @@
     let (log, guard) = logs::logger_to(io::stdout(), &node.log, node.instance.as_str());
     node::run(path, &node, &log)?;
     drop(log);
-    drop(guard);
+    logs::flush(guard);
     Ok(process::ExitCode::SUCCESS)
 }
 
--- a/crates/apricotroute/src/logs.rs
+++ b/crates/apricotroute/src/logs.rs
@@ -1,6 +1,6 @@
 //! Structured logs.
 
-use std::io;
+use std::{io, sync::mpsc, thread, time};
 
 use slog::Drain as _;
 use state::boot;
@@ -38,6 +38,20 @@
     (logger, guard)
 }
 
+/// Writes out the last lines, as far as somebody reads them: a blocked output must not keep the
+/// process from ending.
+pub fn flush(guard: slog_async::AsyncGuard) {
+    const PATIENCE: time::Duration = time::Duration::from_millis(300);
+    let (done, wait) = mpsc::channel();
+    thread::spawn(move || {
+        drop(guard);
+        // Nobody waits any more once the time is over.
+        let _late = done.send(());
+    });
+    // What is not written by then is lost with the process.
+    let _lost = wait.recv_timeout(PATIENCE);
+}
+
 /// A logger that drops everything.
 pub fn none() -> slog::Logger {
     slog::Logger::root(slog::Discard, slog::o!())
--- a/crates/apricotroute/tests/platform_path.rs
+++ b/crates/apricotroute/tests/platform_path.rs
@@ -192,3 +192,28 @@
     eventually("it keeps the former", || system.log(KEEPERS).contains("keeping the former"));
     assert_eq!(system.submit(KEEPERS, "00000000000000d1", 1).0, 200);
 }
+
+#[test]
+fn output_blocked() {
+    // Lines that nobody reads fill the pipe (64 KiB) and the queue before it; then they are dropped.
+    let mut system = system(7, 1, 2);
+    eventually("a keeper takes it", || system.publish(0, &config(3)) == 200);
+    system.wait_ready();
+    for at in 0..=KEEPERS {
+        system.kill(at);
+    }
+    for at in 0..=KEEPERS {
+        system.write(at, false, &json!({}));
+        system.start_unread(at);
+    }
+    system.wait_ready();
+    for number in 0..120 {
+        let id = format!("{:016x}", 0xf000 + number);
+        assert_eq!(system.submit(KEEPERS, &id, 2).0, 200, "job {number}");
+    }
+    system.signal(KEEPERS, "-TERM");
+    let mut child = system.nodes[KEEPERS].child.take().unwrap();
+    let began = Instant::now();
+    eventually("it ends all the same", || child.try_wait().unwrap().is_some());
+    assert!(began.elapsed() < Duration::from_secs(6), "{:?}", began.elapsed());
+}
--- a/crates/apricotroute/tests/system/mod.rs
+++ b/crates/apricotroute/tests/system/mod.rs
@@ -188,6 +188,18 @@
         self.nodes[at].lives += 1;
     }
 
+    /// Starts the process of an instance with a standard output that nobody reads.
+    pub fn start_unread(&mut self, at: usize) {
+        let child = process::Command::new(env!("CARGO_BIN_EXE_apricotroute"))
+            .args(["node", "--settings"])
+            .arg(self.file(at))
+            .stdout(process::Stdio::piped())
+            .spawn()
+            .unwrap();
+        self.nodes[at].child = Some(child);
+        self.nodes[at].lives += 1;
+    }
+
     /// Sends a signal to a process of this system.
     pub fn signal(&self, at: usize, signal: &str) {
         let id = self.nodes[at].child.as_ref().unwrap().id().to_string();
