Measure queues, room, starts, calls, syncs and the settings group on the platform

Histograms of the time to start, of calls to upstreams by outcome and of syncs; gauges of the queue, room, upstreams, configuration and peers; a counter of left-out log lines. Test platform_path::measures.

--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -6,7 +6,7 @@
 use dispatch::{
     core,
     event::{self, Event, Output, Reply},
-    job, message, order, routing,
+    job, message, order, routing, status,
 };
 use link::{metric, peer};
 use state::name;
@@ -20,6 +20,8 @@
 /// Between two ticks: the time in which a silence, a hanging task or a lapsed lease is noticed
 /// late, against 0.1% of a core for each halving.
 const TICK: time::Duration = time::Duration::from_millis(40);
+/// Between two looks at how the instance stands, for its metrics.
+const LOOK: time::Duration = time::Duration::from_millis(500);
 
 enum Input {
     Event(Event),
@@ -34,6 +36,7 @@
     draining: atomic::AtomicBool,
     closed: atomic::AtomicBool,
     open: atomic::AtomicUsize,
+    status: sync::RwLock<status::Status>,
 }
 
 impl View {
@@ -42,6 +45,14 @@
         self.open.load(atomic::Ordering::Relaxed)
     }
 
+    /// How the instance stands, [`LOOK`] ago at most.
+    pub fn status(&self) -> status::Status {
+        match self.status.read() {
+            Ok(status) => *status,
+            Err(poisoned) => *poisoned.into_inner(),
+        }
+    }
+
     fn routing(&self) -> sync::Arc<routing::Routing> {
         match self.routing.read() {
             Ok(routing) => sync::Arc::clone(&routing),
@@ -216,10 +227,18 @@
     }
 }
 
+/// Somebody who waits for a reply.
+struct Waiting {
+    reply: platform::ReplyFn,
+    since: time::Instant,
+    /// Service of the job; none for other questions.
+    service: name::Name,
+}
+
 struct Thread {
     control: Control,
     core: core::Core,
-    replies: collections::HashMap<event::Ticket, (platform::ReplyFn, time::Instant)>,
+    replies: collections::HashMap<event::Ticket, Waiting>,
     batches: collections::BTreeMap<name::Name, Vec<bytes::Bytes>>,
     work: Vec<Work>,
     saves: store::Saves,
@@ -252,6 +271,7 @@
 
     fn run(mut self) {
         let mut tick = time::Instant::now();
+        let mut look = tick;
         loop {
             let wait = tick.saturating_duration_since(time::Instant::now());
             for input in self.control.mailbox.take(wait) {
@@ -261,6 +281,10 @@
                 tick = time::Instant::now() + TICK;
                 self.take(Input::Event(Event::Tick));
             }
+            if time::Instant::now() >= look {
+                look = time::Instant::now() + LOOK;
+                self.look();
+            }
             for output in self.core.settle(self.control.clock.now()) {
                 self.put(output);
             }
@@ -272,7 +296,12 @@
         let event = match input {
             Input::Event(event) => event,
             Input::Ask(ticket, event, reply) => {
-                self.replies.insert(ticket, (reply, time::Instant::now()));
+                let since = time::Instant::now();
+                let service = match &event {
+                    Event::Submit(_, job) => job.service.clone(),
+                    _ => name::Name::new("none"),
+                };
+                self.replies.insert(ticket, Waiting { reply, since, service });
                 event
             }
         };
@@ -294,13 +323,16 @@
             Output::Disconnect(to) => self.work.push(Work::Disconnect(to)),
             Output::Save(number, save) => self.saves.push((number, save)),
             Output::Call(call) => {
-                metric::count_call(kind(&call.order));
+                if let order::Order::Start { waited, .. } = &call.order {
+                    metric::note_start(time::Duration::from_millis(*waited));
+                }
                 self.work.push(Work::Call(call));
             }
             Output::Reply(ticket, reply) => {
-                if let Some((waiting, since)) = self.replies.remove(&ticket) {
-                    metric::note_reply(outcome(&reply), since.elapsed());
-                    waiting(reply);
+                if let Some(waiting) = self.replies.remove(&ticket) {
+                    let took = waiting.since.elapsed();
+                    metric::note_reply(outcome(&reply), waiting.service.as_str(), took);
+                    (waiting.reply)(reply);
                 }
             }
             Output::Document(document) => self.put_in_force(&document),
@@ -321,6 +353,14 @@
         }
     }
 
+    /// Takes down how the instance stands.
+    fn look(&self) {
+        let status = self.core.status(self.control.clock.now());
+        if let Ok(mut held) = self.control.view.status.write() {
+            *held = status;
+        }
+    }
+
     fn flush(&mut self) {
         let batches = std::mem::take(&mut self.batches);
         self.work.extend(batches.into_iter().map(|(to, bodies)| Work::Send(to, bodies)));
@@ -342,15 +382,6 @@
     }
 }
 
-/// Short name of an order, for counting.
-fn kind(order: &order::Order) -> &'static str {
-    match order {
-        order::Order::Hold { .. } => "hold",
-        order::Order::Start { .. } => "start",
-        order::Order::Stop { .. } => "stop",
-    }
-}
-
 /// Short name of a reply, for counting.
 fn outcome(reply: &Reply) -> &'static str {
     match reply {
--- a/crates/apricotroute/src/node/lines.rs
+++ b/crates/apricotroute/src/node/lines.rs
@@ -3,6 +3,7 @@
 use std::{collections, time};
 
 use dispatch::event::Note;
+use link::metric;
 
 /// Lines of one kind within a second. An entry of today's deployments answers 20 jobs a second and
 /// a scheduler starts 170 tasks; a burst is five times that.
@@ -44,6 +45,7 @@
         }
         if kind.written >= RATE {
             kind.left_out += 1;
+            metric::count_left_out(note.text);
             return;
         }
         kind.written += 1;
--- /dev/null
+++ b/crates/apricotroute/src/node/measure.rs
@@ -0,0 +1,60 @@
+//! The metrics of an instance that finds the others through seeds.
+
+use dispatch::status::Status;
+use link::{http, metric};
+
+use super::control;
+
+/// A gauge and where its value stands. Names have units but where they count things.
+type Gauge = (&'static str, fn(&Status) -> f64);
+
+const GAUGES: &[Gauge] = &[
+    ("ready", |status| f64::from(u8::from(status.ready))),
+    ("open_jobs", |status| status.open as f64),
+    ("scheduling", |status| f64::from(u8::from(status.scheduling))),
+    ("scheduled_jobs", |status| status.jobs as f64),
+    ("waiting_tasks", |status| status.waiting as f64),
+    ("oldest_wait_seconds", |status| status.oldest),
+    ("running_tasks", |status| status.running as f64),
+    ("free_cores", |status| status.free),
+    ("total_cores", |status| status.total),
+    ("upstreams", |status| status.upstreams as f64),
+    ("upstreams_aside", |status| status.aside as f64),
+    ("upstreams_silent", |status| status.silent as f64),
+    ("settings_version", |status| status.version as f64),
+    ("settings_leading", |status| f64::from(u8::from(status.leading))),
+    ("settings_term", |status| status.term as f64),
+    ("settings_voters", |status| status.voters as f64),
+    ("settings_uncommitted_entries", |status| status.behind as f64),
+    ("peers_known", |status| status.known as f64),
+    ("peers_heard", |status| status.heard as f64),
+];
+
+/// Shows the metrics of this process.
+pub struct Measures;
+
+impl Measures {
+    /// Installs the instruments and the gauges of `control`.
+    pub fn new(control: &control::Control) -> Result<Self, link::Error> {
+        let metrics = metric::install(metric::Metrics::new()?);
+        for (name, read) in GAUGES {
+            let control = control.clone();
+            // The provider keeps the gauge.
+            let _gauge = metrics
+                .watch(name, move || vec![(*name, Vec::new(), read(&control.view().status()))]);
+        }
+        Ok(Self)
+    }
+}
+
+impl http::Handler for Measures {
+    fn handle(&self, request: http::Request, responder: http::Responder) {
+        let text = metric::metrics().map(metric::Metrics::text).unwrap_or_default();
+        let known = request.path == "/metrics";
+        responder.send(http::Response::text(if known { 200 } else { 404 }, text));
+    }
+
+    fn fault(&self, _fault: http::Fault) -> http::Response {
+        http::Response::text(400, "cannot read the request\n")
+    }
+}
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod control;
 pub mod lines;
 mod mailbox;
+mod measure;
 mod reload;
 mod traffic;
 
@@ -11,7 +12,7 @@
 
 use dispatch::{core, event::Event, member};
 use error_stack::ResultExt as _;
-use link::{http, metric, peer};
+use link::{http, peer};
 use signal_hook::{consts, iterator};
 use state::node;
 
@@ -107,30 +108,6 @@
     }
 }
 
-/// Shows the metrics of this process.
-struct Measures;
-
-impl Measures {
-    fn new() -> Self {
-        if let Ok(metrics) = metric::Metrics::new() {
-            metric::install(metrics);
-        }
-        Self
-    }
-}
-
-impl http::Handler for Measures {
-    fn handle(&self, request: http::Request, responder: http::Responder) {
-        let text = metric::metrics().map(metric::Metrics::text).unwrap_or_default();
-        let known = request.path == "/metrics";
-        responder.send(http::Response::text(if known { 200 } else { 404 }, text));
-    }
-
-    fn fault(&self, _fault: http::Fault) -> http::Response {
-        http::Response::text(400, "cannot read the request\n")
-    }
-}
-
 fn peer_name(node: &node::Node) -> state::Name {
     state::Name::new(&node.peer.to_string())
 }
@@ -158,7 +135,8 @@
         listen(address, sync::Arc::new(platform::front::Ready::new(sync::Arc::clone(&backend))))?;
     }
     if let Some(address) = node.metrics {
-        listen(address, sync::Arc::new(Measures::new()))?;
+        let measures = measure::Measures::new(control).change_context_lazy(fault)?;
+        listen(address, sync::Arc::new(measures))?;
     }
     if let Some(address) = node.operator {
         listen(address, sync::Arc::new(platform::control::Control::new(backend)))?;
--- a/crates/apricotroute/src/node/traffic.rs
+++ b/crates/apricotroute/src/node/traffic.rs
@@ -1,13 +1,13 @@
 //! The traffic thread: it runs the listeners, the streams to other instances and the calls to
 //! upstreams. It decides nothing.
 
-use std::{collections, sync};
+use std::{collections, sync, time};
 
 use dispatch::{
     event::Event,
-    order::{Call, Outcome},
+    order::{Call, Order, Outcome, Reason},
 };
-use link::{caller, peer};
+use link::{caller, metric, peer};
 use state::name;
 use tokio::sync::mpsc;
 
@@ -67,7 +67,9 @@
 fn start(caller: &caller::Caller, control: &control::Control, call: Call) {
     let (caller, control) = (caller.clone(), control.clone());
     tokio::spawn(async move {
+        let began = time::Instant::now();
         let outcome = platform::upstream::call(&caller, &call).await;
+        metric::note_call(order_name(&call.order), outcome_name(&outcome), began.elapsed());
         let well = matches!(outcome, Outcome::Done(_));
         let event = Event::Called(call.number, call.fence, outcome);
         // Lost only if tens of thousands wait; the lists of the next hold tell the same.
@@ -75,6 +77,31 @@
     });
 }
 
+/// Short name of an order, for metrics.
+fn order_name(order: &Order) -> &'static str {
+    match order {
+        Order::Hold { .. } => "hold",
+        Order::Start { .. } => "start",
+        Order::Stop { .. } => "stop",
+    }
+}
+
+/// Short name of what came of a call, for metrics.
+fn outcome_name(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done(_) | Outcome::Held { .. } => "done",
+        Outcome::Refused(Reason::Fence, _) => "fence",
+        Outcome::Refused(Reason::Old, _) => "old",
+        Outcome::Refused(Reason::Late, _) => "late",
+        Outcome::Refused(Reason::Room, _) => "room",
+        Outcome::Refused(Reason::Unhealthy, _) => "unhealthy",
+        Outcome::Refused(Reason::Invalid, _) => "invalid",
+        Outcome::Replaced => "replaced",
+        Outcome::Unsent => "unsent",
+        Outcome::Lost => "lost",
+    }
+}
+
 struct Streams {
     runtime: sync::Arc<tokio::runtime::Runtime>,
     me: name::Name,
--- a/crates/apricotroute/src/store.rs
+++ b/crates/apricotroute/src/store.rs
@@ -1,10 +1,11 @@
 //! The thread that owns the data folder: it stores what the settings group saves, so that a slow
 //! disk never holds up the control thread.
 
-use std::{path, thread};
+use std::{path, thread, time};
 
 use coord::{group, mirror::Mirror, raft};
 use error_stack::ResultExt as _;
+use link::metric;
 use state::{folder, name};
 
 use crate::error;
@@ -57,7 +58,10 @@
                 let Some(last) = batch.last().map(|(number, _)| *number) else {
                     continue;
                 };
-                if let Err(e) = self.store(batch) {
+                let began = time::Instant::now();
+                let stored = self.store(batch);
+                metric::note_sync(began.elapsed());
+                if let Err(e) = stored {
                     // What the file holds is unknown now: never confirm anything again.
                     slog::crit!(log, "store: Writing failed, this voter stops."; "error" => %e);
                     return;
--- a/crates/apricotroute/tests/platform_path.rs
+++ b/crates/apricotroute/tests/platform_path.rs
@@ -217,3 +217,34 @@
     eventually("it ends all the same", || child.try_wait().unwrap().is_some());
     assert!(began.elapsed() < Duration::from_secs(6), "{:?}", began.elapsed());
 }
+
+#[test]
+fn measures() {
+    let system = system(8, 1, 2);
+    eventually("a keeper takes it", || system.publish(0, &config(3)) == 200);
+    system.wait_ready();
+    assert_eq!(system.submit(KEEPERS, "000000000000ee01", 4).0, 200);
+    let none = json!({"Spec": "", "BestEffort": true, "Steps": [{"Count": 1, "Cpu": 64_000}]});
+    let url = format!("http://{}/board/000000000000ee02", system.client(KEEPERS));
+    let failed = (200, json!({"State": "failed"}));
+    assert_eq!(raw("POST", &url, none.to_string().as_bytes()), failed, "no upstream is as large");
+    let of = |at, name: &str| system.metric(at, name, &[]);
+    let scheduling = |at: &usize| of(*at, "scheduling") == Some(1.0);
+    eventually("one schedules", || (0..KEEPERS).filter(scheduling).count() == 1);
+    let keeper = (0..KEEPERS).find(scheduling).unwrap();
+    eventually("the values are fresh", || of(keeper, "free_cores") == Some(64.0));
+    assert_eq!(of(keeper, "start_wait_seconds_count"), Some(4.0));
+    assert_eq!(of(keeper, "upstreams"), Some(2.0));
+    assert_eq!(of(keeper, "settings_voters"), Some(3.0));
+    let labels = ["order=\"start\"", "outcome=\"done\""];
+    assert_eq!(system.metric(keeper, "upstream_call_seconds_count", &labels), Some(4.0));
+    for outcome in ["outcome=\"complete\"", "outcome=\"too_large\""] {
+        let labels = [outcome, "service=\"board\""];
+        let count = system.metric(KEEPERS, "reply_seconds_count", &labels);
+        assert_eq!(count, Some(1.0), "{outcome}");
+    }
+    assert_eq!(of(KEEPERS, "settings_version"), Some(3.0));
+    let leading = (0..KEEPERS).filter(|at| of(*at, "settings_leading") == Some(1.0)).count();
+    assert_eq!(leading, 1);
+    assert!((0..KEEPERS).all(|at| of(at, "disk_sync_seconds_count") > Some(0.0)));
+}
--- a/crates/apricotroute/tests/system/mod.rs
+++ b/crates/apricotroute/tests/system/mod.rs
@@ -23,6 +23,7 @@
 const CLIENT: u16 = 7101;
 const READY: u16 = 7102;
 const OPERATOR: u16 = 7103;
+const METRICS: u16 = 9464;
 const PEER: u16 = 7301;
 /// Where an instance listens for others while a relay has its [`PEER`] address.
 const BEHIND: u16 = 7401;
@@ -153,6 +154,7 @@
             "instance": format!("node-{at}"),
             "availability_zone": zone_name(self.nodes[at].zone),
             "peer_address": self.address(at, PEER),
+            "metrics_address": self.address(at, METRICS),
             "seeds": seeds,
             "first_start": first,
         });
@@ -224,6 +226,17 @@
         get(&format!("http://{}/apricotroute/config", self.operator(at)))
     }
 
+    /// The value of a metric of an instance, by its name and what stands among its labels.
+    pub fn metric(&self, at: usize, name: &str, labels: &[&str]) -> Option<f64> {
+        let url = format!("http://{}/metrics", self.address(at, METRICS));
+        let text = agent().get(url).call().ok()?.body_mut().read_to_string().ok()?;
+        let start = format!("apricotroute_{name}{{");
+        let meant = |line: &&str| {
+            line.starts_with(&start) && labels.iter().all(|label| line.contains(label))
+        };
+        text.lines().find(meant)?.rsplit(' ').next()?.parse().ok()
+    }
+
     /// Whether an entry says that it takes clients.
     pub fn is_ready(&self, at: usize) -> bool {
         get(&format!("http://{}/apricotroute/ready", self.address(at, READY))).0 == 200
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`sched`], [`active`], [`queue`], [`place`] and [`health`]: jobs, their order, and where
 //!   their tasks run.
 //! - [`desk`]: the entry's side of a job.
+//! - [`status`]: how an instance stands, in numbers.
 //! - [`vault`] and [`routing`]: the replicated configuration, and what it says of a request.
 //!
 //! ```
@@ -48,6 +49,7 @@
 pub mod roster;
 pub mod routing;
 pub mod sched;
+pub mod status;
 pub mod time;
 mod upkeep;
 pub mod upstream;
--- a/crates/dispatch/src/order.rs
+++ b/crates/dispatch/src/order.rs
@@ -26,6 +26,8 @@
         spec: name::Name,
         /// Lease, as above.
         until: u64,
+        /// Time since the job arrived, milliseconds; the upstream is not told.
+        waited: u64,
     },
     /// Stop a task.
     Stop {
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -438,17 +438,17 @@
         lane.runs.insert(task.clone(), run);
         self.number += 1;
         let spec = active.job.spec.clone();
+        let waited = now.saturating_sub(active.arrived) / time::MS;
         let detail = format!(
-            "task {}.{} run {attempt}, {} ms after it arrived, {}m cores left there, token {}",
+            "task {}.{} run {attempt}, {waited} ms after it arrived, {}m cores left there, token {}",
             task.step,
             task.index,
-            now.saturating_sub(active.arrived) / time::MS,
             lane.free().cpu,
             lane.fence
         );
         let (text, subject) = ("job: Starting a task.", task.job.clone());
         self.out.notes.push(crate::event::Note { text, subject, detail });
-        let order = Order::Start { task: task.clone(), attempt, spec, until };
+        let order = Order::Start { task: task.clone(), attempt, spec, until, waited };
         self.sent.insert(self.number, (id.clone(), now, Sent::Start(task.clone(), attempt)));
         self.out.calls.push(lane.order(self.number, order));
     }
--- /dev/null
+++ b/crates/dispatch/src/status.rs
@@ -0,0 +1,88 @@
+//! How an instance stands, in numbers, for those who watch it.
+
+use crate::{core::Core, lane::Lane, time};
+
+/// How an instance stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Status {
+    /// Whether it takes clients.
+    pub ready: bool,
+    /// Jobs that clients wait for here.
+    pub open: usize,
+    /// Whether it schedules its zone; what follows up to `silent` is 0 where it does not.
+    pub scheduling: bool,
+    /// Jobs that it schedules.
+    pub jobs: usize,
+    /// Tasks of these that wait for room.
+    pub waiting: u64,
+    /// How long the oldest job with such a task has been there, seconds.
+    pub oldest: f64,
+    /// Tasks that may be running.
+    pub running: usize,
+    /// Cores that are free at upstreams that take work, less those that are waited for.
+    pub free: f64,
+    /// All cores of these.
+    pub total: f64,
+    /// Upstreams of the zone.
+    pub upstreams: usize,
+    /// Those that are put aside for what they did.
+    pub aside: usize,
+    /// Those that do not answer.
+    pub silent: usize,
+    /// Version of the configuration in force here.
+    pub version: u64,
+    /// Whether it leads the group that holds the configuration; what follows up to `behind` is 0
+    /// at instances without a disk.
+    pub leading: bool,
+    /// Term of that group.
+    pub term: u64,
+    /// Voters of that group.
+    pub voters: usize,
+    /// Log entries here that are not known to be committed.
+    pub behind: u64,
+    /// Other instances that are known.
+    pub known: usize,
+    /// Those that are heard.
+    pub heard: usize,
+}
+
+impl Core {
+    /// How this instance stands.
+    pub fn status(&self, now: time::Now) -> Status {
+        let mut status = Status {
+            ready: self.is_ready(now),
+            open: self.open(),
+            version: self.document.version,
+            known: self.roster.names().count(),
+            heard: self.roster.names().filter(|name| self.roster.is_alive(name, now.mono)).count(),
+            ..Status::default()
+        };
+        self.add_zone(&mut status, now.mono);
+        if let Some(raft) = self.vault.as_ref().and_then(|vault| vault.raft()) {
+            status.leading = self.leads;
+            status.term = raft.term();
+            status.voters = raft.voters().0.len();
+            status.behind = raft.log().last().saturating_sub(raft.commit());
+        }
+        status
+    }
+
+    fn add_zone(&self, status: &mut Status, now: u64) {
+        const CORE: f64 = 1_000.0;
+        let Some(sched) = &self.sched else { return };
+        let load = sched.load(now);
+        let waiting = || sched.jobs.values().filter(|active| active.waiting() > 0);
+        let oldest = waiting().map(|active| now.saturating_sub(active.arrived)).max();
+        let count = |is: &dyn Fn(&&Lane) -> bool| sched.lanes.values().filter(is).count();
+        status.scheduling = true;
+        status.jobs = sched.jobs();
+        status.waiting = waiting().map(|active| u64::from(active.waiting())).sum();
+        status.oldest = oldest.unwrap_or(0) as f64 / (1_000 * time::MS) as f64;
+        status.running = sched.lanes.values().map(|lane| lane.runs.len()).sum();
+        status.free = load.free as f64 / CORE;
+        status.total = load.total as f64 / CORE;
+        status.upstreams = sched.lanes.len();
+        status.aside = count(&|lane| lane.health.is_aside(now));
+        status.silent = count(&|lane| lane.silent.is_some());
+    }
+}
--- a/crates/dispatch/src/vault.rs
+++ b/crates/dispatch/src/vault.rs
@@ -197,6 +197,11 @@
         self.group.is_leader()
     }
 
+    /// The group's log and term, once this member belongs to it.
+    pub fn raft(&self) -> Option<&raft::Raft> {
+        self.group.raft()
+    }
+
     /// Voters of the group, for people.
     pub fn voters(&self) -> String {
         let voters = self.group.raft().map(|raft| raft.voters().0.clone()).unwrap_or_default();
--- a/crates/link/src/metric.rs
+++ b/crates/link/src/metric.rs
@@ -1,6 +1,6 @@
 //! Metrics by `opentelemetry`, shown as Prometheus text.
 
-use std::sync;
+use std::{sync, time};
 
 use opentelemetry::{
     KeyValue,
@@ -19,8 +19,11 @@
     messages: Counter<u64>,
     bytes: Counter<u64>,
     over: Histogram<f64>,
-    calls: Counter<u64>,
+    calls: Histogram<f64>,
+    starts: Histogram<f64>,
     replies: Histogram<f64>,
+    syncs: Histogram<f64>,
+    left_out: Counter<u64>,
 }
 
 static METRICS: sync::OnceLock<Metrics> = sync::OnceLock::new();
@@ -49,13 +52,19 @@
         let provider = sdk::SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("apricotroute");
         let bounds = vec![0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0];
-        let seconds = vec![0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
+        let seconds = |name: &'static str| {
+            let bounds = vec![0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
+            meter.f64_histogram(name).with_boundaries(bounds).build()
+        };
         Ok(Self {
             messages: meter.u64_counter("peer_messages").build(),
             bytes: meter.u64_counter("peer_bytes").build(),
             over: meter.f64_histogram("over_ideal_ms").with_boundaries(bounds).build(),
-            calls: meter.u64_counter("upstream_calls").build(),
-            replies: meter.f64_histogram("reply_seconds").with_boundaries(seconds).build(),
+            calls: seconds("upstream_call_seconds"),
+            starts: seconds("start_wait_seconds"),
+            replies: seconds("reply_seconds"),
+            syncs: seconds("disk_sync_seconds"),
+            left_out: meter.u64_counter("log_lines_left_out").build(),
             registry,
             provider,
         })
@@ -115,16 +124,39 @@
     }
 }
 
-/// Counts a call to an upstream by what it orders.
-pub fn count_call(order: &'static str) {
+/// Notes how long a call to an upstream took, by what it orders and what came of it.
+pub fn note_call(order: &'static str, outcome: &'static str, took: time::Duration) {
     if let Some(metrics) = metrics() {
-        metrics.calls.add(1, &[KeyValue::new("order", order)]);
+        let labels = [KeyValue::new("order", order), KeyValue::new("outcome", outcome)];
+        metrics.calls.record(took.as_secs_f64(), &labels);
     }
 }
 
-/// Notes how long a reply took, by its outcome.
-pub fn note_reply(outcome: &'static str, took: std::time::Duration) {
+/// Notes how long a task waited from its job's arrival until it was started.
+pub fn note_start(waited: time::Duration) {
     if let Some(metrics) = metrics() {
-        metrics.replies.record(took.as_secs_f64(), &[KeyValue::new("outcome", outcome)]);
+        metrics.starts.record(waited.as_secs_f64(), &[]);
+    }
+}
+
+/// Notes how long a reply took, by its outcome and the service that was asked for.
+pub fn note_reply(outcome: &'static str, service: &str, took: time::Duration) {
+    if let Some(metrics) = metrics() {
+        let service = KeyValue::new("service", service.to_owned());
+        metrics.replies.record(took.as_secs_f64(), &[KeyValue::new("outcome", outcome), service]);
+    }
+}
+
+/// Notes how long a synced write to the disk took.
+pub fn note_sync(took: time::Duration) {
+    if let Some(metrics) = metrics() {
+        metrics.syncs.record(took.as_secs_f64(), &[]);
+    }
+}
+
+/// Counts a log line that was left out to bound their number, by its text.
+pub fn count_left_out(kind: &'static str) {
+    if let Some(metrics) = metrics() {
+        metrics.left_out.add(1, &[KeyValue::new("kind", kind)]);
     }
 }
