--- a/crates/dispatch/src/lane.rs
+++ b/crates/dispatch/src/lane.rs
@@ -19,8 +19,10 @@
 const WAIT_BUSY: u64 = 200;
 /// The same for an idle upstream.
 const WAIT_IDLE: u64 = 450;
-/// Time for the answer to an order, milliseconds: a hundred round trips between zones.
-const PATIENCE: u64 = 250;
+/// Time for the answer to an order, milliseconds: twenty round trips between zones. Until it is
+/// over the upstream gets nothing else; where one start in ten has no answer, 98% of the answers
+/// to clients are in time, and 64% were after 250 ms (`load::orders_lost`).
+const PATIENCE: u64 = 50;
 /// Pause before an upstream that did not answer, or obeys another owner, is asked again,
 /// microseconds.
 const RETRY: u64 = 60 * time::MS;
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -18,7 +18,8 @@
 /// lease (1,000 ms on a clock 2% slow).
 const FORMER: u64 = 1_550 * time::MS;
 /// A new scheduler refuses nothing for want of room until its upstreams have answered, or this
-/// time has passed, microseconds: an order's patience (250 ms) and one more round.
+/// time has passed, microseconds: an upstream that answers at all does so within a few orders'
+/// patience (50 ms).
 const SURVEY: u64 = 300 * time::MS;
 /// Ends of unknown jobs are kept this long for the same reason.
 const KEEP_ENDS: u64 = 3_000 * time::MS;
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -132,3 +132,22 @@
         assert!(gain.all >= all && least >= worst, "{scale}: {gain:.3?}");
     }
 }
+
+#[test]
+fn orders_lost() {
+    // One start in ten gets no answer and is carried out late, if at all. Orders are given up after
+    // 50 ms: 391 of 400 answers are in time; with 250 ms, 256 were.
+    let mut world = World::new(3, 1, 2, 16);
+    world.run(3_000);
+    world.late = 10;
+    for at in 0..400_u64 {
+        let (count, length) = [(8, 60), (2, 200), (2, 200)][at as usize % 3];
+        world.submit(0, count, 14_000, length);
+        world.run(16);
+    }
+    world.late = 0;
+    world.run(6_000);
+    let (good, all) = in_time(&world);
+    assert_eq!(world.faults, Vec::<String>::new());
+    assert!(good * 100 >= all * 94, "{good} of {all} in time");
+}
