--- a/crates/dispatch/tests/random_faults.rs
+++ b/crates/dispatch/tests/random_faults.rs
@@ -24,7 +24,7 @@
 fn fault(world: &mut World) -> Box<dyn FnOnce(&mut World)> {
     let at = world.rng.random_range(0..INSTANCES);
     let up = world.rng.random_range(0..world.upstreams.len());
-    match world.rng.random_range(0..14) {
+    match world.rng.random_range(0..17) {
         0 | 1 => {
             world.kill(at);
             Box::new(move |world| world.start(at))
@@ -33,6 +33,24 @@
             world.freeze(at);
             Box::new(move |world| world.thaw(at))
         }
+        14 => {
+            // It starts again with its time of day off.
+            world.skew = world.rng.random_range(-5_000..5_000);
+            world.kill(at);
+            Box::new(move |world| {
+                world.start(at);
+                world.skew = 0;
+            })
+        }
+        15 => {
+            world.busy = world.rng.random_range(0..200) * 1_000;
+            Box::new(|world| world.busy = 0)
+        }
+        16 => {
+            // The keepers come first in their zones.
+            world.ear = Some(at - at % (ENTRIES + 1));
+            Box::new(|world| world.ear = None)
+        }
         4 => {
             let zone = at % ZONES;
             world.cut_zone(zone, true);
