Split files that had grown large

coord: what becomes of jobs as time passes, and the groups of an instance; the command's help texts and clocks; the clients of the dispatch tests' world.

--- a/crates/apricotroute/src/control.rs
+++ b/crates/apricotroute/src/control.rs
@@ -12,7 +12,7 @@
 use link::{metric, peer, pool, span, task, trace};
 use state::{name, tree};
 
-use crate::store;
+use crate::{clock, store};
 
 /// Inputs that wait for the control thread at most.
 const INPUTS: usize = 65_536;
@@ -73,40 +73,7 @@
     sender: crossbeam_channel::Sender<Input>,
     tickets: sync::Arc<atomic::AtomicU64>,
     view: sync::Arc<View>,
-    clock: Clock,
-}
-
-/// The clocks of this process.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    start: time::Instant,
-    /// Added to the time of day, milliseconds.
-    offset: i64,
-}
-
-impl Clock {
-    /// Monotonic time counts from here.
-    pub fn new() -> Self {
-        Self { start: time::Instant::now(), offset: 0 }
-    }
-
-    /// The same with a time of day that is off by so many milliseconds.
-    #[must_use]
-    pub fn with_offset(self, offset: i64) -> Self {
-        Self { offset, ..self }
-    }
-
-    /// Both clocks now.
-    pub fn now(&self) -> Now {
-        let wall = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
-        let wall = wall.map_or(0, |wall| wall.as_millis() as u64);
-        Now::new(self.mono(), wall.saturating_add_signed(self.offset))
-    }
-
-    /// The monotonic clock, microseconds. It never reads 0.
-    pub fn mono(&self) -> u64 {
-        self.start.elapsed().as_micros() as u64 + 1
-    }
+    clock: clock::Clock,
 }
 
 /// What the control thread works with.
@@ -136,7 +103,7 @@
 
 impl Control {
     /// A handle and the channel that the thread is to be started with.
-    pub fn new(clock: Clock) -> (Self, Channel) {
+    pub fn new(clock: clock::Clock) -> (Self, Channel) {
         let (sender, receiver) = crossbeam_channel::bounded(INPUTS);
         let (tickets, view) = (sync::Arc::default(), sync::Arc::default());
         (Self { sender, tickets, view, clock }, Channel { receiver })
@@ -443,7 +410,7 @@
 fn call(
     caller: &task::Caller,
     spans: &span::Spans,
-    clock: Clock,
+    clock: clock::Clock,
     start: event::Start,
 ) -> event::Done {
     let began = time::SystemTime::now();
--- a/crates/apricotroute/src/instance.rs
+++ b/crates/apricotroute/src/instance.rs
@@ -7,7 +7,7 @@
 use link::{http, metric, peer, pool, span};
 use state::boot;
 
-use crate::{client, control, error, operator, status, store};
+use crate::{client, clock, control, error, operator, status, store};
 
 /// Threads of the runtime under the listeners and streams.
 const RUNTIME_THREADS: usize = 2;
@@ -117,7 +117,7 @@
 ) -> error::Result<control::Control> {
     let life = u64::from(rand::random::<u32>().max(1));
     let store = open_store(boot, life, log)?;
-    let (control, channel) = control::Control::new(control::Clock::new());
+    let (control, channel) = control::Control::new(clock::Clock::new());
     let known = boot.peers.iter().map(|peer| peer.instance.clone()).collect();
     let inbox = sync::Arc::new(control::Inbox { control: control.clone(), known });
     peer::Server::open(runtime, boot.peer, &boot.instance, inbox)
--- a/crates/apricotroute/src/main.rs
+++ b/crates/apricotroute/src/main.rs
@@ -2,11 +2,13 @@
 
 mod cli;
 mod client;
+mod clock;
 mod control;
 mod demo;
 mod demo_platform;
 mod error;
 mod explain;
+mod help;
 mod instance;
 mod load;
 mod logs;
--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -15,7 +15,7 @@
     lines, mailbox,
     traffic::{self, Work},
 };
-use crate::{control::Clock, store};
+use crate::{clock, store};
 
 /// Between two ticks: the time in which a silence, a hanging task or a lapsed lease is noticed
 /// late, against 0.1% of a core for each halving.
@@ -67,7 +67,7 @@
     mailbox: sync::Arc<mailbox::Mailbox<Input>>,
     tickets: sync::Arc<atomic::AtomicU64>,
     view: sync::Arc<View>,
-    clock: Clock,
+    clock: clock::Clock,
 }
 
 /// What the control thread works with.
@@ -85,7 +85,7 @@
 
 impl Control {
     /// A handle on a thread that does not run yet.
-    pub fn new(clock: Clock) -> Self {
+    pub fn new(clock: clock::Clock) -> Self {
         let mailbox = sync::Arc::new(mailbox::Mailbox::new());
         let (tickets, view) = (sync::Arc::default(), sync::Arc::default());
         Self { mailbox, tickets, view, clock }
@@ -101,7 +101,7 @@
     }
 
     /// The clocks that decisions go by.
-    pub fn clock(&self) -> Clock {
+    pub fn clock(&self) -> clock::Clock {
         self.clock
     }
 
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -16,7 +16,7 @@
 use signal_hook::{consts, iterator};
 use state::node;
 
-use crate::{error, store};
+use crate::{clock, error, store};
 
 /// A lease is this share of the longest that upstreams grant, per cent: what is left covers the
 /// way there.
@@ -67,7 +67,7 @@
             .change_context_lazy(fault("start runtime of"))?;
         let runtime = sync::Arc::new(runtime);
         let (traffic, work) = traffic::channel();
-        let clock = crate::control::Clock::new().with_offset(settings.clock_offset);
+        let clock = clock::Clock::new().with_offset(settings.clock_offset);
         let control = control::Control::new(clock);
         let listeners = open(settings, &runtime, &control, log)?;
         let life = control.clock().now().wall;
--- a/crates/coord/src/core.rs
+++ b/crates/coord/src/core.rs
@@ -8,12 +8,12 @@
 use crate::{
     cache, calls,
     event::{Counts, Event, Output, Ticket},
-    fleet, group,
+    fleet, group, groups,
     job::Job,
     machine,
     member::{self, Instance},
     message::{self, Body, Refusal},
-    queue, raft, retry,
+    queue, retry,
     time::{self, Now},
 };
 
@@ -24,22 +24,12 @@
 pub const TICK: u64 = 20 * time::MS;
 /// Between two messages about renewed upstream leases, microseconds.
 pub(crate) const RENEWALS: u64 = 250 * time::MS;
-/// Between two rounds of forgetting, microseconds.
-const PRUNE: u64 = 1_000 * time::MS;
-/// Forgetting waits this much longer than the retention, milliseconds.
-const PRUNE_MARGIN_MS: u64 = 60_000;
-
 /// A running job without contact to the journal is given up after this, microseconds.
 pub(crate) const LOST_CONTACT: u64 = 5_000 * time::MS;
 /// An instance that starts waits this long for the settings group before it asks its neighbours,
 /// microseconds.
 const SEEK_AFTER: u64 = 3_000 * time::MS;
 
-const SETTINGS_TIMING: raft::Timing =
-    raft::Timing { heartbeat: 400 * time::MS, election: 1_200 * time::MS, lease: 1_000 * time::MS };
-const JOURNAL_TIMING: raft::Timing =
-    raft::Timing { heartbeat: 150 * time::MS, election: 600 * time::MS, lease: 500 * time::MS };
-
 /// What an instance is.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -122,11 +112,11 @@
 impl Core {
     /// An instance that starts at `now` from what it had stored.
     pub fn new(config: Config, recovered: group::Recovered, now: Now) -> Self {
-        let settings = settings_group(&config).with_recovered(recovered, now.mono);
-        let journal = journal_group(&config, &config.me.zone);
-        let witness = witnessed(&config);
+        let settings = groups::settings(&config).with_recovered(recovered, now.mono);
+        let journal = groups::journal(&config, &config.me.zone);
+        let witness = groups::witnessed(&config);
         let witness = witness.into_iter().map(|zone| {
-            let group = journal_group(&config, &zone);
+            let group = groups::journal(&config, &zone);
             (zone, group)
         });
         Self {
@@ -491,71 +481,4 @@
             Some(_) => {}
         }
     }
-
-    fn prune(&mut self, now: Now) {
-        if now.mono < self.prune_at {
-            return;
-        }
-        self.prune_at = now.mono + PRUNE;
-        self.fleet.prune(now.mono);
-        let longest = self.tree().longest_retention();
-        let before = now.wall.saturating_sub(longest + PRUNE_MARGIN_MS);
-        self.journal.machine_mut().table.prune(before);
-        for group in self.witness.values_mut() {
-            group.machine_mut().table.prune(before);
-        }
-        self.answers.prune(before);
-        for service in self.services.values_mut() {
-            service.queue.prune();
-        }
-    }
-}
-
-fn settings_group(config: &Config) -> group::Group<machine::Settings> {
-    let seats = member::settings_seats(&config.all);
-    let me = &config.me.name;
-    let votes = seats.contains(me) && config.disk.is_some();
-    let life = if votes { config.disk } else { None };
-    let group = group::Config {
-        group: message::Group::Settings,
-        me: name::Member::new(me, life.unwrap_or(config.life)),
-        others: others(config, &seats),
-        seats,
-        timing: SETTINGS_TIMING,
-        durable: votes,
-        named: false,
-        compact_every: group::COMPACT_EVERY,
-        kept_entries: group::KEPT_ENTRIES,
-    };
-    group::Group::new(group, machine::Settings::default(), config.seed ^ 1)
-}
-
-fn journal_group(config: &Config, zone: &name::Name) -> group::Group<machine::Journal> {
-    let seats = member::journal_seats(&config.all, zone);
-    let home = config.all.iter().filter(|i| i.zone == *zone && !seats.contains(&i.name));
-    let group = group::Config {
-        group: message::Group::Journal(zone.clone()),
-        me: name::Member::new(&config.me.name, config.life),
-        others: home.map(|i| i.name.clone()).collect(),
-        seats,
-        timing: JOURNAL_TIMING,
-        durable: false,
-        named: false,
-        compact_every: group::COMPACT_EVERY,
-        kept_entries: group::KEPT_ENTRIES,
-    };
-    group::Group::new(group, machine::Journal::default(), config.seed ^ 2)
-}
-
-fn others(config: &Config, seats: &[name::Name]) -> Vec<name::Name> {
-    let rest = config.all.iter().filter(|instance| !seats.contains(&instance.name));
-    rest.map(|instance| instance.name.clone()).collect()
-}
-
-/// Other zones in whose journal this instance votes.
-fn witnessed(config: &Config) -> Vec<name::Name> {
-    let zones = member::zones(&config.all).into_iter().filter(|zone| *zone != config.me.zone);
-    let votes =
-        |zone: &name::Name| member::journal_seats(&config.all, zone).contains(&config.me.name);
-    zones.filter(votes).collect()
 }
--- /dev/null
+++ b/crates/coord/src/groups.rs
@@ -0,0 +1,63 @@
+//! The groups that an instance belongs to, and with which seats.
+
+use state::name;
+
+use crate::{core::Config, group, machine, member, message, raft, time};
+
+/// Intervals of the settings: they stand a slow disk, as a leader that is lost costs a change only.
+const SETTINGS_TIMING: raft::Timing =
+    raft::Timing { heartbeat: 400 * time::MS, election: 1_200 * time::MS, lease: 1_000 * time::MS };
+/// Intervals of a journal: no job is admitted while it has no leader.
+const JOURNAL_TIMING: raft::Timing =
+    raft::Timing { heartbeat: 150 * time::MS, election: 600 * time::MS, lease: 500 * time::MS };
+
+/// The group of the settings, at this instance.
+pub(crate) fn settings(config: &Config) -> group::Group<machine::Settings> {
+    let seats = member::settings_seats(&config.all);
+    let me = &config.me.name;
+    let votes = seats.contains(me) && config.disk.is_some();
+    let life = if votes { config.disk } else { None };
+    let group = group::Config {
+        group: message::Group::Settings,
+        me: name::Member::new(me, life.unwrap_or(config.life)),
+        others: others(config, &seats),
+        seats,
+        timing: SETTINGS_TIMING,
+        durable: votes,
+        named: false,
+        compact_every: group::COMPACT_EVERY,
+        kept_entries: group::KEPT_ENTRIES,
+    };
+    group::Group::new(group, machine::Settings::default(), config.seed ^ 1)
+}
+
+/// The journal of a zone, at this instance.
+pub(crate) fn journal(config: &Config, zone: &name::Name) -> group::Group<machine::Journal> {
+    let seats = member::journal_seats(&config.all, zone);
+    let home = config.all.iter().filter(|i| i.zone == *zone && !seats.contains(&i.name));
+    let group = group::Config {
+        group: message::Group::Journal(zone.clone()),
+        me: name::Member::new(&config.me.name, config.life),
+        others: home.map(|i| i.name.clone()).collect(),
+        seats,
+        timing: JOURNAL_TIMING,
+        durable: false,
+        named: false,
+        compact_every: group::COMPACT_EVERY,
+        kept_entries: group::KEPT_ENTRIES,
+    };
+    group::Group::new(group, machine::Journal::default(), config.seed ^ 2)
+}
+
+fn others(config: &Config, seats: &[name::Name]) -> Vec<name::Name> {
+    let rest = config.all.iter().filter(|instance| !seats.contains(&instance.name));
+    rest.map(|instance| instance.name.clone()).collect()
+}
+
+/// Other zones in whose journal this instance votes.
+pub(crate) fn witnessed(config: &Config) -> Vec<name::Name> {
+    let zones = member::zones(&config.all).into_iter().filter(|zone| *zone != config.me.zone);
+    let votes =
+        |zone: &name::Name| member::journal_seats(&config.all, zone).contains(&config.me.name);
+    zones.filter(votes).collect()
+}
--- a/crates/coord/src/jobs.rs
+++ b/crates/coord/src/jobs.rs
@@ -7,18 +7,19 @@
 use crate::{
     calls::Waiter,
     copies::{COPY_LATE, COPY_PATIENCE},
-    core::{Core, LOST_CONTACT},
+    core::Core,
     event::{Output, Stop, Ticket},
     fleet,
     job::{Ending, Job, Phase, Slot},
     limit,
     message::{Refusal, Spec, Verdict},
+    overdue::not_started,
     queue::Task,
     time::{self, Now},
 };
 
 /// Between two proposals of the same command, microseconds.
-const REPROPOSE: u64 = 300 * time::MS;
+pub(crate) const REPROPOSE: u64 = 300 * time::MS;
 /// A submission waits this long for a lease, microseconds; longer than an election takes.
 const HOLD: u64 = 2_500 * time::MS;
 
@@ -152,7 +153,7 @@
         true
     }
 
-    fn admit(&mut self, id: &id::JobId, now: Now) {
+    pub(crate) fn admit(&mut self, id: &id::JobId, now: Now) {
         if self.unleased(now.mono) > HOLD {
             return self.give_up(id, &Verdict::unknown("the zone's journal is out of reach"));
         }
@@ -167,7 +168,7 @@
     }
 
     /// Drops a job that is not admitted, and answers for it.
-    fn give_up(&mut self, id: &id::JobId, verdict: &Verdict) {
+    pub(crate) fn give_up(&mut self, id: &id::JobId, verdict: &Verdict) {
         if let Some(job) = self.remove(id) {
             for waiter in job.waiters {
                 self.reply(waiter, verdict.clone());
@@ -347,7 +348,7 @@
         }
     }
 
-    fn propose_end(&mut self, id: &id::JobId, outcome: table::Outcome, now: Now) {
+    pub(crate) fn propose_end(&mut self, id: &id::JobId, outcome: table::Outcome, now: Now) {
         let owner = self.journal.me().clone();
         self.propose(&table::Command::End { job: id.clone(), owner, outcome }, now);
     }
@@ -439,82 +440,8 @@
             self.give_up(&id, &Verdict::unknown("the zone's journal was lost"));
         }
     }
-
-    pub(crate) fn tick_jobs(&mut self, now: Now) {
-        while let Some((deadline, id)) = self.due.first().cloned()
-            && deadline <= now.mono
-        {
-            self.due.pop_first();
-            self.on_deadline(&id, now);
-        }
-        let lost = self.unleased(now.mono) > LOST_CONTACT;
-        let mut again = Vec::new();
-        for (id, job) in &self.jobs {
-            let pending = !matches!(job.phase, Phase::Running);
-            let lonely = lost && job.journaled && !job.waiters.is_empty();
-            let hedged = job.retryable && job.policy.hedge_quantile > 0.0;
-            if lonely || hedged || (pending && now.mono >= job.retry) {
-                again.push(id.clone());
-            }
-        }
-        for id in again {
-            self.revisit(&id, lost, now);
-        }
-    }
-
-    fn revisit(&mut self, id: &id::JobId, lost: bool, now: Now) {
-        let Some(job) = self.jobs.get_mut(id) else {
-            return;
-        };
-        match &job.phase {
-            Phase::Admitting => self.admit(id, now),
-            Phase::Ending(ending) => {
-                let (outcome, committed) = (ending.outcome, ending.committed);
-                job.retry = now.mono + REPROPOSE;
-                self.spread_copies(id);
-                if committed {
-                    self.conclude(id, now);
-                } else {
-                    self.propose_end(id, outcome, now);
-                }
-            }
-            Phase::Running if job.retryable => self.hedge(id, now),
-            Phase::Running => {}
-        }
-        if lost && let Some(job) = self.jobs.get_mut(id).filter(|job| job.journaled) {
-            let waiters = std::mem::take(&mut job.waiters);
-            for waiter in waiters {
-                let why = "the owner lost contact to the zone's journal";
-                self.reply(waiter, Verdict::unknown(why));
-            }
-        }
-    }
-
-    fn on_deadline(&mut self, id: &id::JobId, now: Now) {
-        let Some(job) = self.jobs.get(id) else { return };
-        match job.phase {
-            Phase::Admitting if !self.has_lease(now.mono) => {
-                self.give_up(id, &Verdict::unknown("the zone's journal is out of reach"));
-            }
-            Phase::Admitting => self.give_up(id, &not_started()),
-            Phase::Running if job.ran == 0 => {
-                self.finish(id, table::Outcome::NotRun, &not_started(), now);
-            }
-            Phase::Running => {
-                let why = "the deadline has passed".to_owned();
-                let verdict = Verdict::Failed { why, late: true };
-                self.finish(id, table::Outcome::Failed, &verdict, now);
-            }
-            Phase::Ending(_) => {}
-        }
-    }
 }
 
 fn conflict() -> Verdict {
     Verdict::refuse(Refusal::Conflict, "the id was used for other content", 0)
 }
-
-fn not_started() -> Verdict {
-    const RETRY_MS: u64 = 100;
-    Verdict::refuse(Refusal::Expired, "no task was started before the deadline", RETRY_MS)
-}
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -9,16 +9,17 @@
 use dispatch::{
     Core, core,
     event::{Event, Output, Reply},
-    job::{Job, Step, Task, Verdict},
+    job::{Job, Task, Verdict},
     member::{Card, Role},
     message::{Body, Document},
     order::{Call, Order, Outcome},
     time::Now,
-    upstream::{Phase, Record, Room},
+    upstream::{Phase, Record},
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 use state::name::Name;
 
+mod client;
 pub mod upstream;
 
 use upstream::{MS, Upstream};
@@ -286,63 +287,6 @@
         }
     }
 
-    /// A client of `zone` hands in a job of one step whose length is known.
-    pub fn submit(&mut self, zone: usize, count: u32, cpu: u64, length: u64) -> Name {
-        self.submit_as(zone, count, cpu, length, length, 0)
-    }
-
-    /// A client of `zone` hands in a job of one step, with its estimate of the length, to a queue
-    /// of this priority.
-    pub fn submit_as(
-        &mut self,
-        zone: usize,
-        count: u32,
-        cpu: u64,
-        length: u64,
-        estimate: u64,
-        priority: u32,
-    ) -> Name {
-        let id = Name::new(&format!("{:016x}", self.rng.random::<u64>()));
-        let step = Step {
-            count,
-            need: Room { cpu, memory: 64, accelerators: 0 },
-            estimate,
-            ..Step::default()
-        };
-        let job = Job {
-            id: id.clone(),
-            service: "board".into(),
-            spec: Name::new(&(length * 100_000 + cpu).to_string()),
-            steps: vec![step],
-            priority,
-            attempts: 3,
-            objective: length * 8 / 5 + 60,
-            patience: 4_000,
-            age: 0,
-            resumed: false,
-            stamp: 0,
-        };
-        let zone = zone_name(zone);
-        let request =
-            Request { job, zone, at: None, first: self.now, sent: self.now, verdict: None };
-        self.requests.insert(id.clone(), request);
-        self.push(self.now, What::Submit { id: id.clone() });
-        id
-    }
-
-    /// The client gives up.
-    pub fn leave(&mut self, id: &Name) {
-        let tickets: Vec<_> =
-            self.tickets.iter().filter(|(_, other)| *other == id).map(|(t, _)| *t).collect();
-        for ticket in tickets {
-            self.tickets.remove(&ticket);
-            if let Some(at) = self.requests.get(id).and_then(|request| request.at) {
-                self.handle(at, Event::Left(ticket));
-            }
-        }
-        self.requests.remove(id);
-    }
-
     /// The operator hands a configuration to a keeper; gives the ticket.
     pub fn publish(&mut self, at: usize, version: u64, text: &str) -> u64 {
         self.order += 1;
@@ -601,19 +545,6 @@
         }
     }
 
-    fn verdict(&mut self, ticket: u64, verdict: Verdict) {
-        let Some(id) = self.tickets.remove(&ticket) else { return };
-        // An attempt that was lost with its entry was not refused; what is said of this one counts.
-        let since = self.requests.get(&id).map_or(0, |request| request.sent);
-        let ran = self.starts.iter().any(|(task, at)| task.job == id && *at >= since);
-        if matches!(verdict, Verdict::NotRun(_)) && ran {
-            self.faults.push(format!("{} ms: {id} is said not to have run", self.now / MS));
-        }
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.verdict = Some((verdict, self.now));
-        }
-    }
-
     fn clock(&self) -> Now {
         Now::new(self.now, WALL + self.now / MS)
     }
@@ -622,12 +553,6 @@
         self.order += 1;
         self.queue.push(Due { at, order: self.order, what });
     }
-
-    /// How many jobs were answered as complete.
-    pub fn complete(&self) -> usize {
-        let complete = |r: &&Request| matches!(r.verdict, Some((Verdict::Complete, _)));
-        self.requests.values().filter(complete).count()
-    }
 }
 
 pub fn zone_name(zone: usize) -> Name {
