Open streams to other instances with the first message

Found by a soak of 123 processes, none of which became ready within 15 s at a load of 62: each opened a stream to every other one, 15,000 in all, though it talks to some seven. Now a stream is opened with the first message. takeover::few_streams fails before the change (44 streams of an entry, now 9 at most).

--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -318,7 +318,6 @@
                 metric::count_message(body.kind(), bytes.len());
                 self.batches.entry(to).or_default().push(bytes);
             }
-            Output::Connect(to) => self.work.push(Work::Connect(to)),
             Output::Redial(to) => self.work.push(Work::Redial(to)),
             Output::Disconnect(to) => self.work.push(Work::Disconnect(to)),
             Output::Save(number, save) => self.saves.push((number, save)),
--- a/crates/apricotroute/src/node/traffic.rs
+++ b/crates/apricotroute/src/node/traffic.rs
@@ -18,8 +18,6 @@
 pub enum Work {
     /// Send messages to an instance.
     Send(name::Name, Vec<bytes::Bytes>),
-    /// Open the stream to an instance, if there is none.
-    Connect(name::Name),
     /// Open it anew.
     Redial(name::Name),
     /// Close it.
@@ -117,7 +115,6 @@
                 // A full queue is a stream that carries nothing; the core notices the silence.
                 let _sent = self.outbox.send(&to, bodies);
             }
-            Work::Connect(to) => self.connect(&to),
             Work::Redial(to) => {
                 self.disconnect(&to);
                 self.connect(&to);
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -83,7 +83,6 @@
             vault::Vault::new(member, disk.recovered, founders, now.mono, seed)
         });
         let roster = roster::Roster::new(me, &seeds, now.mono);
-        let out = roster.names().cloned().map(Output::Connect).collect();
         let mut core = Self {
             lease,
             roster,
@@ -97,7 +96,7 @@
             leads: false,
             outranked: None,
             last: now,
-            out,
+            out: Vec::new(),
         };
         core.adopt_vault(now);
         core
@@ -143,8 +142,6 @@
             }
             Event::Seeds(seeds) => {
                 self.roster.set_seeds(&seeds, now.mono);
-                let names: Vec<_> = self.roster.names().cloned().collect();
-                self.out.extend(names.into_iter().map(Output::Connect));
             }
             Event::Drain => self.drain(now),
         }
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -39,10 +39,9 @@
 /// Something to do.
 #[derive(Debug, PartialEq)]
 pub enum Output {
-    /// Send a message.
+    /// Send a message. A stream is opened with the first one: with streams to everybody, 123
+    /// instances would have 15,000.
     Send(name::Name, message::Body),
-    /// Open a stream to an instance.
-    Connect(name::Name),
     /// Open the stream to an instance anew.
     Redial(name::Name),
     /// Close the stream to an instance.
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -71,8 +71,6 @@
                 }
                 let lost = self.roster.learn(cards, gone, now.mono);
                 self.out.extend(lost.into_iter().map(Output::Disconnect));
-                let names: Vec<_> = self.roster.names().cloned().collect();
-                self.out.extend(names.into_iter().map(Output::Connect));
             }
             Body::Records(records) => self.on_records(records),
             Body::Listing(zone, records) => self.on_listing(from, &zone, records, now),
@@ -150,7 +148,6 @@
             self.desk.load(&ping.card.zone, load);
         }
         let (version, members, records) = (ping.version, ping.members, ping.records);
-        let known = self.roster.peer(&from).is_some();
         if self.roster.heard(ping, direct, now.mono) {
             self.note("peer: Heard.", &from, String::new());
             // It has just started: what it lacks comes with the answer to this.
@@ -159,9 +156,6 @@
                 sched.forget_entry(&from);
             }
         }
-        if !known {
-            self.out.push(Output::Connect(from.clone()));
-        }
         if version > self.document.version {
             self.send(&from, Body::Fetch(self.document.version), now);
         }
--- a/crates/dispatch/tests/takeover.rs
+++ b/crates/dispatch/tests/takeover.rs
@@ -48,6 +48,24 @@
     check("one is gone for good");
 }
 
+#[test]
+fn few_streams() {
+    // Of 45 instances an entry talks to the keepers, to three deputies of its zone and to two
+    // schedulers; streams to everybody would be 44 for each.
+    let mut world = World::new(3, 3, 14, 4);
+    world.run(3_000);
+    load(&mut world, 3, 2_000, 40);
+    let of = |at: usize| world.streams.iter().filter(|(from, _)| *from == at).count();
+    let mut counts: Vec<_> = (0..45).filter(|at| at % 15 > 0).map(of).collect();
+    counts.sort_unstable();
+    // Deputies talk to all of their zone.
+    let (entries, deputies) = counts.split_at(42 - 9);
+    assert!(entries.iter().all(|count| *count <= 9), "{entries:?}");
+    assert!(deputies.iter().all(|count| *count <= 20), "{deputies:?}");
+    world.run(3_000);
+    assert_eq!(world.complete(), 50);
+}
+
 #[test]
 fn lists_end() {
     // Two instances that each lack upstreams of the other tell them once, not for ever.
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -109,6 +109,8 @@
     pub replies: Vec<(u64, Reply)>,
     /// Time that each instance's decisions took, on this machine.
     pub spent: BTreeMap<usize, std::time::Duration>,
+    /// Streams that were opened: from and to.
+    pub streams: BTreeSet<(usize, usize)>,
     /// Messages between instances, by kind.
     pub sent: BTreeMap<&'static str, u64>,
     /// Decisions that were noted, by their text.
@@ -140,6 +142,7 @@
             starts: BTreeMap::new(),
             replies: Vec::new(),
             spent: BTreeMap::new(),
+            streams: BTreeSet::new(),
             sent: BTreeMap::new(),
             notes: BTreeMap::new(),
             tickets: BTreeMap::new(),
@@ -516,6 +519,7 @@
             Output::Send(to, body) => {
                 *self.sent.entry(body.kind()).or_default() += 1;
                 if let Some(to) = self.instances.iter().position(|i| i.card.name == to) {
+                    self.streams.insert((at, to));
                     let same = self.instances[to].card.zone == self.instances[at].card.zone;
                     let delay = if same { 200 } else { 900 };
                     self.push(self.now + delay + self.busy, What::Deliver { to, from: at, body });
