--- a/crates/apricotroute/src/explain.rs
+++ b/crates/apricotroute/src/explain.rs
@@ -42,6 +42,8 @@
 #[derive(Debug)]
 pub struct Story {
     lines: Vec<Line>,
+    /// The job's id, and the client's name of the request if that was asked for.
+    ids: collections::BTreeSet<String>,
     /// Lines of files that could not be read as lines of a log.
     unread: usize,
     /// Lines that the processes say they left out.
@@ -95,7 +97,11 @@
         let left_out = left_out.filter_map(|line| line.fields.get("count")?.as_u64()).sum();
         let lines = all.iter().filter(|line| is_own(line) || is_near(line)).cloned().collect();
         let lines = if own.is_empty() { Vec::new() } else { lines };
-        Self { lines, unread, left_out }
+        Self { lines, ids, unread, left_out }
+    }
+
+    fn is_own(&self, line: &Line) -> bool {
+        line.text("id").is_some_and(|id| self.ids.contains(id))
     }
 
     /// Whether no line tells of the request.
@@ -104,7 +110,8 @@
     }
 }
 
-/// One line for each decision: milliseconds since the first, the instance, what and why.
+/// One line for each decision: milliseconds since the first, the instance, what and why. What an
+/// instance says again and again of others stands once, with the number of times.
 impl fmt::Display for Story {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Some(first) = self.lines.first() else {
@@ -112,17 +119,25 @@
         };
         writeln!(f, "from {}", first.ts.to_rfc3339())?;
         let width = self.lines.iter().map(|line| line.instance.len()).max().unwrap_or(0);
-        for line in &self.lines {
+        let alike = |a: &Line, b: &Line| a.instance == b.instance && a.msg == b.msg;
+        let same = |a: &Line, b: &Line| !self.is_own(a) && !self.is_own(b) && alike(a, b);
+        for group in self.lines.chunk_by(same) {
+            let line = &group[0];
             let after = (line.ts - first.ts).as_seconds_f64() * 1_000.0;
             write!(f, "{after:>10.1} ms  {:<width$}  {}", line.instance, line.msg)?;
             for (key, value) in &line.fields {
                 match value {
-                    _ if key == "level" || key == "id" => {}
+                    _ if key == "level" => {}
+                    serde_json::Value::String(text) if text.is_empty() => {}
+                    serde_json::Value::String(id) if key == "id" && self.ids.contains(id) => {}
                     serde_json::Value::String(text) if key == "detail" => write!(f, "  {text}")?,
                     serde_json::Value::String(text) => write!(f, "  {key} {text}")?,
                     other => write!(f, "  {key} {other}")?,
                 }
             }
+            if group.len() > 1 {
+                write!(f, "  and {} more", group.len() - 1)?;
+            }
             writeln!(f)?;
         }
         if self.left_out > 0 {
