Tell how long a newer configuration was known of, what its reading took, and of copies that come in vain

The record shows hundreds of requests for a configuration and megabytes a second on the way, but not how much of an entry's delay is waiting for a copy and how much is reading it. No decision is changed.

--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -340,11 +340,16 @@
     }
 
     fn put_in_force(&self, document: &message::Document) {
+        let began = time::Instant::now();
         match platform::decode::routing(&document.body) {
             Ok(routing) => {
                 if let Ok(mut held) = self.control.view.routing.write() {
                     *held = sync::Arc::new(routing);
                 }
+                let took = began.elapsed();
+                metric::note_read(took);
+                slog::info!(self.log, "settings: Read."; "version" => document.version,
+                    "bytes" => document.body.len(), "ms" => took.as_millis() as u64);
             }
             // It was checked before it was committed, by an instance of another version.
             Err(fault) => slog::error!(self.log, "settings: A committed one cannot be read.";
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -66,6 +66,8 @@
     pub(crate) document: Document,
     pub(crate) draining: bool,
     pub(crate) leads: bool,
+    /// Since when a newer configuration than the one in force is known of.
+    pub(crate) told: Option<u64>,
     /// Since when upstreams refuse this scheduler's token, and when the last of them did.
     pub(crate) outranked: Option<(u64, u64)>,
     pub(crate) last: Now,
@@ -94,6 +96,7 @@
             document: Document::default(),
             draining: false,
             leads: false,
+            told: None,
             outranked: None,
             last: now,
             out: Vec::new(),
@@ -300,9 +303,14 @@
         if document.version <= self.document.version {
             return;
         }
+        let waited = self.told.take().map_or(0, |told| now.mono.saturating_sub(told) / MS);
         self.document = document.clone();
         let name = self.roster.me().name.clone();
-        self.note("settings: In force.", &name, format!("version {}", document.version));
+        self.note(
+            "settings: In force.",
+            &name,
+            format!("version {}, known of for {waited} ms", document.version),
+        );
         self.out.push(Output::Document(document));
         if self.vault.is_some() {
             self.announce_version(now);
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -79,7 +79,18 @@
                     self.send(from, Body::Document(self.document.clone()), now);
                 }
             }
-            Body::Document(document) => self.adopt(document, now),
+            Body::Document(document) => {
+                if document.version <= self.document.version {
+                    let detail = format!(
+                        "version {}, {} bytes, held {}",
+                        document.version,
+                        document.body.len(),
+                        self.document.version
+                    );
+                    self.note("settings: A copy that is not needed.", from, detail);
+                }
+                self.adopt(document, now);
+            }
             Body::Agree(body) => {
                 if let Some(vault) = &mut self.vault {
                     vault.agree(from, *body, now);
@@ -157,6 +168,7 @@
             }
         }
         if version > self.document.version {
+            self.told.get_or_insert(now.mono);
             self.send(&from, Body::Fetch(self.document.version), now);
         }
         let zone = self.roster.me().zone.clone();
--- a/crates/link/src/metric.rs
+++ b/crates/link/src/metric.rs
@@ -23,6 +23,7 @@
     starts: Histogram<f64>,
     replies: Histogram<f64>,
     syncs: Histogram<f64>,
+    reads: Histogram<f64>,
     left_out: Counter<u64>,
 }
 
@@ -64,6 +65,7 @@
             starts: seconds("start_wait_seconds"),
             replies: seconds("reply_seconds"),
             syncs: seconds("disk_sync_seconds"),
+            reads: seconds("settings_read_seconds"),
             left_out: meter.u64_counter("log_lines_left_out").build(),
             registry,
             provider,
@@ -154,6 +156,13 @@
     }
 }
 
+/// Notes how long a configuration took to be read and checked before it was in force.
+pub fn note_read(took: time::Duration) {
+    if let Some(metrics) = metrics() {
+        metrics.reads.record(took.as_secs_f64(), &[]);
+    }
+}
+
 /// Counts a log line that was left out to bound their number, by its text.
 pub fn count_left_out(kind: &'static str) {
     if let Some(metrics) = metrics() {
