Tell in one place whether a log line is about an explained request

Story::new and Story::is_own said the same in two ways. A line's request name stands in the set of ids as well, so one question of the line serves both. command_line::explained passes as before.

--- a/crates/apricotroute/src/explain.rs
+++ b/crates/apricotroute/src/explain.rs
@@ -81,10 +81,7 @@
         let mut ids: collections::BTreeSet<_> =
             taken.filter_map(|line| line.text("id").map(str::to_owned)).collect();
         ids.insert(id.to_owned());
-        let is_own = |line: &Line| {
-            line.text("request") == Some(id) || line.text("id").is_some_and(|id| ids.contains(id))
-        };
-        let own: Vec<_> = all.iter().filter(|line| is_own(line)).collect();
+        let own: Vec<_> = all.iter().filter(|line| line.is_about(&ids)).collect();
         let involved: collections::BTreeSet<_> = own.iter().map(|line| &line.instance).collect();
         let span = own.first().zip(own.last()).map(|(first, last)| (first.ts, last.ts));
         let is_near = |line: &Line| {
@@ -95,15 +92,12 @@
         };
         let left_out = all.iter().filter(|line| line.msg == lines::LEFT_OUT);
         let left_out = left_out.filter_map(|line| line.fields.get("count")?.as_u64()).sum();
-        let lines = all.iter().filter(|line| is_own(line) || is_near(line)).cloned().collect();
+        let lines =
+            all.iter().filter(|line| line.is_about(&ids) || is_near(line)).cloned().collect();
         let lines = if own.is_empty() { Vec::new() } else { lines };
         Self { lines, ids, unread, left_out }
     }
 
-    fn is_own(&self, line: &Line) -> bool {
-        line.text("id").is_some_and(|id| self.ids.contains(id))
-    }
-
     /// Whether no line tells of the request.
     pub fn is_empty(&self) -> bool {
         self.lines.is_empty()
@@ -120,7 +114,8 @@
         writeln!(f, "from {}", first.ts.to_rfc3339())?;
         let width = self.lines.iter().map(|line| line.instance.len()).max().unwrap_or(0);
         let alike = |a: &Line, b: &Line| a.instance == b.instance && a.msg == b.msg;
-        let same = |a: &Line, b: &Line| !self.is_own(a) && !self.is_own(b) && alike(a, b);
+        let others = |a: &Line, b: &Line| !a.is_about(&self.ids) && !b.is_about(&self.ids);
+        let same = |a: &Line, b: &Line| others(a, b) && alike(a, b);
         for group in self.lines.chunk_by(same) {
             let line = &group[0];
             let after = (line.ts - first.ts).as_seconds_f64() * 1_000.0;
@@ -154,6 +149,12 @@
     fn text(&self, key: &str) -> Option<&str> {
         self.fields.get(key)?.as_str()
     }
+
+    /// Whether it names a job or a request of `ids`.
+    fn is_about(&self, ids: &collections::BTreeSet<String>) -> bool {
+        let mut named = ["request", "id"].into_iter().filter_map(|key| self.text(key));
+        named.any(|text| ids.contains(text))
+    }
 }
 
 fn parse(line: &str) -> Option<Line> {
