Take an upstream's heartbeat whole or not at all

Cause: missing fields were read as nothing. A heartbeat without Capacity under the id of a known upstream, with a higher number, left that upstream without room until its own next number was higher; a service that the configuration does not name moved it away, and its address, or that of an unknown upstream, was called. The highest number there is marked the upstream as gone for good, capacities near 2^64 overflowed the sums, a list in place of an object was read field by field, and a fault quoted up to the whole body in the log, without a bound on the lines.

Ruled out: refusing every announcement for an unlisted service. An upstream whose service a change has dropped would then leave without an acknowledgement; it is taken where that upstream is known to be of that service. Counting in the scheduler's crate, which stays without instruments.

Change: all fields that are used are required, names, labels, capacity and numbers have bounds, an address has a port and is of one machine, and only an object is an object: 400 otherwise. Announcements for an unlisted service get 503, so that the next instance is asked. Both are counted (announcements_refused_total) and logged as decisions are, at most 400 lines a second.

--- /dev/null
+++ b/crates/apricotroute/tests/beats.rs
@@ -0,0 +1,182 @@
+//! Heartbeats of another writer name no upstream to use, and the others hold.
+
+mod system;
+
+use std::{
+    net,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+};
+
+use serde_json::{Value, json};
+use system::{System, agent, config, eventually};
+
+const KEEPERS: usize = 3;
+/// Heartbeats of one kind that are sent in a row.
+const MANY: usize = 2_000;
+/// Lines of one kind that a process writes in a second.
+const LINES: usize = 400;
+
+fn system(net: u8) -> System {
+    let plan = system::Plan { net, zones: vec![(KEEPERS, 1)], relays: false };
+    let mut system = System::new(plan);
+    system.add_upstream("i-0", 0, None);
+    eventually("a keeper takes it", || system.publish(0, &config(3)) == 200);
+    system.wait_ready();
+    eventually("its upstream is there", || system.submit(KEEPERS, "00000000000000f0", 1).0 == 200);
+    system
+}
+
+/// A heartbeat of the upstream `i-0`, or of one that calls itself so.
+fn beat(system: &System) -> Value {
+    json!({"Service": system::SERVICE, "Address": system.upstreams[0].address().to_string(),
+        "Zone": system::zone_name(0), "Version": "v1", "Slots": 8, "State": "ready",
+        "ColdLeftMs": 0, "Labels": [], "Sequence": 1_u64 << 40,
+        "Capacity": {"Cpu": system::UPSTREAM_CPU, "MemMb": 1 << 16, "Gpu": 0}})
+}
+
+fn send(system: &System, keeper: usize, id: &str, body: &[u8]) -> u16 {
+    let url = format!("http://{}/apricotroute/instances/{id}", system.operator(keeper));
+    system::call(&agent(), "PUT", &url, body).0
+}
+
+/// Runs a job at once: its only upstream is held to be what it is.
+fn assert_served(system: &System, number: usize, after: &str) {
+    let id = format!("{:016x}", 0xf100 + number);
+    let answer = system.submit(KEEPERS, &id, 2);
+    assert_eq!(answer, (200, json!({"State": "completed"})), "after {after}");
+}
+
+#[test]
+fn known_upstream_holds() {
+    let system = system(41);
+    let sound = beat(&system);
+    let change = |key: &str, value: Value| {
+        let mut beat = sound.clone();
+        beat[key] = value;
+        beat.to_string().into_bytes()
+    };
+    let without = |key: &str| {
+        let mut beat = sound.clone();
+        beat.as_object_mut().unwrap().remove(key);
+        beat.to_string().into_bytes()
+    };
+    let cases = [
+        ("no capacity", without("Capacity")),
+        ("no labels", without("Labels")),
+        ("no address", without("Address")),
+        ("no state", without("State")),
+        ("no number", without("Sequence")),
+        ("an unknown state", change("State", json!("dancing"))),
+        ("an unknown service", change("Service", json!("nowhere"))),
+        ("a number as its service", change("Service", json!(7))),
+        ("a list as its capacity", change("Capacity", json!([1, 2, 3]))),
+        ("the highest number", change("Sequence", json!(u64::MAX))),
+        ("half a text", sound.to_string().as_bytes()[..80].to_vec()),
+        ("no text", b"\x00\xff\xfe\x80".to_vec()),
+        ("nothing", Vec::new()),
+    ];
+    for (number, (name, body)) in cases.iter().enumerate() {
+        for keeper in 0..KEEPERS {
+            let status = send(&system, keeper, "i-0", body);
+            assert!(matches!(status, 400..=599), "{name}: {status}");
+        }
+        assert_served(&system, number, name);
+    }
+    let refused = |at| system.metric(at, "announcements_refused_total", &[]);
+    for keeper in 0..KEEPERS {
+        assert!(refused(keeper) >= Some(1.0), "counted at {keeper}");
+        assert!(system.log(keeper).contains("upstream: Announcement refused."));
+    }
+}
+
+#[test]
+fn nothing_is_used() {
+    // Nobody calls what such a heartbeat gives as its address.
+    let system = system(42);
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let calls = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&calls);
+    thread::spawn(move || {
+        for _ in listener.incoming() {
+            counter.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    let mut beat = beat(&system);
+    beat["Address"] = address.into();
+    let changes = [
+        ("Service", json!("nowhere")),
+        ("Service", json!("")),
+        ("State", json!("up")),
+        ("Capacity", json!(null)),
+        ("Labels", json!("a")),
+    ];
+    for (number, (key, value)) in changes.iter().enumerate() {
+        let mut beat = beat.clone();
+        beat[key] = value.clone();
+        for keeper in 0..KEEPERS {
+            let id = format!("i-other-{number}");
+            let status = send(&system, keeper, &id, beat.to_string().as_bytes());
+            assert!(matches!(status, 400..=599), "{key}: {value}: {status}");
+        }
+    }
+    for number in 0..20 {
+        assert_served(&system, number, "heartbeats of others");
+    }
+    assert_eq!(calls.load(Ordering::Relaxed), 0);
+}
+
+#[test]
+fn unlisted_leaves() {
+    // An upstream whose service a change has dropped is known still: its leave is acknowledged.
+    let system = system(43);
+    let mut change = config(4);
+    change["Routes"] = json!([]);
+    change["Services"] = json!([]);
+    assert_eq!(system.publish(0, &change), 200);
+    eventually("the change is in force", || system.read(1).1["Version"] == 4);
+    let mut leaving = beat(&system);
+    leaving["State"] = "draining".into();
+    eventually("its leave is noted", || {
+        send(&system, 0, "i-0", leaving.to_string().as_bytes()) == 200
+    });
+    let mut other = leaving.clone();
+    other["Service"] = "nowhere".into();
+    assert!(matches!(send(&system, 0, "i-0", other.to_string().as_bytes()), 400..=599));
+}
+
+#[test]
+fn many_at_once() {
+    let system = system(44);
+    let urls: Vec<_> = (0..4)
+        .map(|at| format!("http://{}/apricotroute/instances/i-{at}", system.operator(0)))
+        .collect();
+    let threads: Vec<_> = urls
+        .into_iter()
+        .map(|url| {
+            thread::spawn(move || {
+                let agent = agent();
+                for _ in 0..MANY / 4 {
+                    let status = system::call(&agent, "PUT", &url, br#"{"State": "odd"}"#).0;
+                    assert!(matches!(status, 400..=599), "{status}");
+                }
+            })
+        })
+        .collect();
+    for number in 0..10 {
+        assert_served(&system, number, "some of many");
+    }
+    let began = std::time::Instant::now();
+    for thread in threads {
+        thread.join().unwrap();
+    }
+    let seconds = began.elapsed().as_secs() as usize + 3;
+    let lines = system.log(0).matches("Announcement refused").count();
+    assert!(lines <= LINES * seconds, "{lines} lines in {seconds} s");
+    let refused = || system.metric(0, "announcements_refused_total", &[]) == Some(MANY as f64);
+    eventually("all are counted", refused);
+}
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -26,6 +26,9 @@
 /// once stopped a zone for 4 s.
 const HEAR: u64 = 250 * MS;
 
+/// Line for an announcement that was not taken.
+const REFUSED: &str = "upstream: Announcement refused.";
+
 /// What an instance is.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -129,6 +132,8 @@
             }
             Event::Left(ticket) => self.desk.left(ticket),
             Event::Announce(ticket, record) => self.announce(ticket, &record, now),
+            Event::Unlisted(ticket, record) => self.unlisted(ticket, &record, now),
+            Event::Unread(id, why) => self.note(REFUSED, &id, why),
             Event::Withdraw(ticket, id) => self.withdraw(ticket, &id, now),
             Event::Publish(ticket, document) => match &mut self.vault {
                 Some(vault) => vault.publish(ticket, document, now.mono),
@@ -276,6 +281,17 @@
         self.reply(ticket, Reply::Noted);
     }
 
+    /// Takes the word of an upstream that is known to be of this service, which a change may have
+    /// dropped: it may be leaving. Any other may be of another writer; if it is one of a service to
+    /// come, its next announcement is taken.
+    pub(crate) fn unlisted(&mut self, ticket: Ticket, record: &upstream::Record, now: Now) {
+        if self.table.get(&record.id).is_some_and(|held| held.service == record.service) {
+            return self.announce(ticket, record, now);
+        }
+        self.note(REFUSED, &record.id, format!("no service {}", record.service));
+        self.reply(ticket, Reply::Unavailable);
+    }
+
     pub(crate) fn withdraw(&mut self, ticket: Ticket, id: &name::Name, now: Now) {
         if let Some(record) = self.table.bury(id, true) {
             self.note("upstream: Withdrawn.", id, String::new());
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -22,6 +22,11 @@
     Left(Ticket),
     /// An upstream announces itself.
     Announce(Ticket, upstream::Record),
+    /// An upstream announces itself for a service that the configuration in force here does not
+    /// name.
+    Unlisted(Ticket, upstream::Record),
+    /// An announcement under this id cannot be taken, and why.
+    Unread(name::Name, String),
     /// An upstream says that it ends.
     Withdraw(Ticket, name::Name),
     /// The operator hands in a configuration.
--- a/crates/dispatch/src/routing.rs
+++ b/crates/dispatch/src/routing.rs
@@ -37,6 +37,8 @@
 pub struct Routing {
     /// Version of the configuration; 0 for none.
     pub version: u64,
+    /// Services that there are.
+    pub services: collections::BTreeSet<name::Name>,
     /// Largest body of a request, bytes.
     pub max_body: usize,
     hosts: collections::HashMap<name::Name, Vec<Route>>,
@@ -77,7 +79,8 @@
         for list in hosts.values_mut() {
             list.sort_by_key(|route| std::cmp::Reverse(route.prefix.as_str().len()));
         }
-        Ok(Self { version, max_body, hosts })
+        let services = services.iter().cloned().collect();
+        Ok(Self { version, services, max_body, hosts })
     }
 
     /// The route with the longest prefix of `path`, and the rest of the path.
--- a/crates/link/src/metric.rs
+++ b/crates/link/src/metric.rs
@@ -18,6 +18,7 @@
     provider: sdk::SdkMeterProvider,
     messages: Counter<u64>,
     bytes: Counter<u64>,
+    refused: Counter<u64>,
     over: Histogram<f64>,
     calls: Histogram<f64>,
     starts: Histogram<f64>,
@@ -60,6 +61,7 @@
         Ok(Self {
             messages: meter.u64_counter("peer_messages").build(),
             bytes: meter.u64_counter("peer_bytes").build(),
+            refused: meter.u64_counter("announcements_refused").build(),
             over: meter.f64_histogram("over_ideal_ms").with_boundaries(bounds).build(),
             calls: seconds("upstream_call_seconds"),
             starts: seconds("start_wait_seconds"),
@@ -119,6 +121,13 @@
     }
 }
 
+/// Counts an announcement of an upstream that was not taken, by what is wrong with it.
+pub fn count_refused_announcement(what: &'static str) {
+    if let Some(metrics) = metrics() {
+        metrics.refused.add(1, &[KeyValue::new("what", what)]);
+    }
+}
+
 /// Notes by how much an answer was later than its longest task, milliseconds.
 pub fn note_over(service: &str, ms: f64) {
     if let Some(metrics) = metrics() {
