--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -29,6 +29,9 @@
 /// once stopped a zone for 4 s.
 const HEAR: u64 = 250 * MS;
 
+/// Line for an announcement that was not taken.
+const REFUSED: &str = "upstream: Announcement refused.";
+
 /// Requests are not answered by a configuration that is known to be older than another one for this
 /// long, microseconds: a route may be gone or lead elsewhere. Operators count on a change after
 /// 2,000 ms, of which its news may take a heartbeat that was lost twice (450 ms). An instance that
@@ -140,6 +143,8 @@
             }
             Event::Left(ticket) => self.desk.left(ticket),
             Event::Announce(ticket, record) => self.announce(ticket, &record, now),
+            Event::Unlisted(ticket, record) => self.unlisted(ticket, &record, now),
+            Event::Unread(id, why) => self.note(REFUSED, &id, why),
             Event::Withdraw(ticket, id) => self.withdraw(ticket, &id, now),
             Event::Publish(ticket, document) => match &mut self.vault {
                 Some(vault) => vault.publish(ticket, document, now.mono),
@@ -295,6 +300,17 @@
         self.reply(ticket, Reply::Noted);
     }
 
+    /// Takes the word of an upstream that is known to be of this service, which a change may have
+    /// dropped: it may be leaving. Any other may be of another writer; if it is one of a service to
+    /// come, its next announcement is taken.
+    pub(crate) fn unlisted(&mut self, ticket: Ticket, record: &upstream::Record, now: Now) {
+        if self.table.get(&record.id).is_some_and(|held| held.service == record.service) {
+            return self.announce(ticket, record, now);
+        }
+        self.note(REFUSED, &record.id, format!("no service {}", record.service));
+        self.reply(ticket, Reply::Unavailable);
+    }
+
     pub(crate) fn withdraw(&mut self, ticket: Ticket, id: &name::Name, now: Now) {
         if let Some(record) = self.table.bury(id, true) {
             self.note("upstream: Withdrawn.", id, String::new());
