Stop every run of a task that nobody wants, and the second of two that are found

Cause: the end of one run, or the loss of its upstream, took the task off the list of runs to stop, so that a second run of it (a start that was carried out late) went on until it was done; and a job that was handed in again kept both. Ruled out: silent and idle upstreams, starts found after a cancel, starters that are gone (tests found_after_cancel and starter_removed pass without the change). Tests: stopped::other_run_stopped, other_run_done, other_run_buried and two_runs_adopted failed before.

--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -107,7 +107,6 @@
             if known {
                 lane.runs.remove(&end.task);
             }
-            self.orphans.remove(&end.task);
             match end.end {
                 End::Done => lane.health.good(),
                 End::Failed if known => {
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -208,14 +208,22 @@
                 found.push((name.clone(), task.clone(), run.attempt));
             }
         }
+        let mut spare = Vec::new();
         if let Some(active) = self.jobs.get_mut(id) {
             for (lane, task, attempt) in found {
-                active.set(&task, Phase::Placed(lane));
-                if let Some(item) = active.item_mut(&task) {
-                    item.attempt = attempt;
+                let Some(item) = active.item_mut(&task) else { continue };
+                item.attempt = item.attempt.max(attempt);
+                // A start that was carried out late may have left two runs of one task.
+                if matches!(item.phase, Phase::Placed(_)) {
+                    spare.push((lane, task));
+                } else {
+                    active.set(&task, Phase::Placed(lane));
                 }
             }
         }
+        for (lane, task) in spare {
+            self.unwant(&lane, &task);
+        }
         let done = self.ends.iter().filter(|(task, (end, _))| task.job == *id && *end == End::Done);
         let done: Vec<_> = done.map(|(task, _)| task.clone()).collect();
         if let Some(active) = self.jobs.get_mut(id) {
@@ -339,7 +347,6 @@
     }
 
     pub(crate) fn requeue(&mut self, id: &name::Name, task: &Task) {
-        self.orphans.remove(task);
         if let Some(active) = self.jobs.get_mut(&task.job)
             && active.item(task).is_some_and(|item| item.phase == Phase::Placed(id.clone()))
         {
