Serve by the held configuration when whoever had a newer one is lost; a module for an instance's part in the configuration

Cause: an entry that had heard of a newer configuration refused requests for as long as nobody who has it was there, as after a loss of power of all keepers. Test news::holders_lost failed before (all entries out of date 4 s after the loss). core.rs and peers.rs lose what is about the configuration to news.rs.

--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -32,12 +32,6 @@
 /// Line for an announcement that was not taken.
 const REFUSED: &str = "upstream: Announcement refused.";
 
-/// Requests are not answered by a configuration that is known to be older than another one for this
-/// long, microseconds: a route may be gone or lead elsewhere. Operators count on a change after
-/// 2,000 ms, of which its news may take a heartbeat that was lost twice (450 ms). An instance that
-/// hears of none, as it is cut off, goes on by the last that it has.
-const OUTDATED: u64 = 1_300 * MS;
-
 /// What an instance is.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -196,12 +190,6 @@
         !self.draining && settled && self.claims.iter().any(reached)
     }
 
-    /// Whether a newer configuration has been known of for too long for requests to be answered by
-    /// the one in force.
-    pub fn is_outdated(&self, now: Now) -> bool {
-        self.told.values().min().is_some_and(|since| now.mono >= since + OUTDATED)
-    }
-
     /// Jobs that clients wait for here.
     pub fn open(&self) -> usize {
         self.desk.open()
@@ -334,38 +322,6 @@
         }
     }
 
-    pub(crate) fn adopt(&mut self, document: Document, now: Now) {
-        if document.version <= self.document.version {
-            return;
-        }
-        let newer = self.told.split_off(&(document.version + 1));
-        let told = std::mem::replace(&mut self.told, newer);
-        let since = told.into_values().min().unwrap_or(now.mono);
-        let waited = now.mono.saturating_sub(since) / MS;
-        self.fetch.drop_older(document.version);
-        self.document = document.clone();
-        let name = self.roster.me().name.clone();
-        self.note(
-            "settings: In force.",
-            &name,
-            format!("version {}, known of for {waited} ms", document.version),
-        );
-        self.out.push(Output::Document(document));
-        if self.vault.is_some() {
-            self.announce_version(now);
-        }
-        // What is newer still was told of while this one was on its way.
-        self.fetch_newer(now);
-    }
-
-    pub(crate) fn adopt_vault(&mut self, now: Now) {
-        let Some(vault) = &self.vault else { return };
-        if vault.document().version > self.document.version {
-            let document = vault.document().clone();
-            self.adopt(document, now);
-        }
-    }
-
     pub(crate) fn drain(&mut self, now: Now) {
         self.draining = true;
         if let Some(vault) = &mut self.vault {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod lane;
 pub mod member;
 pub mod message;
+mod news;
 pub mod order;
 mod outcome;
 pub mod pack;
--- /dev/null
+++ b/crates/dispatch/src/news.rs
@@ -0,0 +1,115 @@
+//! What an instance does about the configuration: hears of a newer one, fetches it, puts it in
+//! force, and tells the others.
+
+use state::name;
+
+use crate::{
+    core::Core,
+    event::Output,
+    fetch, member,
+    message::{Body, Document},
+    time::{MS, Now},
+};
+
+/// Requests are not answered by a configuration that is known to be older than another one for this
+/// long, microseconds: a route may be gone or lead elsewhere. Operators count on a change after
+/// 2,000 ms, of which its news may take a heartbeat that was lost twice (450 ms). An instance that
+/// hears nobody who has a newer one, as it is cut off or keepers have lost power, goes on by the last
+/// that it has.
+const OUTDATED: u64 = 1_300 * MS;
+
+impl Core {
+    /// Takes the version that another instance has.
+    pub(crate) fn hear_version(&mut self, version: u64, now: Now) {
+        if version > self.document.version {
+            self.told.entry(version).or_insert(now.mono);
+            self.fetch_newer(now);
+        }
+    }
+
+    /// Whether a newer configuration has been known of for too long for requests to be answered by
+    /// the one in force, and somebody who has it is heard.
+    pub fn is_outdated(&self, now: Now) -> bool {
+        let Some((version, since)) = self.told.first_key_value() else { return false };
+        now.mono >= since + OUTDATED && !self.roster.holders(*version, now.mono).is_empty()
+    }
+
+    /// Asks for the newest configuration that is known of, if that is due.
+    pub(crate) fn fetch_newer(&mut self, now: Now) {
+        let Some(newest) = self.told.last_key_value().map(|(version, _)| *version) else { return };
+        if !self.fetch.is_due(newest, now.mono) {
+            return;
+        }
+        let sources = self.roster.holders(newest, now.mono);
+        if let Some((source, ask)) = self.fetch.begin(newest, &sources, now.mono) {
+            let detail = format!(
+                "version {newest} from byte {}, held {}",
+                ask.offset, self.document.version
+            );
+            self.note("settings: Fetching.", &source, detail);
+            self.send(&source, Body::Fetch(ask), now);
+        }
+    }
+
+    /// Takes a part of a configuration.
+    pub(crate) fn on_part(&mut self, from: &name::Name, part: &fetch::Part, now: Now) {
+        match self.fetch.take(from, part, now.mono) {
+            fetch::Taken::More(ask) => self.send(from, Body::Fetch(ask), now),
+            fetch::Taken::Whole(document) => self.adopt(document, now),
+            fetch::Taken::Unneeded => {
+                let detail = format!(
+                    "version {} from byte {}, held {}",
+                    part.version, part.offset, self.document.version
+                );
+                self.note("settings: A part that is not needed.", from, detail);
+            }
+        }
+    }
+
+    /// Puts a configuration in force if it is newer.
+    pub(crate) fn adopt(&mut self, document: Document, now: Now) {
+        if document.version <= self.document.version {
+            return;
+        }
+        let newer = self.told.split_off(&(document.version + 1));
+        let told = std::mem::replace(&mut self.told, newer);
+        let since = told.into_values().min().unwrap_or(now.mono);
+        let waited = now.mono.saturating_sub(since) / MS;
+        self.fetch.drop_older(document.version);
+        self.document = document.clone();
+        let name = self.roster.me().name.clone();
+        self.note(
+            "settings: In force.",
+            &name,
+            format!("version {}, known of for {waited} ms", document.version),
+        );
+        self.out.push(Output::Document(document));
+        if self.vault.is_some() {
+            self.announce_version(now);
+        }
+        // What is newer still was told of while this one was on its way.
+        self.fetch_newer(now);
+    }
+
+    pub(crate) fn adopt_vault(&mut self, now: Now) {
+        let Some(vault) = &self.vault else { return };
+        if vault.document().version > self.document.version {
+            let document = vault.document().clone();
+            self.adopt(document, now);
+        }
+    }
+
+    /// Tells the others of a newer configuration without waiting for the next heartbeat.
+    pub(crate) fn announce_version(&mut self, now: Now) {
+        let near = |card: &member::Card| {
+            card.role == member::Role::Entry && card.zone == self.roster.me().zone
+        };
+        let names = self.roster.names().filter(|name| {
+            self.roster.peer(name).and_then(|peer| peer.card.as_ref()).is_some_and(near)
+        });
+        let names: Vec<_> = names.cloned().collect();
+        for to in names {
+            self.beat_now(&to, now);
+        }
+    }
+}
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -156,10 +156,7 @@
                 sched.forget_entry(&from);
             }
         }
-        if version > self.document.version {
-            self.told.entry(version).or_insert(now.mono);
-            self.fetch_newer(now);
-        }
+        self.hear_version(version, now);
         let zone = self.roster.me().zone.clone();
         let differs = (
             members != self.roster.digest(),
@@ -177,37 +174,6 @@
         self.yield_to_higher();
     }
 
-    /// Asks for the newest configuration that is known of, if that is due.
-    pub(crate) fn fetch_newer(&mut self, now: Now) {
-        let Some(newest) = self.told.last_key_value().map(|(version, _)| *version) else { return };
-        if !self.fetch.is_due(newest, now.mono) {
-            return;
-        }
-        let sources = self.roster.holders(newest, now.mono);
-        if let Some((source, ask)) = self.fetch.begin(newest, &sources, now.mono) {
-            let detail = format!(
-                "version {newest} from byte {}, held {}",
-                ask.offset, self.document.version
-            );
-            self.note("settings: Fetching.", &source, detail);
-            self.send(&source, Body::Fetch(ask), now);
-        }
-    }
-
-    fn on_part(&mut self, from: &name::Name, part: &fetch::Part, now: Now) {
-        match self.fetch.take(from, part, now.mono) {
-            fetch::Taken::More(ask) => self.send(from, Body::Fetch(ask), now),
-            fetch::Taken::Whole(document) => self.adopt(document, now),
-            fetch::Taken::Unneeded => {
-                let detail = format!(
-                    "version {} from byte {}, held {}",
-                    part.version, part.offset, self.document.version
-                );
-                self.note("settings: A part that is not needed.", from, detail);
-            }
-        }
-    }
-
     /// Takes news of upstreams.
     pub(crate) fn on_records(&mut self, records: Vec<upstream::Record>) {
         for record in records {
@@ -238,20 +204,6 @@
         }
     }
 
-    /// Tells the others of a newer configuration without waiting for the next heartbeat.
-    pub(crate) fn announce_version(&mut self, now: Now) {
-        let near = |card: &member::Card| {
-            card.role == member::Role::Entry && card.zone == self.roster.me().zone
-        };
-        let names = self.roster.names().filter(|name| {
-            self.roster.peer(name).and_then(|peer| peer.card.as_ref()).is_some_and(near)
-        });
-        let names: Vec<_> = names.cloned().collect();
-        for to in names {
-            self.beat_now(&to, now);
-        }
-    }
-
     pub(crate) fn beat_all(&mut self, now: Now) {
         let names: Vec<_> = self.roster.names().cloned().collect();
         for to in names {
--- a/crates/dispatch/tests/news.rs
+++ b/crates/dispatch/tests/news.rs
@@ -107,6 +107,28 @@
     assert_eq!(behind(&world, 2), Vec::<usize>::new());
 }
 
+#[test]
+fn holders_lost() {
+    // Whoever had the newer configuration is gone before an entry has it: it goes on as it can.
+    let mut world = ready(4);
+    for at in (0..INSTANCES).filter(|at| !KEEPERS.contains(at)) {
+        world.links.rates.insert(at, 100);
+    }
+    world.publish(KEEPERS[0], 1, "text");
+    world.run(1_000);
+    world.publish(KEEPERS[0], 2, &world::text(LARGE, 1));
+    world.run(500);
+    for keeper in KEEPERS {
+        world.kill(keeper);
+    }
+    world.run(4_000);
+    let now = Now::new(world.now, 0);
+    for at in (0..INSTANCES).filter(|at| !KEEPERS.contains(at)) {
+        let core = world.instances[at].core.as_ref().unwrap();
+        assert_eq!((core.document().version, core.is_outdated(now)), (1, false), "entry {at}");
+    }
+}
+
 /// Plays a fetch of `document`; `answers` says whether a source answers the question of this number.
 fn play(document: &Document, answers: impl Fn(&Name, usize) -> bool) -> (Document, Vec<String>) {
     let sources: [Name; 2] = ["one".into(), "two".into()];
