--- a/crates/link/src/metric.rs
+++ b/crates/link/src/metric.rs
@@ -18,11 +18,13 @@
     provider: sdk::SdkMeterProvider,
     messages: Counter<u64>,
     bytes: Counter<u64>,
+    refused: Counter<u64>,
     over: Histogram<f64>,
     calls: Histogram<f64>,
     starts: Histogram<f64>,
     replies: Histogram<f64>,
     syncs: Histogram<f64>,
+    reads: Histogram<f64>,
     left_out: Counter<u64>,
 }
 
@@ -59,11 +61,13 @@
         Ok(Self {
             messages: meter.u64_counter("peer_messages").build(),
             bytes: meter.u64_counter("peer_bytes").build(),
+            refused: meter.u64_counter("announcements_refused").build(),
             over: meter.f64_histogram("over_ideal_ms").with_boundaries(bounds).build(),
             calls: seconds("upstream_call_seconds"),
             starts: seconds("start_wait_seconds"),
             replies: seconds("reply_seconds"),
             syncs: seconds("disk_sync_seconds"),
+            reads: seconds("settings_read_seconds"),
             left_out: meter.u64_counter("log_lines_left_out").build(),
             registry,
             provider,
@@ -117,6 +121,13 @@
     }
 }
 
+/// Counts an announcement of an upstream that was not taken, by what is wrong with it.
+pub fn count_refused_announcement(what: &'static str) {
+    if let Some(metrics) = metrics() {
+        metrics.refused.add(1, &[KeyValue::new("what", what)]);
+    }
+}
+
 /// Notes by how much an answer was later than its longest task, milliseconds.
 pub fn note_over(service: &str, ms: f64) {
     if let Some(metrics) = metrics() {
@@ -154,6 +165,13 @@
     }
 }
 
+/// Notes how long a configuration took to be read and checked before it was in force.
+pub fn note_read(took: time::Duration) {
+    if let Some(metrics) = metrics() {
+        metrics.reads.record(took.as_secs_f64(), &[]);
+    }
+}
+
 /// Counts a log line that was left out to bound their number, by its text.
 pub fn count_left_out(kind: &'static str) {
     if let Some(metrics) = metrics() {
