Give each test process a loopback host of its own

Cause: as in "Tests that fail: addresses of test instances are not their own"; an instance that cannot bind its address at a start ends, and its test waits 20 s for it. killed_at_once is the most exposed: west-1 is dead five times for a second or two, and its three ports are free then for any other test process.

--- a/crates/apricotroute/tests/harness/mod.rs
+++ b/crates/apricotroute/tests/harness/mod.rs
@@ -401,22 +401,25 @@
     read(response).unwrap_or((0, Value::Null))
 }
 
-/// An address that nobody listens on.
+/// An address that no other process and no other caller gets. It is not tried first: the socket of
+/// a trial stays open in a process that another thread is just starting.
 pub fn free_address() -> net::SocketAddr {
     static NEXT: sync::atomic::AtomicU32 = sync::atomic::AtomicU32::new(0);
-    loop {
-        let step = NEXT.fetch_add(1, sync::atomic::Ordering::Relaxed);
-        let address = address_of(process::id(), step);
-        if net::TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
+    address_of(process::id(), NEXT.fetch_add(1, sync::atomic::Ordering::Relaxed))
 }
 
-/// The address that a process tries at a step, below the ports that outgoing connections get.
+/// The address of a process at a step: the loopback network has a host for every process number,
+/// beside those of [`net::Ipv4Addr::LOCALHOST`] and of the systems on the platform's calls.
 pub fn address_of(process: u32, step: u32) -> net::SocketAddr {
-    const FIRST: u32 = 10_000;
-    const COUNT: u32 = 20_000;
-    let port = FIRST + process.wrapping_mul(211).wrapping_add(step) % COUNT;
-    net::SocketAddr::from(([127, 0, 0, 1], port as u16))
+    // The ports end below those that outgoing connections get.
+    const PORTS: std::ops::Range<u32> = 10_000..30_000;
+    // What of a process number is above its last two bytes: Linux counts to 2^22
+    // (`PID_MAX_LIMIT`).
+    const HIGH: u8 = 1 << 6;
+    // Second byte of the first host.
+    const FIRST: u8 = 128;
+    let [_, high, middle, low] = process.to_be_bytes();
+    let port = PORTS.start + step;
+    assert!(high < HIGH && PORTS.contains(&port), "no address for {process} at {step}");
+    net::SocketAddr::from(([127, FIRST + high, middle, low], port as u16))
 }
