Two tests of one task that runs twice while messages between instances wait

Cause: not mended yet. The simulation can now delay messages for each pair of instances, in order, lose what is under way when a stream is dialled anew, and have several keepers in a zone.

--- /dev/null
+++ b/crates/dispatch/tests/doubled.rs
@@ -0,0 +1,100 @@
+//! Messages between instances that take seconds while calls to upstreams work: no task runs twice
+//! at a time.
+
+mod world;
+
+use dispatch::upstream::Phase;
+use world::{World, upstream::Upstream};
+
+/// Two keepers (0 and 1) and two entries (2 and 3) in one zone.
+fn ready(seed: u64) -> World {
+    let mut world = World::with_keepers(seed, 1, 2, 2, 4);
+    world.run(3_000);
+    assert_eq!(world.schedulers(0), [0]);
+    world
+}
+
+/// One more upstream of the first zone; it announces itself at keeper `ear` only.
+fn add_upstream(world: &mut World, ear: usize) {
+    let at = world.upstreams.len();
+    let mut upstream = Upstream::new(&format!("i-0-{at}-0"), "zone-0", 32_000, 77);
+    upstream.address = format!("10.0.9.{at}:80");
+    world.upstreams.push(upstream);
+    world.ear = Some(ear);
+    world.announce(at, Phase::Serving);
+}
+
+/// What all others send to `to` waits longer and longer, up to `ms`: each heartbeat still comes
+/// within 250 ms of the one before.
+fn fill_up(world: &mut World, to: usize, ms: u64) {
+    for wait in (100..=ms).step_by(100) {
+        for other in (0..world.instances.len()).filter(|other| *other != to) {
+            world.slow(other, to, wait);
+        }
+        world.run(200);
+    }
+}
+
+#[test]
+fn unknown_upstream() {
+    // Users saw one task run on two upstreams of a zone at the same time, started by its two
+    // keepers, both as the first attempt.
+    // Order of events: the first keeper's link filled up and all that it sent took seconds. An
+    // upstream had just announced itself there, and that news waited in the same queue. The first
+    // keeper started the task on it. The second one heard nothing for 500 ms and claimed the zone;
+    // the entry handed the job over; every upstream that the new scheduler knew had answered
+    // within milliseconds, none of them ran the task, and it was started again.
+    // Cause: a scheduler took the upstreams that it knew for all there are.
+    // Evidence: the two starts are noted with the tokens of both keepers, and no call of the second
+    // one goes to the first one's upstream before its start.
+    let mut faults = Vec::new();
+    for seed in 0..10 {
+        let mut world = ready(seed);
+        for other in 1..4 {
+            world.slow(0, other, 2_500);
+        }
+        world.slow(1, 0, 2_500);
+        add_upstream(&mut world, 0);
+        // The upstreams that both know are taken for a while, so that these tasks go to the new one.
+        world.submit(0, 9, 14_000, 200);
+        world.run(20);
+        for _ in 0..2 {
+            world.submit(0, 1, 14_000, 900);
+        }
+        world.run(4_000);
+        faults.extend(world.faults.first().map(|fault| format!("seed {seed}: {fault}")));
+    }
+    assert_eq!(faults, Vec::<String>::new());
+}
+
+#[test]
+fn old_news() {
+    // Users saw one task run in two zones at the same time.
+    // Order of events: an entry's own zone had no room, so it handed a job to the scheduler of
+    // another one, whose incoming queue had grown until messages waited for seconds in it. The
+    // entry lost that scheduler, gave it the 2,000 ms in which it had to drop the job, and handed
+    // the job to its own zone. The former one still read what the entry had sent before, started
+    // the task by it, or kept it.
+    // Cause: whether an entry waits was judged by its heartbeat that was read last, not by how old
+    // that was; all of the entry's messages are equally late, so none shows it.
+    // Evidence: the start in the other zone is noted as long after the job was handed to it as
+    // messages waited (1,500 ms and more), with an age of 0 ms.
+    let mut faults = Vec::new();
+    for delay in (500..4_000).step_by(250) {
+        let mut world = World::with_keepers(delay, 2, 1, 2, 4);
+        world.run(3_000);
+        let (entries, far) = ([4, 5], 0);
+        fill_up(&mut world, far, delay);
+        world.run(delay + 500);
+        world.submit(1, 10, 14_000, 1_000);
+        world.run(200);
+        world.submit(1, 2, 14_000, 1_000);
+        world.run(100);
+        for entry in entries {
+            world.cut(far, entry, true);
+        }
+        world.run(6_000);
+        faults.extend(world.faults.first().map(|fault| format!("{delay} ms: {fault}")));
+    }
+    assert_eq!(faults, Vec::<String>::new());
+}
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -32,7 +32,7 @@
 #[derive(Debug)]
 enum What {
     Tick,
-    Deliver { to: usize, from: usize, body: Body },
+    Deliver { to: usize, from: usize, stream: u64, body: Body },
     Arrive { call: Call, from: (usize, u64) },
     Answer { to: (usize, u64), number: u64, fence: u64, outcome: Outcome },
     Expire { to: (usize, u64), number: u64, fence: u64 },
@@ -101,6 +101,11 @@
     pub skew: i64,
     /// Messages between instances wait this much longer, microseconds: their receivers are busy.
     pub busy: u64,
+    /// Messages from one instance to another wait this much longer, microseconds, and none
+    /// overtakes another: the link or a queue on the way is full.
+    pub slow: BTreeMap<(usize, usize), u64>,
+    /// Whether what is under way on a stream is lost when the stream is dialled anew.
+    pub lossy: bool,
     /// One order in so many is carried out late and never answered; 0 for none.
     pub late: u32,
     pub faults: Vec<String>,
@@ -118,6 +123,10 @@
     tickets: BTreeMap<u64, Name>,
     queue: BinaryHeap<Due>,
     order: u64,
+    /// Streams that were dialled anew: how often.
+    redialled: BTreeMap<(usize, usize), u64>,
+    /// When the last message on a slow stream arrives.
+    last: BTreeMap<(usize, usize), u64>,
     seeds: Vec<Name>,
     /// `TRACE=ID` prints what is done about a job.
     trace: Option<String>,
@@ -126,6 +135,17 @@
 impl World {
     /// Zones with `entries` entries and one keeper each, and `upstreams` upstreams.
     pub fn new(seed: u64, zones: usize, entries: usize, upstreams: usize) -> Self {
+        Self::with_keepers(seed, zones, 1, entries, upstreams)
+    }
+
+    /// The same with several keepers in each zone; the first ones are the seeds.
+    pub fn with_keepers(
+        seed: u64,
+        zones: usize,
+        keepers: usize,
+        entries: usize,
+        upstreams: usize,
+    ) -> Self {
         let mut world = Self {
             now: 1,
             rng: SmallRng::seed_from_u64(seed),
@@ -137,6 +157,8 @@
             ear: None,
             skew: 0,
             busy: 0,
+            slow: BTreeMap::new(),
+            lossy: false,
             late: 0,
             faults: Vec::new(),
             starts: BTreeMap::new(),
@@ -148,12 +170,14 @@
             tickets: BTreeMap::new(),
             queue: BinaryHeap::new(),
             order: 0,
+            redialled: BTreeMap::new(),
+            last: BTreeMap::new(),
             seeds: (0..zones).map(|z| Name::new(&format!("10.{z}.0.1:7"))).collect(),
             trace: std::env::var("TRACE").ok(),
         };
         for zone in 0..zones {
-            for at in 0..=entries {
-                let role = if at == 0 { Role::Keeper } else { Role::Entry };
+            for at in 0..keepers + entries {
+                let role = if at < keepers { Role::Keeper } else { Role::Entry };
                 let name = Name::new(&format!("10.{zone}.0.{}:7", at + 1));
                 let card = Card { name, zone: zone_name(zone), role, life: 0 };
                 let disk = (role == Role::Keeper).then(|| (Mirror::default(), 1));
@@ -346,8 +370,9 @@
         }
         match what {
             What::Tick => self.tick(),
-            What::Deliver { to, from, body } => {
-                if !self.cuts.contains(&(from, to)) {
+            What::Deliver { to, from, stream, body } => {
+                let broken = self.redialled.get(&(from, to)).is_some_and(|now| *now != stream);
+                if !self.cuts.contains(&(from, to)) && !broken {
                     let name = self.instances[from].card.name.clone();
                     self.handle(to, Event::Peer(name, body));
                 }
@@ -522,7 +547,9 @@
                     self.streams.insert((at, to));
                     let same = self.instances[to].card.zone == self.instances[at].card.zone;
                     let delay = if same { 200 } else { 900 };
-                    self.push(self.now + delay + self.busy, What::Deliver { to, from: at, body });
+                    let arrival = self.arrival(at, to, self.now + delay + self.busy);
+                    let stream = self.redialled.get(&(at, to)).copied().unwrap_or(0);
+                    self.push(arrival, What::Deliver { to, from: at, stream, body });
                 }
             }
             Output::Call(call) => {
@@ -543,12 +570,38 @@
                 self.push(self.now + 9 * MS, What::Saved { to: (at, life), number });
             }
             Output::Note(note) => *self.notes.entry(note.text).or_default() += 1,
+            Output::Redial(to) if self.lossy => {
+                if let Some(to) = self.instances.iter().position(|i| i.card.name == to) {
+                    *self.redialled.entry((at, to)).or_default() += 1;
+                    self.last.remove(&(at, to));
+                }
+            }
             Output::Reply(ticket, Reply::Verdict(verdict)) => self.verdict(ticket, verdict),
             Output::Reply(ticket, reply) => self.replies.push((ticket, reply)),
             _ => {}
         }
     }
 
+    /// When a message that would arrive `at` on a quick stream does arrive.
+    fn arrival(&mut self, from: usize, to: usize, at: u64) -> u64 {
+        let wait = self.slow.get(&(from, to)).copied().unwrap_or(0);
+        if wait == 0 && !self.last.contains_key(&(from, to)) {
+            return at;
+        }
+        let last = self.last.entry((from, to)).or_default();
+        *last = (at + wait).max(*last);
+        *last
+    }
+
+    /// Makes the stream from one instance to another slow, or quick again (0), milliseconds.
+    pub fn slow(&mut self, from: usize, to: usize, ms: u64) {
+        if ms == 0 {
+            self.slow.remove(&(from, to));
+        } else {
+            self.slow.insert((from, to), ms * MS);
+        }
+    }
+
     fn clock(&self) -> Now {
         Now::new(self.now, WALL + self.now / MS)
     }
