random_faults: a second series with streams on which messages wait

Two keepers a zone, streams that fill up or are slow by 0.5 to 4 s, what is under way lost when a stream is dialled anew, upstreams replaced while their news waits. The series that there was plays as before.

--- a/crates/dispatch/tests/doubled.rs
+++ b/crates/dispatch/tests/doubled.rs
@@ -24,17 +24,6 @@
     world.announce(at, Phase::Serving);
 }
 
-/// What all others send to `to` waits longer and longer, up to `ms`: each heartbeat still comes
-/// within 250 ms of the one before.
-fn fill_up(world: &mut World, to: usize, ms: u64) {
-    for wait in (100..=ms).step_by(100) {
-        for other in (0..world.instances.len()).filter(|other| *other != to) {
-            world.slow(other, to, wait);
-        }
-        world.run(200);
-    }
-}
-
 #[test]
 fn unknown_upstream() {
     // Users saw one task run on two upstreams of a zone at the same time, started by its two
@@ -84,8 +73,10 @@
         let mut world = World::with_keepers(delay, 2, 1, 2, 4);
         world.run(3_000);
         let (entries, far) = ([4, 5], 0);
-        fill_up(&mut world, far, delay);
-        world.run(delay + 500);
+        for other in 1..world.instances.len() {
+            world.fill_up(other, far, delay);
+        }
+        world.run(delay * 3 + 500);
         world.submit(1, 10, 14_000, 1_000);
         world.run(200);
         world.submit(1, 2, 14_000, 1_000);
--- a/crates/dispatch/tests/random_faults.rs
+++ b/crates/dispatch/tests/random_faults.rs
@@ -20,8 +20,11 @@
     env::var(key).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
+/// The step that ends a fault.
+type End = Box<dyn FnOnce(&mut World)>;
+
 /// One fault now, and the step that ends it.
-fn fault(world: &mut World) -> Box<dyn FnOnce(&mut World)> {
+fn fault(world: &mut World) -> End {
     let at = world.rng.random_range(0..INSTANCES);
     let up = world.rng.random_range(0..world.upstreams.len());
     match world.rng.random_range(0..17) {
@@ -107,11 +110,82 @@
     }
 }
 
-fn load(world: &mut World, ms: u64) {
+/// A zone with two keepers and two entries, as the tests of slow streams have it.
+const SLOW_KEEPERS: usize = 2;
+const SLOW_SIZE: usize = SLOW_KEEPERS + ENTRIES;
+
+/// One fault now, among them streams on which messages wait for seconds, and the step that ends
+/// it.
+fn slow_fault(world: &mut World) -> End {
+    let all = world.instances.len();
+    let at = world.rng.random_range(0..all);
+    let other = world.rng.random_range(0..all);
+    let up = world.rng.random_range(0..world.upstreams.len());
+    let ms = world.rng.random_range(500..4_000);
+    let pairs: Vec<(usize, usize)> = match world.rng.random_range(0..14) {
+        0 => vec![(at, other)],
+        1 => vec![(at, other), (other, at)],
+        2 | 3 => (0..all).map(|other| (at, other)).collect(),
+        4 | 5 => (0..all).map(|other| (other, at)).collect(),
+        6 => {
+            let zone = at / SLOW_SIZE * SLOW_SIZE;
+            (0..all).flat_map(|from| (zone..zone + SLOW_SIZE).map(move |to| (from, to))).collect()
+        }
+        7 => {
+            world.kill(at);
+            return Box::new(move |world| world.start(at));
+        }
+        8 => {
+            world.freeze(at);
+            return Box::new(move |world| world.thaw(at));
+        }
+        9 => {
+            world.cut(at, other, true);
+            return Box::new(move |world| world.cut(at, other, false));
+        }
+        10 => {
+            world.wall(up, at, true);
+            return Box::new(move |world| world.wall(up, at, false));
+        }
+        11 | 12 => {
+            // Upstreams are replaced, and their news waits at the keeper that they told.
+            let zone = at / SLOW_SIZE;
+            let ear = zone * SLOW_SIZE + at % SLOW_KEEPERS;
+            world.ear = Some(ear);
+            for up in zone * UPSTREAMS..zone * UPSTREAMS + UPSTREAMS / 2 {
+                let life: u32 = world.rng.random();
+                world.upstreams[up].crash(&format!("i-{up}-{life}"));
+                world.announce(up, Phase::Serving);
+            }
+            (0..all).map(|other| (ear, other)).collect()
+        }
+        _ => {
+            world.late = 15;
+            return Box::new(|world| world.late = 0);
+        }
+    };
+    let fills = world.rng.random_range(0..2) == 0;
+    for (from, to) in &pairs {
+        if fills {
+            world.fill_up(*from, *to, ms);
+        } else {
+            world.slow(*from, *to, ms);
+        }
+    }
+    Box::new(move |world| {
+        for (from, to) in pairs {
+            world.slow(from, to, 0);
+        }
+        world.ear = None;
+    })
+}
+
+/// A job each 20 ms for `ms` milliseconds, the three kinds (tasks and their length) in turn.
+fn load(world: &mut World, kinds: Kinds, ms: u64) {
     const GAP: u64 = 20;
     for at in 0..ms / GAP {
         let zone = world.rng.random_range(0..ZONES);
-        let (count, length) = [(8, 60), (2, 200), (4, 900)][at as usize % 3];
+        let (count, length) = kinds[at as usize % 3];
         let cpu = world.rng.random_range(10_000..20_000);
         let id = world.submit(zone, count, cpu, length);
         world.run(GAP);
@@ -121,8 +195,33 @@
     }
 }
 
+/// Kinds of jobs: how many tasks, and their length, milliseconds.
+type Kinds = [(u32, u64); 3];
+
+struct Plan {
+    /// Instances of a zone.
+    size: usize,
+    fault: fn(&mut World) -> End,
+    kinds: Kinds,
+    /// Faults last this many times longer.
+    pace: u64,
+}
+
 fn play(seed: u64) {
-    let mut world = World::new(seed, ZONES, ENTRIES, UPSTREAMS);
+    let world = World::new(seed, ZONES, ENTRIES, UPSTREAMS);
+    let kinds = [(8, 60), (2, 200), (4, 900)];
+    play_with(world, seed, &Plan { size: ENTRIES + 1, fault, kinds, pace: 1 });
+}
+
+fn play_slow(seed: u64) {
+    let mut world = World::with_keepers(seed, ZONES, SLOW_KEEPERS, ENTRIES, UPSTREAMS);
+    world.lossy = true;
+    let kinds = [(1, 100), (1, 300), (1, 900)];
+    play_with(world, seed, &Plan { size: SLOW_SIZE, fault: slow_fault, kinds, pace: 2 });
+}
+
+fn play_with(mut world: World, seed: u64, plan: &Plan) {
+    let Plan { size, fault, kinds, pace } = *plan;
     world.run(3_000);
     let mut version = 0;
     let mut held = 0;
@@ -132,13 +231,13 @@
         for _ in 0..count {
             ends.push(fault(&mut world));
             let time = world.rng.random_range(50..600);
-            load(&mut world, time);
+            load(&mut world, kinds, time);
         }
         version += 1;
-        let keeper = world.rng.random_range(0..ZONES) * (ENTRIES + 1);
+        let keeper = world.rng.random_range(0..ZONES) * size;
         let ticket = world.publish(keeper, version, "text");
-        let time = world.rng.random_range(300..2_500);
-        load(&mut world, time);
+        let time = world.rng.random_range(300..2_500) * pace;
+        load(&mut world, kinds, time);
         if world.reply(ticket) == Some(&Reply::Noted) {
             held = version;
         }
@@ -146,16 +245,16 @@
             end(&mut world);
         }
         let time = world.rng.random_range(100..1_500);
-        load(&mut world, time);
+        load(&mut world, kinds, time);
     }
-    for at in 0..INSTANCES {
+    for at in 0..world.instances.len() {
         if world.instances[at].core.is_none() {
             world.start(at);
         }
     }
     world.run(6_000);
     let before = world.complete();
-    load(&mut world, 1_000);
+    load(&mut world, kinds, 1_000);
     world.run(4_000);
     assert_eq!(world.faults, Vec::<String>::new(), "seed {seed}");
     assert!(world.complete() > before + 20, "seed {seed}: work goes on after the faults");
@@ -172,3 +271,11 @@
         play(seed);
     }
 }
+
+#[test]
+fn slow_seeds() {
+    let first = number("FIRST_SEED", 1);
+    for seed in first..first + number("SEEDS", 12) {
+        play_slow(seed);
+    }
+}
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -74,6 +74,16 @@
     first: bool,
 }
 
+/// How long messages wait on a stream, microseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Slow {
+    /// The longest wait.
+    most: u64,
+    /// Since when the queue fills up, if it does: each heartbeat still comes within 250 ms of the
+    /// one before.
+    since: Option<u64>,
+}
+
 /// A client's job.
 #[derive(Debug)]
 pub struct Request {
@@ -101,9 +111,9 @@
     pub skew: i64,
     /// Messages between instances wait this much longer, microseconds: their receivers are busy.
     pub busy: u64,
-    /// Messages from one instance to another wait this much longer, microseconds, and none
-    /// overtakes another: the link or a queue on the way is full.
-    pub slow: BTreeMap<(usize, usize), u64>,
+    /// Streams on which messages wait, and none overtakes another: the link or a queue on the way
+    /// is full.
+    pub slow: BTreeMap<(usize, usize), Slow>,
     /// Whether what is under way on a stream is lost when the stream is dialled anew.
     pub lossy: bool,
     /// One order in so many is carried out late and never answered; 0 for none.
@@ -584,7 +594,10 @@
 
     /// When a message that would arrive `at` on a quick stream does arrive.
     fn arrival(&mut self, from: usize, to: usize, at: u64) -> u64 {
-        let wait = self.slow.get(&(from, to)).copied().unwrap_or(0);
+        let wait = self.slow.get(&(from, to)).map_or(0, |slow| match slow.since {
+            Some(since) => slow.most.min((self.now - since) / 2),
+            None => slow.most,
+        });
         if wait == 0 && !self.last.contains_key(&(from, to)) {
             return at;
         }
@@ -593,12 +606,22 @@
         *last
     }
 
-    /// Makes the stream from one instance to another slow, or quick again (0), milliseconds.
+    /// Messages from one instance to another wait this long from now on (0: no more),
+    /// milliseconds.
     pub fn slow(&mut self, from: usize, to: usize, ms: u64) {
-        if ms == 0 {
+        self.set_slow(from, to, Slow { most: ms * MS, since: None });
+    }
+
+    /// They wait longer and longer, up to this time, milliseconds.
+    pub fn fill_up(&mut self, from: usize, to: usize, ms: u64) {
+        self.set_slow(from, to, Slow { most: ms * MS, since: Some(self.now) });
+    }
+
+    fn set_slow(&mut self, from: usize, to: usize, slow: Slow) {
+        if slow.most == 0 {
             self.slow.remove(&(from, to));
-        } else {
-            self.slow.insert((from, to), ms * MS);
+        } else if from != to {
+            self.slow.insert((from, to), slow);
         }
     }
 
