One task runs on one upstream, however late messages between instances are

Change: heartbeats tell the receiver's last one and when it was read, which bounds the sender's clock, and a digest of the upstreams of the sender's zone. A start needs a question of the entry that is at most 600 ms old by that bound; a job is dropped by it, too. A scheduler uses for an entry only upstreams that the entry has told it to know, and the entry hands over what it told.

A new upstream gets an entry's tasks after 165 ms at most (doubled::soon_used).

--- a/crates/dispatch/src/active.rs
+++ b/crates/dispatch/src/active.rs
@@ -39,6 +39,10 @@
     pub awaited: u64,
     /// The entry's clock when it last said that it waits.
     pub stamp: u64,
+    /// When nothing that former schedulers started can run any more, whatever is not known of them.
+    pub over: u64,
+    /// Digests of former schedulers' upstreams of which not all are known here.
+    pub uncovered: smallvec::SmallVec<[u64; 2]>,
     /// Whether a task of it may have been started, here or elsewhere.
     pub started: bool,
     /// Its tasks, step by step.
@@ -55,7 +59,9 @@
         let waiting = job.steps.iter().map(|step| step.count).sum();
         let arrived = now.saturating_sub(job.age * time::MS);
         let (entry, started, stamp) = (entry.clone(), job.resumed, job.stamp);
-        Self { job, entry, arrived, awaited: now, stamp, started, items, waiting }
+        let uncovered = smallvec::SmallVec::new();
+        let (awaited, over) = (now, 0);
+        Self { job, entry, arrived, awaited, stamp, over, uncovered, started, items, waiting }
     }
 
     /// Tasks that wait.
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -4,7 +4,7 @@
 use state::name;
 
 use crate::{
-    claim, desk,
+    census, claim, desk,
     event::{Event, Note, Output, Reply, Ticket},
     job::{Refusal, Verdict},
     member,
@@ -19,6 +19,10 @@
 /// takes [`roster::SILENT`] to notice that loss.
 const STOPPED: u64 = 600 * MS;
 
+/// Where the time of day goes on this much further than the steady clock, microseconds, the latter
+/// has stood still: it does so while a machine is suspended. The time of day counts milliseconds.
+const PAUSE: u64 = 20 * MS;
+
 /// A scheduler whose token is refused waits this long, and a turn for each instance of its zone
 /// that ranks before it, for word of the claim that goes above its own, microseconds. Upstreams
 /// tell of it before the claimant does where the latter's messages wait: an entry with 0.12 of a
@@ -60,6 +64,8 @@
     pub(crate) roster: roster::Roster,
     pub(crate) claims: claim::Claims,
     pub(crate) table: upstream::Table,
+    /// The upstreams of this instance's zone.
+    pub(crate) census: census::Census,
     pub(crate) sched: Option<sched::Sched>,
     pub(crate) desk: desk::Desk,
     pub(crate) vault: Option<vault::Vault>,
@@ -88,6 +94,7 @@
             roster,
             claims: claim::Claims::default(),
             table: upstream::Table::default(),
+            census: census::Census::default(),
             sched: None,
             desk: desk::Desk::default(),
             vault,
@@ -121,7 +128,8 @@
                 }
             }
             Event::Submit(ticket, job) => {
-                let (view, desk) = view(&self.roster, &self.claims, &mut self.desk, now);
+                let (view, desk) =
+                    view(&self.roster, &self.claims, self.census.digest(), &mut self.desk, now);
                 desk.submit(ticket, *job, view);
             }
             Event::Left(ticket) => self.desk.left(ticket),
@@ -158,7 +166,11 @@
     pub(crate) fn notice_stop(&mut self, now: Now) {
         let last = std::mem::replace(&mut self.last, now);
         let wall = now.wall.saturating_sub(last.wall) * MS;
-        let gap = now.mono.saturating_sub(last.mono).max(wall);
+        let steady = now.mono.saturating_sub(last.mono);
+        if wall > steady + PAUSE {
+            self.roster.stood_still(now.mono);
+        }
+        let gap = steady.max(wall);
         if gap < STOPPED {
             return;
         }
@@ -215,7 +227,8 @@
             let roster = &self.roster;
             sched.tick(|entry| roster.clock(entry, now.mono), now.mono);
         }
-        let (view, desk) = view(&self.roster, &self.claims, &mut self.desk, now);
+        let (view, desk) =
+            view(&self.roster, &self.claims, self.census.digest(), &mut self.desk, now);
         desk.tick(view);
         let keepers: Vec<_> = self.roster.keepers().cloned().collect();
         if let Some(vault) = &mut self.vault {
@@ -248,7 +261,10 @@
         let mut sched = sched::Sched::new(claim.epoch, self.lease, now.mono);
         for record in self.table.of_zone(&claim.zone) {
             sched.record(record);
+            sched.number(&record.id, self.census.number(&record.id).unwrap_or(u64::MAX));
         }
+        // What this instance knows it tells itself at once.
+        sched.learn(&claim.holder, u64::MAX - 1);
         self.sched = Some(sched);
         self.outranked = None;
         self.note("zone: Scheduling.", &claim.holder, format!("epoch {}", claim.epoch));
@@ -257,10 +273,17 @@
     }
 
     pub(crate) fn tell_sched(&mut self, record: &upstream::Record) {
-        if record.zone == self.roster.me().zone
-            && let Some(sched) = &mut self.sched
-        {
+        if record.zone != self.roster.me().zone {
+            return;
+        }
+        if record.phase == upstream::Phase::Gone {
+            self.census.remove(&record.id, record.serial == u64::MAX);
+        } else {
+            self.census.add(&record.id);
+        }
+        if let Some(sched) = &mut self.sched {
             sched.record(record);
+            sched.number(&record.id, self.census.number(&record.id).unwrap_or(u64::MAX));
         }
     }
 
@@ -352,6 +375,7 @@
     pub(crate) fn settle_sched(&mut self, now: Now) {
         let Some(sched) = &mut self.sched else { return };
         let roster = &self.roster;
+        sched.cover(|digest| self.census.find(digest).is_some());
         sched.run(|entry| roster.clock(entry, now.mono), now.mono);
         let out = sched.take();
         self.out.extend(out.calls.into_iter().map(Output::Call));
@@ -419,8 +443,9 @@
 pub(crate) fn view<'a>(
     roster: &'a roster::Roster,
     claims: &'a claim::Claims,
+    upstreams: u64,
     desk: &'a mut desk::Desk,
     now: Now,
 ) -> (desk::View<'a>, &'a mut desk::Desk) {
-    (desk::View { roster, claims, now: now.mono }, desk)
+    (desk::View { roster, claims, upstreams, now: now.mono }, desk)
 }
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -12,8 +12,8 @@
     claim,
     event::{Note, Ticket},
     job::{Job, Refusal, Verdict},
-    message::{Body, Load},
-    roster, time,
+    message::{Body, Load, Past},
+    roster, sched, time,
 };
 
 /// A scheduler is asked about jobs that it has had for this long, microseconds: one that is lost
@@ -22,9 +22,13 @@
 /// A job that no scheduler could be given is refused after this, microseconds: the time in which
 /// a zone replaces one (heartbeats missed for 500 ms, a turn or two of 300 ms).
 const NO_SCHEDULER: u64 = 1_400 * time::MS;
-/// A scheduler in another zone has dropped the jobs of an entry that says nothing of them any more
-/// (900 ms), and their leases are over (1,000 ms on a clock 2% slow), after this time.
-const DROPPED: u64 = 2_000 * time::MS;
+/// A scheduler that is lost has dropped the job and its leases are over after this time,
+/// microseconds; another zone may have it then.
+const DROPPED: u64 = sched::FORMER;
+/// So many former schedulers' sets of upstreams are told; with more, [`UNKNOWN`] stands for them.
+const FORMER_SETS: usize = 4;
+/// A digest of no set: the next scheduler waits until nothing of the former ones can run.
+const UNKNOWN: u64 = u64::MAX;
 
 /// Effects of the last calls.
 #[derive(Debug, Default)]
@@ -43,8 +47,15 @@
     tickets: smallvec::SmallVec<[Ticket; 1]>,
     arrived: u64,
     with: Option<claim::Claim>,
+    /// When the scheduler was last told that the entry waits.
     asked: u64,
     given: bool,
+    /// The scheduler does not know the job.
+    disowned: bool,
+    /// Digest of the upstreams that the scheduler told last.
+    told: u64,
+    /// The same of those that had the job before.
+    former: smallvec::SmallVec<[u64; 2]>,
     lost: Option<u64>,
     /// Zone where tasks of it may run; no other scheduler may have it.
     pin: Option<name::Name>,
@@ -66,6 +77,8 @@
     pub roster: &'a roster::Roster,
     /// Who schedules.
     pub claims: &'a claim::Claims,
+    /// Digest of the upstreams of its own zone that this instance knows.
+    pub upstreams: u64,
     /// Time.
     pub now: u64,
 }
@@ -96,8 +109,19 @@
         }
         let tickets = smallvec::smallvec![ticket];
         let (arrived, asked) = (view.now, view.now);
-        let open =
-            Open { job, tickets, arrived, with: None, asked, given: false, lost: None, pin: None };
+        let open = Open {
+            job,
+            tickets,
+            arrived,
+            with: None,
+            asked,
+            given: false,
+            disowned: false,
+            told: 0,
+            former: smallvec::SmallVec::new(),
+            lost: None,
+            pin: None,
+        };
         self.open.insert(id.clone(), open);
         self.give(&id, view);
     }
@@ -141,7 +165,7 @@
         if let Some(open) = self.open.get_mut(id)
             && open.with.as_ref().is_some_and(|claim| claim.holder == *from)
         {
-            open.resume();
+            open.disowned = true;
         }
     }
 
@@ -157,6 +181,12 @@
                 over.push((id.clone(), Self::last_word(open)));
                 continue;
             }
+            if let Some(told) = open.with.as_ref().and_then(|claim| view.told(claim)) {
+                open.told = told;
+            }
+            if std::mem::take(&mut open.disowned) {
+                open.resume();
+            }
             if open.lost.is_some_and(|lost| now >= lost + DROPPED) {
                 open.resume();
                 open.pin = None;
@@ -225,6 +255,10 @@
         let mut job = open.job.clone();
         job.stamp = view.now;
         job.age += view.now.saturating_sub(open.arrived) / time::MS;
+        let told = view.told(&claim).unwrap_or(0);
+        let parted = view.now.saturating_sub(open.asked) / time::MS;
+        let past = Past { upstreams: told, former: open.former.clone(), parted };
+        open.told = told;
         open.asked = view.now;
         open.given = true;
         open.lost = None;
@@ -236,7 +270,7 @@
         );
         self.out.notes.push(Note { text: "job: Handed over.", subject: id.clone(), detail });
         open.with = Some(claim.clone());
-        self.out.sends.push((claim.holder, Body::Submit(Box::new(job))));
+        self.out.sends.push((claim.holder, Body::Submit(Box::new(job), past)));
     }
 
     fn choose<'a>(&self, open: &Open, view: View<'a>) -> Option<&'a claim::Claim> {
@@ -271,11 +305,27 @@
     /// Takes the job back from its scheduler; tasks of it may run on.
     fn resume(&mut self) {
         self.job.resumed = true;
-        self.with = None;
+        if self.with.take().is_none() || self.former.contains(&self.told) {
+            return;
+        }
+        if self.former.len() < FORMER_SETS {
+            self.former.push(self.told);
+        } else {
+            self.former = smallvec::smallvec![UNKNOWN];
+        }
     }
 }
 
 impl View<'_> {
+    /// Digest of its upstreams that the holder of a claim told last.
+    fn told(&self, claim: &claim::Claim) -> Option<u64> {
+        if claim.holder == self.roster.me().name {
+            return Some(self.upstreams);
+        }
+        let heard = self.roster.last_heard(&claim.holder)?;
+        (heard.life == claim.life).then_some(heard.upstreams)
+    }
+
     fn is_current(&self, claim: &claim::Claim) -> bool {
         let same = self.claims.of(&claim.zone).is_some_and(|held| held == claim);
         same && self.roster.holds(claim, self.now)
--- a/crates/dispatch/src/lane.rs
+++ b/crates/dispatch/src/lane.rs
@@ -26,8 +26,8 @@
 /// Pause before an upstream that did not answer, or obeys another owner, is asked again,
 /// microseconds.
 const RETRY: u64 = 60 * time::MS;
-/// Steady clocks of upstreams may be this much slower, thousandths.
-const SLOW_CLOCK: u64 = 25;
+/// Steady clocks may be this much slower than others, thousandths: 20 by the rules of upstreams.
+pub(crate) const SLOW_CLOCK: u64 = 25;
 
 /// How sure the owner is about a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,6 +73,8 @@
     pub runs: collections::BTreeMap<job::Task, Run>,
     /// How it did lately.
     pub health: crate::health::Health,
+    /// Its number in the census of its scheduler.
+    pub(crate) number: u64,
     pub(crate) fence: u64,
     pub(crate) owned: bool,
     pub(crate) silent: Option<u64>,
@@ -91,6 +93,7 @@
             record,
             runs: collections::BTreeMap::new(),
             health: crate::health::Health::default(),
+            number: 0,
             fence,
             owned: false,
             silent: None,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,7 +5,8 @@
 //! ([`time::Now`]), and says what to do ([`event::Output`]).
 //!
 //! - [`roster`] and [`claim`]: which instances are heard, and who schedules a zone.
-//! - [`upstream`] and [`lane`]: the table of upstreams, and one of them as its owner sees it.
+//! - [`upstream`], [`census`] and [`lane`]: the table of upstreams, who knows which of them, and
+//!   one of them as its owner sees it.
 //! - [`sched`], [`active`], [`queue`], [`place`] and [`health`]: jobs, their order, and where
 //!   their tasks run.
 //! - [`desk`]: the entry's side of a job.
@@ -32,6 +33,7 @@
 //! ```
 
 pub mod active;
+pub mod census;
 pub mod claim;
 pub mod core;
 pub mod desk;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -26,7 +26,7 @@
     /// The newest committed version, known since after the question was asked.
     Confirmed(u64, u64),
     /// A job for the scheduler of a zone.
-    Submit(Box<job::Job>),
+    Submit(Box<job::Job>, Past),
     /// Nobody waits for the job any more.
     Cancel(name::Name),
     /// Jobs that the sender still waits for, and its monotonic clock, microseconds.
@@ -50,7 +50,7 @@
             Self::Document(_) => "document",
             Self::Agree(_) => "agree",
             Self::Confirm(_) | Self::Confirmed(..) => "confirm",
-            Self::Submit(_) => "submit",
+            Self::Submit(..) => "submit",
             Self::Cancel(_) => "cancel",
             Self::Await(..) | Self::Unknown(_) => "await",
             Self::Verdict(..) => "verdict",
@@ -69,6 +69,10 @@
     pub clock: u64,
     /// Whether the sender has heard the receiver lately, on the direct way.
     pub echo: bool,
+    /// The receiver's last heartbeat.
+    pub heard: Option<Heard>,
+    /// Digest of the upstreams of the sender's zone that it knows ([`crate::census`]).
+    pub upstreams: u64,
     /// Whether it tells of something new and should not wait.
     pub urgent: bool,
     /// Whether the sender is shutting down.
@@ -89,6 +93,31 @@
     pub hears: Vec<u32>,
 }
 
+/// What the sender of a heartbeat has heard last of its receiver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Heard {
+    /// The receiver's incarnation.
+    pub life: u64,
+    /// The receiver's monotonic clock in that heartbeat, microseconds.
+    pub clock: u64,
+    /// The sender's monotonic clock when it read it, microseconds.
+    pub at: u64,
+    /// Digest of the upstreams of the receiver's zone in it.
+    pub upstreams: u64,
+}
+
+/// What an entry knows of a job that it hands over.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Past {
+    /// Digest of its zone's upstreams that the receiver told last.
+    pub upstreams: u64,
+    /// Digests that the schedulers which had the job before told last: their tasks run at upstreams
+    /// of these sets only.
+    pub former: smallvec::SmallVec<[u64; 2]>,
+    /// Time since one of them was last told that the entry waits, milliseconds.
+    pub parted: u64,
+}
+
 /// How full the upstreams of a zone are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Load {
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -6,7 +6,7 @@
     core::Core,
     event::Output,
     job, member,
-    message::{Body, Ping},
+    message::{Body, Past, Ping},
     time::Now,
     upstream,
 };
@@ -43,6 +43,8 @@
             card: self.roster.me().clone(),
             clock: now.mono,
             echo: false,
+            heard: None,
+            upstreams: self.census.digest(),
             urgent: false,
             draining: self.draining,
             led: self.claims.is_led(zone, &self.roster, now.mono),
@@ -95,7 +97,7 @@
                     vault.confirmed(number, version);
                 }
             }
-            Body::Submit(job) => self.on_submit(from, *job, now),
+            Body::Submit(job, past) => self.on_submit(from, *job, past, now),
             Body::Cancel(id) => {
                 if let Some(sched) = &mut self.sched {
                     sched.cancel(&id, from);
@@ -126,9 +128,14 @@
     }
 
     /// Takes a job, if this instance schedules its zone.
-    pub(crate) fn on_submit(&mut self, from: &name::Name, job: job::Job, now: Now) {
+    pub(crate) fn on_submit(&mut self, from: &name::Name, job: job::Job, past: Past, now: Now) {
         match &mut self.sched {
-            Some(sched) => sched.submit(job, from, now.mono),
+            Some(sched) => {
+                if let Some(number) = self.census.find(past.upstreams) {
+                    sched.learn(from, number);
+                }
+                sched.hand_over(job, from, past, now.mono);
+            }
             None => self.send(from, Body::Unknown(job.id), now),
         }
     }
@@ -147,7 +154,10 @@
         if let Some(load) = ping.load {
             self.desk.load(&ping.card.zone, load);
         }
+        let told = ping.heard.and_then(|heard| self.census.find(heard.upstreams));
         let (version, members, records) = (ping.version, ping.members, ping.records);
+        let upstreams = ping.upstreams;
+        let held = self.roster.last_heard(&from).map(|heard| heard.upstreams);
         if self.roster.heard(ping, direct, now.mono) {
             self.note("peer: Heard.", &from, String::new());
             // It has just started: what it lacks comes with the answer to this.
@@ -156,6 +166,15 @@
                 sched.forget_entry(&from);
             }
         }
+        if let (Some(number), Some(sched)) = (told, &mut self.sched) {
+            sched.learn(&from, number);
+        }
+        // A scheduler waits to hear that its new upstreams are known here: 165 ms at most instead of
+        // 325 (`doubled::soon_used`).
+        let is_scheduler = self.claims.iter().any(|claim| claim.holder == from);
+        if is_scheduler && held.is_some_and(|held| held != upstreams) {
+            self.beat_now(&from, now);
+        }
         if version > self.document.version {
             self.send(&from, Body::Fetch(self.document.version), now);
         }
@@ -241,7 +260,8 @@
         // Entries hold their own zone's upstreams only.
         let held = |card: &&member::Card| me.role == member::Role::Keeper || card.zone == me.zone;
         let records = card.filter(held).map(|card| self.table.digest(&card.zone));
-        Ping { echo: self.roster.echo(to, now.mono), records, ..ping }
+        let (echo, heard) = (self.roster.echo(to, now.mono), self.roster.last_heard(to));
+        Ping { echo, heard, records, ..ping }
     }
 
     pub(crate) fn send(&mut self, to: &name::Name, body: Body, now: Now) {
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -65,12 +65,12 @@
         last(&self.sound).max(last(&self.doubtful))
     }
 
-    /// Takes room for a task.
-    pub fn place(&mut self, job: &job::Job, task: &job::Task) -> Choice {
+    /// Takes room for a task, at an upstream whose number is `known` at most.
+    pub fn place(&mut self, job: &job::Job, task: &job::Task, known: u64) -> Choice {
         let step = &job.steps[task.step as usize];
-        let (doubtful, at) = match self.find(false, job, step, task) {
+        let (doubtful, at) = match self.find(false, job, step, task, known) {
             Some(at) => (false, at),
-            None => match self.find(true, job, step, task) {
+            None => match self.find(true, job, step, task, known) {
                 Some(at) => (true, at),
                 None => return Choice::Full,
             },
@@ -101,6 +101,7 @@
         job: &job::Job,
         step: &job::Step,
         task: &job::Task,
+        known: u64,
     ) -> Option<usize> {
         let list = if doubtful { &self.doubtful } else { &self.sound };
         let from = list.partition_point(|free| free.room.cpu < step.need.cpu);
@@ -108,6 +109,7 @@
             let record = &free.lane.record;
             let labelled = step.label.as_ref().is_none_or(|label| record.labels.contains(label));
             record.service == job.service
+                && free.lane.number <= known
                 && step.need.fits(&free.room)
                 && labelled
                 && (step.spread == 0 || self.count(free.lane, task) < step.spread)
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -8,7 +8,7 @@
 
 use state::name;
 
-use crate::{claim, member, message, time};
+use crate::{claim, lane, member, message, time};
 
 /// Between two heartbeats to the same instance, microseconds. Three of them fit into
 /// [`SILENT`], so that two in a row may be lost.
@@ -46,6 +46,18 @@
     redialled: u64,
     synced: u64,
     since: u64,
+    /// When its last heartbeat was read.
+    read: u64,
+    ahead: Option<Ahead>,
+}
+
+/// How far the clock of another instance is ahead of this one's at most, microseconds: it read a
+/// heartbeat of this instance at some time of its own, and that was sent before. This bound holds
+/// however late messages are; what they wait only makes it wider.
+#[derive(Clone, Copy, Debug)]
+struct Ahead {
+    by: i64,
+    at: u64,
 }
 
 /// The instances that this one knows.
@@ -57,6 +69,8 @@
     peers: collections::BTreeMap<name::Name, Peer>,
     forgotten: collections::BTreeMap<name::Name, u64>,
     distrust: u64,
+    /// When this instance's clock was last found to have stood still.
+    stood: u64,
     beat: u64,
     digest: u64,
     deputies: Vec<name::Name>,
@@ -72,6 +86,7 @@
             peers: collections::BTreeMap::new(),
             forgotten: collections::BTreeMap::new(),
             distrust: 0,
+            stood: 0,
             beat: 0,
             digest: 0,
             deputies: Vec::new(),
@@ -120,13 +135,23 @@
         *name == self.me.name || self.peers.get(name).is_some_and(|peer| peer.is_alive(now))
     }
 
-    /// The clock of an instance that is alive, as its last heartbeat told it, microseconds.
+    /// What the clock of an instance that is alive shows at most now, microseconds. How long ago
+    /// the instance said something follows from its stamp. Its last heartbeat would not do: where
+    /// all its messages wait for seconds, that is as old as the rest.
     pub fn clock(&self, name: &name::Name, now: u64) -> Option<u64> {
         if *name == self.me.name {
             return Some(now);
         }
         let peer = self.peers.get(name).filter(|peer| peer.is_alive(now))?;
-        peer.ping.as_ref().map(|ping| ping.clock)
+        peer.ahead.map(|ahead| ahead.clock(now))
+    }
+
+    /// The last heartbeat of an instance, as it is told.
+    pub fn last_heard(&self, name: &name::Name) -> Option<message::Heard> {
+        let peer = self.peers.get(name)?;
+        let ping = peer.ping.as_ref()?;
+        let (life, clock, upstreams) = (ping.card.life, ping.clock, ping.upstreams);
+        Some(message::Heard { life, clock, at: peer.read, upstreams })
     }
 
     /// Whether the instance is alive without a relay.
@@ -193,6 +218,14 @@
         if ping.card.life < known || peer.ping.as_ref().is_some_and(later) {
             return false;
         }
+        if ping.card.life > known {
+            peer.ahead = None;
+        }
+        peer.read = now;
+        let proof = ping.heard.filter(|heard| {
+            heard.life == self.me.life && (self.stood..=now).contains(&heard.clock)
+        });
+        peer.compare(proof, ping.clock, now);
         let trusted = now >= self.distrust;
         if trusted {
             peer.heard = now;
@@ -216,6 +249,7 @@
     /// while this instance was stopped.
     pub fn distrust(&mut self, now: u64) {
         self.distrust = now + STALE;
+        self.stood_still(now);
         for peer in self.peers.values_mut() {
             peer.heard = 0;
             peer.direct = 0;
@@ -223,6 +257,15 @@
         }
     }
 
+    /// This instance's clock stood still until now: what is known of others' clocks is void, and
+    /// so is what they heard of this one before.
+    pub fn stood_still(&mut self, now: u64) {
+        self.stood = now;
+        for peer in self.peers.values_mut() {
+            peer.ahead = None;
+        }
+    }
+
     /// Takes a higher life than any that others know of this instance, and tells whether it had to:
     /// the time of day was set back since they began, and nobody would believe this one.
     pub fn outlive(&mut self, cards: &[member::Card]) -> bool {
@@ -409,11 +452,33 @@
         self.is_direct(now) || relayed
     }
 
+    /// Bounds its clock by a heartbeat of this instance that it has read, and by what it shows
+    /// itself.
+    fn compare(&mut self, proof: Option<message::Heard>, clock: u64, now: u64) {
+        // It is further ahead than it can be: this instance's clock stood still unnoticed.
+        if self.ahead.is_some_and(|ahead| clock > ahead.clock(now)) {
+            self.ahead = None;
+        }
+        let Some(heard) = proof else { return };
+        let ahead = Ahead { by: heard.at as i64 - heard.clock as i64, at: heard.clock };
+        if self.ahead.is_none_or(|held| ahead.clock(now) < held.clock(now)) {
+            self.ahead = Some(ahead);
+        }
+    }
+
     fn is_draining(&self) -> bool {
         self.ping.as_ref().is_some_and(|ping| ping.draining)
     }
 }
 
+impl Ahead {
+    /// What the other clock shows at most.
+    fn clock(&self, now: u64) -> u64 {
+        let since = now.saturating_sub(self.at);
+        (now + since * lane::SLOW_CLOCK / 1_000).saturating_add_signed(self.by)
+    }
+}
+
 fn short(name: &name::Name) -> u32 {
     xxhash_rust::xxh3::xxh3_64(name.as_str().as_bytes()) as u32
 }
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -13,10 +13,11 @@
     place, queue, time, upstream,
 };
 
-/// Runs that a former scheduler started may go on this long after the claim, unless their
-/// upstream has answered: the time in which that scheduler drops an entry's jobs (500 ms) and a
-/// lease (1,000 ms on a clock 2% slow).
-const FORMER: u64 = 1_550 * time::MS;
+/// Runs that a former scheduler started for an entry may go on this long after the entry last told
+/// it that it waits, microseconds: the time after which it drops the job ([`upkeep::FORSAKEN`],
+/// 900 ms, and a tick of 20 ms) and the lease that it renewed last (950 ms and 2.5% for clocks).
+/// Counted from the hand-over of each job: an entry may leave a scheduler long after the next claim.
+pub(crate) const FORMER: u64 = 2_000 * time::MS;
 /// A new scheduler refuses nothing for want of room until its upstreams have answered, or this
 /// time has passed, microseconds: an upstream that answers at all does so within a few orders'
 /// patience (50 ms).
@@ -25,10 +26,10 @@
 const KEEP_ENDS: u64 = 3_000 * time::MS;
 /// Verdicts are kept this long, for entries that did not get them.
 const KEEP_VERDICTS: u64 = 4_000 * time::MS;
-/// A task is started only if its entry has asked for the job this short before its last heartbeat,
-/// by its own clock, microseconds: longer than its questions (300 ms) are apart. What waited in
-/// buffers longer than that may be another scheduler's job by now.
-const FRESH: u64 = 450 * time::MS;
+/// A task is started only if its entry has asked for the job within this time by its own clock,
+/// microseconds: its questions are 300 ms apart, and entries with 0.12 of a core were seen to be
+/// 300 ms late. What waited longer than that may be another scheduler's job by now.
+const FRESH: u64 = 600 * time::MS;
 
 /// Effects of the last calls.
 #[derive(Debug, Default)]
@@ -62,6 +63,8 @@
     pub(crate) sent: collections::HashMap<u64, (name::Name, u64, Sent)>,
     pub(crate) ends: collections::HashMap<Task, (End, u64)>,
     pub(crate) orphans: collections::BTreeMap<Task, u64>,
+    /// Up to which number each entry knows the upstreams.
+    pub(crate) known: collections::BTreeMap<name::Name, u64>,
     pub(crate) verdicts: collections::HashMap<name::Name, (Verdict, u64)>,
     pub(crate) epoch: u64,
     pub(crate) since: u64,
@@ -82,6 +85,7 @@
             sent: collections::HashMap::new(),
             ends: collections::HashMap::new(),
             orphans: collections::BTreeMap::new(),
+            known: collections::BTreeMap::new(),
             verdicts: collections::HashMap::new(),
             epoch,
             since: now,
@@ -140,8 +144,38 @@
         self.dirty = true;
     }
 
-    /// Takes a job from an entry.
+    /// Notes the number of an upstream in the census of this instance.
+    pub fn number(&mut self, id: &name::Name, number: u64) {
+        if let Some(lane) = self.lanes.get_mut(id) {
+            lane.number = number;
+        }
+    }
+
+    /// An entry is known to know the upstreams up to a number.
+    pub fn learn(&mut self, entry: &name::Name, number: u64) {
+        let known = self.known.entry(entry.clone()).or_default();
+        if number > *known {
+            *known = number;
+            self.dirty = true;
+        }
+    }
+
+    /// Forgets the sets of upstreams that are covered by what is known here.
+    pub fn cover(&mut self, is_covered: impl Fn(u64) -> bool) {
+        for active in self.jobs.values_mut().filter(|active| !active.uncovered.is_empty()) {
+            active.uncovered.retain(|digest| !is_covered(*digest));
+            self.dirty |= active.uncovered.is_empty();
+        }
+    }
+
+    /// Takes a job from an entry that knows nothing of other schedulers' upstreams.
     pub fn submit(&mut self, job: Job, entry: &name::Name, now: u64) {
+        self.hand_over(job, entry, message::Past::default(), now);
+    }
+
+    /// Takes a job from an entry, with what it knows of schedulers that had it before.
+    pub fn hand_over(&mut self, job: Job, entry: &name::Name, past: message::Past, now: u64) {
+        let over = (now + FORMER).saturating_sub(past.parted * time::MS);
         // What was not run here may have been started by another scheduler since.
         if let Some((verdict, _)) = self.verdicts.get(&job.id)
             && job.resumed
@@ -158,6 +192,8 @@
             // It was another scheduler's meanwhile.
             active.job.resumed |= job.resumed;
             active.started |= job.resumed;
+            active.over = active.over.max(over);
+            active.uncovered.extend(past.former);
             return;
         }
         if let Some(refusal) = self.check(&job, now) {
@@ -168,7 +204,10 @@
             return;
         }
         let id = job.id.clone();
-        self.jobs.insert(id.clone(), Active::new(job, entry, now));
+        let mut active = Active::new(job, entry, now);
+        active.over = over;
+        active.uncovered.extend(past.former);
+        self.jobs.insert(id.clone(), active);
         self.adopt(&id, now);
         self.dirty = true;
     }
@@ -242,6 +281,7 @@
 
     /// An entry has come back without its memory: nobody waits for its jobs any more.
     pub fn forget_entry(&mut self, entry: &name::Name) {
+        self.known.remove(entry);
         let of_entry = self.jobs.iter().filter(|(_, active)| active.entry == *entry);
         for id in of_entry.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
             self.drop_job(&id);
@@ -271,7 +311,7 @@
         unknown
     }
 
-    /// Lets time pass. `alive` gives the clocks of the entries that are heard.
+    /// Lets time pass. `alive` gives what the clocks of the entries that are heard show at most.
     pub fn tick(&mut self, alive: impl Fn(&name::Name) -> Option<u64>, now: u64) {
         self.drop_forsaken(&alive, now);
         self.expire(now);
@@ -283,9 +323,9 @@
         self.dirty = true;
     }
 
-    /// Starts what can be started and asks whom it is time to ask. `alive` gives the clocks of the
-    /// entries that are heard: a job that waited in this instance's buffers while it was stopped
-    /// may have been handed to another scheduler since.
+    /// Starts what can be started and asks whom it is time to ask. `alive` gives what the
+    /// clocks of the entries that are heard show at most: a job that waited in buffers, here or on
+    /// the way, may have been handed to another scheduler since.
     pub fn run(&mut self, alive: impl Fn(&name::Name) -> Option<u64>, now: u64) {
         if std::mem::take(&mut self.dirty) {
             self.dispatch(&alive, now);
@@ -318,6 +358,7 @@
         for active in self.jobs.values_mut() {
             active.job.resumed = true;
             active.started = true;
+            active.over = active.over.max(now + FORMER);
         }
         self.dirty = true;
     }
@@ -391,25 +432,28 @@
         self.dirty = true;
     }
 
-    /// Whether a run of a resumed job may still go on at an upstream that has not answered yet.
-    pub(crate) fn is_barred(&self, now: u64) -> bool {
-        now < self.since + FORMER && self.lanes.values().any(|lane| !lane.is_read())
-    }
-
     /// Places waiting tasks, job by job in the order of the queue.
     pub(crate) fn dispatch(&mut self, alive: &impl Fn(&name::Name) -> Option<u64>, now: u64) {
         self.send_stops(now);
         if self.jobs.values().all(|active| active.waiting() == 0) {
             return;
         }
-        let barred = self.is_barred(now);
+        let unread = self.lanes.values().any(|lane| !lane.is_read());
+        // A run that another scheduler started may go on at an upstream that has not answered yet,
+        // or that is not known here.
+        let barred = |active: &Active| {
+            let unsure = unread || !active.uncovered.is_empty();
+            active.job.resumed && unsure && now < active.over
+        };
+        // A stamp later than the entry's clock is of a former life of it.
         let fresh = |active: &Active| {
-            alive(&active.entry).is_some_and(|clock| clock <= active.stamp + FRESH)
+            let is_fresh = |clock| (active.stamp..=active.stamp + FRESH).contains(&clock);
+            alive(&active.entry).is_some_and(is_fresh)
         };
         let mut room = place::Room::new(&self.lanes, now);
         let most = room.most();
         let waits = |active: &&Active| {
-            active.waiting() > 0 && !(active.job.resumed && barred) && active.job.least() <= most
+            active.waiting() > 0 && !barred(active) && active.job.least() <= most
         };
         let load = self.load(now);
         let (crowded, swamped) = (queue::is_crowded(load), queue::is_swamped(load));
@@ -419,7 +463,8 @@
         let mut line: Vec<_> = ranked.filter(|(rank, _)| welcome(rank.0)).collect();
         line.sort_by_key(|(rank, active)| (*rank, &active.job.id));
         for (_, active) in line {
-            place_job(active, &mut room);
+            let known = self.known.get(&active.entry).copied().unwrap_or(0);
+            place_job(active, known, &mut room);
         }
         for (task, lane) in room.into_placed() {
             self.start(&task, &lane, now);
@@ -463,7 +508,7 @@
 }
 
 /// Takes room for the tasks of a job that may start, as far as there is some.
-fn place_job(active: &Active, room: &mut place::Room<'_>) {
+fn place_job(active: &Active, known: u64, room: &mut place::Room<'_>) {
     for (step, items) in active.items.iter().enumerate() {
         if !active.is_due(step) {
             continue;
@@ -474,7 +519,7 @@
             }
             let job = active.job.id.clone();
             let task = Task { job, step: step as u32, index: index as u32 };
-            if room.place(&active.job, &task) == place::Choice::Full {
+            if room.place(&active.job, &task, known) == place::Choice::Full {
                 break;
             }
         }
--- a/crates/dispatch/src/upkeep.rs
+++ b/crates/dispatch/src/upkeep.rs
@@ -13,9 +13,11 @@
     time,
 };
 
-/// A job that its entry has not asked for this long is dropped: its cancelling was lost.
-/// Longer than two questions of the entry (300 ms each) are apart.
-const FORSAKEN: u64 = 900 * time::MS;
+/// A job that its entry has not asked for this long, by the stamp of its last question, is dropped:
+/// its cancelling was lost, or another scheduler has it. Longer than two questions of the entry
+/// (300 ms each) are apart, and short enough for its runs to be stopped before a client that lost
+/// its entry comes back (1,300 ms).
+pub(crate) const FORSAKEN: u64 = 900 * time::MS;
 /// An unwanted run is told to stop again after this, microseconds.
 const STOP_AGAIN: u64 = 150 * time::MS;
 /// An upstream that never answers is given up after this, microseconds.
@@ -25,8 +27,11 @@
     /// Drops jobs that no entry waits for, so that another scheduler may take them.
     pub(crate) fn drop_forsaken(&mut self, alive: &impl Fn(&name::Name) -> Option<u64>, now: u64) {
         let forsaken = |active: &Active| {
-            let time = if alive(&active.entry).is_some() { FORSAKEN } else { roster::SILENT };
-            now >= active.awaited + time
+            // By when the question was asked: one that waited on its way says nothing of now.
+            match alive(&active.entry) {
+                Some(clock) => clock >= active.stamp + FORSAKEN || now >= active.awaited + FORSAKEN,
+                None => now >= active.awaited + roster::SILENT,
+            }
         };
         let gone = self.jobs.iter().filter(|(_, active)| forsaken(active));
         for id in gone.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
--- a/crates/dispatch/tests/doubled.rs
+++ b/crates/dispatch/tests/doubled.rs
@@ -89,3 +89,62 @@
     }
     assert_eq!(faults, Vec::<String>::new());
 }
+
+#[test]
+fn late_hand_over() {
+    // Users saw one task run on two upstreams of a zone at the same time.
+    // Order of events: a zone's second keeper was cut off and claimed the zone. Entries did not hear
+    // of that and stayed with the first keeper. 2,800 ms later the cut was over, and the entry handed
+    // its job over while a task of it ran on an upstream that the second keeper did not reach.
+    // Cause: the time in which the runs of a former scheduler may go on was counted from the claim
+    // (1,550 ms), as if entries left the former scheduler then.
+    // Evidence: the new scheduler started the task with the job's hand-over, and holds to the first
+    // upstream had no answer.
+    let mut faults = Vec::new();
+    for seed in 0..10 {
+        let mut world = ready(seed);
+        let upstreams = 0..world.upstreams.len();
+        for other in [0, 2, 3] {
+            world.cut(1, other, true);
+            world.cut(other, 1, true);
+        }
+        for upstream in upstreams.clone() {
+            world.wall(upstream, 1, true);
+        }
+        world.run(4_000);
+        assert_eq!(world.schedulers(0), [0, 1]);
+        // More tasks than fit on the others.
+        world.submit(0, 9, 14_000, 900);
+        world.run(150);
+        for other in [0, 2, 3] {
+            world.cut(1, other, false);
+            world.cut(other, 1, false);
+        }
+        for upstream in upstreams.skip(1) {
+            world.wall(upstream, 1, false);
+        }
+        world.run(4_000);
+        faults.extend(world.faults.first().map(|fault| format!("seed {seed}: {fault}")));
+    }
+    assert_eq!(faults, Vec::<String>::new());
+}
+
+#[test]
+fn soon_used() {
+    // A new upstream gets tasks once the entry is known to know it: after the scheduler's next
+    // heartbeat, which is answered at once.
+    let mut longest = 0;
+    for seed in 0..20 {
+        let mut world = ready(seed);
+        world.submit(0, 12, 14_000, 1_500);
+        world.run(100 + seed * 10);
+        add_upstream(&mut world, 0);
+        let (began, at) = (world.now, world.upstreams.len() - 1);
+        while world.upstreams[at].runs.is_empty() && world.now < began + 1_000_000 {
+            world.run(5);
+        }
+        longest = longest.max((world.now - began) / 1_000);
+    }
+    println!("at most {longest} ms");
+    assert!(longest <= 190, "{longest} ms: a heartbeat of 150 ms and two ticks of 20 ms");
+}
