A new life of an instance is noticed also where others told of it first

Cause: a heartbeat counted as the first of a life by the card that is known, and that may have come in a list of instances before. The scheduler then kept the jobs of the entry's former life, and would have kept what it knew of its clock and of the upstreams that it had been told. Found by reading; no test shows it. Change: by the life in the last heartbeat. A bound of a clock that the same heartbeat contradicts is not taken.

--- a/crates/dispatch/src/census.rs
+++ b/crates/dispatch/src/census.rs
@@ -8,8 +8,8 @@
 
 use state::name;
 
-/// So many former sets are known by their digest. A site replaces an upstream each 300 ms at most,
-/// and heartbeats are some seconds late at most.
+/// So many former sets are known by their digest: more than a zone's upstreams change while a
+/// heartbeat is under way. Of an older one nothing is concluded.
 const KEPT: usize = 64;
 
 /// The upstreams of one zone, as a number that rises with each one that is added.
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -218,7 +218,10 @@
         if ping.card.life < known || peer.ping.as_ref().is_some_and(later) {
             return false;
         }
-        if ping.card.life > known {
+        // By its last heartbeat: others may have told of the new life before.
+        let former = peer.ping.as_ref().map(|held| held.card.life);
+        let first = former.is_none_or(|life| life < ping.card.life);
+        if first {
             peer.ahead = None;
         }
         peer.read = now;
@@ -236,7 +239,6 @@
                 peer.echoed = now;
             }
         }
-        let first = ping.card.life > known || peer.ping.is_none();
         peer.card = Some(ping.card.clone());
         peer.ping = Some(ping);
         if first {
@@ -461,7 +463,8 @@
         }
         let Some(heard) = proof else { return };
         let ahead = Ahead { by: heard.at as i64 - heard.clock as i64, at: heard.clock };
-        if self.ahead.is_none_or(|held| ahead.clock(now) < held.clock(now)) {
+        let closer = self.ahead.is_none_or(|held| ahead.clock(now) < held.clock(now));
+        if closer && clock <= ahead.clock(now) {
             self.ahead = Some(ahead);
         }
     }
