--- a/crates/apricotroute/src/node/measure.rs
+++ b/crates/apricotroute/src/node/measure.rs
@@ -28,6 +28,7 @@
     ("settings_uncommitted_entries", |status| status.behind as f64),
     ("peers_known", |status| status.known as f64),
     ("peers_heard", |status| status.heard as f64),
+    ("redials", |status| status.redials as f64),
 ];
 
 /// Shows the metrics of this process.
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -308,10 +308,11 @@
         self.tell_sched(record);
         let names: Vec<_> = self.roster.names().cloned().collect();
         for to in names {
-            let concerned =
-                self.roster.peer(&to).and_then(|peer| peer.card.as_ref()).is_some_and(|card| {
-                    card.zone == record.zone || card.role == member::Role::Keeper
-                });
+            let concerned = self
+                .roster
+                .peer(&to)
+                .and_then(|peer| peer.card.as_ref())
+                .is_some_and(|card| self.is_told(card, &record.zone));
             if concerned {
                 self.send(&to, Body::Records(vec![record.clone()]), now);
             }
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -86,6 +86,17 @@
         self.loads.insert(zone.clone(), load);
     }
 
+    /// Whether less than a quarter of a zone is free, as far as is known: between two heartbeats of
+    /// its scheduler that much may be taken.
+    pub fn is_short(&self, zone: &name::Name) -> bool {
+        self.loads.get(zone).is_some_and(|load| load.free * 4 < load.total)
+    }
+
+    /// The schedulers that have jobs of this entry's clients.
+    pub fn schedulers(&self) -> impl Iterator<Item = &name::Name> {
+        self.open.values().filter_map(|open| open.with.as_ref()).map(|claim| &claim.holder)
+    }
+
     /// Takes a job of a client.
     pub fn submit(&mut self, ticket: Ticket, job: Job, view: View<'_>) {
         let id = job.id.clone();
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,7 +4,8 @@
 //! An instance is a [`Core`]. It is told what happens ([`event::Event`]) and when
 //! ([`time::Now`]), and says what to do ([`event::Output`]).
 //!
-//! - [`roster`] and [`claim`]: which instances are heard, and who schedules a zone.
+//! - [`roster`], [`near`], [`redial`] and [`claim`]: which instances are heard, which ought to be,
+//!   when streams are dialled anew, and who schedules a zone.
 //! - [`upstream`] and [`lane`]: the table of upstreams, and one of them as its owner sees it.
 //! - [`sched`], [`active`], [`queue`], [`place`] and [`health`]: jobs, their order, and where
 //!   their tasks run.
@@ -43,12 +44,14 @@
 pub mod lane;
 pub mod member;
 pub mod message;
+pub mod near;
 pub mod order;
 mod outcome;
 pub mod pack;
 mod peers;
 pub mod place;
 pub mod queue;
+pub mod redial;
 pub mod roster;
 pub mod routing;
 pub mod sched;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -85,8 +85,10 @@
     pub records: Option<u64>,
     /// Room that is free at the sender's upstreams, if it is a scheduler.
     pub load: Option<Load>,
-    /// Digests of the names of the instances that the sender hears itself.
-    pub hears: Vec<u32>,
+    /// Whether the sender wants to hear the receiver, which answers then.
+    pub chosen: bool,
+    /// Digests of the names of some instances that the sender ought to hear and does not.
+    pub lacks: Vec<u32>,
 }
 
 /// How full the upstreams of a zone are.
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -16,18 +16,19 @@
     /// silent.
     pub(crate) fn beat(&mut self, now: Now) {
         let zone = self.roster.me().zone.clone();
-        let holders: Vec<_> = self.claims.watched(&zone).map(|claim| &claim.holder).collect();
-        let due = self.roster.due(|name| holders.contains(&name), now.mono);
+        let led = self.claims.is_led(&zone, &self.roster, now.mono);
+        self.roster.widen(self.sched.is_some(), led, now.mono);
+        let used = self.used(led);
+        let due = self.roster.due(|name| used.contains(name), now.mono);
         if due.is_empty() {
             return;
         }
         let ping = self.ping(now);
         for to in due {
-            let ping = self.address_ping(ping.clone(), &to, now);
+            let chosen = self.roster.is_chosen(&to, used.contains(&to));
+            let ping = self.address_ping(Ping { chosen, ..ping.clone() }, &to, now);
             let body = Body::Ping(Box::new(ping));
-            if !self.roster.is_direct(&to, now.mono)
-                && let Some(relay) = self.roster.relay(&to, now.mono).cloned()
-            {
+            if let Some(relay) = self.roster.relay(&to, now.mono).cloned() {
                 let me = self.roster.me().name.clone();
                 let relayed = Body::Relay(me, to.clone(), Box::new(body.clone()));
                 self.out.push(Output::Send(relay, relayed));
@@ -36,6 +37,16 @@
         }
     }
 
+    /// The schedulers that this instance works with: the one of its zone, those that have jobs of
+    /// its clients, and, where it might need room there, the one of the next zone.
+    fn used(&self, led: bool) -> Vec<name::Name> {
+        let zone = &self.roster.me().zone;
+        let next = self.roster.is_few() || !led || self.sched.is_some() || self.desk.is_short(zone);
+        let watched = self.claims.watched(zone).filter(|claim| next || claim.zone == *zone);
+        let watched = watched.map(|claim| claim.holder.clone());
+        watched.chain(self.desk.schedulers().cloned()).collect()
+    }
+
     /// A heartbeat, but for what depends on its receiver.
     pub(crate) fn ping(&self, now: Now) -> Ping {
         let zone = &self.roster.me().zone;
@@ -51,7 +62,8 @@
             members: self.roster.digest(),
             records: None,
             load: self.sched.as_ref().map(|sched| sched.load(now.mono)),
-            hears: self.roster.hears(now.mono),
+            chosen: false,
+            lacks: self.roster.lacks(now.mono),
         }
     }
 
@@ -60,7 +72,7 @@
         match body {
             Body::Ping(ping) => self.on_ping(*ping, direct, now),
             Body::Members(cards, gone) => {
-                if self.roster.outlive(&cards) {
+                if self.roster.outlive(&cards, now.mono) {
                     let life = self.roster.me().life.to_string();
                     self.note(
                         "node: A former life had a later clock, taking a higher one.",
@@ -114,6 +126,7 @@
             Body::Verdict(id, verdict) => self.desk.verdict(from, &id, &verdict, now.mono),
             Body::Relay(origin, to, body) if to == self.roster.me().name => {
                 if !matches!(*body, Body::Relay(..)) {
+                    self.roster.came(&origin, from, now.mono);
                     self.on_peer(&origin, *body, false, now);
                 }
             }
@@ -252,8 +265,16 @@
         }
     }
 
+    /// Tells its zone and all keepers of something new; the others read it in the heartbeats of
+    /// these.
     pub(crate) fn beat_all(&mut self, now: Now) {
-        let names: Vec<_> = self.roster.names().cloned().collect();
+        let zone = &self.roster.me().zone;
+        let near = |card: &member::Card| card.zone == *zone || card.role == member::Role::Keeper;
+        let told = |name: &&name::Name| {
+            let card = self.roster.peer(name).and_then(|peer| peer.card.as_ref());
+            self.roster.is_few() || card.is_none_or(near)
+        };
+        let names: Vec<_> = self.roster.names().filter(told).cloned().collect();
         for to in names {
             self.beat_now(&to, now);
         }
@@ -261,7 +282,9 @@
 
     /// Sends a heartbeat with something new in it.
     pub(crate) fn beat_now(&mut self, to: &name::Name, now: Now) {
-        let ping = Ping { urgent: true, ..self.ping(now) };
+        let led = self.claims.is_led(&self.roster.me().zone, &self.roster, now.mono);
+        let chosen = self.roster.is_chosen(to, self.used(led).contains(to));
+        let ping = Ping { urgent: true, chosen, ..self.ping(now) };
         let ping = self.address_ping(ping, to, now);
         self.send(to, Body::Ping(Box::new(ping)), now);
     }
@@ -270,20 +293,24 @@
     pub(crate) fn address_ping(&mut self, ping: Ping, to: &name::Name, now: Now) -> Ping {
         let card = self.roster.peer(to).and_then(|peer| peer.card.as_ref());
         let me = self.roster.me();
-        // Entries hold their own zone's upstreams only.
-        let held = |card: &&member::Card| me.role == member::Role::Keeper || card.zone == me.zone;
+        let held =
+            |card: &&member::Card| self.is_told(me, &card.zone) && self.is_told(card, &card.zone);
         let records = card.filter(held).map(|card| self.table.digest(&card.zone));
         Ping { echo: self.roster.echo(to, now.mono), records, ..ping }
     }
 
+    /// Whether an instance hears of the upstreams of a zone.
+    pub(crate) fn is_told(&self, card: &member::Card, zone: &name::Name) -> bool {
+        let scheduler = self.claims.of(zone).is_some_and(|claim| claim.holder == card.name);
+        scheduler || self.roster.is_told(card, zone)
+    }
+
     pub(crate) fn send(&mut self, to: &name::Name, body: Body, now: Now) {
         let me = self.roster.me().name.clone();
         if *to == me {
             return self.on_peer(&me, body, true, now);
         }
-        if !self.roster.is_direct(to, now.mono)
-            && let Some(relay) = self.roster.relay(to, now.mono).cloned()
-        {
+        if let Some(relay) = self.roster.detour(to, now.mono).cloned() {
             let body = Body::Relay(me, to.clone(), Box::new(body));
             return self.out.push(Output::Send(relay, body));
         }
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -8,7 +8,7 @@
 
 use state::name;
 
-use crate::{claim, member, message, time};
+use crate::{claim, member, message, near, redial, time};
 
 /// Between two heartbeats to the same instance, microseconds. Three of them fit into
 /// [`SILENT`], so that two in a row may be lost.
@@ -16,22 +16,21 @@
 /// An instance that was silent this long is taken for lost, microseconds. It has to be well below
 /// the time after which a client submits a job again (1,300 ms), less a lease.
 pub const SILENT: u64 = 500 * time::MS;
-/// Up to so many other instances, everybody hears its whole zone and all keepers; heartbeats then
-/// take under 1% of a core each.
-const FEW: usize = 16;
-/// Entries of a zone that hear all of it, next to its keepers: two may be lost with them.
-const DEPUTIES: usize = 3;
 /// After a stop, what is heard within this time was sent before, microseconds.
 const STALE: u64 = 50 * time::MS;
-/// A stream that seems to carry nothing is dialled anew after this, microseconds.
-const REDIAL: u64 = 700 * time::MS;
 /// Two digests that differ are followed by the whole list at most this often, microseconds.
 const SYNC: u64 = 500 * time::MS;
 /// An instance that was not heard for this long is forgotten, microseconds: longer than any
 /// outage that ends with the instance coming back at its address.
 const FORGET: u64 = 30_000 * time::MS;
-/// An instance answers heartbeats of one that it does not choose itself this long, microseconds.
-const RETURN: u64 = 2_000 * time::MS;
+/// An instance answers one that it does not choose itself this long after it was chosen by that
+/// one, microseconds.
+const RETURN: u64 = 1_000 * time::MS;
+/// Messages to an instance that does not echo go through a third one after this, microseconds: its
+/// first echo takes two heartbeats.
+const RELAY: u64 = 2 * PING;
+/// Instances that a heartbeat names as not heard: more than are lost at a time but with their zone.
+const LACKS: usize = 16;
 
 /// What is known of another instance.
 #[derive(Clone, Debug, Default)]
@@ -43,9 +42,21 @@
     heard: u64,
     direct: u64,
     echoed: u64,
-    redialled: u64,
     synced: u64,
     since: u64,
+    /// Since when it is heard directly without a break.
+    met: u64,
+    /// When a heartbeat said last that it chooses this instance.
+    chosen: u64,
+    /// Since when heartbeats go to it without a break.
+    due: Option<u64>,
+    /// Whether these only answer its own.
+    answers: bool,
+    /// Whether one of the two ought to hear the other.
+    ought: bool,
+    /// Through whom it was heard last without being heard directly, and when.
+    via: Option<(name::Name, u64)>,
+    stream: redial::Stream,
 }
 
 /// The instances that this one knows.
@@ -59,7 +70,9 @@
     distrust: u64,
     beat: u64,
     digest: u64,
-    deputies: Vec<name::Name>,
+    near: near::Near,
+    window: near::Window,
+    dials: redial::Budget,
 }
 
 impl Roster {
@@ -74,10 +87,12 @@
             distrust: 0,
             beat: 0,
             digest: 0,
-            deputies: Vec::new(),
+            near: near::Near::default(),
+            window: near::Window::default(),
+            dials: redial::Budget::new(now),
         };
         roster.set_seeds(seeds, now);
-        roster.refresh();
+        roster.refresh(now);
         roster
     }
 
@@ -214,17 +229,24 @@
         if trusted {
             peer.heard = now;
         }
+        if trusted && ping.chosen {
+            peer.chosen = now;
+        }
         if direct && trusted {
+            if now >= peer.direct + SILENT {
+                peer.met = now;
+            }
             peer.direct = now;
             if ping.echo {
-                peer.echoed = now;
+                let former = std::mem::replace(&mut peer.echoed, now);
+                self.dials.answered(&mut peer.stream, former, now);
             }
         }
         let first = ping.card.life > known || peer.ping.is_none();
         peer.card = Some(ping.card.clone());
         peer.ping = Some(ping);
         if first {
-            self.refresh();
+            self.refresh(now);
         }
         first
     }
@@ -242,13 +264,13 @@
 
     /// Takes a higher life than any that others know of this instance, and tells whether it had to:
     /// the time of day was set back since they began, and nobody would believe this one.
-    pub fn outlive(&mut self, cards: &[member::Card]) -> bool {
+    pub fn outlive(&mut self, cards: &[member::Card], now: u64) -> bool {
         let own = cards.iter().filter(|card| card.name == self.me.name);
         let Some(last) = own.map(|card| card.life).max().filter(|life| *life > self.me.life) else {
             return false;
         };
         self.me.life = last + 1;
-        self.refresh();
+        self.refresh(now);
         true
     }
 
@@ -286,7 +308,7 @@
                 peer.card = Some(card);
             }
         }
-        self.refresh();
+        self.refresh(now);
         lost
     }
 
@@ -307,32 +329,49 @@
     }
 
     /// Works out anew what follows from who there is.
-    fn refresh(&mut self) {
+    fn refresh(&mut self, now: u64) {
         let one = |name: &name::Name, life: u64| {
             xxhash_rust::xxh3::xxh3_64_with_seed(name.as_str().as_bytes(), life)
         };
-        let others = self.peers.values().filter_map(|peer| peer.card.as_ref());
-        let hashes = others.map(|card| one(&card.name, card.life));
+        let others = || self.peers.values().filter_map(|peer| peer.card.as_ref());
+        let hashes = others().map(|card| one(&card.name, card.life));
         self.digest = hashes.fold(one(&self.me.name, self.me.life), |sum, hash| sum ^ hash);
-        let others = self.peers.values().filter_map(|peer| peer.card.as_ref());
-        let mut zone: Vec<_> =
-            others.chain([&self.me]).filter(|c| c.zone == self.me.zone).collect();
-        zone.sort_by_key(|card| card.rank());
-        let keepers = zone.iter().filter(|card| card.role == member::Role::Keeper).count();
-        self.deputies =
-            zone.into_iter().take(keepers + DEPUTIES).map(|card| card.name.clone()).collect();
-    }
-
-    /// Whether this instance is to hear `card` in any case. Where instances are few everybody
-    /// hears the zone and all keepers. Where they are many, entries hear the keepers and deputies
-    /// of their zone, and only these hear everybody else, by answering.
-    fn is_near(&self, card: &member::Card) -> bool {
-        let keeper = card.role == member::Role::Keeper;
-        if self.peers.len() <= FEW {
-            return card.zone == self.me.zone || keeper;
+        self.near = near::Near::new(others().chain([&self.me]));
+        for peer in self.peers.values_mut() {
+            let ought = peer.card.as_ref().is_none_or(|card| self.near.ought(&self.me, card));
+            if ought && !std::mem::replace(&mut peer.ought, ought) {
+                // Its silence counts from here on.
+                peer.since = now;
+            }
         }
-        let both = keeper && self.me.role == member::Role::Keeper;
-        both || self.deputies.contains(&card.name)
+    }
+
+    /// Whether this instance is to hear `card` in any case.
+    fn is_near(&self, card: &member::Card) -> bool {
+        self.near.hears(&self.me, card, self.window.size())
+    }
+
+    /// Whether instances are so few that everybody hears its zone and all keepers.
+    pub fn is_few(&self) -> bool {
+        self.near.is_few()
+    }
+
+    /// Whether an instance hears of the upstreams of a zone without scheduling it.
+    pub fn is_told(&self, card: &member::Card, zone: &name::Name) -> bool {
+        self.near.is_told(card, zone)
+    }
+
+    /// Hears more of the zone while nobody is heard who schedules it. `leads` says that this
+    /// instance does.
+    pub fn widen(&mut self, leads: bool, led: bool, now: u64) {
+        let knows = leads || self.me.role == member::Role::Keeper;
+        self.window.set(knows, led, self.start + SILENT, now);
+    }
+
+    /// Whether this instance wants to hear another one; `used` says that it works with it.
+    pub fn is_chosen(&self, name: &name::Name, used: bool) -> bool {
+        let near = |peer: &Peer| peer.card.as_ref().is_none_or(|card| self.is_near(card));
+        used || self.peers.get(name).is_some_and(near)
     }
 
     /// Whether the whole list is due to an instance whose digest differs.
@@ -345,18 +384,27 @@
         due
     }
 
-    /// The instances that a heartbeat is due to. `chosen` says whom this instance wants to hear.
-    pub fn due(&mut self, chosen: impl Fn(&name::Name) -> bool, now: u64) -> Vec<name::Name> {
+    /// The instances that a heartbeat is due to. `used` says whom this instance works with.
+    pub fn due(&mut self, used: impl Fn(&name::Name) -> bool, now: u64) -> Vec<name::Name> {
         if now < self.beat {
             return Vec::new();
         }
         // All at once: one wake-up of the sender serves them all.
         self.beat = now + PING;
-        let wanted = |(name, peer): &(&name::Name, &Peer)| {
-            let near = peer.card.as_ref().is_none_or(|card| self.is_near(card));
-            near || chosen(name) || peer.heard > 0 && now < peer.heard + RETURN
-        };
-        self.peers.iter().filter(wanted).map(|(name, _)| name.clone()).collect()
+        let mut due = Vec::new();
+        for (name, peer) in &mut self.peers {
+            let near = peer.card.as_ref();
+            let near = near.is_none_or(|c| self.near.hears(&self.me, c, self.window.size()));
+            let answered = peer.chosen > 0 && now < peer.chosen + RETURN;
+            if near || answered || used(name) {
+                peer.due.get_or_insert(now);
+                peer.answers = !near && !used(name);
+                due.push(name.clone());
+            } else {
+                peer.due = None;
+            }
+        }
+        due
     }
 
     /// Whether the instance was heard directly lately, as its heartbeats are to be told.
@@ -364,30 +412,37 @@
         self.peers.get(name).is_some_and(|peer| peer.direct > 0 && now < peer.direct + SILENT)
     }
 
-    /// Streams that seem to carry nothing any more.
+    /// Streams that seem to carry nothing any more and that may be dialled anew now.
     pub fn mute(&mut self, now: u64) -> Vec<name::Name> {
+        self.dials.refill(now);
+        let own = short(&self.me.name);
+        let streams = || self.peers.values().filter_map(|peer| peer.answered(now));
+        let silent = streams().filter(|answered| redial::is_silent(*answered, now)).count();
+        let most = silent * 2 >= streams().count();
         let mut mute = Vec::new();
         for (name, peer) in &mut self.peers {
-            let spoke = peer.direct > 0 && now < peer.direct + FORGET;
-            let last = peer.echoed.max(peer.redialled).max(peer.since);
-            if spoke && now >= last + REDIAL {
-                peer.redialled = now;
+            let Some(answered) = peer.answered(now) else { continue };
+            if peer.stream.is_due(answered, most, short(name) ^ own, now)
+                && self.dials.spend(&mut peer.stream, now)
+            {
                 mute.push(name.clone());
             }
         }
         mute
     }
 
-    /// Forgets instances that are gone for long, and names them. Of those that this instance does
-    /// not hear itself it learns from the others.
+    /// Streams that were dialled anew so far.
+    pub fn redials(&self) -> u64 {
+        self.dials.count()
+    }
+
+    /// Forgets instances that are gone for long, and names them. Of those that it need not hear
+    /// this instance learns from the others.
     pub fn forget(&mut self, now: u64) -> Vec<name::Name> {
         let seeds = &self.seeds;
-        let near = |peer: &Peer| {
-            peer.heard > 0 || peer.card.as_ref().is_none_or(|card| self.is_near(card))
-        };
         let gone = |(name, peer): (&name::Name, &Peer)| {
             let last = peer.heard.max(peer.since).max(self.distrust);
-            let due = now >= last + FORGET && near(peer) && !seeds.contains(name);
+            let due = now >= last + FORGET && peer.ought && !seeds.contains(name);
             due.then(|| name.clone())
         };
         let gone: Vec<_> = self.peers.iter().filter_map(gone).collect();
@@ -396,27 +451,67 @@
             self.forgotten.insert(name.clone(), life.unwrap_or(0));
         }
         if !gone.is_empty() {
-            self.refresh();
+            self.refresh(now);
         }
         gone
     }
 
-    /// An instance that hears `name` and is heard directly here.
+    /// Notes that a message of an instance came through a third one.
+    pub fn came(&mut self, name: &name::Name, via: &name::Name, now: u64) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.via = Some((via.clone(), now));
+        }
+    }
+
+    /// Through whom a heartbeat goes as well, as the direct way is silent: the one that the
+    /// instance was heard through, or one that ought to hear it and does not say that it lacks it.
     pub fn relay(&self, name: &name::Name, now: u64) -> Option<&name::Name> {
+        let peer = self.peers.get(name)?;
+        let awaited = peer.ought || peer.heard > 0 && now < peer.heard + SILENT;
+        if peer.is_direct(now) || !awaited || now < peer.met.max(peer.since) + RELAY {
+            return None;
+        }
+        if let Some((via, at)) = &peer.via
+            && now < at + SILENT
+            && self.is_direct(via, now)
+        {
+            return Some(via);
+        }
+        let card = peer.card.as_ref()?;
         let hash = short(name);
-        let hears = |peer: &Peer| peer.ping.as_ref().is_some_and(|ping| ping.hears.contains(&hash));
-        let mut direct = self.peers.iter().filter(|(_, peer)| peer.is_direct(now) && hears(peer));
-        direct.next().map(|(name, _)| name)
+        let able = |(_, other): &(&name::Name, &Peer)| {
+            let lacks = other.ping.as_ref().is_none_or(|ping| ping.lacks.contains(&hash));
+            let ought = |held: &member::Card| held.name != *name && self.near.ought(held, card);
+            !lacks && other.is_direct(now) && other.card.as_ref().is_some_and(ought)
+        };
+        let able = self.peers.iter().filter(able).map(|(name, _)| name);
+        // Others take another one.
+        able.min_by_key(|other| short(other) ^ hash)
     }
 
-    /// Digests of the names of the instances that are heard directly.
-    pub fn hears(&self, now: u64) -> Vec<u32> {
-        let direct = self.peers.iter().filter(|(_, peer)| peer.is_direct(now));
-        direct.map(|(name, _)| short(name)).collect()
+    /// Through whom a message goes instead of the direct way, to an instance that is alive.
+    pub fn detour(&self, name: &name::Name, now: u64) -> Option<&name::Name> {
+        let heard = self.peers.get(name).is_some_and(|p| p.heard > 0 && now < p.heard + SILENT);
+        if heard { self.relay(name, now) } else { None }
+    }
+
+    /// Digests of the names of some instances that this one ought to hear and does not.
+    pub fn lacks(&self, now: u64) -> Vec<u32> {
+        let lacking = self.peers.iter().filter(|(_, peer)| peer.ought && !peer.is_direct(now));
+        lacking.take(LACKS).map(|(name, _)| short(name)).collect()
     }
 }
 
 impl Peer {
+    /// When the stream to it was answered last, if it should be.
+    fn answered(&self, now: u64) -> Option<u64> {
+        // Who no longer wants an answer says nothing, either.
+        let lately = if self.answers { SILENT } else { FORGET };
+        let spoke = self.direct > 0 && now < self.direct + lately;
+        let due = self.due.filter(|_| spoke)?;
+        Some(self.echoed.max(due).max(self.since))
+    }
+
     fn is_direct(&self, now: u64) -> bool {
         self.direct > 0 && now < self.direct + SILENT && now < self.echoed + SILENT
     }
--- a/crates/dispatch/src/status.rs
+++ b/crates/dispatch/src/status.rs
@@ -44,6 +44,8 @@
     pub known: usize,
     /// Those that are heard.
     pub heard: usize,
+    /// Streams to them that were dialled anew.
+    pub redials: u64,
 }
 
 impl Core {
@@ -55,6 +57,7 @@
             version: self.document.version,
             known: self.roster.names().count(),
             heard: self.roster.names().filter(|name| self.roster.is_alive(name, now.mono)).count(),
+            redials: self.roster.redials(),
             ..Status::default()
         };
         self.add_zone(&mut status, now.mono);
