--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -72,7 +72,7 @@
         match body {
             Body::Ping(ping) => self.on_ping(*ping, direct, now),
             Body::Members(cards, gone) => {
-                if self.roster.outlive(&cards, now.mono) {
+                if self.roster.outlive(&cards, &gone, now.mono) {
                     let life = self.roster.me().life.to_string();
                     self.note(
                         "node: A former life had a later clock, taking a higher one.",
@@ -175,7 +175,7 @@
         }
         let zone = self.roster.me().zone.clone();
         let differs = (
-            members != self.roster.digest(),
+            members != self.roster.digest() || self.roster.is_forgotten(&from),
             records.is_some_and(|digest| digest != self.table.digest(&zone)),
         );
         if differs != (false, false) && self.roster.is_sync_due(&from, now.mono) {
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -262,13 +262,20 @@
         }
     }
 
-    /// Takes a higher life than any that others know of this instance, and tells whether it had to:
-    /// the time of day was set back since they began, and nobody would believe this one.
-    pub fn outlive(&mut self, cards: &[member::Card], now: u64) -> bool {
-        let own = cards.iter().filter(|card| card.name == self.me.name);
-        let Some(last) = own.map(|card| card.life).max().filter(|life| *life > self.me.life) else {
-            return false;
-        };
+    /// Takes a higher life than any that others know of this instance or have forgotten, and tells
+    /// whether it had to: the time of day was set back since the former began, or this one stood
+    /// still for so long that nobody would believe it.
+    pub fn outlive(
+        &mut self,
+        cards: &[member::Card],
+        gone: &[(name::Name, u64)],
+        now: u64,
+    ) -> bool {
+        let known = cards.iter().filter(|card| card.name == self.me.name).map(|card| card.life);
+        let known = known.filter(|life| *life > self.me.life);
+        let forgotten = gone.iter().filter(|(name, _)| *name == self.me.name);
+        let forgotten = forgotten.map(|(_, life)| *life).filter(|life| *life >= self.me.life);
+        let Some(last) = known.chain(forgotten).max() else { return false };
         self.me.life = last + 1;
         self.refresh(now);
         true
@@ -312,6 +319,13 @@
         lost
     }
 
+    /// Whether an instance that is known was forgotten in this life: others do not learn of it.
+    pub fn is_forgotten(&self, name: &name::Name) -> bool {
+        let life = self.peers.get(name).and_then(|peer| Some(peer.card.as_ref()?.life));
+        let last = self.forgotten.get(name);
+        last.is_some_and(|last| life.is_some_and(|life| life <= *last))
+    }
+
     /// The instances that were forgotten, with their last life.
     pub fn gone(&self) -> Vec<(name::Name, u64)> {
         self.forgotten.iter().map(|(name, life)| (name.clone(), *life)).collect()
--- a/crates/dispatch/tests/many.rs
+++ b/crates/dispatch/tests/many.rs
@@ -208,6 +208,61 @@
     }
 }
 
+#[test]
+fn scheduler_of_many_lost() {
+    // The other keeper has the zone after 500 ms and a tick, and all entries know it.
+    for seed in 0..3 {
+        let mut world = system(seed, 99, 2);
+        world.run(4_000);
+        world.kill(0);
+        world.run(600);
+        assert_eq!(world.schedulers(0), [1], "seed {seed}");
+        let ids: Vec<_> = (0..60).map(|_| world.submit(0, 1, 14_000, 100)).collect();
+        world.run(400);
+        let started = |id: &&_| world.starts.keys().any(|task| task.job == **id);
+        assert_eq!(ids.iter().filter(started).count(), 60, "seed {seed}");
+    }
+}
+
+#[test]
+fn zone_of_many_cut() {
+    for seed in 0..2 {
+        let mut world = system(seed, 60, 2);
+        world.run(4_000);
+        world.cut_zone(1, true);
+        world.run(1_500);
+        world.notes.clear();
+        for _ in 0..40 {
+            for zone in 0..ZONES {
+                world.submit(zone, 1, 14_000, 100);
+            }
+            world.run(50);
+        }
+        world.cut_zone(1, false);
+        world.run(3_000);
+        assert_eq!(world.complete(), 120, "seed {seed}: {:?}", world.notes);
+        assert_eq!(world.notes.get("zone: Scheduling."), None, "seed {seed}");
+        assert_eq!(world.faults, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+#[test]
+fn keepers_of_many_replaced() {
+    // A zone gets other machines for its keepers, one after the other.
+    let mut world = system(2, 60, 2);
+    world.run(4_000);
+    for (at, name) in [(0, "10.0.5.1:7"), (1, "10.0.5.2:7")] {
+        world.move_keeper(at, name);
+        world.run(3_000);
+    }
+    assert_eq!(world.schedulers(0).len(), 1);
+    assert!(world.schedulers(0)[0] < KEEPERS, "a keeper schedules");
+    let ids: Vec<_> = (0..40).map(|_| world.submit(0, 1, 14_000, 100)).collect();
+    world.run(2_000);
+    assert_eq!(world.complete(), ids.len());
+    assert_eq!(world.faults, Vec::<String>::new());
+}
+
 #[test]
 fn one_way_cut_of_many() {
     // The scheduler of the zone does not get what an entry sends, or the other way round.
@@ -242,6 +297,29 @@
     assert_eq!(kinds, ["agree", "ping"], "{:?}", world.sent);
 }
 
+#[test]
+fn forgotten_and_back() {
+    // An instance that stood still for longer than others remember it is known to all again.
+    for all in [9, 60] {
+        let mut world = system(1, all, 2);
+        world.run(4_000);
+        let at = all - 1;
+        world.freeze(at);
+        world.run(36_000);
+        assert!(world.notes.contains_key("peer: Forgotten."), "of {all}");
+        world.thaw(at);
+        world.run(5_000);
+        let known =
+            |i: &world::Instance| i.core.as_ref().map(|core| core.status(Now::new(1, 1)).known);
+        let counts: Vec<_> = world.instances.iter().filter_map(known).collect();
+        assert_eq!(counts, vec![all - 1; all]);
+        world.sent.clear();
+        world.run(2_000);
+        let kinds: Vec<_> = world.sent.keys().copied().collect();
+        assert_eq!(kinds, ["agree", "ping"], "of {all}: {:?}", world.sent);
+    }
+}
+
 #[test]
 #[ignore = "prints figures"]
 fn table() {
