--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -6,7 +6,7 @@
 use state::name;
 
 use crate::{
-    claim, desk,
+    census, claim, desk,
     event::{Event, Note, Output, Reply, Ticket},
     fetch,
     job::{Refusal, Verdict},
@@ -22,6 +22,10 @@
 /// takes [`roster::SILENT`] to notice that loss.
 const STOPPED: u64 = 600 * MS;
 
+/// Where the time of day goes on this much further than the steady clock, microseconds, the latter
+/// has stood still: it does so while a machine is suspended. The time of day counts milliseconds.
+const PAUSE: u64 = 20 * MS;
+
 /// A scheduler whose token is refused waits this long, and a turn for each instance of its zone
 /// that ranks before it, for word of the claim that goes above its own, microseconds. Upstreams
 /// tell of it before the claimant does where the latter's messages wait: an entry with 0.12 of a
@@ -29,11 +33,8 @@
 /// once stopped a zone for 4 s.
 const HEAR: u64 = 250 * MS;
 
-/// Requests are not answered by a configuration that is known to be older than another one for this
-/// long, microseconds: a route may be gone or lead elsewhere. Operators count on a change after
-/// 2,000 ms, of which its news may take a heartbeat that was lost twice (450 ms). An instance that
-/// hears of none, as it is cut off, goes on by the last that it has.
-const OUTDATED: u64 = 1_300 * MS;
+/// Line for an announcement that was not taken.
+const REFUSED: &str = "upstream: Announcement refused.";
 
 /// What an instance is.
 #[derive(Clone, Debug)]
@@ -69,6 +70,8 @@
     pub(crate) roster: roster::Roster,
     pub(crate) claims: claim::Claims,
     pub(crate) table: upstream::Table,
+    /// The upstreams of this instance's zone.
+    pub(crate) census: census::Census,
     pub(crate) sched: Option<sched::Sched>,
     pub(crate) desk: desk::Desk,
     pub(crate) vault: Option<vault::Vault>,
@@ -100,6 +103,7 @@
             roster,
             claims: claim::Claims::default(),
             table: upstream::Table::default(),
+            census: census::Census::default(),
             sched: None,
             desk: desk::Desk::default(),
             vault,
@@ -135,11 +139,14 @@
                 }
             }
             Event::Submit(ticket, job) => {
-                let (view, desk) = view(&self.roster, &self.claims, &mut self.desk, now);
+                let (view, desk) =
+                    view(&self.roster, &self.claims, self.census.digest(), &mut self.desk, now);
                 desk.submit(ticket, *job, view);
             }
             Event::Left(ticket) => self.desk.left(ticket),
             Event::Announce(ticket, record) => self.announce(ticket, &record, now),
+            Event::Unlisted(ticket, record) => self.unlisted(ticket, &record, now),
+            Event::Unread(id, why) => self.note(REFUSED, &id, why),
             Event::Withdraw(ticket, id) => self.withdraw(ticket, &id, now),
             Event::Publish(ticket, document) => match &mut self.vault {
                 Some(vault) => vault.publish(ticket, document, now.mono),
@@ -172,7 +179,11 @@
     pub(crate) fn notice_stop(&mut self, now: Now) {
         let last = std::mem::replace(&mut self.last, now);
         let wall = now.wall.saturating_sub(last.wall) * MS;
-        let gap = now.mono.saturating_sub(last.mono).max(wall);
+        let steady = now.mono.saturating_sub(last.mono);
+        if wall > steady + PAUSE {
+            self.roster.stood_still(now.mono);
+        }
+        let gap = steady.max(wall);
         if gap < STOPPED {
             return;
         }
@@ -191,12 +202,6 @@
         !self.draining && settled && self.claims.iter().any(reached)
     }
 
-    /// Whether a newer configuration has been known of for too long for requests to be answered by
-    /// the one in force.
-    pub fn is_outdated(&self, now: Now) -> bool {
-        self.told.values().min().is_some_and(|since| now.mono >= since + OUTDATED)
-    }
-
     /// Jobs that clients wait for here.
     pub fn open(&self) -> usize {
         self.desk.open()
@@ -237,7 +242,8 @@
             let roster = &self.roster;
             sched.tick(|entry| roster.clock(entry, now.mono), now.mono);
         }
-        let (view, desk) = view(&self.roster, &self.claims, &mut self.desk, now);
+        let (view, desk) =
+            view(&self.roster, &self.claims, self.census.digest(), &mut self.desk, now);
         desk.tick(view);
         let keepers: Vec<_> = self.roster.keepers().cloned().collect();
         if let Some(vault) = &mut self.vault {
@@ -270,7 +276,10 @@
         let mut sched = sched::Sched::new(claim.epoch, self.lease, now.mono);
         for record in self.table.of_zone(&claim.zone) {
             sched.record(record);
+            sched.number(&record.id, self.census.number(&record.id).unwrap_or(u64::MAX));
         }
+        // What this instance knows it tells itself at once.
+        sched.learn(&claim.holder, u64::MAX - 1);
         self.sched = Some(sched);
         self.outranked = None;
         self.note("zone: Scheduling.", &claim.holder, format!("epoch {}", claim.epoch));
@@ -279,10 +288,17 @@
     }
 
     pub(crate) fn tell_sched(&mut self, record: &upstream::Record) {
-        if record.zone == self.roster.me().zone
-            && let Some(sched) = &mut self.sched
-        {
+        if record.zone != self.roster.me().zone {
+            return;
+        }
+        if record.phase == upstream::Phase::Gone {
+            self.census.remove(&record.id, record.serial == u64::MAX);
+        } else {
+            self.census.add(&record.id);
+        }
+        if let Some(sched) = &mut self.sched {
             sched.record(record);
+            sched.number(&record.id, self.census.number(&record.id).unwrap_or(u64::MAX));
         }
     }
 
@@ -295,6 +311,17 @@
         self.reply(ticket, Reply::Noted);
     }
 
+    /// Takes the word of an upstream that is known to be of this service, which a change may have
+    /// dropped: it may be leaving. Any other may be of another writer; if it is one of a service to
+    /// come, its next announcement is taken.
+    pub(crate) fn unlisted(&mut self, ticket: Ticket, record: &upstream::Record, now: Now) {
+        if self.table.get(&record.id).is_some_and(|held| held.service == record.service) {
+            return self.announce(ticket, record, now);
+        }
+        self.note(REFUSED, &record.id, format!("no service {}", record.service));
+        self.reply(ticket, Reply::Unavailable);
+    }
+
     pub(crate) fn withdraw(&mut self, ticket: Ticket, id: &name::Name, now: Now) {
         if let Some(record) = self.table.bury(id, true) {
             self.note("upstream: Withdrawn.", id, String::new());
@@ -319,38 +346,6 @@
         }
     }
 
-    pub(crate) fn adopt(&mut self, document: Document, now: Now) {
-        if document.version <= self.document.version {
-            return;
-        }
-        let newer = self.told.split_off(&(document.version + 1));
-        let told = std::mem::replace(&mut self.told, newer);
-        let since = told.into_values().min().unwrap_or(now.mono);
-        let waited = now.mono.saturating_sub(since) / MS;
-        self.fetch.drop_older(document.version);
-        self.document = document.clone();
-        let name = self.roster.me().name.clone();
-        self.note(
-            "settings: In force.",
-            &name,
-            format!("version {}, known of for {waited} ms", document.version),
-        );
-        self.out.push(Output::Document(document));
-        if self.vault.is_some() {
-            self.announce_version(now);
-        }
-        // What is newer still was told of while this one was on its way.
-        self.fetch_newer(now);
-    }
-
-    pub(crate) fn adopt_vault(&mut self, now: Now) {
-        let Some(vault) = &self.vault else { return };
-        if vault.document().version > self.document.version {
-            let document = vault.document().clone();
-            self.adopt(document, now);
-        }
-    }
-
     pub(crate) fn drain(&mut self, now: Now) {
         self.draining = true;
         if let Some(vault) = &mut self.vault {
@@ -386,6 +381,7 @@
     pub(crate) fn settle_sched(&mut self, now: Now) {
         let Some(sched) = &mut self.sched else { return };
         let roster = &self.roster;
+        sched.cover(|digest| self.census.find(digest).is_some());
         sched.run(|entry| roster.clock(entry, now.mono), now.mono);
         let out = sched.take();
         self.out.extend(out.calls.into_iter().map(Output::Call));
@@ -453,8 +449,9 @@
 pub(crate) fn view<'a>(
     roster: &'a roster::Roster,
     claims: &'a claim::Claims,
+    upstreams: u64,
     desk: &'a mut desk::Desk,
     now: Now,
 ) -> (desk::View<'a>, &'a mut desk::Desk) {
-    (desk::View { roster, claims, now: now.mono }, desk)
+    (desk::View { roster, claims, upstreams, now: now.mono }, desk)
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! - [`roster`], [`near`], [`redial`] and [`claim`]: which instances are heard, which ought to be,
 //!   when streams are dialled anew, and who schedules a zone.
-//! - [`upstream`] and [`lane`]: the table of upstreams, and one of them as its owner sees it.
+//! - [`upstream`], [`census`] and [`lane`]: the table of upstreams, who knows which of them, and
+//!   one of them as its owner sees it.
 //! - [`sched`], [`active`], [`queue`], [`place`] and [`health`]: jobs, their order, and where
 //!   their tasks run.
 //! - [`desk`]: the entry's side of a job.
@@ -34,6 +35,7 @@
 //! ```
 
 pub mod active;
+pub mod census;
 pub mod claim;
 pub mod core;
 pub mod desk;
@@ -45,6 +47,7 @@
 pub mod member;
 pub mod message;
 pub mod near;
+mod news;
 pub mod order;
 mod outcome;
 pub mod pack;
--- a/crates/dispatch/src/routing.rs
+++ b/crates/dispatch/src/routing.rs
@@ -37,6 +37,8 @@
 pub struct Routing {
     /// Version of the configuration; 0 for none.
     pub version: u64,
+    /// Services that there are.
+    pub services: collections::BTreeSet<name::Name>,
     /// Largest body of a request, bytes.
     pub max_body: usize,
     hosts: collections::HashMap<name::Name, Host>,
@@ -88,7 +90,8 @@
             host.lengths =
                 lengths.collect::<collections::BTreeSet<_>>().into_iter().rev().collect();
         }
-        Ok(Self { version, max_body, hosts })
+        let services = services.iter().cloned().collect();
+        Ok(Self { version, services, max_body, hosts })
     }
 
     /// The route with the longest prefix of `path`, and the rest of the path.
--- a/crates/dispatch/tests/world/link.rs
+++ b/crates/dispatch/tests/world/link.rs
@@ -8,10 +8,15 @@
 /// What a stream sends before it is another one's turn, bytes: a few packets.
 const TURN: usize = 4_096;
 
+/// A message that has arrived: its sender, the stream that carried it, and itself.
+pub type Arrived = (usize, u64, Body);
+
 /// A message on its way.
 #[derive(Debug)]
 struct Load {
     left: usize,
+    /// Which of the streams from its sender carries it.
+    stream: u64,
     body: Body,
 }
 
@@ -38,12 +43,12 @@
     }
 
     /// Takes a message; true if the link was idle and its next turn is to be played now.
-    pub fn add(&mut self, from: usize, to: usize, body: Body) -> bool {
+    pub fn add(&mut self, from: usize, to: usize, stream: u64, body: Body) -> bool {
         let left = coord::machine::encode(&body).len();
         *self.received.entry((to, body.kind())).or_default() += left as u64;
         let link = self.queues.entry(to).or_default();
         let idle = link.streams.is_empty();
-        let load = Load { left, body };
+        let load = Load { left, stream, body };
         match link.streams.iter_mut().find(|(other, _)| *other == from) {
             Some((_, waiting)) => waiting.push_back(load),
             None => link.streams.push_back((from, VecDeque::from([load]))),
@@ -53,7 +58,7 @@
 
     /// Plays one turn of a link; gives the time that it took, microseconds, and the message that
     /// has arrived by its end. Nothing if the link is idle.
-    pub fn turn(&mut self, to: usize) -> Option<(u64, Option<(usize, Body)>)> {
+    pub fn turn(&mut self, to: usize) -> Option<(u64, Option<Arrived>)> {
         let rate = *self.rates.get(&to)?;
         let link = self.queues.get_mut(&to)?;
         let (from, mut waiting) = link.streams.pop_front()?;
@@ -61,7 +66,11 @@
         let sent = first.left.min(TURN);
         first.left -= sent;
         let whole = first.left == 0;
-        let arrived = if whole { waiting.pop_front().map(|load| (from, load.body)) } else { None };
+        let arrived = if whole {
+            waiting.pop_front().map(|load| (from, load.stream, load.body))
+        } else {
+            None
+        };
         if !waiting.is_empty() {
             link.streams.push_back((from, waiting));
         }
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -33,7 +33,7 @@
 #[derive(Debug)]
 enum What {
     Tick,
-    Deliver { to: usize, from: usize, body: Body },
+    Deliver { to: usize, from: usize, stream: u64, body: Body },
     Link { to: usize },
     Arrive { call: Call, from: (usize, u64) },
     Answer { to: (usize, u64), number: u64, fence: u64, outcome: Outcome },
@@ -76,6 +76,16 @@
     first: bool,
 }
 
+/// How long messages wait on a stream, microseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Slow {
+    /// The longest wait.
+    most: u64,
+    /// Since when the queue fills up, if it does: each heartbeat still comes within 250 ms of the
+    /// one before.
+    since: Option<u64>,
+}
+
 /// A client's job.
 #[derive(Debug)]
 pub struct Request {
@@ -110,6 +120,11 @@
     pub skew: i64,
     /// Messages between instances wait this much longer, microseconds: their receivers are busy.
     pub busy: u64,
+    /// Streams on which messages wait, and none overtakes another: the link or a queue on the way
+    /// is full.
+    pub slow: BTreeMap<(usize, usize), Slow>,
+    /// Whether what is under way on a stream is lost when the stream is dialled anew.
+    pub lossy: bool,
     /// One order in so many is carried out late and never answered; 0 for none.
     pub late: u32,
     pub faults: Vec<String>,
@@ -137,12 +152,16 @@
     /// Each message is late by something in this range, microseconds; those of a stream stay in
     /// their order.
     pub lag: (u64, u64),
-    last: BTreeMap<(usize, usize), u64>,
+    lagged: BTreeMap<(usize, usize), u64>,
     /// Streams that carry nothing until they are dialled anew.
     pub silent: BTreeSet<(usize, usize)>,
     tickets: BTreeMap<u64, Name>,
     queue: BinaryHeap<Due>,
     order: u64,
+    /// Streams that were dialled anew: how often.
+    redialled: BTreeMap<(usize, usize), u64>,
+    /// When the last message on a slow stream arrives.
+    last: BTreeMap<(usize, usize), u64>,
     seeds: Vec<Name>,
     /// `TRACE=ID` prints what is done about a job.
     trace: Option<String>,
@@ -173,6 +192,8 @@
             ear: None,
             skew: 0,
             busy: 0,
+            slow: BTreeMap::new(),
+            lossy: false,
             late: 0,
             faults: Vec::new(),
             starts: BTreeMap::new(),
@@ -187,11 +208,13 @@
             calls: BTreeMap::new(),
             redials: BTreeMap::new(),
             lag: (0, 0),
-            last: BTreeMap::new(),
+            lagged: BTreeMap::new(),
             silent: BTreeSet::new(),
             tickets: BTreeMap::new(),
             queue: BinaryHeap::new(),
             order: 0,
+            redialled: BTreeMap::new(),
+            last: BTreeMap::new(),
             seeds: (0..zones).map(|z| Name::new(&format!("10.{z}.0.1:7"))).collect(),
             trace: std::env::var("TRACE").ok(),
         };
@@ -265,6 +288,11 @@
         }
     }
 
+    /// Tells an instance to end; it goes on until it is killed.
+    pub fn drain(&mut self, at: usize) {
+        self.handle(at, Event::Drain);
+    }
+
     /// Ends an instance's process, and its disk is empty when it starts again.
     pub fn wipe(&mut self, at: usize) {
         self.kill(at);
@@ -390,8 +418,9 @@
         }
         match what {
             What::Tick => self.tick(),
-            What::Deliver { to, from, body } => {
-                if !self.cuts.contains(&(from, to)) {
+            What::Deliver { to, from, stream, body } => {
+                let broken = self.redialled.get(&(from, to)).is_some_and(|now| *now != stream);
+                if !self.cuts.contains(&(from, to)) && !broken {
                     self.count(to, false, &body);
                     let name = self.instances[from].card.name.clone();
                     self.handle(to, Event::Peer(name, body));
@@ -400,8 +429,8 @@
             What::Link { to } => {
                 if let Some((took, arrived)) = self.links.turn(to) {
                     let end = self.now + took;
-                    if let Some((from, body)) = arrived {
-                        self.push(end + self.busy, What::Deliver { to, from, body });
+                    if let Some((from, stream, body)) = arrived {
+                        self.push(end + self.busy, What::Deliver { to, from, stream, body });
                     }
                     self.push(end, What::Link { to });
                 }
@@ -576,15 +605,16 @@
                     self.streams.insert((at, to));
                     let same = self.instances[to].card.zone == self.instances[at].card.zone;
                     let delay = if same { 200 } else { 900 };
-                    let due = self.now + delay + self.busy;
+                    let due = self.arrival(at, to, self.now + delay + self.busy);
                     let due = self.late(at, to, due);
                     self.count(at, true, &body);
                     if self.silent.contains(&(at, to)) {
                         return;
                     }
+                    let stream = self.redialled.get(&(at, to)).copied().unwrap_or(0);
                     if !self.links.is_slow(to) {
-                        self.push(due, What::Deliver { to, from: at, body });
-                    } else if self.links.add(at, to, body) {
+                        self.push(due, What::Deliver { to, from: at, stream, body });
+                    } else if self.links.add(at, to, stream, body) {
                         self.push(self.now + delay, What::Link { to });
                     }
                 }
@@ -611,6 +641,10 @@
                 *self.redials.entry(at).or_default() += 1;
                 if let Some(to) = self.instances.iter().position(|i| i.card.name == to) {
                     self.silent.remove(&(at, to));
+                    if self.lossy {
+                        *self.redialled.entry((at, to)).or_default() += 1;
+                        self.last.remove(&(at, to));
+                    }
                 }
             }
             Output::Note(note) => *self.notes.entry(note.text).or_default() += 1,
@@ -620,13 +654,46 @@
         }
     }
 
+    /// When a message that would arrive `at` on a quick stream does arrive.
+    fn arrival(&mut self, from: usize, to: usize, at: u64) -> u64 {
+        let wait = self.slow.get(&(from, to)).map_or(0, |slow| match slow.since {
+            Some(since) => slow.most.min((self.now - since) / 2),
+            None => slow.most,
+        });
+        if wait == 0 && !self.last.contains_key(&(from, to)) {
+            return at;
+        }
+        let last = self.last.entry((from, to)).or_default();
+        *last = (at + wait).max(*last);
+        *last
+    }
+
+    /// Messages from one instance to another wait this long from now on (0: no more),
+    /// milliseconds.
+    pub fn slow(&mut self, from: usize, to: usize, ms: u64) {
+        self.set_slow(from, to, Slow { most: ms * MS, since: None });
+    }
+
+    /// They wait longer and longer, up to this time, milliseconds.
+    pub fn fill_up(&mut self, from: usize, to: usize, ms: u64) {
+        self.set_slow(from, to, Slow { most: ms * MS, since: Some(self.now) });
+    }
+
+    fn set_slow(&mut self, from: usize, to: usize, slow: Slow) {
+        if slow.most == 0 {
+            self.slow.remove(&(from, to));
+        } else if from != to {
+            self.slow.insert((from, to), slow);
+        }
+    }
+
     /// When a message arrives that is due at `due` unless streams are late.
     fn late(&mut self, from: usize, to: usize, due: u64) -> u64 {
         let (least, most) = self.lag;
         if most == 0 {
             return due;
         }
-        let held = self.last.entry((from, to)).or_default();
+        let held = self.lagged.entry((from, to)).or_default();
         *held = (due + self.rng.random_range(least..most)).max(*held);
         *held
     }
