--- a/crates/dispatch/src/lane.rs
+++ b/crates/dispatch/src/lane.rs
@@ -33,11 +33,11 @@
 /// Pause before an upstream that did not answer, or obeys another owner, is asked again,
 /// microseconds.
 const RETRY: u64 = 60 * time::MS;
-/// Steady clocks may be this much slower than others, thousandths: 20 by the rules of upstreams.
-pub(crate) const SLOW_CLOCK: u64 = 25;
 /// Without an answer the pause doubles so many times at most, to 480 ms: each question that is given
 /// up takes its connection with it.
 const DOUBLINGS: u32 = 3;
+/// Steady clocks may be this much slower than others, thousandths: 20 by the rules of upstreams.
+pub(crate) const SLOW_CLOCK: u64 = 25;
 
 /// How sure the owner is about a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -44,6 +44,9 @@
     echoed: u64,
     synced: u64,
     since: u64,
+    /// When its last heartbeat was read.
+    read: u64,
+    ahead: Option<Ahead>,
     /// Since when it is heard directly without a break.
     met: u64,
     /// When a heartbeat said last that it chooses this instance.
@@ -57,9 +60,6 @@
     /// Through whom it was heard last without being heard directly, and when.
     via: Option<(name::Name, u64)>,
     stream: redial::Stream,
-    /// When its last heartbeat was read.
-    read: u64,
-    ahead: Option<Ahead>,
 }
 
 /// How far the clock of another instance is ahead of this one's at most, microseconds: it read a
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -152,6 +152,7 @@
     /// Each message is late by something in this range, microseconds; those of a stream stay in
     /// their order.
     pub lag: (u64, u64),
+    lagged: BTreeMap<(usize, usize), u64>,
     /// Streams that carry nothing until they are dialled anew.
     pub silent: BTreeSet<(usize, usize)>,
     tickets: BTreeMap<u64, Name>,
@@ -172,8 +173,7 @@
         Self::with_keepers(seed, zones, 1, entries, upstreams)
     }
 
-    /// Zones with `keepers` keepers and `entries` entries each, and `upstreams` upstreams; the
-    /// first keepers are the seeds.
+    /// Zones with `keepers` keepers and `entries` entries each, and `upstreams` upstreams.
     pub fn with_keepers(
         seed: u64,
         zones: usize,
@@ -208,6 +208,7 @@
             calls: BTreeMap::new(),
             redials: BTreeMap::new(),
             lag: (0, 0),
+            lagged: BTreeMap::new(),
             silent: BTreeSet::new(),
             tickets: BTreeMap::new(),
             queue: BinaryHeap::new(),
@@ -604,14 +605,15 @@
                     self.streams.insert((at, to));
                     let same = self.instances[to].card.zone == self.instances[at].card.zone;
                     let delay = if same { 200 } else { 900 };
-                    let stream = self.redialled.get(&(at, to)).copied().unwrap_or(0);
+                    let due = self.arrival(at, to, self.now + delay + self.busy);
+                    let due = self.late(at, to, due);
                     self.count(at, true, &body);
                     if self.silent.contains(&(at, to)) {
                         return;
                     }
+                    let stream = self.redialled.get(&(at, to)).copied().unwrap_or(0);
                     if !self.links.is_slow(to) {
-                        let arrival = self.arrival(at, to, self.now + delay + self.busy);
-                        self.push(arrival, What::Deliver { to, from: at, stream, body });
+                        self.push(due, What::Deliver { to, from: at, stream, body });
                     } else if self.links.add(at, to, stream, body) {
                         self.push(self.now + delay, What::Link { to });
                     }
@@ -687,6 +689,17 @@
         }
     }
 
+    /// When a message arrives that is due at `due` unless streams are late.
+    fn late(&mut self, from: usize, to: usize, due: u64) -> u64 {
+        let (least, most) = self.lag;
+        if most == 0 {
+            return due;
+        }
+        let held = self.lagged.entry((from, to)).or_default();
+        *held = (due + self.rng.random_range(least..most)).max(*held);
+        *held
+    }
+
     fn count(&mut self, at: usize, sent: bool, body: &Body) {
         if self.weigh {
             let kind = match body {
