Tests that fail: a start is written after the lease is over under which it may be made

frozen_and_woken failed now and then: "it starts nothing after it woke", one start more after the wake, once four. Cause: the thread that calls looks at the lease and then has its client look up the address on a thread of its own, connect and write, all of which may be stopped or wait for a processor, and a write waits for a full buffer.

--- a/crates/apricotroute/src/control.rs
+++ b/crates/apricotroute/src/control.rs
@@ -427,6 +427,7 @@
             body: start.body,
             content: start.content.to_string(),
             left,
+            lease: lease_end(start.lease, now),
             span: context,
         };
         finish(caller.start(&task))
@@ -448,6 +449,11 @@
     event::Done { task, attempt, upstream, took, finish }
 }
 
+/// The end of a lease that has not ended at `now`; nothing where none is needed.
+fn lease_end(lease: u64, now: u64) -> Option<time::Instant> {
+    time::Instant::now().checked_add(time::Duration::from_micros(lease - now))
+}
+
 fn finish(end: task::End) -> event::Finish {
     match end {
         task::End::Answer(body, content) => {
@@ -455,6 +461,7 @@
             event::Finish::Answer(message::Answer { body, content })
         }
         task::End::NotRun => event::Finish::Full,
+        task::End::Unsent => event::Finish::Unsent,
         task::End::Unreached(_) => event::Finish::Unreached,
         task::End::Failed(why) => event::Finish::Failed(why),
     }
--- a/crates/link/src/task.rs
+++ b/crates/link/src/task.rs
@@ -28,6 +28,8 @@
     pub content: String,
     /// Time left.
     pub left: time::Duration,
+    /// End of the lease under which it may be started; nothing if it needs none.
+    pub lease: Option<time::Instant>,
     /// Span of the call.
     pub span: trace::Context,
 }
@@ -39,6 +41,8 @@
     Answer(Bytes, String),
     /// The upstream says that it did not start the task.
     NotRun,
+    /// The lease was over before anything was written.
+    Unsent,
     /// The upstream was never reached: nothing was written.
     Unreached(String),
     /// The task ran and failed, or may have run.
