Look at the lease before each write to an upstream, not before the call

Cause: as in the tests that failed: between the look at the lease and the request's bytes came a thread for the address, connecting and waiting for room; an owner that was stopped there went on after it woke. Ruled out: the clock (it runs while a process is stopped); stale leases from buffered heartbeats (they carry the time at which they were sent); the upstream's log (1 s passes before it is read). Change: the client's connections have a gate that looks at the lease before each write; a request that it stops before its first byte is proved not to have run and goes elsewhere, one that it stops midway counts as failed. Addresses that are written out are read without a thread. Left: a stop between the last look and the write itself, a few instructions; an upstream that took a lease could close it, our own interface has none.

--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod caller;
 pub mod error;
+mod gate;
 pub mod http;
 pub mod metric;
 pub mod peer;
--- a/crates/link/src/task.rs
+++ b/crates/link/src/task.rs
@@ -3,8 +3,9 @@
 use std::{io, time};
 
 use bytes::Bytes;
+use ureq::unversioned::transport::{Connector as _, TcpConnector};
 
-use crate::trace;
+use crate::{gate, trace};
 
 /// Largest answer of one task, bytes.
 pub const MAX_ANSWER: u64 = 16 << 20;
@@ -75,7 +76,8 @@
             .max_idle_connections_per_host(PER_HOST)
             .max_idle_connections(IN_ALL)
             .build();
-        Self { agent: config.into() }
+        let connector = ().chain(TcpConnector::default()).chain(gate::Gate);
+        Self { agent: ureq::Agent::with_parts(config, connector, gate::Resolver::default()) }
     }
 
     /// Sends a task and waits for its answer.
@@ -90,7 +92,9 @@
             .config()
             .timeout_global(Some(task.left + GRACE))
             .build();
-        match request.send(task.body.as_ref()) {
+        let (sent, passed) = gate::under(task.lease, || request.send(task.body.as_ref()));
+        match sent {
+            Err(_) if passed == gate::Passed::Nothing => End::Unsent,
             Ok(response) => read(response),
             Err(e) if is_unreached(&e) => End::Unreached(e.to_string()),
             Err(e) => End::Failed(e.to_string()),
