--- a/crates/dispatch/tests/stopped.rs
+++ b/crates/dispatch/tests/stopped.rs
@@ -141,7 +141,7 @@
     play.answer(at(&holds, "u2"), running(2, 10), vec![]);
     play.calls();
     play.wait(50);
-    play.sched.submit(job("j"), &"entry".into(), play.now);
+    play.sched.submit(Job { stamp: play.now, ..job("j") }, &"entry".into(), play.now);
     assert_eq!(stops(&play.calls()).len(), 1, "one of two runs of a task is stopped");
 }
 
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -33,7 +33,7 @@
 #[derive(Debug)]
 enum What {
     Tick,
-    Deliver { to: usize, from: usize, body: Body },
+    Deliver { to: usize, from: usize, stream: u64, body: Body },
     Link { to: usize },
     Arrive { call: Call, from: (usize, u64) },
     Answer { to: (usize, u64), number: u64, fence: u64, outcome: Outcome },
@@ -76,6 +76,16 @@
     first: bool,
 }
 
+/// How long messages wait on a stream, microseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Slow {
+    /// The longest wait.
+    most: u64,
+    /// Since when the queue fills up, if it does: each heartbeat still comes within 250 ms of the
+    /// one before.
+    since: Option<u64>,
+}
+
 /// A client's job.
 #[derive(Debug)]
 pub struct Request {
@@ -103,6 +113,11 @@
     pub skew: i64,
     /// Messages between instances wait this much longer, microseconds: their receivers are busy.
     pub busy: u64,
+    /// Streams on which messages wait, and none overtakes another: the link or a queue on the way
+    /// is full.
+    pub slow: BTreeMap<(usize, usize), Slow>,
+    /// Whether what is under way on a stream is lost when the stream is dialled anew.
+    pub lossy: bool,
     /// One order in so many is carried out late and never answered; 0 for none.
     pub late: u32,
     pub faults: Vec<String>,
@@ -122,6 +137,10 @@
     tickets: BTreeMap<u64, Name>,
     queue: BinaryHeap<Due>,
     order: u64,
+    /// Streams that were dialled anew: how often.
+    redialled: BTreeMap<(usize, usize), u64>,
+    /// When the last message on a slow stream arrives.
+    last: BTreeMap<(usize, usize), u64>,
     seeds: Vec<Name>,
     /// `TRACE=ID` prints what is done about a job.
     trace: Option<String>,
@@ -130,6 +149,17 @@
 impl World {
     /// Zones with `entries` entries and one keeper each, and `upstreams` upstreams.
     pub fn new(seed: u64, zones: usize, entries: usize, upstreams: usize) -> Self {
+        Self::with_keepers(seed, zones, 1, entries, upstreams)
+    }
+
+    /// The same with several keepers in each zone; the first ones are the seeds.
+    pub fn with_keepers(
+        seed: u64,
+        zones: usize,
+        keepers: usize,
+        entries: usize,
+        upstreams: usize,
+    ) -> Self {
         let mut world = Self {
             now: 1,
             rng: SmallRng::seed_from_u64(seed),
@@ -141,6 +171,8 @@
             ear: None,
             skew: 0,
             busy: 0,
+            slow: BTreeMap::new(),
+            lossy: false,
             late: 0,
             faults: Vec::new(),
             starts: BTreeMap::new(),
@@ -153,12 +185,14 @@
             tickets: BTreeMap::new(),
             queue: BinaryHeap::new(),
             order: 0,
+            redialled: BTreeMap::new(),
+            last: BTreeMap::new(),
             seeds: (0..zones).map(|z| Name::new(&format!("10.{z}.0.1:7"))).collect(),
             trace: std::env::var("TRACE").ok(),
         };
         for zone in 0..zones {
-            for at in 0..=entries {
-                let role = if at == 0 { Role::Keeper } else { Role::Entry };
+            for at in 0..keepers + entries {
+                let role = if at < keepers { Role::Keeper } else { Role::Entry };
                 let name = Name::new(&format!("10.{zone}.0.{}:7", at + 1));
                 let card = Card { name, zone: zone_name(zone), role, life: 0 };
                 let disk = (role == Role::Keeper).then(|| (Mirror::default(), 1));
@@ -356,8 +390,9 @@
         }
         match what {
             What::Tick => self.tick(),
-            What::Deliver { to, from, body } => {
-                if !self.cuts.contains(&(from, to)) {
+            What::Deliver { to, from, stream, body } => {
+                let broken = self.redialled.get(&(from, to)).is_some_and(|now| *now != stream);
+                if !self.cuts.contains(&(from, to)) && !broken {
                     let name = self.instances[from].card.name.clone();
                     self.handle(to, Event::Peer(name, body));
                 }
@@ -365,8 +400,8 @@
             What::Link { to } => {
                 if let Some((took, arrived)) = self.links.turn(to) {
                     let end = self.now + took;
-                    if let Some((from, body)) = arrived {
-                        self.push(end + self.busy, What::Deliver { to, from, body });
+                    if let Some((from, stream, body)) = arrived {
+                        self.push(end + self.busy, What::Deliver { to, from, stream, body });
                     }
                     self.push(end, What::Link { to });
                 }
@@ -541,10 +576,11 @@
                     self.streams.insert((at, to));
                     let same = self.instances[to].card.zone == self.instances[at].card.zone;
                     let delay = if same { 200 } else { 900 };
+                    let stream = self.redialled.get(&(at, to)).copied().unwrap_or(0);
                     if !self.links.is_slow(to) {
-                        let arrival = self.now + delay + self.busy;
-                        self.push(arrival, What::Deliver { to, from: at, body });
-                    } else if self.links.add(at, to, body) {
+                        let arrival = self.arrival(at, to, self.now + delay + self.busy);
+                        self.push(arrival, What::Deliver { to, from: at, stream, body });
+                    } else if self.links.add(at, to, stream, body) {
                         self.push(self.now + delay, What::Link { to });
                     }
                 }
@@ -567,12 +603,51 @@
                 self.push(self.now + 9 * MS, What::Saved { to: (at, life), number });
             }
             Output::Note(note) => *self.notes.entry(note.text).or_default() += 1,
+            Output::Redial(to) if self.lossy => {
+                if let Some(to) = self.instances.iter().position(|i| i.card.name == to) {
+                    *self.redialled.entry((at, to)).or_default() += 1;
+                    self.last.remove(&(at, to));
+                }
+            }
             Output::Reply(ticket, Reply::Verdict(verdict)) => self.verdict(ticket, verdict),
             Output::Reply(ticket, reply) => self.replies.push((ticket, reply)),
             _ => {}
         }
     }
 
+    /// When a message that would arrive `at` on a quick stream does arrive.
+    fn arrival(&mut self, from: usize, to: usize, at: u64) -> u64 {
+        let wait = self.slow.get(&(from, to)).map_or(0, |slow| match slow.since {
+            Some(since) => slow.most.min((self.now - since) / 2),
+            None => slow.most,
+        });
+        if wait == 0 && !self.last.contains_key(&(from, to)) {
+            return at;
+        }
+        let last = self.last.entry((from, to)).or_default();
+        *last = (at + wait).max(*last);
+        *last
+    }
+
+    /// Messages from one instance to another wait this long from now on (0: no more),
+    /// milliseconds.
+    pub fn slow(&mut self, from: usize, to: usize, ms: u64) {
+        self.set_slow(from, to, Slow { most: ms * MS, since: None });
+    }
+
+    /// They wait longer and longer, up to this time, milliseconds.
+    pub fn fill_up(&mut self, from: usize, to: usize, ms: u64) {
+        self.set_slow(from, to, Slow { most: ms * MS, since: Some(self.now) });
+    }
+
+    fn set_slow(&mut self, from: usize, to: usize, slow: Slow) {
+        if slow.most == 0 {
+            self.slow.remove(&(from, to));
+        } else if from != to {
+            self.slow.insert((from, to), slow);
+        }
+    }
+
     fn clock(&self) -> Now {
         Now::new(self.now, WALL + self.now / MS)
     }
