Test that fails: two runs of one test share the addresses of its system

half_requests failed once here ("failed to fill whole buffer") and held 3 of 3 alone. Brought about: a second run of it 3 s after the first fails so; its instances cannot bind, it talks to the first's, which end with the first.

--- a/crates/apricotroute/tests/addresses.rs
+++ b/crates/apricotroute/tests/addresses.rs
@@ -2,6 +2,7 @@
 //! free when it starts again, whatever other test processes and threads do meanwhile.
 
 mod harness;
+mod system;
 
 use std::{collections, net, process, sync::atomic, thread};
 
@@ -45,3 +46,14 @@
     });
     assert!(busy.is_empty(), "{} of {ADDRESSES} in use: {busy:?}", busy.len());
 }
+
+#[test]
+fn systems_apart() {
+    // As two runs of one test beside each other: the same plan, and so the same net.
+    let plan = || system::Plan { net: 120, zones: vec![(1, 1)], relays: false };
+    let (one, other) = (system::System::new(plan()), system::System::new(plan()));
+    for at in 0..2 {
+        assert_ne!(one.client(at), other.client(at));
+        assert_ne!(one.operator(at), other.operator(at));
+    }
+}
