Give each system of a test a block of addresses that nobody else on the machine has

Cause: as in the test that failed: the addresses followed from the test alone. Change: a system takes the first second byte, from 64, in which nobody holds a port that no instance uses, and holds it as long as it runs.

--- a/crates/apricotroute/tests/soak.rs
+++ b/crates/apricotroute/tests/soak.rs
@@ -36,7 +36,7 @@
     std::env::var(name).ok()?.parse().ok()
 }
 
-/// Several runs beside each other need addresses of their own, told apart by `net`.
+/// Runs of one process beside each other are told apart by `net`.
 fn soak(net: u8, seed: u64, ms: u64) {
     let span = Duration::from_millis(ms);
     let entries = variable("SOAK_ENTRIES").unwrap_or(2);
--- a/crates/apricotroute/tests/system/mod.rs
+++ b/crates/apricotroute/tests/system/mod.rs
@@ -31,7 +31,7 @@
 /// What a system is made of.
 #[derive(Clone, Debug)]
 pub struct Plan {
-    /// Tells the systems of one machine apart: the third byte of all addresses.
+    /// Tells the systems of one test run apart: the third byte of all addresses.
     pub net: u8,
     /// Keepers and entries of each availability zone.
     pub zones: Vec<(usize, usize)>,
@@ -58,6 +58,29 @@
     pub upstreams: Vec<platform::standin::Standin>,
     pub faults: sync::Arc<relay::Faults>,
     plan: Plan,
+    block: Block,
+}
+
+/// The second byte of all addresses of a system: no other system that runs on this machine has the
+/// same with the same net.
+#[derive(Debug)]
+struct Block {
+    byte: u8,
+    _held: net::TcpListener,
+}
+
+impl Block {
+    /// Takes a block that is free, by listening in it where no instance does.
+    fn take(net: u8) -> Self {
+        const BYTES: std::ops::Range<u8> = 64..128;
+        const PORT: u16 = 7100;
+        let take = |byte| {
+            let at = net::SocketAddr::from(([127, byte, net, 255], PORT));
+            let held = net::TcpListener::bind(at).ok()?;
+            Some(Self { byte, _held: held })
+        };
+        BYTES.into_iter().find_map(take).expect("a free block of addresses")
+    }
 }
 
 impl System {
@@ -76,7 +99,8 @@
         }
         let folder = tempfile::tempdir().unwrap();
         let faults = sync::Arc::default();
-        let mut system = Self { folder, nodes, runtime, upstreams: Vec::new(), faults, plan };
+        let (upstreams, block) = (Vec::new(), Block::take(plan.net));
+        let mut system = Self { folder, nodes, runtime, upstreams, faults, plan, block };
         for at in 0..system.nodes.len() {
             system.write(at, true, &json!({}));
             if system.plan.relays {
@@ -134,7 +158,7 @@
     }
 
     fn address(&self, at: usize, port: u16) -> net::SocketAddr {
-        net::SocketAddr::from(([127, 77, self.plan.net, at as u8 + 1], port))
+        net::SocketAddr::from(([127, self.block.byte, self.plan.net, at as u8 + 1], port))
     }
 
     /// The bootstrap file of an instance.
