--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -98,6 +98,13 @@
     pub verdict: Option<(Verdict, u64)>,
 }
 
+/// Messages and their size when encoded.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Flow {
+    pub count: u64,
+    pub bytes: u64,
+}
+
 pub struct World {
     pub now: u64,
     pub rng: SmallRng,
@@ -134,6 +141,20 @@
     pub sent: BTreeMap<&'static str, u64>,
     /// Decisions that were noted, by their text.
     pub notes: BTreeMap<&'static str, u64>,
+    /// Whether messages are weighed, and counted in `flows`.
+    pub weigh: bool,
+    /// What each instance sent (`true`) and got, by kind.
+    pub flows: BTreeMap<(usize, bool, &'static str), Flow>,
+    /// Calls to upstreams that each instance made.
+    pub calls: BTreeMap<usize, u64>,
+    /// Streams that each instance dialled anew.
+    pub redials: BTreeMap<usize, u64>,
+    /// Each message is late by something in this range, microseconds; those of a stream stay in
+    /// their order.
+    pub lag: (u64, u64),
+    lagged: BTreeMap<(usize, usize), u64>,
+    /// Streams that carry nothing until they are dialled anew.
+    pub silent: BTreeSet<(usize, usize)>,
     tickets: BTreeMap<u64, Name>,
     queue: BinaryHeap<Due>,
     order: u64,
@@ -152,7 +173,7 @@
         Self::with_keepers(seed, zones, 1, entries, upstreams)
     }
 
-    /// The same with several keepers in each zone; the first ones are the seeds.
+    /// Zones with `keepers` keepers and `entries` entries each, and `upstreams` upstreams.
     pub fn with_keepers(
         seed: u64,
         zones: usize,
@@ -182,6 +203,13 @@
             streams: BTreeSet::new(),
             sent: BTreeMap::new(),
             notes: BTreeMap::new(),
+            weigh: false,
+            flows: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            redials: BTreeMap::new(),
+            lag: (0, 0),
+            lagged: BTreeMap::new(),
+            silent: BTreeSet::new(),
             tickets: BTreeMap::new(),
             queue: BinaryHeap::new(),
             order: 0,
@@ -393,6 +421,7 @@
             What::Deliver { to, from, stream, body } => {
                 let broken = self.redialled.get(&(from, to)).is_some_and(|now| *now != stream);
                 if !self.cuts.contains(&(from, to)) && !broken {
+                    self.count(to, false, &body);
                     let name = self.instances[from].card.name.clone();
                     self.handle(to, Event::Peer(name, body));
                 }
@@ -576,16 +605,22 @@
                     self.streams.insert((at, to));
                     let same = self.instances[to].card.zone == self.instances[at].card.zone;
                     let delay = if same { 200 } else { 900 };
+                    let due = self.arrival(at, to, self.now + delay + self.busy);
+                    let due = self.late(at, to, due);
+                    self.count(at, true, &body);
+                    if self.silent.contains(&(at, to)) {
+                        return;
+                    }
                     let stream = self.redialled.get(&(at, to)).copied().unwrap_or(0);
                     if !self.links.is_slow(to) {
-                        let arrival = self.arrival(at, to, self.now + delay + self.busy);
-                        self.push(arrival, What::Deliver { to, from: at, stream, body });
+                        self.push(due, What::Deliver { to, from: at, stream, body });
                     } else if self.links.add(at, to, stream, body) {
                         self.push(self.now + delay, What::Link { to });
                     }
                 }
             }
             Output::Call(call) => {
+                *self.calls.entry(at).or_default() += 1;
                 let (number, fence) = (call.number, call.fence);
                 let patience = call.patience * MS;
                 let late = matches!(call.order, Order::Start { .. })
@@ -602,13 +637,17 @@
                 }
                 self.push(self.now + 9 * MS, What::Saved { to: (at, life), number });
             }
-            Output::Note(note) => *self.notes.entry(note.text).or_default() += 1,
-            Output::Redial(to) if self.lossy => {
+            Output::Redial(to) => {
+                *self.redials.entry(at).or_default() += 1;
                 if let Some(to) = self.instances.iter().position(|i| i.card.name == to) {
-                    *self.redialled.entry((at, to)).or_default() += 1;
-                    self.last.remove(&(at, to));
+                    self.silent.remove(&(at, to));
+                    if self.lossy {
+                        *self.redialled.entry((at, to)).or_default() += 1;
+                        self.last.remove(&(at, to));
+                    }
                 }
             }
+            Output::Note(note) => *self.notes.entry(note.text).or_default() += 1,
             Output::Reply(ticket, Reply::Verdict(verdict)) => self.verdict(ticket, verdict),
             Output::Reply(ticket, reply) => self.replies.push((ticket, reply)),
             _ => {}
@@ -621,6 +660,8 @@
             Some(since) => slow.most.min((self.now - since) / 2),
             None => slow.most,
         });
+        let (least, most) = self.lag;
+        let wait = if most == 0 { wait } else { wait + self.rng.random_range(least..most) };
         if wait == 0 && !self.last.contains_key(&(from, to)) {
             return at;
         }
@@ -648,6 +689,30 @@
         }
     }
 
+    /// When a message arrives that is due at `due` unless streams are late.
+    fn late(&mut self, from: usize, to: usize, due: u64) -> u64 {
+        let (least, most) = self.lag;
+        if most == 0 {
+            return due;
+        }
+        let held = self.lagged.entry((from, to)).or_default();
+        *held = (due + self.rng.random_range(least..most)).max(*held);
+        *held
+    }
+
+    fn count(&mut self, at: usize, sent: bool, body: &Body) {
+        if self.weigh {
+            let kind = match body {
+                Body::Relay(_, _, inner) if inner.kind() == "ping" => "relayed ping",
+                Body::Relay(_, _, inner) if inner.kind() == "records" => "relayed records",
+                _ => body.kind(),
+            };
+            let flow = self.flows.entry((at, sent, kind)).or_default();
+            flow.count += 1;
+            flow.bytes += coord::machine::encode(body).len() as u64;
+        }
+    }
+
     fn clock(&self) -> Now {
         Now::new(self.now, WALL + self.now / MS)
     }
