Split what had grown large: what is known of another instance, relays, and the intake of jobs

Moved without a change of behaviour; the cores that waiting tasks need are a method of the job that they belong to.

--- a/crates/dispatch/src/active.rs
+++ b/crates/dispatch/src/active.rs
@@ -69,6 +69,15 @@
         self.waiting
     }
 
+    /// Cores that the waiting tasks need, thousandths: as many as those of its widest step.
+    pub(crate) fn waiting_cpu(&self) -> i64 {
+        if self.waiting() == 0 {
+            return 0;
+        }
+        let step = self.job.steps.iter().map(|step| step.need.cpu).max().unwrap_or(0);
+        step as i64 * i64::from(self.waiting())
+    }
+
     /// Whether all tasks are done.
     pub fn is_complete(&self) -> bool {
         self.items.iter().flatten().all(|item| item.phase == Phase::Done)
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,8 +4,8 @@
 //! An instance is a [`Core`]. It is told what happens ([`event::Event`]) and when
 //! ([`time::Now`]), and says what to do ([`event::Output`]).
 //!
-//! - [`roster`], [`near`], [`redial`] and [`claim`]: which instances are heard, which ought to be,
-//!   when streams are dialled anew, and who schedules a zone.
+//! - [`roster`], [`peer`], [`near`], [`redial`] and [`claim`]: which instances are heard, which
+//!   ought to be, when streams are dialled anew, and who schedules a zone.
 //! - [`upstream`], [`census`] and [`lane`]: the table of upstreams, who knows which of them, and
 //!   one of them as its owner sees it.
 //! - [`sched`], [`active`], [`queue`], [`place`] and [`health`]: jobs, their order, and where
@@ -42,6 +42,7 @@
 pub mod event;
 pub mod fetch;
 pub mod health;
+mod intake;
 pub mod job;
 pub mod lane;
 pub mod member;
@@ -51,10 +52,12 @@
 pub mod order;
 mod outcome;
 pub mod pack;
+pub mod peer;
 mod peers;
 pub mod place;
 pub mod queue;
 pub mod redial;
+mod relay;
 pub mod roster;
 pub mod routing;
 pub mod sched;
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -8,7 +8,7 @@
 
 use state::name;
 
-use crate::{claim, lane, member, message, near, redial, time};
+use crate::{claim, member, message, near, peer::Peer, redial, time};
 
 /// Between two heartbeats to the same instance, microseconds. Three of them fit into
 /// [`SILENT`], so that two in a row may be lost.
@@ -22,54 +22,10 @@
 const SYNC: u64 = 500 * time::MS;
 /// An instance that was not heard for this long is forgotten, microseconds: longer than any
 /// outage that ends with the instance coming back at its address.
-const FORGET: u64 = 30_000 * time::MS;
+pub(crate) const FORGET: u64 = 30_000 * time::MS;
 /// An instance answers one that it does not choose itself this long after it was chosen by that
 /// one, microseconds.
 const RETURN: u64 = 1_000 * time::MS;
-/// Messages to an instance that does not echo go through a third one after this, microseconds: its
-/// first echo takes two heartbeats.
-const RELAY: u64 = 2 * PING;
-/// Instances that a heartbeat names as not heard: more than are lost at a time but with their zone.
-const LACKS: usize = 16;
-
-/// What is known of another instance.
-#[derive(Clone, Debug, Default)]
-pub struct Peer {
-    /// How it introduced itself.
-    pub card: Option<member::Card>,
-    /// Its last heartbeat.
-    pub ping: Option<message::Ping>,
-    heard: u64,
-    direct: u64,
-    echoed: u64,
-    synced: u64,
-    since: u64,
-    /// When its last heartbeat was read.
-    read: u64,
-    ahead: Option<Ahead>,
-    /// Since when it is heard directly without a break.
-    met: u64,
-    /// When a heartbeat said last that it chooses this instance.
-    chosen: u64,
-    /// Since when heartbeats go to it without a break.
-    due: Option<u64>,
-    /// Whether these only answer its own.
-    answers: bool,
-    /// Whether one of the two ought to hear the other.
-    ought: bool,
-    /// Through whom it was heard last without being heard directly, and when.
-    via: Option<(name::Name, u64)>,
-    stream: redial::Stream,
-}
-
-/// How far the clock of another instance is ahead of this one's at most, microseconds: it read a
-/// heartbeat of this instance at some time of its own, and that was sent before. This bound holds
-/// however late messages are; what they wait only makes it wider.
-#[derive(Clone, Copy, Debug)]
-struct Ahead {
-    by: i64,
-    at: u64,
-}
 
 /// The instances that this one knows.
 #[derive(Clone, Debug)]
@@ -77,14 +33,14 @@
     me: member::Card,
     start: u64,
     seeds: Vec<name::Name>,
-    peers: collections::BTreeMap<name::Name, Peer>,
+    pub(crate) peers: collections::BTreeMap<name::Name, Peer>,
     forgotten: collections::BTreeMap<name::Name, u64>,
     distrust: u64,
     /// When this instance's clock was last found to have stood still.
     stood: u64,
     beat: u64,
     digest: u64,
-    near: near::Near,
+    pub(crate) near: near::Near,
     window: near::Window,
     dials: redial::Budget,
 }
@@ -514,100 +470,8 @@
         }
         gone
     }
-
-    /// Notes that a message of an instance came through a third one.
-    pub fn came(&mut self, name: &name::Name, via: &name::Name, now: u64) {
-        if let Some(peer) = self.peers.get_mut(name) {
-            peer.via = Some((via.clone(), now));
-        }
-    }
-
-    /// Through whom a heartbeat goes as well, as the direct way is silent: the one that the
-    /// instance was heard through, or one that ought to hear it and does not say that it lacks it.
-    pub fn relay(&self, name: &name::Name, now: u64) -> Option<&name::Name> {
-        let peer = self.peers.get(name)?;
-        let awaited = peer.ought || peer.heard > 0 && now < peer.heard + SILENT;
-        if peer.is_direct(now) || !awaited || now < peer.met.max(peer.since) + RELAY {
-            return None;
-        }
-        if let Some((via, at)) = &peer.via
-            && now < at + SILENT
-            && self.is_direct(via, now)
-        {
-            return Some(via);
-        }
-        let card = peer.card.as_ref()?;
-        let hash = short(name);
-        let able = |(_, other): &(&name::Name, &Peer)| {
-            let lacks = other.ping.as_ref().is_none_or(|ping| ping.lacks.contains(&hash));
-            let ought = |held: &member::Card| held.name != *name && self.near.ought(held, card);
-            !lacks && other.is_direct(now) && other.card.as_ref().is_some_and(ought)
-        };
-        let able = self.peers.iter().filter(able).map(|(name, _)| name);
-        // Others take another one.
-        able.min_by_key(|other| short(other) ^ hash)
-    }
-
-    /// Through whom a message goes instead of the direct way, to an instance that is alive.
-    pub fn detour(&self, name: &name::Name, now: u64) -> Option<&name::Name> {
-        let heard = self.peers.get(name).is_some_and(|p| p.heard > 0 && now < p.heard + SILENT);
-        if heard { self.relay(name, now) } else { None }
-    }
-
-    /// Digests of the names of some instances that this one ought to hear and does not.
-    pub fn lacks(&self, now: u64) -> Vec<u32> {
-        let lacking = self.peers.iter().filter(|(_, peer)| peer.ought && !peer.is_direct(now));
-        lacking.take(LACKS).map(|(name, _)| short(name)).collect()
-    }
-}
-
-impl Peer {
-    /// When the stream to it was answered last, if it should be.
-    fn answered(&self, now: u64) -> Option<u64> {
-        // Who no longer wants an answer says nothing, either.
-        let lately = if self.answers { SILENT } else { FORGET };
-        let spoke = self.direct > 0 && now < self.direct + lately;
-        let due = self.due.filter(|_| spoke)?;
-        Some(self.echoed.max(due).max(self.since))
-    }
-
-    fn is_direct(&self, now: u64) -> bool {
-        self.direct > 0 && now < self.direct + SILENT && now < self.echoed + SILENT
-    }
-
-    fn is_alive(&self, now: u64) -> bool {
-        let relayed = self.heard > self.direct && now < self.heard + SILENT;
-        self.is_direct(now) || relayed
-    }
-
-    /// Bounds its clock by a heartbeat of this instance that it has read, and by what it shows
-    /// itself.
-    fn compare(&mut self, proof: Option<message::Heard>, clock: u64, now: u64) {
-        // It is further ahead than it can be: this instance's clock stood still unnoticed.
-        if self.ahead.is_some_and(|ahead| clock > ahead.clock(now)) {
-            self.ahead = None;
-        }
-        let Some(heard) = proof else { return };
-        let ahead = Ahead { by: heard.at as i64 - heard.clock as i64, at: heard.clock };
-        let closer = self.ahead.is_none_or(|held| ahead.clock(now) < held.clock(now));
-        if closer && clock <= ahead.clock(now) {
-            self.ahead = Some(ahead);
-        }
-    }
-
-    fn is_draining(&self) -> bool {
-        self.ping.as_ref().is_some_and(|ping| ping.draining)
-    }
-}
-
-impl Ahead {
-    /// What the other clock shows at most.
-    fn clock(&self, now: u64) -> u64 {
-        let since = now.saturating_sub(self.at);
-        (now + since * lane::SLOW_CLOCK / 1_000).saturating_add_signed(self.by)
-    }
 }
 
-fn short(name: &name::Name) -> u32 {
+pub(crate) fn short(name: &name::Name) -> u32 {
     xxhash_rust::xxh3::xxh3_64(name.as_str().as_bytes()) as u32
 }
