--- a/crates/dispatch/src/active.rs
+++ b/crates/dispatch/src/active.rs
@@ -2,7 +2,7 @@
 
 use state::name;
 
-use crate::{job, time};
+use crate::{job, message, share, time};
 
 /// How a task stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,6 +13,8 @@
     Placed(name::Name),
     /// It has done its work.
     Done,
+    /// Another scheduler has it.
+    Away,
 }
 
 /// One task.
@@ -45,23 +47,99 @@
     pub uncovered: smallvec::SmallVec<[u64; 2]>,
     /// Whether a task of it may have been started, here or elsewhere.
     pub started: bool,
+    /// Number of its last hand-over.
+    pub number: u64,
+    /// The tasks that were handed over with it.
+    pub share: share::Share,
+    /// Whether what cannot start at once is given back.
+    pub offer: bool,
     /// Its tasks, step by step.
     pub items: Vec<Vec<Item>>,
     waiting: u32,
 }
 
 impl Active {
-    /// A job that has just come from `entry`.
-    pub fn new(job: job::Job, entry: &name::Name, now: u64) -> Self {
-        let item = Item { phase: Phase::Waiting, failures: 0, attempt: 0 };
+    /// A job that has just come from `entry`, whose clock it is stamped by.
+    pub fn new(job: job::Job, entry: &name::Name, handover: &message::Handover, now: u64) -> Self {
+        let item = Item { phase: Phase::Away, failures: 0, attempt: 0 };
         let items: Vec<_> =
             job.steps.iter().map(|step| vec![item.clone(); step.count as usize]).collect();
-        let waiting = job.steps.iter().map(|step| step.count).sum();
         let arrived = now.saturating_sub(job.age * time::MS);
-        let (entry, started, stamp) = (entry.clone(), job.resumed, job.stamp);
-        let uncovered = smallvec::SmallVec::new();
-        let (awaited, over) = (now, 0);
-        Self { job, entry, arrived, awaited, stamp, over, uncovered, started, items, waiting }
+        let stamp = job.stamp;
+        let mut active = Self {
+            job,
+            entry: entry.clone(),
+            arrived,
+            awaited: now,
+            stamp,
+            over: 0,
+            uncovered: smallvec::SmallVec::new(),
+            started: false,
+            number: 0,
+            share: share::Share::default(),
+            offer: false,
+            items,
+            waiting: 0,
+        };
+        active.take(handover);
+        active
+    }
+
+    /// Takes the tasks that are handed over; those that are here already go on as they do.
+    pub fn take(&mut self, handover: &message::Handover) {
+        self.number = handover.number;
+        self.share = handover.share.clone();
+        self.offer = handover.offer;
+        self.started |= handover.begun || self.job.resumed;
+        for items in &mut self.items {
+            for (item, index) in items.iter_mut().zip(0..) {
+                if item.phase == Phase::Away && self.share.has(index) {
+                    item.phase = Phase::Waiting;
+                    self.waiting += 1;
+                }
+            }
+        }
+    }
+
+    /// Gives back what waits and was never started; gives the numbers.
+    pub fn give_back(&mut self) -> share::Tasks {
+        let mut tasks = share::Tasks::new();
+        for (item, index) in self.items.iter_mut().flatten().zip(0..) {
+            if item.phase == Phase::Waiting && item.attempt == 0 {
+                item.phase = Phase::Away;
+                tasks.push(index);
+            }
+        }
+        self.waiting -= tasks.len() as u32;
+        tasks
+    }
+
+    /// Notes tasks that have done their work before.
+    pub fn set_done(&mut self, share: &share::Share) {
+        for (item, index) in self.items.iter_mut().flatten().zip(0..) {
+            if item.phase == Phase::Waiting && share.has(index) {
+                item.phase = Phase::Done;
+                self.waiting -= 1;
+            }
+        }
+    }
+
+    /// Tasks of the last hand-over that were given back since.
+    pub fn given_back(&self) -> share::Tasks {
+        let items = self.items.iter().flatten().zip(0..);
+        let away =
+            items.filter(|(item, index)| item.phase == Phase::Away && self.share.has(*index));
+        away.map(|(_, index)| index).collect()
+    }
+
+    /// The tasks that it has.
+    pub fn held(&self) -> share::Share {
+        let away = self.given_back();
+        let mut held = self.share.clone();
+        if !away.is_empty() {
+            held.remove(&away, self.job.count());
+        }
+        held
     }
 
     /// Tasks that wait.
@@ -74,13 +152,13 @@
         if self.waiting() == 0 {
             return 0;
         }
-        let step = self.job.steps.iter().map(|step| step.need.cpu).max().unwrap_or(0);
-        step as i64 * i64::from(self.waiting())
+        self.job.widest() as i64 * i64::from(self.waiting())
     }
 
     /// Whether all tasks are done.
     pub fn is_complete(&self) -> bool {
-        self.items.iter().flatten().all(|item| item.phase == Phase::Done)
+        let is_over = |item: &Item| matches!(item.phase, Phase::Done | Phase::Away);
+        self.items.iter().flatten().all(is_over)
     }
 
     /// Whether a step's tasks may start.
@@ -92,6 +170,11 @@
         self.job.steps[step].after.iter().all(done)
     }
 
+    /// Whether another scheduler has a task of it.
+    pub fn is_away(&self, task: &job::Task) -> bool {
+        self.item(task).is_some_and(|item| item.phase == Phase::Away)
+    }
+
     /// A task of it.
     pub fn item(&self, task: &job::Task) -> Option<&Item> {
         self.items.get(task.step as usize)?.get(task.index as usize)
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -415,13 +415,11 @@
         let out = sched.take();
         self.out.extend(out.calls.into_iter().map(Output::Call));
         self.out.extend(out.notes.into_iter().map(Output::Note));
-        for (to, id, verdict) in out.verdicts {
-            if to == self.roster.me().name {
-                let me = to.clone();
-                self.desk.verdict(&me, &id, &verdict, now.mono);
-            } else {
-                self.send(&to, Body::Verdict(id, verdict), now);
-            }
+        for (to, id, ruling) in out.verdicts {
+            self.send(&to, Body::Verdict(id, Box::new(ruling)), now);
+        }
+        for (to, id, spare) in out.spares {
+            self.send(&to, Body::Spare(id, spare), now);
         }
         for (id, last) in out.gone {
             if let Some(record) = self.table.bury(&id, last) {
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -1,8 +1,14 @@
-//! The entry's side of a job: which scheduler has it, and what to do when that one is lost.
+//! The entry's side of a job: which schedulers have its tasks, and what to do when one is lost.
 //!
-//! A job is with one scheduler at a time. It goes to the scheduler of the entry's own zone, or to
-//! the one with the most free room if there is none at home. When a scheduler is lost, its
-//! successor gets the jobs again, marked as resumed: tasks that still run are found there.
+//! Each task is with one scheduler at a time. A job is offered to the scheduler of the entry's own
+//! zone, which starts what it has room for and gives the rest back; that goes to the next zone which
+//! may have some. What no zone has room for waits in one of them. When a scheduler is lost, its
+//! successor gets its tasks again, marked as resumed: those that still run are found there.
+//!
+//! The load this answers: zones of 28 places at four fifths of their room and above, with jobs of 8
+//! tasks. One zone or another is full at nearly any time, while all of them never are. Loads in
+//! heartbeats are 150 ms old, in which two thirds of all places change hands, so that what they tell
+//! only says where to ask first.
 
 use std::collections;
 
@@ -12,8 +18,8 @@
     claim,
     event::{Note, Ticket},
     job::{Job, Refusal, Verdict},
-    message::{Body, Load, Past},
-    roster, sched, time,
+    message::{Body, Handover, Load, Ruling, Spare},
+    part, roster, sched, share, time,
 };
 
 /// A scheduler is asked about jobs that it has had for this long, microseconds: one that is lost
@@ -25,10 +31,9 @@
 /// A scheduler that is lost has dropped the job and its leases are over after this time,
 /// microseconds; another zone may have it then.
 const DROPPED: u64 = sched::FORMER;
-/// So many former schedulers' sets of upstreams are told; with more, [`UNKNOWN`] stands for them.
-const FORMER_SETS: usize = 4;
-/// A digest of no set: the next scheduler waits until nothing of the former ones can run.
-const UNKNOWN: u64 = u64::MAX;
+/// A zone that had no room is not asked again for this long, microseconds: less than the shortest
+/// tasks take (60 ms), and with all zones full each entry asks each of them 20 times a second.
+const FULL: u64 = 50 * time::MS;
 
 /// Effects of the last calls.
 #[derive(Debug, Default)]
@@ -46,19 +51,10 @@
     job: Job,
     tickets: smallvec::SmallVec<[Ticket; 1]>,
     arrived: u64,
-    with: Option<claim::Claim>,
-    /// When the scheduler was last told that the entry waits.
-    asked: u64,
-    given: bool,
-    /// The scheduler does not know the job.
-    disowned: bool,
-    /// Digest of the upstreams that the scheduler told last.
-    told: u64,
-    /// The same of those that had the job before.
-    former: smallvec::SmallVec<[u64; 2]>,
-    lost: Option<u64>,
-    /// Zone where tasks of it may run; no other scheduler may have it.
-    pin: Option<name::Name>,
+    /// Its tasks that are not known to be done, by the scheduler that has them.
+    parts: smallvec::SmallVec<[part::Part; 1]>,
+    /// Whether a scheduler kept some tasks when it gave others back, or has done them.
+    begun: bool,
 }
 
 /// The jobs of the clients of one entry.
@@ -66,10 +62,21 @@
 pub struct Desk {
     open: collections::BTreeMap<name::Name, Open>,
     tickets: collections::HashMap<Ticket, name::Name>,
-    loads: collections::BTreeMap<name::Name, Load>,
+    /// How full the zones are, and when that was told.
+    loads: collections::BTreeMap<name::Name, (Load, u64)>,
+    /// Number of the last hand-over.
+    number: u64,
     out: Output,
 }
 
+/// Who gets tasks.
+#[derive(Debug)]
+struct Choice {
+    claim: claim::Claim,
+    /// Whether others are asked if there is no room.
+    offer: bool,
+}
+
 /// What a desk goes by.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
@@ -95,19 +102,20 @@
     }
 
     /// Notes how full the upstreams of a zone are.
-    pub fn load(&mut self, zone: &name::Name, load: Load) {
-        self.loads.insert(zone.clone(), load);
+    pub fn load(&mut self, zone: &name::Name, load: Load, now: u64) {
+        self.loads.insert(zone.clone(), (load, now));
     }
 
     /// Whether less than a quarter of a zone is free, as far as is known: between two heartbeats of
     /// its scheduler that much may be taken.
     pub fn is_short(&self, zone: &name::Name) -> bool {
-        self.loads.get(zone).is_some_and(|load| load.free * 4 < load.total)
+        self.loads.get(zone).is_some_and(|(load, _)| load.free * 4 < load.total)
     }
 
     /// The schedulers that have jobs of this entry's clients.
     pub fn schedulers(&self) -> impl Iterator<Item = &name::Name> {
-        self.open.values().filter_map(|open| open.with.as_ref()).map(|claim| &claim.holder)
+        let parts = self.open.values().flat_map(|open| &open.parts);
+        parts.filter_map(|part| part.with.as_ref()).map(|claim| &claim.holder)
     }
 
     /// Takes a job of a client.
@@ -118,23 +126,12 @@
             open.tickets.push(ticket);
             return;
         }
-        let tickets = smallvec::smallvec![ticket];
-        let (arrived, asked) = (view.now, view.now);
-        let open = Open {
-            job,
-            tickets,
-            arrived,
-            with: None,
-            asked,
-            given: false,
-            disowned: false,
-            told: 0,
-            former: smallvec::SmallVec::new(),
-            lost: None,
-            pin: None,
-        };
+        let number = self.next_number(view.now);
+        let part = part::Part::new(number, share::Share::ALL, view.now);
+        let (tickets, parts) = (smallvec::smallvec![ticket], smallvec::smallvec![part]);
+        let open = Open { job, tickets, arrived: view.now, parts, begun: false };
         self.open.insert(id.clone(), open);
-        self.give(&id, view);
+        self.give(&id, number, view);
     }
 
     /// The client of a ticket has gone.
@@ -147,104 +144,129 @@
         }
         let detail = "its client has left".to_owned();
         self.out.notes.push(Note { text: "job: Cancelled.", subject: id.clone(), detail });
-        if let Some(open) = self.open.remove(&id)
-            && let Some(claim) = open.with
-        {
-            self.out.sends.push((claim.holder, Body::Cancel(id)));
+        if let Some(open) = self.open.remove(&id) {
+            self.cancel(&id, &open);
         }
     }
 
-    /// A scheduler says how a job ended.
-    pub fn verdict(&mut self, from: &name::Name, id: &name::Name, verdict: &Verdict, now: u64) {
-        let with = self.open.get(id).and_then(|open| open.with.as_ref());
-        let current = with.is_some_and(|claim| claim.holder == *from);
-        let told = matches!(verdict, Verdict::Complete | Verdict::Failed);
-        if !current && !told {
-            return;
+    /// A scheduler says how its part of a job ended.
+    pub fn verdict(&mut self, from: &name::Name, id: &name::Name, ruling: &Ruling, now: u64) {
+        let Some(open) = self.open.get_mut(id) else { return };
+        match &ruling.verdict {
+            Verdict::Complete => {
+                // Whoever did them, they are done.
+                let (done, rest): (Vec<_>, Vec<_>) =
+                    open.parts.drain(..).partition(|part| ruling.share.covers(&part.share));
+                open.parts = rest.into();
+                open.begun = true;
+                let others = done.into_iter().filter_map(|part| part.with);
+                let others = others.filter(|claim| claim.holder != *from);
+                let cancels = others.map(|claim| (claim.holder, Body::Cancel(id.clone())));
+                self.out.sends.extend(cancels);
+                if open.parts.is_empty() {
+                    self.close(id, &Verdict::Complete, now);
+                }
+            }
+            Verdict::Failed => self.close(id, &Verdict::Failed, now),
+            // A scheduler speaks for itself only; one that had the job before may have started it,
+            // or another one that has some of its tasks.
+            Verdict::NotRun(_) | Verdict::GaveUp => {
+                let is_meant =
+                    |part: &&part::Part| part.number == ruling.number && part.is_with(from);
+                let Some(part) = open.parts.iter().find(is_meant) else { return };
+                let alone = open.parts.len() == 1 && !open.begun && !part.resumed;
+                let verdict = if alone { &ruling.verdict } else { &Verdict::GaveUp };
+                self.close(id, verdict, now);
+            }
         }
-        // A scheduler speaks for itself only; one that had the job before may have started it.
-        let resumed = self.open.get(id).is_some_and(|open| open.job.resumed);
-        if resumed && matches!(verdict, Verdict::NotRun(_)) {
-            return self.close(id, &Verdict::GaveUp, now);
+    }
+
+    /// A scheduler does not know what it was given. It is given again when time passes, not at once:
+    /// an instance that schedules no more would be asked as fast as it answers.
+    pub fn unknown(&mut self, from: &name::Name, id: &name::Name, number: u64) {
+        let Some(open) = self.open.get_mut(id) else { return };
+        let is_meant = |part: &&mut part::Part| part.number == number && part.is_with(from);
+        if let Some(part) = open.parts.iter_mut().find(is_meant) {
+            part.disowned = true;
         }
-        self.close(id, verdict, now);
     }
 
-    /// A scheduler does not know a job that it was given. It is given again when time passes, not
-    /// at once: an instance that schedules no more would be asked as fast as it answers.
-    pub fn unknown(&mut self, from: &name::Name, id: &name::Name) {
-        if let Some(open) = self.open.get_mut(id)
-            && open.with.as_ref().is_some_and(|claim| claim.holder == *from)
-        {
-            open.disowned = true;
+    /// A scheduler gives tasks back for which it has no room; the next one may have some.
+    pub fn spare(&mut self, from: &name::Name, id: &name::Name, spare: &Spare, view: View<'_>) {
+        let number = self.next_number(view.now);
+        let Some(open) = self.open.get_mut(id) else { return };
+        let is_meant = |part: &&mut part::Part| part.number == spare.number && part.is_with(from);
+        let Some(part) = open.parts.iter_mut().find(is_meant) else { return };
+        if let Some(claim) = &part.with {
+            self.loads.insert(claim.zone.clone(), (spare.load, view.now));
         }
+        let count = open.job.steps.first().map_or(0, |step| step.count);
+        let mut kept = part.share.clone();
+        let tasks = kept.remove(&spare.tasks, count);
+        if tasks.is_empty() {
+            return;
+        }
+        if kept.is_empty() {
+            part.returned();
+            return self.give(id, spare.number, view);
+        }
+        part.share = kept;
+        let rest = part.split(number, tasks, view.now);
+        open.parts.push(rest);
+        open.begun = true;
+        self.give(id, number, view);
     }
 
     /// Lets time pass.
     pub fn tick(&mut self, view: View<'_>) {
         let now = view.now;
-        let mut ask: collections::BTreeMap<name::Name, Vec<name::Name>> =
+        let mut ask: collections::BTreeMap<name::Name, Vec<(name::Name, u64)>> =
             collections::BTreeMap::new();
         let mut again = Vec::new();
         let mut over = Vec::new();
         for (id, open) in &mut self.open {
             if now >= open.arrived + open.job.patience * time::MS {
-                over.push((id.clone(), Self::last_word(open)));
+                over.push((id.clone(), open.last_word()));
                 continue;
             }
-            if let Some(told) = open.with.as_ref().and_then(|claim| view.told(claim)) {
-                open.told = told;
-            }
-            if std::mem::take(&mut open.disowned) {
-                open.resume();
-            }
-            if open.lost.is_some_and(|lost| now >= lost + DROPPED) {
-                open.resume();
-                open.pin = None;
-            }
-            match &open.with {
-                None if !open.given && now >= open.arrived + NO_SCHEDULER => {
-                    over.push((id.clone(), Verdict::NotRun(Refusal::NoScheduler)));
-                }
-                None => again.push(id.clone()),
-                Some(claim) if view.is_current(claim) => {
-                    open.lost = None;
-                    if now >= open.asked + ASK {
-                        open.asked = now;
-                        ask.entry(claim.holder.clone()).or_default().push(id.clone());
-                    }
-                }
-                Some(claim) => {
-                    open.lost.get_or_insert(now);
-                    let next = view.claims.of(&claim.zone);
-                    if next.is_some_and(|next| next != claim && view.roster.holds(next, now)) {
-                        open.resume();
-                        again.push(id.clone());
+            for part in &mut open.parts {
+                match part.tick(view, ASK, DROPPED) {
+                    part::Due::Nothing => {}
+                    part::Due::Ask => {
+                        if let Some(claim) = &part.with {
+                            let jobs = ask.entry(claim.holder.clone()).or_default();
+                            jobs.push((id.clone(), part.number));
+                        }
                     }
+                    part::Due::Give => again.push((id.clone(), part.number)),
                 }
             }
+            if !open.is_given() && now >= open.arrived + NO_SCHEDULER {
+                over.push((id.clone(), Verdict::NotRun(Refusal::NoScheduler)));
+            }
         }
         for (id, verdict) in over {
             self.close(&id, &verdict, now);
         }
-        for id in again {
-            self.give(&id, view);
+        for (id, number) in again {
+            self.give(&id, number, view);
         }
         let sends = ask.into_iter().map(|(to, ids)| (to, Body::Await(ids, now)));
         self.out.sends.extend(sends);
     }
 
-    fn last_word(open: &Open) -> Verdict {
-        if open.given { Verdict::GaveUp } else { Verdict::NotRun(Refusal::NoScheduler) }
-    }
-
     fn close(&mut self, id: &name::Name, verdict: &Verdict, now: u64) {
         let Some(open) = self.open.remove(id) else { return };
+        if *verdict != Verdict::Complete {
+            self.cancel(id, &open);
+        }
         let took = now.saturating_sub(open.arrived) / time::MS;
-        let zone = open.pin.as_ref().map_or("none", name::Name::as_str);
+        let zone = open.parts.iter().find_map(|part| part.pin.as_ref());
+        let zone = zone.map_or("none", name::Name::as_str);
+        let resumed = open.parts.iter().any(|part| part.resumed);
         let detail = format!(
-            "{verdict:?} after {took} ms, objective {} ms, zone {zone}, resumed {}",
-            open.job.objective, open.job.resumed
+            "{verdict:?} after {took} ms, objective {} ms, zone {zone}, resumed {resumed}",
+            open.job.objective
         );
         self.out.notes.push(Note { text: "job: Answered.", subject: id.clone(), detail });
         for ticket in open.tickets {
@@ -253,83 +275,141 @@
         }
     }
 
-    /// Gives a job to a scheduler, if one can be reached.
-    fn give(&mut self, id: &name::Name, view: View<'_>) {
+    /// Tells the schedulers that nobody waits for the job any more.
+    fn cancel(&mut self, id: &name::Name, open: &Open) {
+        let holders = open.parts.iter().filter_map(|part| part.with.as_ref());
+        let cancels = holders.map(|claim| (claim.holder.clone(), Body::Cancel(id.clone())));
+        self.out.sends.extend(cancels);
+    }
+
+    /// Gives a part of a job to a scheduler, if one can be reached.
+    fn give(&mut self, id: &name::Name, number: u64, view: View<'_>) {
         let Some(open) = self.open.get(id) else { return };
-        let Some(claim) = self.choose(open, view).cloned() else { return };
-        let need = cpu(&open.job);
-        let free = self.loads.get_mut(&claim.zone).map_or(0, |load| {
-            load.free -= need;
-            load.free
-        });
+        let Some(at) = open.parts.iter().position(|part| part.number == number) else { return };
+        let Some(choice) = self.choose(open, &open.parts[at], view) else { return };
+        let next = self.next_number(view.now);
         let Some(open) = self.open.get_mut(id) else { return };
+        let at = open.join(at, &choice.claim);
+        let begun = open.begun || open.parts.len() > 1;
+        let part = &mut open.parts[at];
+        let told = view.told(&choice.claim).unwrap_or(0);
+        let handover = Handover {
+            number: next,
+            share: part.share.clone(),
+            offer: choice.offer,
+            begun,
+            upstreams: told,
+            former: part.former.clone(),
+            parted: part.parted(view.now),
+        };
+        part.number = next;
+        part.told = told;
+        part.asked = view.now;
+        part.given = true;
+        part.lost = None;
+        part.pin = Some(choice.claim.zone.clone());
+        part.with = Some(choice.claim.clone());
         let mut job = open.job.clone();
+        job.resumed = part.resumed;
         job.stamp = view.now;
         job.age += view.now.saturating_sub(open.arrived) / time::MS;
-        let told = view.told(&claim).unwrap_or(0);
-        let parted = view.now.saturating_sub(open.asked) / time::MS;
-        let past = Past { upstreams: told, former: open.former.clone(), parted };
-        open.told = told;
-        open.asked = view.now;
-        open.given = true;
-        open.lost = None;
-        open.pin = Some(claim.zone.clone());
+        let count = part.share.len(job.count());
+        self.hand(job, handover, count, choice.claim);
+    }
+
+    /// Sends a job to its scheduler.
+    fn hand(&mut self, job: Job, handover: Handover, count: u32, claim: claim::Claim) {
+        let need = job.widest() as i64 * i64::from(count);
+        let free = self.loads.get_mut(&claim.zone).map_or(0, |(load, _)| {
+            load.free -= need;
+            load.free
+        });
         let detail = format!(
-            "to {} in {}, epoch {}, {free}m of its free cores left by the last heartbeat, age {} ms, \
-             resumed {}",
-            claim.holder, claim.zone, claim.epoch, job.age, job.resumed
+            "{count} tasks to {} in {}, epoch {}, {free}m of its free cores left by its last word, \
+             age {} ms, resumed {}, offered {}",
+            claim.holder, claim.zone, claim.epoch, job.age, job.resumed, handover.offer
         );
-        self.out.notes.push(Note { text: "job: Handed over.", subject: id.clone(), detail });
-        open.with = Some(claim.clone());
-        self.out.sends.push((claim.holder, Body::Submit(Box::new(job), past)));
+        let note = Note { text: "job: Handed over.", subject: job.id.clone(), detail };
+        self.out.notes.push(note);
+        self.out.sends.push((claim.holder, Body::Submit(Box::new(job), handover)));
     }
 
-    fn choose<'a>(&self, open: &Open, view: View<'a>) -> Option<&'a claim::Claim> {
-        let (job, home) = (&open.job, &view.roster.me().zone);
+    /// Who gets a part of a job.
+    ///
+    /// It is offered from zone to zone, its entry's own first, as long as one may have room at once.
+    /// What is left waits where most is free, or least is waited for.
+    fn choose(&self, open: &Open, part: &part::Part, view: View<'_>) -> Option<Choice> {
+        let home = &view.roster.me().zone;
         let reached = |claim: &&claim::Claim| view.roster.holds(claim, view.now);
-        if let Some(zone) = &open.pin {
-            return view.claims.of(zone).filter(reached);
-        }
-        let at_home = view.claims.of(home).filter(reached);
-        let free = |claim: &claim::Claim| self.loads.get(&claim.zone).map_or(0, |load| load.free);
-        let need = cpu(job);
-        if at_home.is_some_and(|claim| free(claim) >= need) {
-            return at_home;
+        if let Some(zone) = &part.pin {
+            let claim = view.claims.of(zone).filter(reached)?.clone();
+            return Some(Choice { claim, offer: false });
         }
-        let abroad = view.claims.iter().filter(reached).filter(|claim| claim.zone != *home);
-        let best = abroad.max_by_key(|claim| free(claim));
-        match (at_home, best) {
-            (Some(home), Some(best)) if free(best) >= need => {
-                if free(home) >= need {
-                    Some(home)
-                } else {
-                    Some(best)
-                }
+        let able: smallvec::SmallVec<[&claim::Claim; 8]> =
+            view.claims.iter().filter(reached).collect();
+        let least = open.job.least() as i64;
+        let is_hopeful = |claim: &&&claim::Claim| {
+            !part.tried.contains(&claim.zone) && !self.is_full(&claim.zone, least, view.now)
+        };
+        let order = |claim: &&&claim::Claim| (claim.zone == *home, self.free(&claim.zone));
+        if able.len() > 1 && open.job.is_divisible() && !part.resumed {
+            let next = able.iter().filter(is_hopeful).max_by_key(order);
+            if let Some(claim) = next {
+                return Some(Choice { claim: (*claim).clone(), offer: true });
             }
-            (Some(home), _) => Some(home),
-            (None, best) => best,
         }
+        let need = open.job.widest() as i64 * i64::from(part.share.len(open.job.count()));
+        let queue = |claim: &&&claim::Claim| {
+            let free = self.free(&claim.zone);
+            (free.min(need), claim.zone == *home, free)
+        };
+        let claim = (*able.iter().max_by_key(queue)?).clone();
+        Some(Choice { claim, offer: false })
+    }
+
+    /// Cores of a zone that are free as far as is known, less what waits there, thousandths.
+    fn free(&self, zone: &name::Name) -> i64 {
+        self.loads.get(zone).map_or(0, |(load, _)| load.free)
+    }
+
+    /// Whether a zone was known a moment ago to have no room for a task that needs `least`.
+    fn is_full(&self, zone: &name::Name, least: i64, now: u64) -> bool {
+        self.loads.get(zone).is_some_and(|(load, at)| load.free < least && now < at + FULL)
+    }
+
+    fn next_number(&mut self, now: u64) -> u64 {
+        self.number = now.max(self.number + 1);
+        self.number
     }
 }
 
 impl Open {
-    /// Takes the job back from its scheduler; tasks of it may run on.
-    fn resume(&mut self) {
-        self.job.resumed = true;
-        if self.with.take().is_none() || self.former.contains(&self.told) {
-            return;
-        }
-        if self.former.len() < FORMER_SETS {
-            self.former.push(self.told);
-        } else {
-            self.former = smallvec::smallvec![UNKNOWN];
-        }
+    /// Whether a scheduler may have started something.
+    fn is_given(&self) -> bool {
+        self.begun || self.parts.iter().any(|part| part.given)
+    }
+
+    fn last_word(&self) -> Verdict {
+        if self.is_given() { Verdict::GaveUp } else { Verdict::NotRun(Refusal::NoScheduler) }
+    }
+
+    /// Joins a part with the one that the holder of a claim has already, if it has one; gives the
+    /// position of what goes there.
+    fn join(&mut self, at: usize, claim: &claim::Claim) -> usize {
+        let has = |(other, part): &(usize, &part::Part)| {
+            *other != at && part.with.as_ref() == Some(claim)
+        };
+        let Some((other, _)) = self.parts.iter().enumerate().find(has) else { return at };
+        let part = self.parts.remove(at);
+        let other = if other > at { other - 1 } else { other };
+        self.parts[other].join(part);
+        other
     }
 }
 
 impl View<'_> {
     /// Digest of its upstreams that the holder of a claim told last.
-    fn told(&self, claim: &claim::Claim) -> Option<u64> {
+    pub(crate) fn told(&self, claim: &claim::Claim) -> Option<u64> {
         if claim.holder == self.roster.me().name {
             return Some(self.upstreams);
         }
@@ -337,13 +417,8 @@
         (heard.life == claim.life).then_some(heard.upstreams)
     }
 
-    fn is_current(&self, claim: &claim::Claim) -> bool {
+    pub(crate) fn is_current(&self, claim: &claim::Claim) -> bool {
         let same = self.claims.of(&claim.zone).is_some_and(|held| held == claim);
         same && self.roster.holds(claim, self.now)
     }
 }
-
-/// Cores of all tasks of a job, thousandths.
-fn cpu(job: &Job) -> i64 {
-    job.steps.iter().map(|step| step.need.cpu as i64 * i64::from(step.count)).sum()
-}
--- a/crates/dispatch/src/intake.rs
+++ b/crates/dispatch/src/intake.rs
@@ -6,7 +6,7 @@
     active::{Active, Phase},
     job::{Job, Refusal, Verdict},
     lane::Lane,
-    message,
+    message::{self, Ruling},
     order::End,
     queue,
     sched::{FORMER, Sched},
@@ -21,54 +21,75 @@
 impl Sched {
     /// Takes a job from an entry that knows nothing of other schedulers' upstreams.
     pub fn submit(&mut self, job: Job, entry: &name::Name, now: u64) {
-        self.hand_over(job, entry, message::Past::default(), now);
+        self.hand_over(job, entry, message::Handover::default(), now);
     }
 
-    /// Takes a job from an entry, with what it knows of schedulers that had it before.
-    pub fn hand_over(&mut self, job: Job, entry: &name::Name, past: message::Past, now: u64) {
-        let over = (now + FORMER).saturating_sub(past.parted * time::MS);
-        if !past.former.is_empty() {
-            self.unsure.insert(job.id.clone());
-        }
-        // What was not run here may have been started by another scheduler since.
-        if let Some((verdict, _)) = self.verdicts.get(&job.id)
-            && job.resumed
-            && !matches!(verdict, Verdict::NotRun(_))
-        {
-            self.out.verdicts.push((entry.clone(), job.id, verdict.clone()));
+    /// Takes a job, or some of its tasks, from an entry, with what it knows of schedulers that had
+    /// them before.
+    pub fn hand_over(
+        &mut self,
+        job: Job,
+        entry: &name::Name,
+        handover: message::Handover,
+        now: u64,
+    ) {
+        let id = job.id.clone();
+        if self.jobs.get(&id).is_some_and(|active| active.number > handover.number) {
             return;
         }
-        self.verdicts.remove(&job.id);
-        if let Some(active) = self.jobs.get_mut(&job.id) {
+        let over = (now + FORMER).saturating_sub(handover.parted * time::MS);
+        if !handover.former.is_empty() {
+            self.unsure.insert(id.clone());
+        }
+        if handover.offer {
+            self.offers.insert(id.clone());
+        }
+        let former = self.verdicts.remove(&id).map(|(ruling, _)| ruling);
+        if let Some(ruling) = former.as_ref().filter(|ruling| stands(ruling, &job, &handover)) {
+            let ruling = Ruling { number: handover.number, ..ruling.clone() };
+            return self.rule(entry, &id, ruling, now);
+        }
+        if let Some(active) = self.jobs.get_mut(&id) {
             active.entry = entry.clone();
             active.awaited = now;
             active.stamp = job.stamp;
             // It was another scheduler's meanwhile.
             active.job.resumed |= job.resumed;
-            active.started |= job.resumed;
             active.over = active.over.max(over);
-            active.uncovered.extend(past.former);
+            active.take(&handover);
+            active.uncovered.extend(handover.former);
+            self.dirty = true;
             return;
         }
-        if let Some(refusal) = self.check(&job, now) {
+        if let Some(refusal) = self.check(&job, &handover, now) {
             let load = self.load(now);
             let detail = format!("{refusal:?}, {}m of {}m cores free", load.free, load.total);
-            self.note("job: Refused.", &job.id, &detail);
-            self.out.verdicts.push((entry.clone(), job.id, Verdict::NotRun(refusal)));
+            self.note("job: Refused.", &id, &detail);
+            let (number, share) = (handover.number, handover.share);
+            let ruling = Ruling { number, share, verdict: Verdict::NotRun(refusal) };
+            self.out.verdicts.push((entry.clone(), id, ruling));
             return;
         }
-        let id = job.id.clone();
-        let mut active = Active::new(job, entry, now);
+        let mut active = Active::new(job, entry, &handover, now);
         active.over = over;
-        active.uncovered.extend(past.former);
+        active.uncovered.extend(handover.former);
+        if let Some(ruling) = former.filter(|ruling| ruling.verdict == Verdict::Complete) {
+            active.set_done(&ruling.share);
+        }
         self.jobs.insert(id.clone(), active);
         self.adopt(&id, now);
         self.dirty = true;
     }
 
     /// Why a job is refused at once, if it is.
-    pub(crate) fn check(&self, job: &Job, now: u64) -> Option<Refusal> {
-        if job.resumed {
+    pub(crate) fn check(
+        &self,
+        job: &Job,
+        handover: &message::Handover,
+        now: u64,
+    ) -> Option<Refusal> {
+        // What is offered and has no room goes back; another zone may have some.
+        if job.resumed || handover.begun || handover.offer {
             return None;
         }
         let serves = |lane: &&Lane| lane.record.service == job.service && lane.is_read();
@@ -106,8 +127,9 @@
             for (lane, task, attempt) in found {
                 let Some(item) = active.item_mut(&task) else { continue };
                 item.attempt = item.attempt.max(attempt);
-                // A start that was carried out late may have left two runs of one task.
-                if matches!(item.phase, Phase::Placed(_)) {
+                // A start that was carried out late may have left two runs of one task; a task that is
+                // elsewhere now may have one left of a former submission.
+                if matches!(item.phase, Phase::Placed(_) | Phase::Away) {
                     spare.push((lane, task));
                 } else {
                     active.set(&task, Phase::Placed(lane));
@@ -121,7 +143,9 @@
         let done: Vec<_> = done.map(|(task, _)| task.clone()).collect();
         if let Some(active) = self.jobs.get_mut(id) {
             for task in done {
-                active.set(&task, Phase::Done);
+                if !active.is_away(&task) {
+                    active.set(&task, Phase::Done);
+                }
             }
         }
         self.settle(id, now);
@@ -150,26 +174,48 @@
         }
     }
 
-    /// An entry still waits for these jobs.
+    /// An entry still waits for these hand-overs of jobs; gives those that are not known here.
     pub fn awaited(
         &mut self,
-        ids: &[name::Name],
+        handovers: &[(name::Name, u64)],
         entry: &name::Name,
         stamp: u64,
         now: u64,
-    ) -> Vec<name::Name> {
+    ) -> Vec<(name::Name, u64)> {
         let mut unknown = Vec::new();
-        for id in ids {
-            if let Some(active) = self.jobs.get_mut(id) {
-                active.awaited = now;
-                active.stamp = stamp;
-                active.entry = entry.clone();
-            } else if let Some((verdict, _)) = self.verdicts.get(id) {
-                self.out.verdicts.push((entry.clone(), id.clone(), verdict.clone()));
-            } else {
-                unknown.push(id.clone());
+        for (id, number) in handovers {
+            let ruled = self.verdicts.get(id).filter(|(ruling, _)| ruling.number == *number);
+            match self.jobs.get_mut(id) {
+                Some(active) if active.number >= *number => {
+                    active.awaited = now;
+                    active.stamp = stamp;
+                    active.entry = entry.clone();
+                    // The message that told of it may be lost.
+                    let tasks = active.given_back();
+                    if !tasks.is_empty() {
+                        self.give_back(id, tasks, now);
+                    }
+                }
+                Some(_) => unknown.push((id.clone(), *number)),
+                None => match ruled {
+                    Some((ruling, _)) => {
+                        self.out.verdicts.push((entry.clone(), id.clone(), ruling.clone()));
+                    }
+                    None => unknown.push((id.clone(), *number)),
+                },
             }
         }
         unknown
     }
 }
+
+/// Whether what was said of a job before is the answer to this hand-over of it: what was not run here
+/// may have been started by another scheduler since.
+fn stands(ruling: &Ruling, job: &Job, handover: &message::Handover) -> bool {
+    match ruling.verdict {
+        Verdict::Complete => ruling.share.covers(&handover.share),
+        Verdict::Failed => true,
+        Verdict::GaveUp => job.resumed,
+        Verdict::NotRun(_) => false,
+    }
+}
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -57,6 +57,21 @@
         chain(&self.steps)
     }
 
+    /// Whether its tasks may be with several schedulers: those of one step wait for no other.
+    pub fn is_divisible(&self) -> bool {
+        self.steps.len() == 1
+    }
+
+    /// How many tasks it has.
+    pub fn count(&self) -> u32 {
+        self.steps.iter().map(|step| step.count).sum()
+    }
+
+    /// Cores that its largest task needs, thousandths.
+    pub fn widest(&self) -> u64 {
+        self.steps.iter().map(|step| step.need.cpu).max().unwrap_or(0)
+    }
+
     /// Cores that its smallest task needs, thousandths.
     pub fn least(&self) -> u64 {
         self.steps.iter().map(|step| step.need.cpu).min().unwrap_or(0)
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,7 +10,7 @@
 //!   one of them as its owner sees it.
 //! - [`sched`], [`active`], [`queue`], [`place`] and [`health`]: jobs, their order, and where
 //!   their tasks run.
-//! - [`desk`]: the entry's side of a job.
+//! - [`desk`] and [`share`]: the entry's side of a job, and which of its tasks are with whom.
 //! - [`status`]: how an instance stands, in numbers.
 //! - [`vault`], [`fetch`], [`pack`] and [`routing`]: the replicated configuration, how it reaches
 //!   everybody, and what it says of a request.
@@ -52,6 +52,7 @@
 pub mod order;
 mod outcome;
 pub mod pack;
+mod part;
 pub mod peer;
 mod peers;
 pub mod place;
@@ -61,6 +62,7 @@
 pub mod roster;
 pub mod routing;
 pub mod sched;
+pub mod share;
 pub mod status;
 pub mod time;
 mod upkeep;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -2,7 +2,7 @@
 
 use state::name;
 
-use crate::{claim, fetch, job, member, upstream};
+use crate::{claim, fetch, job, member, share, upstream};
 
 /// One message between two instances.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -25,16 +25,19 @@
     Confirm(u64),
     /// The newest committed version, known since after the question was asked.
     Confirmed(u64, u64),
-    /// A job for the scheduler of a zone.
-    Submit(Box<job::Job>, Past),
+    /// A job, or some of its tasks, for the scheduler of a zone.
+    Submit(Box<job::Job>, Handover),
     /// Nobody waits for the job any more.
     Cancel(name::Name),
-    /// Jobs that the sender still waits for, and its monotonic clock, microseconds.
-    Await(Vec<name::Name>, u64),
-    /// The scheduler does not know the job.
-    Unknown(name::Name),
-    /// How a job ended.
-    Verdict(name::Name, job::Verdict),
+    /// Jobs that the sender still waits for, each with the number of its last hand-over, and the
+    /// sender's monotonic clock, microseconds.
+    Await(Vec<(name::Name, u64)>, u64),
+    /// The scheduler does not know this hand-over of the job.
+    Unknown(name::Name, u64),
+    /// How what the scheduler had of a job ended.
+    Verdict(name::Name, Box<Ruling>),
+    /// The scheduler won't start these tasks of a job, unless they are handed in again.
+    Spare(name::Name, Spare),
     /// A message for an instance that the sender does not reach itself: who sent it, for whom.
     Relay(name::Name, name::Name, Box<Body>),
 }
@@ -52,8 +55,9 @@
             Self::Confirm(_) | Self::Confirmed(..) => "confirm",
             Self::Submit(..) => "submit",
             Self::Cancel(_) => "cancel",
-            Self::Await(..) | Self::Unknown(_) => "await",
+            Self::Await(..) | Self::Unknown(..) => "await",
             Self::Verdict(..) => "verdict",
+            Self::Spare(..) => "spare",
             Self::Relay(..) => "relay",
         }
     }
@@ -108,18 +112,48 @@
     pub upstreams: u64,
 }
 
-/// What an entry knows of a job that it hands over.
+/// How an entry hands a job over, and what it knows of its past.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Past {
+pub struct Handover {
+    /// Rises with each hand-over of the entry, over its restarts as well.
+    pub number: u64,
+    /// The tasks that the receiver has to run.
+    pub share: share::Share,
+    /// Whether those that cannot start at once are to be given back.
+    pub offer: bool,
+    /// Whether other tasks of the job may have begun elsewhere.
+    pub begun: bool,
     /// Digest of its zone's upstreams that the receiver told last.
     pub upstreams: u64,
-    /// Digests that the schedulers which had the job before told last: their tasks run at upstreams
-    /// of these sets only.
+    /// Digests that the schedulers which had these tasks before told last: they run at upstreams of
+    /// these sets only.
     pub former: smallvec::SmallVec<[u64; 2]>,
     /// Time since one of them was last told that the entry waits, milliseconds.
     pub parted: u64,
 }
 
+/// How what a scheduler had of a job ended.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Ruling {
+    /// Number of the last hand-over that it had.
+    pub number: u64,
+    /// The tasks that it had.
+    pub share: share::Share,
+    /// How they ended.
+    pub verdict: job::Verdict,
+}
+
+/// Tasks that a scheduler gives back.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Spare {
+    /// Number of the last hand-over that it had.
+    pub number: u64,
+    /// The tasks.
+    pub tasks: share::Tasks,
+    /// Room at its upstreams.
+    pub load: Load,
+}
+
 /// How full the upstreams of a zone are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Load {
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -126,6 +126,9 @@
             self.ends.insert(task.clone(), (end.end, now));
             return;
         };
+        if active.is_away(task) {
+            return;
+        }
         let Some(item) = active.item_mut(task) else {
             return;
         };
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -3,10 +3,10 @@
 use state::name;
 
 use crate::{
-    core::Core,
+    core::{Core, view},
     event::Output,
     fetch, job, member,
-    message::{Body, Past, Ping},
+    message::{Body, Handover, Ping},
     time::Now,
     upstream,
 };
@@ -109,23 +109,28 @@
                     vault.confirmed(number, version);
                 }
             }
-            Body::Submit(job, past) => self.on_submit(from, *job, past, now),
+            Body::Submit(job, handover) => self.on_submit(from, *job, handover, now),
             Body::Cancel(id) => {
                 if let Some(sched) = &mut self.sched {
                     sched.cancel(&id, from);
                 }
             }
-            Body::Await(ids, stamp) => {
+            Body::Await(handovers, stamp) => {
                 let unknown = match &mut self.sched {
-                    Some(sched) => sched.awaited(&ids, from, stamp, now.mono),
-                    None => ids,
+                    Some(sched) => sched.awaited(&handovers, from, stamp, now.mono),
+                    None => handovers,
                 };
-                for id in unknown {
-                    self.send(from, Body::Unknown(id), now);
+                for (id, number) in unknown {
+                    self.send(from, Body::Unknown(id, number), now);
                 }
             }
-            Body::Unknown(id) => self.desk.unknown(from, &id),
-            Body::Verdict(id, verdict) => self.desk.verdict(from, &id, &verdict, now.mono),
+            Body::Unknown(id, number) => self.desk.unknown(from, &id, number),
+            Body::Verdict(id, ruling) => self.desk.verdict(from, &id, &ruling, now.mono),
+            Body::Spare(id, spare) => {
+                let (view, desk) =
+                    view(&self.roster, &self.claims, self.census.digest(), &mut self.desk, now);
+                desk.spare(from, &id, &spare, view);
+            }
             Body::Relay(origin, to, body) if to == self.roster.me().name => {
                 if !matches!(*body, Body::Relay(..)) {
                     self.roster.came(&origin, from, now.mono);
@@ -141,15 +146,21 @@
     }
 
     /// Takes a job, if this instance schedules its zone.
-    pub(crate) fn on_submit(&mut self, from: &name::Name, job: job::Job, past: Past, now: Now) {
+    pub(crate) fn on_submit(
+        &mut self,
+        from: &name::Name,
+        job: job::Job,
+        handover: Handover,
+        now: Now,
+    ) {
         match &mut self.sched {
             Some(sched) => {
-                if let Some(number) = self.census.find(past.upstreams) {
+                if let Some(number) = self.census.find(handover.upstreams) {
                     sched.learn(from, number);
                 }
-                sched.hand_over(job, from, past, now.mono);
+                sched.hand_over(job, from, handover, now.mono);
             }
-            None => self.send(from, Body::Unknown(job.id), now),
+            None => self.send(from, Body::Unknown(job.id, handover.number), now),
         }
     }
 
@@ -165,7 +176,7 @@
             }
         }
         if let Some(load) = ping.load {
-            self.desk.load(&ping.card.zone, load);
+            self.desk.load(&ping.card.zone, load, now.mono);
         }
         let told = ping.heard.and_then(|heard| self.census.find(heard.upstreams));
         let (version, members, records) = (ping.version, ping.members, ping.records);
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -10,7 +10,7 @@
     lane::{Lane, Run, Stage},
     message,
     order::{Call, End, Order},
-    place, queue, time, upstream,
+    place, queue, share, time, upstream,
 };
 
 /// Runs that a former scheduler started for an entry may go on this long after the entry last told
@@ -38,8 +38,10 @@
 pub struct Output {
     /// Calls to upstreams.
     pub calls: Vec<Call>,
-    /// Verdicts for entries.
-    pub verdicts: Vec<(name::Name, name::Name, Verdict)>,
+    /// How jobs ended, for entries.
+    pub verdicts: Vec<(name::Name, name::Name, message::Ruling)>,
+    /// Tasks that are given back, for entries.
+    pub spares: Vec<(name::Name, name::Name, message::Spare)>,
     /// Upstreams that are gone; `true` if that life of them is over for good.
     pub gone: Vec<(name::Name, bool)>,
     /// Upstreams that have seen a higher fencing token than any this scheduler used.
@@ -69,7 +71,9 @@
     pub(crate) unsure: collections::BTreeSet<name::Name>,
     /// Up to which number each entry knows the upstreams.
     pub(crate) known: collections::BTreeMap<name::Name, u64>,
-    pub(crate) verdicts: collections::HashMap<name::Name, (Verdict, u64)>,
+    pub(crate) verdicts: collections::HashMap<name::Name, (message::Ruling, u64)>,
+    /// Jobs of which what cannot start at once is given back.
+    pub(crate) offers: collections::BTreeSet<name::Name>,
     pub(crate) epoch: u64,
     pub(crate) since: u64,
     pub(crate) lease: u64,
@@ -92,6 +96,7 @@
             unsure: collections::BTreeSet::new(),
             known: collections::BTreeMap::new(),
             verdicts: collections::HashMap::new(),
+            offers: collections::BTreeSet::new(),
             epoch,
             since: now,
             lease,
@@ -196,6 +201,7 @@
     pub fn run(&mut self, alive: impl Fn(&name::Name) -> Option<u64>, now: u64) {
         if std::mem::take(&mut self.dirty) {
             self.dispatch(&alive, now);
+            self.return_offers(now);
         }
         let asked = self.lanes.values().filter(|lane| lane.is_asked() && !lane.is_heard());
         let (mut probes, lanes) = (PROBES.saturating_sub(asked.count()), self.lanes.len());
@@ -288,12 +294,57 @@
             );
             let note = crate::event::Note { text: "job: Ended.", subject: id.clone(), detail };
             self.out.notes.push(note);
-            self.out.verdicts.push((active.entry.clone(), id.clone(), verdict.clone()));
-            self.verdicts.insert(id.clone(), (verdict, now));
+            let (entry, number, share) = (active.entry.clone(), active.number, active.held());
+            self.rule(&entry, id, message::Ruling { number, share, verdict }, now);
         }
         self.drop_job(id);
     }
 
+    /// Tells an entry how a job ended, and remembers it.
+    pub(crate) fn rule(
+        &mut self,
+        entry: &name::Name,
+        id: &name::Name,
+        ruling: message::Ruling,
+        now: u64,
+    ) {
+        self.out.verdicts.push((entry.clone(), id.clone(), ruling.clone()));
+        self.verdicts.insert(id.clone(), (ruling, now));
+    }
+
+    /// Gives back what is offered and could not start.
+    fn return_offers(&mut self, now: u64) {
+        for id in std::mem::take(&mut self.offers) {
+            let Some(active) = self.jobs.get_mut(&id) else { continue };
+            if !std::mem::take(&mut active.offer) {
+                continue;
+            }
+            let tasks = active.give_back();
+            if !tasks.is_empty() {
+                self.give_back(&id, tasks, now);
+            }
+            if self.jobs.get(&id).is_some_and(|active| active.held().is_empty()) {
+                self.drop_job(&id);
+            }
+            self.settle(&id, now);
+        }
+    }
+
+    /// Tells the entry of a job that it has these tasks back.
+    pub(crate) fn give_back(&mut self, id: &name::Name, tasks: share::Tasks, now: u64) {
+        let load = self.load(now);
+        let Some(active) = self.jobs.get(id) else { return };
+        let (entry, number) = (active.entry.clone(), active.number);
+        let detail = format!(
+            "{} tasks to {entry}, {}m of {}m cores free",
+            tasks.len(),
+            load.free,
+            load.total
+        );
+        self.note("job: Gave tasks back.", id, &detail);
+        self.out.spares.push((entry, id.clone(), message::Spare { number, tasks, load }));
+    }
+
     pub(crate) fn drop_job(&mut self, id: &name::Name) {
         let Some(active) = self.jobs.remove(id) else { return };
         for (step, items) in active.items.iter().enumerate() {
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -19,9 +19,9 @@
 
 #[test]
 fn burst_in_one_zone() {
-    // Zone 0 gets five times what each of the others gets, at 93% of the room of all three. Jobs go
-    // next door where the last heartbeat tells of more room: 436 of 500 are in time. Passing on
-    // what waits as well, by the same heartbeats, leaves 344.
+    // Zone 0 gets five times what each of the others gets, at 93% of the room of all three. Tasks for
+    // which one zone has no room go to the next: all 500 jobs are in time. With whole jobs sent by
+    // what the last heartbeat told, 436 were; passing on what waits by the same heartbeats, 344.
     let mut world = World::new(5, 3, 2, 8);
     world.run(3_000);
     for at in 0..500_u64 {
@@ -32,7 +32,7 @@
     world.run(4_000);
     let (good, all) = in_time(&world);
     assert_eq!(world.faults, Vec::<String>::new());
-    assert!(good >= 430, "{good} of {all} in time");
+    assert!(good >= 485, "{good} of {all} in time");
 }
 
 /// A kind of job: its priority, width, length and share of the arrivals.
@@ -60,10 +60,23 @@
     all: f64,
 }
 
-/// Plays `ms` milliseconds of three zones of 16 upstreams each at `scale` times the usual arrivals,
-/// the second zone with 37% more than the others.
-fn play(seed: u64, scale: f64, ms: u64) -> Gain {
-    let mut world = World::new(seed, 3, 2, 16);
+/// Where the load comes from.
+#[derive(Clone, Copy, Debug)]
+struct Site {
+    /// Upstreams of each zone.
+    upstreams: usize,
+    /// Arrivals in each zone, against one another.
+    zones: &'static [f64],
+}
+
+/// Three zones of 16 upstreams, the second with 37% more arrivals than the others.
+const THREE: Site = Site { upstreams: 16, zones: &[1.0, 1.37, 1.0] };
+/// Four of 12, whose arrivals differ by a sixth.
+const FOUR: Site = Site { upstreams: 12, zones: &[37.4, 32.3, 34.2, 36.7] };
+
+/// Plays `ms` milliseconds at `scale` times the usual arrivals.
+fn play(seed: u64, site: Site, scale: f64, ms: u64) -> Gain {
+    let mut world = World::new(seed, site.zones.len(), 2, site.upstreams);
     let mut rng = SmallRng::seed_from_u64(seed);
     world.run(3_000);
     let near = |rng: &mut SmallRng, mean: f64, spread: f64, most: f64| {
@@ -71,23 +84,27 @@
         let normal = (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
         (mean * (normal * spread - spread * spread / 2.0).exp()).min(mean * most)
     };
+    let arrivals: f64 = site.zones.iter().sum();
     let mut asked = BTreeMap::new();
     for _ in 0..ms {
         for (at, kind) in KINDS.iter().enumerate() {
             if rng.random::<f64>() >= kind.per_second * scale / 1_000.0 {
                 continue;
             }
-            let zone = [0, 1, 1, 2][rng.random_range(0..4_usize)];
-            let zone = if zone == 1 && rng.random::<f64>() > 0.74 { 0 } else { zone };
+            let mut left = rng.random::<f64>() * arrivals;
+            let zone = site.zones.iter().position(|share| {
+                left -= share;
+                left < 0.0
+            });
             let count = near(&mut rng, kind.count, 0.4, 4.0).round().max(1.0);
             let length = near(&mut rng, kind.length, 0.4, 4.0).round();
             let estimate = near(&mut rng, length, 0.4, 4.0) as u64;
-            let cpu = near(&mut rng, 14_000.0, 0.2, 1.5) as u64;
+            let cpu = near(&mut rng, 14_000.0, 0.2, 1.43) as u64;
             let work = count * length * cpu as f64 / (kind.count * kind.length * 14_000.0);
-            let id =
-                world.submit_as(zone, count as u32, cpu, length as u64, estimate, kind.priority);
+            let (zone, length) = (zone.unwrap_or(0), length as u64);
+            let id = world.submit_as(zone, count as u32, cpu, length, estimate, kind.priority);
             let worth = kind.worth * (0.3 + 0.7 * work.min(4.0));
-            asked.insert(id, (at, worth, length * 1.6 + 60.0));
+            asked.insert(id, (at, worth, length as f64 * 1.6 + 60.0));
         }
         world.run(1);
     }
@@ -113,8 +130,8 @@
 }
 
 /// Mean of several plays.
-fn mean(scale: f64, seeds: u64) -> Gain {
-    let plays: Vec<_> = (0..seeds).map(|seed| play(seed, scale, 8_000)).collect();
+fn mean(site: Site, scale: f64, seeds: u64) -> Gain {
+    let plays: Vec<_> = (0..seeds).map(|seed| play(seed, site, scale, 8_000)).collect();
     let share = |of: &dyn Fn(&Gain) -> f64| plays.iter().map(of).sum::<f64>() / seeds as f64;
     let kinds = (0..KINDS.len()).map(|at| share(&|gain| gain.kinds[at])).collect();
     Gain { kinds, all: share(&|gain| gain.all) }
@@ -127,7 +144,20 @@
     // urgent first at all times, and late jobs started as long as they were of some use, 0.980,
     // 0.656 and 0.484 (0.948, 0.521 and 0.428).
     for (scale, all, worst) in [(0.9, 0.965, 0.93), (1.6, 0.705, 0.62), (2.0, 0.56, 0.545)] {
-        let gain = mean(scale, 2);
+        let gain = mean(THREE, scale, 2);
+        let least = gain.kinds.iter().copied().fold(1.0, f64::min);
+        assert!(gain.all >= all && least >= worst, "{scale}: {gain:.3?}");
+    }
+}
+
+#[test]
+fn shared_zones() {
+    // Four zones of some 28 places each, with jobs of 8 tasks among others, near and above the room
+    // that there is. With whole jobs in one zone
+    // two seeds gave 0.970, 0.942 and 0.906 (worst kinds 0.921, 0.860 and 0.780), and with their tasks
+    // shared among zones 0.998, 0.990 and 0.970 (0.994, 0.972 and 0.915).
+    for (scale, all, worst) in [(0.8, 0.99, 0.98), (0.95, 0.98, 0.95), (1.1, 0.94, 0.86)] {
+        let gain = mean(FOUR, scale, 2);
         let least = gain.kinds.iter().copied().fold(1.0, f64::min);
         assert!(gain.all >= all && least >= worst, "{scale}: {gain:.3?}");
     }
--- a/crates/dispatch/tests/owner.rs
+++ b/crates/dispatch/tests/owner.rs
@@ -2,8 +2,10 @@
 
 use dispatch::{
     job::{Job, Step, Task, Verdict},
+    message::Ruling,
     order::{Call, End, Ended, Order, Outcome, Reason, Running},
     sched::Sched,
+    share::Share,
     time::MS,
     upstream::{Phase, Record, Room},
 };
@@ -14,7 +16,7 @@
 struct Play {
     sched: Sched,
     now: u64,
-    verdicts: Vec<(Name, Name, Verdict)>,
+    verdicts: Vec<(Name, Name, Ruling)>,
 }
 
 fn record(id: &str) -> Record {
@@ -77,7 +79,8 @@
     }
 
     fn calls(&mut self) -> Vec<Call> {
-        self.sched.awaited(&["j".into(), "first".into()], &"entry".into(), self.now, self.now);
+        let awaited = [("j".into(), 0), ("first".into(), 0)];
+        self.sched.awaited(&awaited, &"entry".into(), self.now, self.now);
         self.sched.tick(|_| Some(self.now), self.now);
         self.sched.run(|_| Some(self.now), self.now);
         let out = self.sched.take();
@@ -157,8 +160,9 @@
         play.wait(40);
         play.calls();
         let verdicts = &play.verdicts;
-        let untrue =
-            verdicts.iter().any(|(_, id, v)| id.as_str() == "j" && matches!(v, Verdict::NotRun(_)));
+        let untrue = verdicts
+            .iter()
+            .any(|(_, id, v)| id.as_str() == "j" && matches!(v.verdict, Verdict::NotRun(_)));
         assert!(!untrue, "{verdicts:?}");
     }
 }
@@ -261,7 +265,9 @@
     let hold = calls.iter().find(|call| is_hold(call)).unwrap();
     play.answer(hold, held(vec![], vec![ended(1, "j", 0, End::Failed)], play.now));
     let verdicts = play.sched.take().verdicts;
-    assert_eq!(verdicts, [("entry".into(), "j".into(), Verdict::Failed)]);
+    let (number, share) = (0, Share::ALL);
+    let ruling = Ruling { number, share, verdict: Verdict::Failed };
+    assert_eq!(verdicts, [("entry".into(), "j".into(), ruling)]);
 }
 
 #[test]
--- a/crates/dispatch/tests/random_faults.rs
+++ b/crates/dispatch/tests/random_faults.rs
@@ -213,10 +213,9 @@
     play_with(world, seed, &Plan { size: ENTRIES + 1, fault, kinds, pace: 1 });
 }
 
-fn play_slow(seed: u64) {
+fn play_slow(seed: u64, kinds: Kinds) {
     let mut world = World::with_keepers(seed, ZONES, SLOW_KEEPERS, ENTRIES, UPSTREAMS);
     world.lossy = true;
-    let kinds = [(1, 100), (1, 300), (1, 900)];
     play_with(world, seed, &Plan { size: SLOW_SIZE, fault: slow_fault, kinds, pace: 2 });
 }
 
@@ -257,7 +256,8 @@
     load(&mut world, kinds, 1_000);
     world.run(4_000);
     assert_eq!(world.faults, Vec::<String>::new(), "seed {seed}");
-    assert!(world.complete() > before + 20, "seed {seed}: work goes on after the faults");
+    let more = world.complete() - before;
+    assert!(more > 20, "seed {seed}: work goes on after the faults, {more} more complete");
     for instance in &world.instances {
         let core = instance.core.as_ref().unwrap();
         assert!(core.document().version >= held, "seed {seed}: {} is behind", instance.card.name);
@@ -276,6 +276,25 @@
 fn slow_seeds() {
     let first = number("FIRST_SEED", 1);
     for seed in first..first + number("SEEDS", 12) {
-        play_slow(seed);
+        play_slow(seed, [(1, 100), (1, 300), (1, 900)]);
+    }
+}
+
+#[test]
+fn regressions() {
+    // 111: a claim that nobody stood by (`takeover::claim_of_nobody`).
+    play_slow(111, [(12, 60), (5, 200), (6, 900)]);
+    // 286: a task that was given back ran there still, left over from the submission before, whose
+    // entry was lost; when that run ended the task started again beside the one elsewhere.
+    play(286);
+}
+
+#[test]
+fn slow_shared_seeds() {
+    // Jobs too wide for what is free in one zone: their tasks are with several schedulers, each of
+    // which may be lost, frozen, cut off or late.
+    let first = number("FIRST_SEED", 1);
+    for seed in first..first + number("SEEDS", 12) {
+        play_slow(seed, [(12, 60), (5, 200), (3, 900)]);
     }
 }
--- a/crates/dispatch/tests/world/client.rs
+++ b/crates/dispatch/tests/world/client.rs
@@ -2,7 +2,7 @@
 
 use dispatch::{
     event::Event,
-    job::{Job, Step, Verdict},
+    job::{Job, Step, Task, Verdict},
     upstream::Room,
 };
 use rand::RngExt as _;
@@ -77,6 +77,12 @@
             self.faults.push(format!("{} ms: {id} is said not to have run", self.now / MS));
         }
         if let Some(request) = self.requests.get_mut(&id) {
+            let count = request.job.steps[0].count;
+            let task = |index| Task { job: id.clone(), step: 0, index };
+            let undone = (0..count).map(task).find(|task| !self.done.contains(task));
+            if let (Verdict::Complete, Some(task)) = (&verdict, undone) {
+                self.faults.push(format!("{} ms: complete without {task:?}", self.now / MS));
+            }
             request.verdict = Some((verdict, self.now));
         }
     }
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -1,6 +1,6 @@
 //! A whole system in one thread and virtual time: instances, upstreams, clients and an operator,
-//! with faults between them. It checks, as it goes on, that no task runs twice at a time and that
-//! "not run" is true.
+//! with faults between them. It checks, as it goes on, that no task runs twice at a time, that "not
+//! run" is true, and that all tasks of a complete job have done their work.
 #![allow(dead_code, reason = "each test uses a part of it")]
 
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -130,6 +130,8 @@
     pub faults: Vec<String>,
     /// When each task was last told to start.
     pub starts: BTreeMap<Task, u64>,
+    /// Tasks that have done their work.
+    pub done: BTreeSet<Task>,
     pub replies: Vec<(u64, Reply)>,
     /// Time that each instance's decisions took, on this machine.
     pub spent: BTreeMap<usize, std::time::Duration>,
@@ -197,6 +199,7 @@
             late: 0,
             faults: Vec::new(),
             starts: BTreeMap::new(),
+            done: BTreeSet::new(),
             replies: Vec::new(),
             spent: BTreeMap::new(),
             links: link::Links::default(),
@@ -464,7 +467,9 @@
         }
         for at in 0..self.upstreams.len() {
             if self.upstreams[at].up {
-                for waiting in self.upstreams[at].tick(self.now) {
+                let due = self.upstreams[at].tick(self.now);
+                self.done.extend(self.upstreams[at].done.drain(..));
+                for waiting in due {
                     let outcome = self.upstreams[at].lists(self.now);
                     self.answer(at, waiting.call.number, waiting.call.fence, waiting.from, outcome);
                 }
--- a/crates/dispatch/tests/world/upstream.rs
+++ b/crates/dispatch/tests/world/upstream.rs
@@ -51,6 +51,8 @@
     ended: Vec<Ended>,
     number: u64,
     highest: BTreeMap<Task, u32>,
+    /// Tasks that have done their work, until they are taken down.
+    pub done: Vec<Task>,
 }
 
 impl Upstream {
@@ -78,6 +80,7 @@
             ended: Vec::new(),
             number: 0,
             highest: BTreeMap::new(),
+            done: Vec::new(),
         }
     }
 
@@ -187,6 +190,9 @@
         }
         for (task, attempt, end) in over {
             self.runs.remove(&task);
+            if end == End::Done {
+                self.done.push(task.clone());
+            }
             let highest = self.highest.entry(task.clone()).or_default();
             *highest = (*highest).max(attempt);
             self.number += 1;
