Tell where requests were lost, by cause and moment; choices can be switched off

apricotroute losses is the twin of explain for whole logs: each request is in time or lands in one cause. The bootstrap file's decisions switch single ways of deciding off, so that what one is worth can be measured under any load.

--- a/crates/apricotroute/src/cli.rs
+++ b/crates/apricotroute/src/cli.rs
@@ -7,7 +7,8 @@
 use state::{boot, id, locate, name, node as node_file};
 
 use crate::{
-    demo, demo_platform, error, explain, help, instance, load, logs, node, remote, standin, status,
+    demo, demo_platform, error, explain, help, instance, load, logs, losses, node, remote, standin,
+    status,
 };
 
 /// The arguments of one command.
@@ -34,6 +35,7 @@
         Some("settings") => (help::SETTINGS, settings),
         Some("status") => (help::STATUS, show_status),
         Some("explain") => (explain::HELP, explain_request),
+        Some("losses") => (losses::HELP, show_losses),
         Some("load") => (load::HELP, run_load),
         Some("upstream") => (help::UPSTREAM, upstream),
         Some(other) => {
@@ -302,14 +304,26 @@
     Ok(plain_code(&answer))
 }
 
-fn explain_request(mut arguments: Arguments) -> Ended {
-    const UNTOLD: u8 = 1;
-    let id = free(&mut arguments, "ID")?;
+fn show_losses(mut arguments: Arguments) -> Ended {
+    const WINDOW: u32 = 2;
+    let window = option(&mut arguments, "--window", WINDOW)?;
+    print!("{}", losses::Losses::read(&files(arguments)?, window)?);
+    Ok(process::ExitCode::SUCCESS)
+}
+
+/// The files that are left as arguments; there has to be one.
+fn files(arguments: Arguments) -> error::Result<Vec<path::PathBuf>> {
     let files: Vec<_> = arguments.finish().into_iter().map(path::PathBuf::from).collect();
     if files.is_empty() {
         return Err(error_stack::Report::new(error::Error::new("read argument", "FILE")));
     }
-    let story = explain::Story::read(&id, &files)?;
+    Ok(files)
+}
+
+fn explain_request(mut arguments: Arguments) -> Ended {
+    const UNTOLD: u8 = 1;
+    let id = free(&mut arguments, "ID")?;
+    let story = explain::Story::read(&id, &files(arguments)?)?;
     print!("{story}");
     Ok(process::ExitCode::from(if story.is_empty() { UNTOLD } else { 0 }))
 }
--- a/crates/apricotroute/src/explain.rs
+++ b/crates/apricotroute/src/explain.rs
@@ -3,12 +3,12 @@
 //! Each process writes what it decides about a job as a JSON line with the job's id. The entry's
 //! line `request: Taken.` joins a client's own name for a request with that id.
 
-use std::{collections, fmt, fs, io, io::BufRead as _, path};
+use std::{collections, fmt, path};
 
-use error_stack::ResultExt as _;
-use serde::Deserialize;
-
-use crate::{error, node::lines};
+use crate::{
+    error,
+    log_file::{self, Line},
+};
 
 /// What `--help` prints.
 pub const HELP: &str = "\
@@ -28,16 +28,6 @@
 /// after 0.5 s, a zone's next scheduler claims it within about 0.6 s more.
 const BEFORE: chrono::TimeDelta = chrono::TimeDelta::seconds(2);
 
-/// A line of a log.
-#[derive(Clone, Debug, Deserialize)]
-struct Line {
-    ts: chrono::DateTime<chrono::Utc>,
-    instance: String,
-    msg: String,
-    #[serde(flatten)]
-    fields: collections::BTreeMap<String, serde_json::Value>,
-}
-
 /// What the logs tell of one request.
 #[derive(Debug)]
 pub struct Story {
@@ -57,26 +47,12 @@
     ///
     /// A file cannot be read.
     pub fn read(id: &str, files: &[path::PathBuf]) -> error::Result<Self> {
-        let (mut all, mut unread) = (Vec::new(), 0);
-        for file in files {
-            let fault = || error::Error::new("read log", file.display());
-            let reader: Box<dyn io::Read> = if file.as_os_str() == "-" {
-                Box::new(io::stdin())
-            } else {
-                Box::new(fs::File::open(file).change_context_lazy(fault)?)
-            };
-            for line in io::BufReader::new(reader).lines() {
-                match parse(&line.change_context_lazy(fault)?) {
-                    Some(line) => all.push(line),
-                    None => unread += 1,
-                }
-            }
-        }
-        all.sort_by_key(|line| line.ts);
-        Ok(Self::new(id, &all, unread))
+        let log = log_file::Log::read(files)?;
+        Ok(Self::new(id, &log))
     }
 
-    fn new(id: &str, all: &[Line], unread: usize) -> Self {
+    fn new(id: &str, log: &log_file::Log) -> Self {
+        let all = &log.lines;
         let taken = all.iter().filter(|line| line.text("request") == Some(id));
         let mut ids: collections::BTreeSet<_> =
             taken.filter_map(|line| line.text("id").map(str::to_owned)).collect();
@@ -90,12 +66,10 @@
             let change = CHANGES.iter().any(|part| line.msg.starts_with(part));
             within && change && involved.contains(&line.instance)
         };
-        let left_out = all.iter().filter(|line| line.msg == lines::LEFT_OUT);
-        let left_out = left_out.filter_map(|line| line.fields.get("count")?.as_u64()).sum();
         let lines =
             all.iter().filter(|line| line.is_about(&ids) || is_near(line)).cloned().collect();
         let lines = if own.is_empty() { Vec::new() } else { lines };
-        Self { lines, ids, unread, left_out }
+        Self { lines, ids, unread: log.unread, left_out: log.left_out() }
     }
 
     /// Whether no line tells of the request.
@@ -144,19 +118,3 @@
         Ok(())
     }
 }
-
-impl Line {
-    fn text(&self, key: &str) -> Option<&str> {
-        self.fields.get(key)?.as_str()
-    }
-
-    /// Whether it names a job or a request of `ids`.
-    fn is_about(&self, ids: &collections::BTreeSet<String>) -> bool {
-        let mut named = ["request", "id"].into_iter().filter_map(|key| self.text(key));
-        named.any(|text| ids.contains(text))
-    }
-}
-
-fn parse(line: &str) -> Option<Line> {
-    serde_json::from_str(&line[line.find('{')?..]).ok()
-}
--- a/crates/apricotroute/src/help.rs
+++ b/crates/apricotroute/src/help.rs
@@ -1,4 +1,4 @@
-//! What `--help` prints, command by command; `explain` and `load` keep theirs beside their options.
+//! What `--help` prints, command by command; `explain`, `losses` and `load` keep theirs beside their options.
 
 /// All commands.
 pub const ALL: &str = "\
@@ -13,6 +13,7 @@
   settings --to IP:PORT get PATH read settings; also `set PATH JSON` and `log`
   status --to IP:PORT            groups, members, upstreams, shares and queues
   explain ID FILE...             the story of one request from the logs of several processes
+  losses FILE...                 how many requests were lost, by cause and time, from such logs
   load --to IP:PORT[,...]        open-loop load with response times over the ideal
   upstream --to IP:PORT[,...]    a stand-in upstream for trials and tests
 
--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -265,11 +265,13 @@
     /// Since when a configuration waits to be read.
     unread: Option<time::Instant>,
     lines: lines::Lines,
+    zone: name::Name,
     log: slog::Logger,
 }
 
 impl Thread {
     fn new(control: Control, parts: Parts) -> Self {
+        let zone = parts.config.me.zone.clone();
         let reader = reader::start(sync::Arc::clone(&control.view), parts.log.clone());
         let core = core::Core::new(parts.config, control.clock.now());
         let report = control.clone();
@@ -288,6 +290,7 @@
             reader,
             unread: None,
             lines: lines::Lines::new(),
+            zone,
             log: parts.log,
         }
     }
@@ -363,6 +366,7 @@
                 drop(self.reader.send(document));
             }
             Output::Note(note) => self.lines.write(&self.log, &note),
+            Output::Measure(measure) => note_measure(measure),
         }
     }
 
@@ -380,6 +384,11 @@
         if let Ok(mut held) = self.control.view.status.write() {
             *held = status;
         }
+        if status.scheduling {
+            let (free, total) = ((status.free * 1_000.0) as i64, (status.total * 1_000.0) as i64);
+            let detail = format!("{free}m of {total}m cores free, {} tasks wait", status.waiting);
+            slog::info!(self.log, "zone: Room."; "id" => %self.zone, "detail" => detail);
+        }
     }
 
     fn flush(&mut self) {
@@ -409,6 +418,15 @@
     }
 }
 
+fn note_measure(measure: event::Measure) {
+    let time = time::Duration::from_micros;
+    match measure {
+        event::Measure::FirstWait(waited) => metric::note_first_start(time(waited)),
+        event::Measure::IdleRoom(idle) => metric::note_idle_room(time(idle)),
+        event::Measure::LoadAge(age) => metric::note_load_age(time(age)),
+    }
+}
+
 /// Short name of a reply, for counting.
 fn outcome(reply: &Reply) -> &'static str {
     match reply {
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -169,7 +169,8 @@
         first: node.first,
     });
     let lease = node.lease_ms * LEASE_SHARE / 100;
-    let config = core::Config { me, seeds, lease, seed: rand::random(), disk };
+    let (seed, policy) = (rand::random(), node.policy);
+    let config = core::Config { me, seeds, lease, seed, policy, disk };
     Ok(control::Parts { config, store, traffic, log: log.clone() })
 }
 
--- a/crates/apricotroute/tests/command_line.rs
+++ b/crates/apricotroute/tests/command_line.rs
@@ -18,7 +18,7 @@
 fn help_everywhere() {
     let commands = [
         "serve", "check", "demo", "submit", "job", "settings", "status", "load", "upstream",
-        "node", "explain",
+        "node", "explain", "losses",
     ];
     for command in commands {
         let (code, out, _) = run(&[command, "--help"]);
@@ -150,3 +150,15 @@
     let (code, out, _) = run(&["explain", "ac38", &entry, &keepers]);
     assert_eq!((code, out.as_str()), (Some(1), "no line tells of it\n"));
 }
+
+#[test]
+fn losses_by_cause() {
+    let (code, table, _) = run(&["losses", &log("losses.log")]);
+    assert_eq!(code, Some(0));
+    insta::assert_snapshot!(table);
+    // The request whose scheduler was lost was late by 2 ms.
+    let (code, table, _) =
+        run(&["losses", "--window", "60", &log("entry.log"), &log("keepers.log")]);
+    assert_eq!(code, Some(0));
+    assert!(table.contains("1  late: a scheduler that had it was lost"), "{table}");
+}
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -3,7 +3,7 @@
 use std::collections;
 
 use coord::group;
-use state::name;
+use state::{name, policy};
 
 use crate::{
     census, claim, desk,
@@ -47,6 +47,8 @@
     pub lease: u64,
     /// Seed of all random choices.
     pub seed: u64,
+    /// Which ways of deciding are in use.
+    pub policy: policy::Policy,
     /// Incarnation of the disk, what it held, and whether the whole system starts for the first
     /// time; nothing for an instance without a disk.
     pub disk: Option<Disk>,
@@ -67,6 +69,7 @@
 #[derive(Debug)]
 pub struct Core {
     pub(crate) lease: u64,
+    pub(crate) policy: policy::Policy,
     pub(crate) roster: roster::Roster,
     pub(crate) claims: claim::Claims,
     pub(crate) table: upstream::Table,
@@ -92,7 +95,7 @@
 impl Core {
     /// An instance that starts at `now`.
     pub fn new(config: Config, now: Now) -> Self {
-        let Config { me, seeds, lease, seed, disk } = config;
+        let Config { me, seeds, lease, seed, policy, disk } = config;
         let vault = disk.map(|disk| {
             let member = name::Member::new(&me.name, disk.life);
             let founder = disk.first && seeds.contains(&me.name);
@@ -102,13 +105,14 @@
         let roster = roster::Roster::new(me, &seeds, now.mono);
         let mut core = Self {
             lease,
+            policy,
             roster,
             claims: claim::Claims::default(),
             table: upstream::Table::default(),
             census: census::Census::default(),
             lingering: collections::BTreeSet::new(),
             sched: None,
-            desk: desk::Desk::default(),
+            desk: desk::Desk::default().with_policy(policy),
             vault,
             document: Document::default(),
             draining: false,
@@ -277,7 +281,8 @@
     }
 
     pub(crate) fn lead(&mut self, claim: &claim::Claim, now: Now) {
-        let mut sched = sched::Sched::new(claim.epoch, self.lease, now.mono);
+        let mut sched =
+            sched::Sched::new(claim.epoch, self.lease, now.mono).with_policy(self.policy);
         for record in self.table.of_zone(&claim.zone) {
             sched.record(record);
             sched.number(&record.id, self.census.number(&record.id).unwrap_or(u64::MAX));
@@ -391,6 +396,7 @@
             self.send(&to, body, now);
         }
         self.out.extend(desk.notes.into_iter().map(Output::Note));
+        self.out.extend(desk.measures.into_iter().map(Output::Measure));
         for (ticket, verdict) in desk.verdicts {
             self.reply(ticket, Reply::Verdict(verdict));
         }
@@ -415,6 +421,7 @@
         let out = sched.take();
         self.out.extend(out.calls.into_iter().map(Output::Call));
         self.out.extend(out.notes.into_iter().map(Output::Note));
+        self.out.extend(out.measures.into_iter().map(Output::Measure));
         for (to, id, ruling) in out.verdicts {
             self.send(&to, Body::Verdict(id, Box::new(ruling)), now);
         }
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -12,11 +12,11 @@
 
 use std::collections;
 
-use state::name;
+use state::{name, policy};
 
 use crate::{
     claim,
-    event::{Note, Ticket},
+    event::{Measure, Note, Ticket},
     job::{Job, Refusal, Verdict},
     message::{Body, Handover, Load, Ruling, Spare},
     part, roster, sched, share, time,
@@ -44,6 +44,8 @@
     pub verdicts: Vec<(Ticket, Verdict)>,
     /// Decisions worth a log line.
     pub notes: Vec<Note>,
+    /// Times for histograms.
+    pub measures: Vec<Measure>,
 }
 
 #[derive(Debug)]
@@ -55,6 +57,10 @@
     parts: smallvec::SmallVec<[part::Part; 1]>,
     /// Whether a scheduler kept some tasks when it gave others back, or has done them.
     begun: bool,
+    /// Whether a part that is done was another scheduler's before.
+    resumed: bool,
+    /// Zones where parts of it were done.
+    zones: smallvec::SmallVec<[name::Name; 1]>,
 }
 
 /// The jobs of the clients of one entry.
@@ -66,6 +72,7 @@
     loads: collections::BTreeMap<name::Name, (Load, u64)>,
     /// Number of the last hand-over.
     number: u64,
+    policy: policy::Policy,
     out: Output,
 }
 
@@ -91,6 +98,12 @@
 }
 
 impl Desk {
+    /// A desk that decides by `policy`.
+    #[must_use]
+    pub fn with_policy(self, policy: policy::Policy) -> Self {
+        Self { policy, ..self }
+    }
+
     /// Takes the effects collected so far.
     pub fn take(&mut self) -> Output {
         std::mem::take(&mut self.out)
@@ -129,7 +142,8 @@
         let number = self.next_number(view.now);
         let part = part::Part::new(number, share::Share::ALL, view.now);
         let (tickets, parts) = (smallvec::smallvec![ticket], smallvec::smallvec![part]);
-        let open = Open { job, tickets, arrived: view.now, parts, begun: false };
+        let (arrived, zones) = (view.now, smallvec::SmallVec::new());
+        let open = Open { job, tickets, arrived, parts, begun: false, resumed: false, zones };
         self.open.insert(id.clone(), open);
         self.give(&id, number, view);
     }
@@ -159,6 +173,8 @@
                     open.parts.drain(..).partition(|part| ruling.share.covers(&part.share));
                 open.parts = rest.into();
                 open.begun = true;
+                open.resumed |= done.iter().any(|part| part.resumed);
+                open.zones.extend(done.iter().filter_map(|part| part.pin.clone()));
                 let others = done.into_iter().filter_map(|part| part.with);
                 let others = others.filter(|claim| claim.holder != *from);
                 let cancels = others.map(|claim| (claim.holder, Body::Cancel(id.clone())));
@@ -261,12 +277,13 @@
             self.cancel(id, &open);
         }
         let took = now.saturating_sub(open.arrived) / time::MS;
-        let zone = open.parts.iter().find_map(|part| part.pin.as_ref());
-        let zone = zone.map_or("none", name::Name::as_str);
-        let resumed = open.parts.iter().any(|part| part.resumed);
+        let resumed = open.resumed || open.parts.iter().any(|part| part.resumed);
+        let zones = open.parts.iter().filter_map(|part| part.pin.as_ref()).chain(&open.zones);
+        let zones: Vec<_> = zones.map(name::Name::as_str).collect();
         let detail = format!(
-            "{verdict:?} after {took} ms, objective {} ms, zone {zone}, resumed {resumed}",
-            open.job.objective
+            "{verdict:?} after {took} ms, objective {} ms, zones {}, resumed {resumed}",
+            open.job.objective,
+            zones.join(" ")
         );
         self.out.notes.push(Note { text: "job: Answered.", subject: id.clone(), detail });
         for ticket in open.tickets {
@@ -320,10 +337,12 @@
     /// Sends a job to its scheduler.
     fn hand(&mut self, job: Job, handover: Handover, count: u32, claim: claim::Claim) {
         let need = job.widest() as i64 * i64::from(count);
-        let free = self.loads.get_mut(&claim.zone).map_or(0, |(load, _)| {
+        let mut free = 0;
+        if let Some((load, told)) = self.loads.get_mut(&claim.zone) {
             load.free -= need;
-            load.free
-        });
+            free = load.free;
+            self.out.measures.push(Measure::LoadAge(job.stamp.saturating_sub(*told)));
+        }
         let detail = format!(
             "{count} tasks to {} in {}, epoch {}, {free}m of its free cores left by its last word, \
              age {} ms, resumed {}, offered {}",
@@ -352,7 +371,7 @@
             !part.tried.contains(&claim.zone) && !self.is_full(&claim.zone, least, view.now)
         };
         let order = |claim: &&&claim::Claim| (claim.zone == *home, self.free(&claim.zone));
-        if able.len() > 1 && open.job.is_divisible() && !part.resumed {
+        if self.policy.sharing && able.len() > 1 && open.job.is_divisible() && !part.resumed {
             let next = able.iter().filter(is_hopeful).max_by_key(order);
             if let Some(claim) = next {
                 return Some(Choice { claim: (*claim).clone(), offer: true });
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -61,6 +61,20 @@
     Document(message::Document),
     /// A decision worth a log line.
     Note(Note),
+    /// A time for a histogram.
+    Measure(Measure),
+}
+
+/// A time by which decisions are judged, microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Measure {
+    /// From the arrival of a job until the first of its tasks is started by a scheduler.
+    FirstWait(u64),
+    /// For which an upstream had its last end behind it when a task was started there that had waited
+    /// as long: the room stood empty.
+    IdleRoom(u64),
+    /// Age of the word of a zone's room by which tasks were handed there.
+    LoadAge(u64),
 }
 
 /// Answer to a ticket.
--- a/crates/dispatch/src/intake.rs
+++ b/crates/dispatch/src/intake.rs
@@ -102,6 +102,9 @@
                 return Some(Refusal::TooLarge);
             }
         }
+        if !self.policy.refuse_overload {
+            return None;
+        }
         if now < self.since + SURVEY && self.lanes.values().any(|lane| !lane.is_read()) {
             return None;
         }
--- a/crates/dispatch/src/lane.rs
+++ b/crates/dispatch/src/lane.rs
@@ -90,6 +90,8 @@
     pub(crate) silent: Option<u64>,
     pub(crate) seen: u64,
     pub(crate) full: u64,
+    /// When a run was last seen ended.
+    pub(crate) freed: u64,
     clock: Option<Clock>,
     granted: u64,
     hold: Option<(u64, u64)>,
@@ -111,6 +113,7 @@
             silent: None,
             seen: 0,
             full: 0,
+            freed: 0,
             clock: None,
             granted: 0,
             hold: None,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,7 +24,8 @@
 //!     role: member::Role::Entry,
 //!     life: 1_800_000_000_000,
 //! };
-//! let config = core::Config { me, seeds: Vec::new(), lease: 950, seed: 7, disk: None };
+//! let policy = state::policy::Policy::default();
+//! let config = core::Config { me, seeds: Vec::new(), lease: 950, seed: 7, policy, disk: None };
 //! let mut clock = time::Now::new(1, 1_800_000_000_000);
 //! let mut core = Core::new(config, clock);
 //! for _ in 0..100 {
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -106,11 +106,12 @@
             let known = run.is_some_and(|run| run.attempt == end.attempt);
             if known {
                 lane.runs.remove(&end.task);
+                lane.freed = now;
             }
             match end.end {
                 End::Done => lane.health.good(),
                 End::Failed if known => {
-                    if lane.health.bad(now) {
+                    if self.policy.put_aside && lane.health.bad(now) {
                         self.note("lane: Put aside, it fails what it starts.", id, "");
                     }
                 }
@@ -182,7 +183,10 @@
                     }
                     if run.progress.1 != row.percent {
                         run.progress = (now, row.percent);
-                    } else if now >= run.progress.0 + HANG && run.unwanted.is_none() {
+                    } else if self.policy.stop_hung
+                        && now >= run.progress.0 + HANG
+                        && run.unwanted.is_none()
+                    {
                         hung.push(row.task.clone());
                     }
                 }
@@ -225,7 +229,8 @@
 
     fn hung(&mut self, id: &name::Name, task: &Task, now: u64) {
         self.note("lane: A task makes no progress, stopping it.", id, &task.job.to_string());
-        if let Some(lane) = self.lanes.get_mut(id)
+        if self.policy.put_aside
+            && let Some(lane) = self.lanes.get_mut(id)
             && lane.health.bad(now)
         {
             self.note("lane: Put aside, its tasks make no progress.", id, "");
@@ -258,7 +263,9 @@
                     Reason::Room | Reason::Late => lane.full = now + FULL,
                     Reason::Unhealthy => {
                         lane.full = now + FULL * 3;
-                        lane.health.bad(now);
+                        if self.policy.put_aside {
+                            lane.health.bad(now);
+                        }
                     }
                     Reason::Old | Reason::Fence | Reason::Invalid => {}
                 }
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -12,7 +12,7 @@
 
 use std::collections;
 
-use state::name;
+use state::{name, policy};
 
 use crate::{job, lane, upstream};
 
@@ -38,6 +38,7 @@
     /// All tasks that run; worked out when it is first asked for.
     running: Option<collections::HashSet<&'a job::Task>>,
     placed: Vec<(job::Task, name::Name)>,
+    policy: policy::Policy,
 }
 
 #[derive(Debug)]
@@ -56,7 +57,14 @@
             free.filter(|free| free.room.cpu > 0).partition(Free::is_doubtful);
         sound.sort_by_key(|free| free.room.cpu);
         doubtful.sort_by_key(|free| free.room.cpu);
-        Self { lanes, sound, doubtful, running: None, placed: Vec::new() }
+        let policy = policy::Policy::default();
+        Self { lanes, sound, doubtful, running: None, placed: Vec::new(), policy }
+    }
+
+    /// Places tasks by `policy`.
+    #[must_use]
+    pub fn with_policy(self, policy: policy::Policy) -> Self {
+        Self { policy, ..self }
     }
 
     /// The most cores that are free at one upstream, thousandths.
@@ -114,8 +122,9 @@
                 && labelled
                 && (step.spread == 0 || self.count(free.lane, task) < step.spread)
         };
-        let found = list[from..].iter().position(fits)?;
-        Some(from + found)
+        let mut able = list[from..].iter();
+        let found = if self.policy.tight_fit { able.position(fits) } else { able.rposition(fits) };
+        Some(from + found?)
     }
 
     /// Tasks of the step at an upstream, those that were just placed there included.
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -2,10 +2,11 @@
 
 use std::collections;
 
-use state::name;
+use state::{name, policy};
 
 use crate::{
     active::{Active, Phase},
+    event,
     job::{Task, Verdict},
     lane::{Lane, Run, Stage},
     message,
@@ -47,7 +48,9 @@
     /// Upstreams that have seen a higher fencing token than any this scheduler used.
     pub outranked: Vec<name::Name>,
     /// Decisions worth a log line.
-    pub notes: Vec<crate::event::Note>,
+    pub notes: Vec<event::Note>,
+    /// Times for histograms.
+    pub measures: Vec<event::Measure>,
 }
 
 /// What a call was for, kept until its outcome is known.
@@ -81,6 +84,7 @@
     /// Upstreams without a hold under way.
     pub(crate) unasked: collections::BTreeSet<name::Name>,
     pub(crate) dirty: bool,
+    pub(crate) policy: policy::Policy,
     pub(crate) out: Output,
 }
 
@@ -103,10 +107,17 @@
             number: now << 8,
             unasked: collections::BTreeSet::new(),
             dirty: false,
+            policy: policy::Policy::default(),
             out: Output::default(),
         }
     }
 
+    /// Lets it decide by `policy`.
+    #[must_use]
+    pub fn with_policy(self, policy: policy::Policy) -> Self {
+        Self { policy, ..self }
+    }
+
     /// Takes the effects collected so far.
     pub fn take(&mut self) -> Output {
         std::mem::take(&mut self.out)
@@ -292,7 +303,7 @@
                 active.waiting(),
                 active.entry
             );
-            let note = crate::event::Note { text: "job: Ended.", subject: id.clone(), detail };
+            let note = event::Note { text: "job: Ended.", subject: id.clone(), detail };
             self.out.notes.push(note);
             let (entry, number, share) = (active.entry.clone(), active.number, active.held());
             self.rule(&entry, id, message::Ruling { number, share, verdict }, now);
@@ -376,13 +387,14 @@
             let is_fresh = |clock| (active.stamp..=active.stamp + FRESH).contains(&clock);
             alive(&active.entry).is_some_and(is_fresh)
         };
-        let mut room = place::Room::new(&self.lanes, now);
+        let mut room = place::Room::new(&self.lanes, now).with_policy(self.policy);
         let most = room.most();
         let waits = |active: &&Active| {
             active.waiting() > 0 && !barred(active) && active.job.least() <= most
         };
         let load = self.load(now);
-        let (crowded, swamped) = (queue::is_crowded(load), queue::is_swamped(load));
+        let crowded = self.policy.shortest_first && queue::is_crowded(load);
+        let swamped = self.policy.refuse_late && queue::is_swamped(load);
         let waiting = self.jobs.values().filter(waits).filter(|active| fresh(active));
         let ranked = waiting.map(|active| (queue::rank(active, crowded, now), active));
         let welcome = |rank: queue::Hope| !(swamped && rank == queue::Hope::Late);
@@ -403,6 +415,12 @@
         let Some(lane) = self.lanes.get_mut(id) else { return };
         let Some(until) = lane.grant(self.lease, now) else { return };
         let need = active.job.steps[task.step as usize].need;
+        let waited = now.saturating_sub(active.arrived);
+        if !active.started {
+            self.out.measures.push(event::Measure::FirstWait(waited));
+        }
+        let idle = waited.min(now.saturating_sub(lane.freed));
+        self.out.measures.push(event::Measure::IdleRoom(idle));
         active.set(task, Phase::Placed(id.clone()));
         let Some(item) = active.item_mut(task) else { return };
         item.attempt += 1;
@@ -412,7 +430,7 @@
         lane.runs.insert(task.clone(), run);
         self.number += 1;
         let spec = active.job.spec.clone();
-        let waited = now.saturating_sub(active.arrived) / time::MS;
+        let waited = waited / time::MS;
         let detail = format!(
             "task {}.{} run {attempt}, {waited} ms after it arrived, {}m cores left there, token {}",
             task.step,
@@ -421,14 +439,14 @@
             lane.fence
         );
         let (text, subject) = ("job: Starting a task.", task.job.clone());
-        self.out.notes.push(crate::event::Note { text, subject, detail });
+        self.out.notes.push(event::Note { text, subject, detail });
         let order = Order::Start { task: task.clone(), attempt, spec, until, waited };
         self.sent.insert(self.number, (id.clone(), now, Sent::Start(task.clone(), attempt)));
         self.out.calls.push(lane.order(self.number, order));
     }
 
     pub(crate) fn note(&mut self, text: &'static str, subject: &name::Name, detail: &str) {
-        let note = crate::event::Note { text, subject: subject.clone(), detail: detail.to_owned() };
+        let note = event::Note { text, subject: subject.clone(), detail: detail.to_owned() };
         self.out.notes.push(note);
     }
 }
--- a/crates/dispatch/src/upkeep.rs
+++ b/crates/dispatch/src/upkeep.rs
@@ -43,12 +43,15 @@
     /// Ends jobs that can't be answered in time any more.
     pub(crate) fn expire(&mut self, now: u64) {
         let mut over = Vec::new();
-        let swamped = queue::is_swamped(self.load(now));
+        let policy = self.policy;
+        let swamped = policy.refuse_late && queue::is_swamped(self.load(now));
         let unwelcome = |active: &Active| swamped && queue::hope(active, now) == queue::Hope::Late;
         for (id, active) in &self.jobs {
             if now >= active.end() {
                 over.push((id.clone(), active.started));
-            } else if !active.started && (queue::is_hopeless(active, now) || unwelcome(active)) {
+            } else if !active.started
+                && (policy.refuse_hopeless && queue::is_hopeless(active, now) || unwelcome(active))
+            {
                 over.push((id.clone(), false));
             }
         }
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -17,7 +17,7 @@
     upstream::{Phase, Record},
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
-use state::name::Name;
+use state::{name::Name, policy::Policy};
 
 mod client;
 pub mod link;
@@ -157,6 +157,8 @@
     lagged: BTreeMap<(usize, usize), u64>,
     /// Streams that carry nothing until they are dialled anew.
     pub silent: BTreeSet<(usize, usize)>,
+    /// How instances that start from now on decide.
+    pub policy: Policy,
     tickets: BTreeMap<u64, Name>,
     queue: BinaryHeap<Due>,
     order: u64,
@@ -213,6 +215,7 @@
             lag: (0, 0),
             lagged: BTreeMap::new(),
             silent: BTreeSet::new(),
+            policy: Policy::default(),
             tickets: BTreeMap::new(),
             queue: BinaryHeap::new(),
             order: 0,
@@ -270,7 +273,8 @@
             recovered: mirror.recovered(),
             first,
         });
-        let config = core::Config { me: instance.card.clone(), seeds, lease: 950, seed, disk };
+        let (me, policy) = (instance.card.clone(), self.policy);
+        let config = core::Config { me, seeds, lease: 950, seed, policy, disk };
         instance.core = Some(Core::new(config, now));
     }
 
--- a/crates/link/src/metric.rs
+++ b/crates/link/src/metric.rs
@@ -22,6 +22,9 @@
     over: Histogram<f64>,
     calls: Histogram<f64>,
     starts: Histogram<f64>,
+    first_starts: Histogram<f64>,
+    idle_rooms: Histogram<f64>,
+    load_ages: Histogram<f64>,
     replies: Histogram<f64>,
     syncs: Histogram<f64>,
     reads: Histogram<f64>,
@@ -65,6 +68,9 @@
             over: meter.f64_histogram("over_ideal_ms").with_boundaries(bounds).build(),
             calls: seconds("upstream_call_seconds"),
             starts: seconds("start_wait_seconds"),
+            first_starts: seconds("first_start_wait_seconds"),
+            idle_rooms: seconds("idle_room_seconds"),
+            load_ages: seconds("load_age_seconds"),
             replies: seconds("reply_seconds"),
             syncs: seconds("disk_sync_seconds"),
             reads: seconds("settings_read_seconds"),
@@ -150,6 +156,27 @@
     }
 }
 
+/// Notes how long a job waited until the first of its tasks was started.
+pub fn note_first_start(waited: time::Duration) {
+    if let Some(metrics) = metrics() {
+        metrics.first_starts.record(waited.as_secs_f64(), &[]);
+    }
+}
+
+/// Notes how long room stood empty while the task waited that was started there then.
+pub fn note_idle_room(idle: time::Duration) {
+    if let Some(metrics) = metrics() {
+        metrics.idle_rooms.record(idle.as_secs_f64(), &[]);
+    }
+}
+
+/// Notes how old the word of a zone's room was by which tasks were handed there.
+pub fn note_load_age(age: time::Duration) {
+    if let Some(metrics) = metrics() {
+        metrics.load_ages.record(age.as_secs_f64(), &[]);
+    }
+}
+
 /// Notes how long a reply took, by its outcome and the service that was asked for.
 pub fn note_reply(outcome: &'static str, service: &str, took: time::Duration) {
     if let Some(metrics) = metrics() {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod locate;
 pub mod name;
 pub mod node;
+pub mod policy;
 mod reader;
 pub mod table;
 pub mod tree;
--- a/crates/state/src/node.rs
+++ b/crates/state/src/node.rs
@@ -5,7 +5,7 @@
 use crate::{
     boot,
     locate::{Fault, Located},
-    name,
+    name, policy,
     reader::{Members, Reader},
 };
 
@@ -55,6 +55,8 @@
     pub lease_ms: u64,
     /// Time from SIGTERM to the forced end, milliseconds.
     pub grace_ms: u64,
+    /// Which ways of deciding are in use.
+    pub policy: policy::Policy,
     /// What is logged and how.
     pub log: boot::Log,
     /// Added to the time of day, milliseconds: shows in trials what a wrong clock does.
@@ -118,6 +120,8 @@
         let lease = map.remove("lease_ms").and_then(|at| self.whole(&at));
         let grace = map.remove("grace_ms").and_then(|at| self.whole(&at));
         let offset = map.remove("clock_offset_ms").and_then(|at| self.signed(&at));
+        let policy =
+            map.remove("decisions").map_or_else(policy::Policy::default, |at| self.policy(&at));
         let log = map.remove("log").map_or_else(boot::Log::default, |at| self.log(&at));
         self.leftover(map);
         Some(Node {
@@ -135,6 +139,7 @@
             first: first.unwrap_or(false),
             lease_ms: lease.unwrap_or(DEFAULT_LEASE_MS),
             grace_ms: grace.unwrap_or(DEFAULT_GRACE_MS),
+            policy,
             log,
             clock_offset: offset.unwrap_or(0),
         })
@@ -153,6 +158,18 @@
         self.address(root, map, key)
     }
 
+    fn policy(&mut self, at: &Located<'_>) -> policy::Policy {
+        let mut policy = policy::Policy::default();
+        let Some(mut map) = self.object(at) else { return policy };
+        for (name, choice) in policy::Policy::CHOICES {
+            if let Some(on) = map.remove(*name).and_then(|at| self.flag(&at)) {
+                *choice(&mut policy) = on;
+            }
+        }
+        self.leftover(map);
+        policy
+    }
+
     fn seeds(&mut self, map: &mut Members<'_>) -> Vec<net::SocketAddr> {
         let Some(at) = map.remove("seeds") else {
             return Vec::new();
