Lists of upstreams are due at once to whom none was sent

Cause: the time of the last list was 0 where there was none, and the steady clock of a process that just started is below the pause of 500 ms; lists of upstreams shared that time with lists of instances, which differ a message earlier. A configuration was asked for over a stream that was not up yet, and again 400 ms later.

Change: lists of upstreams have a time of their own, none at first; keepers give a configuration of up to 4 KB unasked to whom has none; claims after 150 ms; where instances are few all are remembered.

Tried and dropped: lists of instances at once as well, which left many::nobody_forgotten and forgotten_and_back red, since whom an instance ought to hear is never taken back once it was so (roster, refresh); taking it back left many::late_heartbeats red (11 redials of 10 allowed).

--- a/crates/dispatch/src/claim.rs
+++ b/crates/dispatch/src/claim.rs
@@ -13,7 +13,7 @@
 /// An instance that starts waits this long for an older scheduler to be heard of, microseconds.
 /// First heartbeats are answered at once: that takes some 30 ms, and 130 ms where a stream has to
 /// be dialled twice. After a loss of everything nobody serves meanwhile.
-const SETTLE: u64 = 250 * time::MS;
+const SETTLE: u64 = 150 * time::MS;
 /// An entry that starts without a configuration could take no client, and has met nobody who could give
 /// it one; it lets keepers go first for this long, microseconds. After a loss of power everywhere
 /// entries are back up to 400 ms before the keepers.
--- a/crates/dispatch/src/news.rs
+++ b/crates/dispatch/src/news.rs
@@ -19,6 +19,10 @@
 /// that it has.
 const OUTDATED: u64 = 1_100 * MS;
 
+/// A configuration up to this size is given unasked, bytes: several keepers may do so, and each takes
+/// 1.3 ms of a link of 25 Mbit/s.
+const UNASKED: usize = 4_096;
+
 impl Core {
     /// Takes the version that another instance has.
     pub(crate) fn hear_version(&mut self, version: u64, now: Now) {
@@ -52,6 +56,18 @@
         }
     }
 
+    /// Gives the configuration to an instance that has none, unasked if it is short: its question may
+    /// be lost, as its stream to here is not up yet.
+    pub(crate) fn give_document(&mut self, to: &name::Name, now: Now) {
+        let held = self.vault.is_some() && self.document.version > 0;
+        if held && self.document.body.len() <= UNASKED {
+            let ask = fetch::Ask { version: self.document.version, offset: 0 };
+            if let Some(part) = fetch::part(&self.document, ask) {
+                self.send(to, Body::Part(part), now);
+            }
+        }
+    }
+
     /// Takes a part of a configuration.
     pub(crate) fn on_part(&mut self, from: &name::Name, part: &fetch::Part, now: Now) {
         match self.fetch.take(from, part, now.mono) {
--- a/crates/dispatch/src/peer.rs
+++ b/crates/dispatch/src/peer.rs
@@ -17,7 +17,9 @@
     pub(crate) heard: u64,
     pub(crate) direct: u64,
     pub(crate) echoed: u64,
-    pub(crate) synced: u64,
+    /// When lists of instances and of upstreams were last sent to it.
+    pub(crate) synced: Option<u64>,
+    pub(crate) listed: Option<u64>,
     pub(crate) since: u64,
     /// When its last heartbeat was read.
     pub(crate) read: u64,
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -186,6 +186,9 @@
             self.note("peer: Heard.", &from, String::new());
             // It has just started: what it lacks comes with the answer to this.
             self.beat_now(&from, now);
+            if version == 0 {
+                self.give_document(&from, now);
+            }
             if let Some(sched) = &mut self.sched {
                 sched.forget_entry(&from);
             }
@@ -201,18 +204,14 @@
         }
         self.hear_version(version, now);
         let zone = self.roster.me().zone.clone();
-        let differs = (
-            members != self.roster.digest() || self.roster.is_forgotten(&from),
-            records.is_some_and(|digest| digest != self.table.digest(&zone)),
-        );
-        if differs != (false, false) && self.roster.is_sync_due(&from, now.mono) {
-            if differs.0 {
-                self.send(&from, Body::Members(self.roster.cards(), self.roster.gone()), now);
-            }
-            if differs.1 {
-                let records = self.table.present(&zone).cloned().collect();
-                self.send(&from, Body::Listing(zone, records), now);
-            }
+        let strange = members != self.roster.digest() || self.roster.is_forgotten(&from);
+        if strange && self.roster.is_sync_due(&from, now.mono) {
+            self.send(&from, Body::Members(self.roster.cards(), self.roster.gone()), now);
+        }
+        let differs = records.is_some_and(|digest| digest != self.table.digest(&zone));
+        if differs && self.roster.is_listing_due(&from, now.mono) {
+            let records = self.table.present(&zone).cloned().collect();
+            self.send(&from, Body::Listing(zone, records), now);
         }
         self.yield_to_higher();
     }
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -87,9 +87,13 @@
         }
     }
 
-    /// The keepers, and the first of this zone by rank: whom an instance looks for after a restart.
+    /// Whom an instance looks for after a restart: everybody where they are few, else the keepers and
+    /// the first of its zone by rank.
     pub fn neighbours(&self) -> Vec<name::Name> {
         let cards = || self.peers.values().filter_map(|peer| peer.card.as_ref());
+        if self.near.is_few() {
+            return cards().map(|card| card.name.clone()).collect();
+        }
         let keepers = cards().filter(|card| card.role == member::Role::Keeper);
         let mut near: Vec<_> = cards().filter(|card| card.zone == self.me.zone).collect();
         near.sort_by_key(|card| card.rank());
@@ -411,14 +415,18 @@
         used || self.peers.get(name).is_some_and(near)
     }
 
-    /// Whether the whole list is due to an instance whose digest differs.
+    /// Whether the whole list of instances is due to one whose digest of it differs.
     pub fn is_sync_due(&mut self, name: &name::Name, now: u64) -> bool {
-        let Some(peer) = self.peers.get_mut(name) else { return false };
-        let due = now >= peer.synced + SYNC;
-        if due {
-            peer.synced = now;
-        }
-        due
+        // At a start of everything who is known grows with each message; what there is after a while
+        // is worth sending.
+        let settled = now >= self.start + SYNC;
+        settled && self.peers.get_mut(name).is_some_and(|peer| is_due(&mut peer.synced, now))
+    }
+
+    /// The same of upstreams. These differ a message later than instances after a restart, since who
+    /// does not know an instance does not tell it a digest of its zone.
+    pub fn is_listing_due(&mut self, name: &name::Name, now: u64) -> bool {
+        self.peers.get_mut(name).is_some_and(|peer| is_due(&mut peer.listed, now))
     }
 
     /// The instances that a heartbeat is due to. `used` says whom this instance works with.
@@ -494,6 +502,15 @@
     }
 }
 
+/// Whether something is due that was last done at `last`, if ever; it counts as done then.
+fn is_due(last: &mut Option<u64>, now: u64) -> bool {
+    let due = last.is_none_or(|last| now >= last + SYNC);
+    if due {
+        *last = Some(now);
+    }
+    due
+}
+
 pub(crate) fn short(name: &name::Name) -> u32 {
     xxhash_rust::xxh3::xxh3_64(name.as_str().as_bytes()) as u32
 }
