--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,6 +15,18 @@
 //! - [`vault`], [`fetch`], [`pack`] and [`routing`]: the replicated configuration, how it reaches
 //!   everybody, and what it says of a request.
 //!
+//! # Decisions about queueing, refusing and placing
+//!
+//! | decision | load that it answers | where |
+//! | --- | --- | --- |
+//! | which zone gets a task | one zone is full while others are not | [`desk`], [`share`] |
+//! | which job goes first, which late ones are refused | arrivals near the room and beyond | [`queue`] |
+//! | what is refused when it arrives | queues longer than any objective | [`queue::refuse`] |
+//! | which upstream gets a task | more jobs than fit, tasks of 10 to 20 cores | [`place`] |
+//! | which upstreams are put aside, which tasks stopped | ones that fail or hang | [`health`] |
+//! | when an order is given up | orders that get lost | [`lane`] |
+//! | who schedules a zone, and when another does | losses, cuts, restarts of everything | [`claim`] |
+//!
 //! ```
 //! use dispatch::{Core, core, event, member, time};
 //!
