--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -347,12 +347,7 @@
             Output::Redial(to) => self.work.push(Work::Redial(to)),
             Output::Disconnect(to) => self.work.push(Work::Disconnect(to)),
             Output::Save(number, save) => self.saves.push((number, save)),
-            Output::Remember(known) => {
-                if let Some(store) = &self.store {
-                    // As with saves, a store that stopped is not heard of again.
-                    drop(store.send(store::Write::Known(known)));
-                }
-            }
+            Output::Remember(known) => self.store(store::Write::Known(known)),
             Output::Call(call) => {
                 if let order::Order::Start { waited, .. } = &call.order {
                     metric::note_start(time::Duration::from_millis(*waited));
@@ -397,6 +392,13 @@
         }
     }
 
+    fn store(&self, write: store::Write) {
+        if let Some(store) = &self.store {
+            // A store that stopped is never heard of again, which is what its voter needs.
+            drop(store.send(write));
+        }
+    }
+
     fn flush(&mut self) {
         let batches = std::mem::take(&mut self.batches);
         self.work.extend(batches.into_iter().map(|(to, bodies)| Work::Send(to, bodies)));
@@ -406,10 +408,7 @@
         }
         if !self.saves.is_empty() {
             let saves = std::mem::take(&mut self.saves);
-            if let Some(store) = &self.store {
-                // A store that stopped is never heard of again, which is what its voter needs.
-                drop(store.send(store::Write::Saves(saves)));
-            }
+            self.store(store::Write::Saves(saves));
         }
         let (view, now) = (&self.control.view, self.control.clock.now());
         let able = self.core.is_ready(now) && view.routing().version > 0;
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -187,6 +187,9 @@
     if store.torn > 0 {
         slog::warn!(log, "store: Cut an unfinished write."; "bytes" => store.torn);
     }
+    if let Some(fault) = &store.fault {
+        slog::warn!(log, "store: Who was known cannot be read."; "error" => fault);
+    }
     slog::info!(log, "store: Opened."; "life" => store.life, "entries" => store.entries(),
         "upstreams" => store.known.upstreams.len());
     Ok(store)
--- a/crates/apricotroute/src/store.rs
+++ b/crates/apricotroute/src/store.rs
@@ -34,6 +34,8 @@
     pub torn: u64,
     /// Who was known last.
     pub known: Known,
+    /// Why that could not be read, if it could not.
+    pub fault: Option<String>,
 }
 
 impl Store {
@@ -44,10 +46,15 @@
             folder::Folder::open(path, instance, life).change_context_lazy(fault)?;
         let mirror = Mirror::load(loaded.snapshot.as_deref(), &loaded.records);
         let mirror = mirror.ok_or_else(|| error_stack::Report::new(fault()))?;
-        let hints = loaded.hints.unwrap_or_default();
-        // Hints of another layout help as little as none.
-        let known = postcard::from_bytes(&hints).unwrap_or_default();
-        Ok(Self { folder, mirror, life: loaded.life, torn: loaded.torn, known })
+        let mut fault = loaded.fault.map(|fault| fault.to_string());
+        let mut known = Known::default();
+        if let Some(hints) = &loaded.hints {
+            match postcard::from_bytes(hints) {
+                Ok(held) => known = held,
+                Err(e) => fault = Some(e.to_string()),
+            }
+        }
+        Ok(Self { folder, mirror, life: loaded.life, torn: loaded.torn, known, fault })
     }
 
     /// What the group starts from.
--- a/crates/dispatch/src/claim.rs
+++ b/crates/dispatch/src/claim.rs
@@ -130,8 +130,7 @@
             return Some(self.raise(me, now));
         }
         // A claim of its own that others remember and that it does not stand by any more.
-        let disused =
-            !stand.schedules && self.of(&me.zone).is_some_and(|claim| claim.holder == me.name);
+        let disused = !stand.schedules && self.is_own(me);
         let led = self.is_led(&me.zone, roster, now.mono) || roster.mate_is_led(now.mono);
         let led = led && !disused;
         let unset = me.role == member::Role::Entry && !stand.configured;
@@ -176,11 +175,16 @@
     /// scheduler is heard again it would outrank that one's, and nobody would schedule the zone.
     pub fn bar(&mut self, me: &member::Card, now: u64) {
         self.barred = now + BARRED;
-        if self.of(&me.zone).is_some_and(|claim| claim.holder == me.name) {
+        if self.is_own(me) {
             self.highest.remove(&me.zone);
         }
     }
 
+    /// Whether the highest claim to the zone of `me` is its own.
+    fn is_own(&self, me: &member::Card) -> bool {
+        self.of(&me.zone).is_some_and(|claim| claim.holder == me.name)
+    }
+
     /// Claims the zone above a scheduler that is not heard of but has a higher fencing token.
     pub fn overrule(&mut self, me: &member::Card, now: time::Now) -> Claim {
         self.raise(me, time::Now::new(now.mono, now.wall + LEAP))
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -114,8 +114,8 @@
 impl Core {
     /// An instance that starts at `now`.
     pub fn new(config: Config, now: Now) -> Self {
-        let Config { me, seeds, lease, seed, policy, disk } = config;
-        let known = disk.as_ref().map_or_else(Known::default, |disk| disk.known.clone());
+        let Config { me, seeds, lease, seed, policy, mut disk } = config;
+        let known = disk.as_mut().map(|disk| std::mem::take(&mut disk.known)).unwrap_or_default();
         let vault = disk.map(|disk| {
             let member = name::Member::new(&me.name, disk.life);
             let founder = disk.first && seeds.contains(&me.name);
--- a/crates/dispatch/src/fetch.rs
+++ b/crates/dispatch/src/fetch.rs
@@ -87,11 +87,6 @@
 }
 
 impl Fetch {
-    /// The version that is being fetched; 0 for none.
-    pub fn version(&self) -> u64 {
-        self.version
-    }
-
     /// Whether somebody is to be asked for `version`.
     pub fn is_due(&self, version: u64, now: u64) -> bool {
         version > self.version || self.source.is_none() || now >= self.asked + self.patience()
--- a/crates/dispatch/src/part.rs
+++ b/crates/dispatch/src/part.rs
@@ -103,11 +103,18 @@
     /// Takes the tasks back from their scheduler; some may run on.
     fn resume(&mut self) {
         self.resumed = true;
-        if self.with.take().is_none() || self.former.contains(&self.told) {
+        if self.with.take().is_some() {
+            self.add_former(self.told);
+        }
+    }
+
+    /// Notes the set of upstreams of a scheduler that had some of it before.
+    fn add_former(&mut self, set: u64) {
+        if self.former.contains(&set) {
             return;
         }
         if self.former.len() < FORMER_SETS {
-            self.former.push(self.told);
+            self.former.push(set);
         } else {
             self.former = smallvec::smallvec![UNKNOWN];
         }
@@ -135,9 +142,7 @@
         self.resumed |= other.resumed;
         self.tried = other.tried;
         for set in other.former {
-            if !self.former.contains(&set) {
-                self.former.push(set);
-            }
+            self.add_former(set);
         }
     }
 
--- a/crates/dispatch/tests/owner.rs
+++ b/crates/dispatch/tests/owner.rs
@@ -1,54 +1,24 @@
 //! A scheduler and its upstreams, call by call.
 
+mod sample;
+
 use dispatch::{
-    job::{Job, Step, Task, Verdict},
+    job::{Job, Task, Verdict},
     message::Ruling,
     order::{Call, End, Ended, Order, Outcome, Reason, Running},
     sched::Sched,
     share::Share,
     time::MS,
-    upstream::{Phase, Record, Room},
 };
+use sample::{CLOCK, job, record};
 use state::name::Name;
 
-const CLOCK: u64 = 500_000;
-
 struct Play {
     sched: Sched,
     now: u64,
     verdicts: Vec<(Name, Name, Ruling)>,
 }
 
-fn record(id: &str) -> Record {
-    Record {
-        id: id.into(),
-        service: "board".into(),
-        address: "10.0.0.9:80".into(),
-        zone: "west".into(),
-        room: Room { cpu: 32_000, memory: 64_000, accelerators: 0 },
-        labels: smallvec::SmallVec::new(),
-        phase: Phase::Serving,
-        serial: 1,
-    }
-}
-
-fn job(id: &str, count: u32) -> Job {
-    let need = Room { cpu: 14_000, memory: 64, accelerators: 0 };
-    Job {
-        id: id.into(),
-        service: "board".into(),
-        spec: "text".into(),
-        steps: vec![Step { count, need, estimate: 200, ..Step::default() }],
-        priority: 0,
-        attempts: 3,
-        objective: 380,
-        patience: 3_000,
-        age: 0,
-        resumed: false,
-        stamp: 0,
-    }
-}
-
 fn task(job: &str, index: u32) -> Task {
     Task { job: job.into(), step: 0, index }
 }
--- /dev/null
+++ b/crates/dispatch/tests/sample/mod.rs
@@ -0,0 +1,41 @@
+//! An upstream and a job, as the tests of one scheduler have them.
+
+use dispatch::{
+    job::{Job, Step},
+    upstream::{Phase, Record, Room},
+};
+
+/// The clock of upstreams when the tests begin, milliseconds.
+pub const CLOCK: u64 = 500_000;
+
+/// An upstream with room for two tasks.
+pub fn record(id: &str) -> Record {
+    Record {
+        id: id.into(),
+        service: "board".into(),
+        address: "10.0.0.9:80".into(),
+        zone: "west".into(),
+        room: Room { cpu: 32_000, memory: 64_000, accelerators: 0 },
+        labels: smallvec::SmallVec::new(),
+        phase: Phase::Serving,
+        serial: 1,
+    }
+}
+
+/// A job of `count` tasks of 200 ms.
+pub fn job(id: &str, count: u32) -> Job {
+    let need = Room { cpu: 14_000, memory: 64, accelerators: 0 };
+    Job {
+        id: id.into(),
+        service: "board".into(),
+        spec: "text".into(),
+        steps: vec![Step { count, need, estimate: 200, ..Step::default() }],
+        priority: 0,
+        attempts: 3,
+        objective: 380,
+        patience: 3_000,
+        age: 0,
+        resumed: false,
+        stamp: 0,
+    }
+}
--- a/crates/dispatch/tests/stopped.rs
+++ b/crates/dispatch/tests/stopped.rs
@@ -1,49 +1,25 @@
 //! Runs that nobody wants are told to stop, however they came about.
 
+mod sample;
+
 use dispatch::{
-    job::{Job, Step, Task},
+    job::{Job, Task},
     order::{Call, End, Ended, Order, Outcome, Running},
     sched::Sched,
     time::MS,
-    upstream::{Phase, Record, Room},
+    upstream::{Phase, Record},
 };
+use sample::{CLOCK, record};
 use state::name::Name;
 
-const CLOCK: u64 = 500_000;
-
 struct Play {
     sched: Sched,
     now: u64,
 }
 
-fn record(id: &str) -> Record {
-    Record {
-        id: id.into(),
-        service: "board".into(),
-        address: "10.0.0.9:80".into(),
-        zone: "west".into(),
-        room: Room { cpu: 32_000, memory: 64_000, accelerators: 0 },
-        labels: smallvec::SmallVec::new(),
-        phase: Phase::Serving,
-        serial: 1,
-    }
-}
-
+/// A job of one task that another scheduler may have started.
 fn job(id: &str) -> Job {
-    let need = Room { cpu: 14_000, memory: 64, accelerators: 0 };
-    Job {
-        id: id.into(),
-        service: "board".into(),
-        spec: "text".into(),
-        steps: vec![Step { count: 1, need, estimate: 200, ..Step::default() }],
-        priority: 0,
-        attempts: 3,
-        objective: 380,
-        patience: 3_000,
-        age: 0,
-        resumed: true,
-        stamp: 0,
-    }
+    Job { resumed: true, ..sample::job(id, 1) }
 }
 
 fn task() -> Task {
--- a/crates/state/src/folder.rs
+++ b/crates/state/src/folder.rs
@@ -48,8 +48,10 @@
     pub records: Vec<Vec<u8>>,
     /// Bytes of an unfinished write that were cut.
     pub torn: u64,
-    /// The last hints; none if there are none, or they were damaged.
+    /// The last hints, if there are some.
     pub hints: Option<Vec<u8>>,
+    /// Why there are none although some were written.
+    pub fault: Option<error::Error>,
 }
 
 impl Folder {
@@ -79,12 +81,17 @@
         let generation = stored.as_ref().map_or(0, |stored| stored.generation);
         let (wal, replay) = wal::Wal::open(&log_path(path, generation))?;
         sync_folder(path)?;
+        let (hints, fault) = match read_sealed(&path.join(HINTS)) {
+            Ok(hints) => (hints, None),
+            Err(fault) => (None, Some(fault)),
+        };
         let loaded = Loaded {
             life: identity.life,
             snapshot: stored.map(|stored| stored.state),
             records: replay.records,
             torn: replay.torn,
-            hints: read_sealed(&path.join(HINTS)).ok().flatten(),
+            hints,
+            fault,
         };
         Ok((Self { path: path.to_owned(), wal, generation, _lock: lock }, loaded))
     }
