--- a/crates/apricotroute/src/losses.rs
+++ b/crates/apricotroute/src/losses.rs
@@ -35,6 +35,7 @@
     Unready,
     Refused,
     NoScheduler,
+    Evacuated,
     FullHere,
     FullEverywhere,
     Failed,
@@ -58,6 +59,7 @@
             Self::Unready => "refused: its entry had no configuration that it may go by",
             Self::Refused => "refused: at once, for another reason",
             Self::NoScheduler => "refused: no scheduler was heard",
+            Self::Evacuated => "refused: all zones are evacuated",
             Self::FullHere => "refused: no room, while another zone had some",
             Self::FullEverywhere => "refused: no room in any zone",
             Self::Failed => "failed: a task failed too often",
@@ -88,6 +90,8 @@
     /// Where the time of the task went that ended last.
     parts: Option<split::Parts>,
     answer: Option<String>,
+    /// Whether it went elsewhere, or was given back, because a zone is evacuated.
+    moved: bool,
     /// Zones whose schedulers had some of it.
     zones: collections::BTreeSet<String>,
 }
@@ -100,6 +104,8 @@
     in_time: usize,
     /// Lost requests: seconds since the first line, cause, id.
     lost: Vec<(i64, Cause, String)>,
+    /// Requests that an evacuation kept out of a zone.
+    moved: usize,
     unread: usize,
     left_out: u64,
 }
@@ -132,6 +138,7 @@
             }
         }
         let requests = stories.len() + lost.len();
+        let moved = stories.values().filter(|story| story.moved).count();
         let cause = |(id, story): (&&str, &Story)| {
             Some((story.taken, story.cause(&rooms)?, (*id).to_owned()))
         };
@@ -141,7 +148,7 @@
         }
         lost.sort();
         let (unread, left_out) = (log.unread, log.left_out());
-        Self { window, requests, in_time: requests - lost.len(), lost, unread, left_out }
+        Self { window, requests, in_time: requests - lost.len(), lost, moved, unread, left_out }
     }
 }
 
@@ -167,6 +174,9 @@
                 writeln!(f, "{:>12}  {}", count, cause.text())?;
             }
         }
+        if self.moved > 0 {
+            writeln!(f, "{} requests were kept out of a zone by its evacuation", self.moved)?;
+        }
         if self.left_out > 0 {
             writeln!(f, "{} lines were left out of these logs to bound them", self.left_out)?;
         }
@@ -180,6 +190,7 @@
 impl Story {
     fn note(&mut self, line: &Line) {
         let detail = line.text("detail").unwrap_or_default();
+        self.moved |= line.msg.starts_with("job: ") && detail.ends_with("is evacuated");
         match line.msg.as_str() {
             "job: Starting a task." => {
                 let first = number(detail, " run ") == Some(1);
@@ -226,6 +237,7 @@
             Some("GaveUp") if resumed => Cause::LostScheduler,
             Some("GaveUp") => Cause::GaveUp,
             _ if answer.starts_with("NotRun(NoScheduler") => Cause::NoScheduler,
+            _ if answer.starts_with("NotRun(Evacuated") => Cause::Evacuated,
             _ if answer.starts_with("NotRun(Overload") && elsewhere => Cause::FullHere,
             _ if answer.starts_with("NotRun(Overload") => Cause::FullEverywhere,
             _ => Cause::Refused,
--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -263,6 +263,7 @@
         Reply::Noted => "noted",
         Reply::Newest(_) => "newest",
         Reply::Conflict => "conflict",
+        Reply::NoZone => "no_zone",
         Reply::Unavailable => "unavailable",
     }
 }
--- a/crates/apricotroute/src/node/measure.rs
+++ b/crates/apricotroute/src/node/measure.rs
@@ -22,6 +22,8 @@
     ("upstreams_aside", |status| status.aside as f64),
     ("upstreams_silent", |status| status.silent as f64),
     ("settings_version", |status| status.version as f64),
+    ("evacuated_zones", |status| status.evacuated as f64),
+    ("evacuations_revision", |status| status.revision as f64),
     ("settings_leading", |status| f64::from(u8::from(status.leading))),
     ("settings_term", |status| status.term as f64),
     ("settings_voters", |status| status.voters as f64),
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -172,8 +172,9 @@
         known: store.known.clone(),
     });
     let lease = node.lease_ms * LEASE_SHARE / 100;
-    let (seed, cores, policy) = (rand::random(), node.cores, node.policy);
-    let config = core::Config { me, seeds, lease, seed, cores, policy, disk };
+    let (seed, cores, policy, zones) =
+        (rand::random(), node.cores, node.policy, node.zones.clone());
+    let config = core::Config { me, seeds, lease, seed, cores, policy, zones, disk };
     Ok(control::Parts { config, store, traffic, log: log.clone() })
 }
 
--- a/crates/apricotroute/tests/system/mod.rs
+++ b/crates/apricotroute/tests/system/mod.rs
@@ -336,9 +336,10 @@
 
 /// A request with a body; status 0 if there was no whole answer.
 pub fn call(agent: &ureq::Agent, method: &str, url: &str, body: &[u8]) -> (u16, Value) {
-    let request = if method == "PUT" { agent.put(url) } else { agent.post(url) };
+    let request = ureq::http::Request::builder().method(method).uri(url);
     let request = request.header("Host", HOST).header("Apricotroute-Deadline-Ms", "3000");
-    request.send(body).map_or((0, Value::Null), read)
+    let Ok(request) = request.body(body) else { return (0, Value::Null) };
+    agent.run(request).map_or((0, Value::Null), read)
 }
 
 /// `GET`, as [`call`].
--- a/crates/dispatch/src/active.rs
+++ b/crates/dispatch/src/active.rs
@@ -17,6 +17,15 @@
     Away,
 }
 
+/// Which of the tasks that wait are given back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Return {
+    /// Those that were never started.
+    Unstarted,
+    /// All of them.
+    Waiting,
+}
+
 /// One task.
 #[derive(Clone, Debug)]
 pub struct Item {
@@ -104,11 +113,12 @@
         }
     }
 
-    /// Gives back what waits and was never started; gives the numbers.
-    pub fn give_back(&mut self) -> share::Tasks {
+    /// Gives back tasks that wait; gives their numbers.
+    pub fn give_back(&mut self, which: Return) -> share::Tasks {
         let mut tasks = share::Tasks::new();
         for (item, index) in self.items.iter_mut().flatten().zip(0..) {
-            if item.phase == Phase::Waiting && item.attempt == 0 {
+            let is_meant = which == Return::Waiting || item.attempt == 0;
+            if item.phase == Phase::Waiting && is_meant {
                 item.phase = Phase::Away;
                 tasks.push(index);
             }
@@ -117,6 +127,31 @@
         tasks
     }
 
+    /// Whether what waits may be given back: the tasks of one step, or a job of several that has not
+    /// begun.
+    pub fn is_movable(&self) -> bool {
+        let is_unstarted = |item: &Item| item.phase == Phase::Waiting && item.attempt == 0;
+        self.job.is_divisible() || self.items.iter().flatten().all(is_unstarted)
+    }
+
+    /// Whether one of its tasks may be running.
+    pub fn is_running(&self) -> bool {
+        self.items.iter().flatten().any(|item| matches!(item.phase, Phase::Placed(_)))
+    }
+
+    /// Whether one of these tasks of its first step was started.
+    pub fn has_run(&self, tasks: &[u32]) -> bool {
+        let items = self.items.iter().flatten().zip(0..);
+        items.into_iter().any(|(item, index)| item.attempt > 0 && tasks.contains(&index))
+    }
+
+    /// Whether a run that another scheduler started may go on, at an upstream that has not answered
+    /// yet (`unread`) or that is not known here.
+    pub fn is_barred(&self, unread: bool, now: u64) -> bool {
+        let unsure = unread || !self.uncovered.is_empty();
+        self.job.resumed && unsure && now < self.over
+    }
+
     /// Notes tasks that have done their work before.
     pub fn set_done(&mut self, share: &share::Share) {
         for (item, index) in self.items.iter_mut().flatten().zip(0..) {
--- a/crates/dispatch/src/contest.rs
+++ b/crates/dispatch/src/contest.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     claim::{Claim, NEXT_FENCE, OWNER_BITS},
-    member, roster, time,
+    evacuation, member, roster, time,
 };
 
 /// An instance that starts waits this long for an older scheduler to be heard of, microseconds.
@@ -104,14 +104,21 @@
 
     /// The schedulers that an instance of `zone` keeps in touch with: its own, and the one of the
     /// next zone, where jobs go for which there is no room at home. With all of them, heartbeats
-    /// would grow with the product of zones and instances.
-    pub fn watched<'a>(&'a self, zone: &'a name::Name) -> impl Iterator<Item = &'a Claim> {
+    /// would grow with the product of zones and instances. Where its own zone is evacuated it needs
+    /// the room of all others.
+    pub fn watched<'a>(
+        &'a self,
+        zone: &'a name::Name,
+        evacuations: &'a evacuation::Evacuations,
+    ) -> impl Iterator<Item = &'a Claim> {
         let after = self.highest.range::<str, _>((
             std::ops::Bound::Excluded(zone.as_str()),
             std::ops::Bound::Unbounded,
         ));
         let next = after.map(|(_, claim)| claim).chain(self.highest.values());
-        let next = next.filter(move |claim| claim.zone != *zone).take(1);
+        let is_next = move |claim: &&Claim| claim.zone != *zone && !evacuations.has(&claim.zone);
+        let count = if evacuations.has(zone) { self.highest.len() } else { 1 };
+        let next = next.filter(is_next).take(count);
         self.of(zone).into_iter().chain(next)
     }
 
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -6,7 +6,7 @@
 use state::{name, policy};
 
 use crate::{
-    claim, contest, desk,
+    claim, contest, desk, evacuation,
     event::{Event, Known, Note, Output, Reply, Ticket},
     fetch,
     job::{Refusal, Verdict},
@@ -49,6 +49,8 @@
     pub cores: u64,
     /// Which ways of deciding are in use.
     pub policy: policy::Policy,
+    /// Zones that the settings name.
+    pub zones: Vec<name::Name>,
     /// Incarnation of the disk, what it held, and whether the whole system starts for the first
     /// time; nothing for an instance without a disk.
     pub disk: Option<Disk>,
@@ -86,6 +88,8 @@
     pub(crate) desk: desk::Desk,
     pub(crate) vault: Option<vault::Vault>,
     pub(crate) document: Document,
+    pub(crate) evacuations: evacuation::Evacuations,
+    pub(crate) named_zones: Vec<name::Name>,
     pub(crate) draining: bool,
     pub(crate) leads: bool,
     /// Newer configurations than the one in force, and since when they are known of.
@@ -100,7 +104,7 @@
 impl Core {
     /// An instance that starts at `now`.
     pub fn new(config: Config, now: Now) -> Self {
-        let Config { me, seeds, lease, seed, cores, policy, mut disk } = config;
+        let Config { me, seeds, lease, seed, cores, policy, zones, mut disk } = config;
         let known = disk.as_mut().map(|disk| std::mem::take(&mut disk.known)).unwrap_or_default();
         let vault = disk.map(|disk| {
             let member = name::Member::new(&me.name, disk.life);
@@ -123,6 +127,8 @@
             desk: desk::Desk::default().with_policy(policy),
             vault,
             document: Document::default(),
+            evacuations: evacuation::Evacuations::default(),
+            named_zones: zones,
             draining: false,
             leads: false,
             told: collections::BTreeMap::new(),
@@ -167,6 +173,9 @@
                 Some(vault) => vault.publish(ticket, document, now.mono),
                 None => self.reply(ticket, Reply::Unavailable),
             },
+            Event::Evacuate(ticket, zone, evacuated) => {
+                self.order_evacuation(ticket, zone, evacuated, now);
+            }
             Event::Read(ticket) => match &mut self.vault {
                 Some(vault) => vault.read(ticket, now.mono),
                 None => self.reply(ticket, Reply::Unavailable),
@@ -230,8 +239,13 @@
     /// The desk, and what it goes by.
     pub(crate) fn view(&mut self, now: Now) -> (view::View<'_>, &mut desk::Desk) {
         let upstreams = self.digest();
-        let view =
-            view::View { roster: &self.roster, claims: &self.claims, upstreams, now: now.mono };
+        let view = view::View {
+            roster: &self.roster,
+            claims: &self.claims,
+            evacuations: &self.evacuations,
+            upstreams,
+            now: now.mono,
+        };
         (view, &mut self.desk)
     }
 
@@ -240,6 +254,11 @@
         self.scheds().map(sched::Sched::jobs).sum()
     }
 
+    /// The zones that are evacuated, as far as is known here.
+    pub fn evacuations(&self) -> &evacuation::Evacuations {
+        &self.evacuations
+    }
+
     /// The configuration in force here.
     pub fn document(&self) -> &Document {
         &self.document
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -79,6 +79,8 @@
     tickets: collections::HashMap<Ticket, name::Name>,
     /// How full the zones are, and when that was told.
     loads: collections::BTreeMap<name::Name, (Load, u64)>,
+    /// Since when there is no scheduler that could take tasks.
+    unled: Option<u64>,
     /// Number of the last hand-over.
     number: u64,
     policy: policy::Policy,
@@ -118,7 +120,7 @@
     /// Whether less than a quarter of a zone is free, as far as is known: between two heartbeats of
     /// its scheduler that much may be taken.
     pub fn is_short(&self, zone: &name::Name) -> bool {
-        self.loads.get(zone).is_some_and(|(load, _)| load.free * 4 < load.total)
+        self.loads.get(zone).is_some_and(|(load, _)| load.free * 4 <= load.total)
     }
 
     /// The schedulers that have jobs of this entry's clients.
@@ -218,6 +220,7 @@
         if tasks.is_empty() {
             return;
         }
+        open.begun |= spare.begun;
         if kept.is_empty() {
             part.returned();
             return self.give(id, spare.number, view);
@@ -232,13 +235,14 @@
     /// Lets time pass.
     pub fn tick(&mut self, view: View<'_>) {
         let now = view.now;
+        self.unled = if view.is_led() { None } else { self.unled.or(Some(now)) };
         let mut ask: collections::BTreeMap<(name::Name, name::Name), Vec<Awaited>> =
             collections::BTreeMap::new();
         let mut again = Vec::new();
         let mut over = Vec::new();
         for (id, open) in &mut self.open {
             if now >= open.arrived + open.job.patience * time::MS {
-                over.push((id.clone(), open.last_word()));
+                over.push((id.clone(), open.last_word(Refusal::NoScheduler)));
                 continue;
             }
             for part in &mut open.parts {
@@ -301,7 +305,13 @@
     fn give(&mut self, id: &name::Name, number: u64, view: View<'_>) {
         let Some(open) = self.open.get(id) else { return };
         let Some(at) = open.parts.iter().position(|part| part.number == number) else { return };
-        let Some(choice) = self.choose(open, &open.parts[at], view) else { return };
+        let Some(choice) = self.choose(open, &open.parts[at], view) else {
+            if let Some(refusal) = self.refusal(&open.parts[at], view) {
+                let verdict = open.last_word(refusal);
+                self.close(id, &verdict, view.now);
+            }
+            return;
+        };
         let next = self.next_number(view.now);
         let Some(open) = self.open.get_mut(id) else { return };
         let at = open.join(at, &choice.claim);
@@ -329,11 +339,31 @@
         job.stamp = view.now;
         job.age += view.now.saturating_sub(open.arrived) / time::MS;
         let count = part.share.len(job.count());
-        self.hand(job, handover, count, choice.claim);
+        let evacuated = !view.is_open(&view.roster.me().zone);
+        self.hand(job, handover, count, choice.claim, evacuated);
+    }
+
+    /// Why tasks that nobody can take are not worth waiting with, if they are not.
+    fn refusal(&self, part: &part::Part, view: View<'_>) -> Option<Refusal> {
+        if part.pin.is_some() {
+            None
+        } else if view.is_closed() {
+            Some(Refusal::Evacuated)
+        } else {
+            let unled = self.unled.is_some_and(|since| view.now >= since + NO_SCHEDULER);
+            unled.then_some(Refusal::NoScheduler)
+        }
     }
 
-    /// Sends a job to its scheduler.
-    fn hand(&mut self, job: Job, handover: Handover, count: u32, claim: claim::Claim) {
+    /// Sends a job to its scheduler; `evacuated` tells why it does not go to the entry's own zone.
+    fn hand(
+        &mut self,
+        job: Job,
+        handover: Handover,
+        count: u32,
+        claim: claim::Claim,
+        evacuated: bool,
+    ) {
         let need = job.widest() as i64 * i64::from(count);
         let mut free = 0;
         if let Some((load, told)) = self.loads.get_mut(&claim.zone) {
@@ -343,8 +373,14 @@
         }
         let detail = format!(
             "{count} tasks to {} in {}, epoch {}, {free}m of its free cores left by its last word, \
-             age {} ms, resumed {}, offered {}",
-            claim.holder, claim.zone, claim.epoch, job.age, job.resumed, handover.offer
+             age {} ms, resumed {}, offered {}{}",
+            claim.holder,
+            claim.zone,
+            claim.epoch,
+            job.age,
+            job.resumed,
+            handover.offer,
+            if evacuated { ", its own zone is evacuated" } else { "" }
         );
         let note = Note { text: "job: Handed over.", subject: job.id.clone(), detail };
         self.out.notes.push(note);
@@ -364,7 +400,7 @@
             return Some(Choice { claim, offer: false });
         }
         let able: smallvec::SmallVec<[&claim::Claim; 8]> =
-            view.claims.iter().filter(reached).collect();
+            view.claims.iter().filter(reached).filter(|claim| view.is_open(&claim.zone)).collect();
         let least = open.job.least() as i64;
         let is_hopeful = |claim: &&&claim::Claim| {
             !part.tried.contains(&claim.zone) && !self.is_full(&claim.zone, least, view.now)
@@ -374,8 +410,9 @@
             |claim: &claim::Claim| view.heard(claim).is_some_and(|heard| freshest >= heard + LATE);
         let order =
             |claim: &&&claim::Claim| (!late(claim), claim.zone == *home, self.free(&claim.zone));
-        let homeless = !able.iter().any(|claim| claim.zone == *home && !late(claim));
-        let several = able.len() > 1 || homeless;
+        let led = able.iter().any(|claim| claim.zone == *home && !late(claim));
+        let homeless = !led && view.is_open(home);
+        let several = able.len() > 1 || !led;
         if self.policy.sharing && several && open.job.is_divisible() && !part.resumed {
             let next = able.iter().filter(is_hopeful).max_by_key(order);
             if let Some(claim) = next {
@@ -417,8 +454,9 @@
         self.begun || self.parts.iter().any(|part| part.given)
     }
 
-    fn last_word(&self) -> Verdict {
-        if self.is_given() { Verdict::GaveUp } else { Verdict::NotRun(Refusal::NoScheduler) }
+    /// How it ends where it can't go on, for this reason.
+    fn last_word(&self, refusal: Refusal) -> Verdict {
+        if self.is_given() { Verdict::GaveUp } else { Verdict::NotRun(refusal) }
     }
 
     /// Joins a part with the one that the holder of a claim has already, if it has one; gives the
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -31,6 +31,8 @@
     Withdraw(Ticket, name::Name),
     /// The operator hands in a configuration.
     Publish(Ticket, message::Document),
+    /// The operator evacuates a zone, or takes it back where this is `false`.
+    Evacuate(Ticket, name::Name, bool),
     /// The operator asks for the newest configuration.
     Read(Ticket),
     /// What came of a call.
@@ -92,6 +94,8 @@
     Newest(message::Document),
     /// Another configuration holds this version.
     Conflict,
+    /// There is no such zone.
+    NoZone,
     /// This instance cannot tell, or cannot do it now.
     Unavailable,
 }
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -123,6 +123,8 @@
     Overload(u64),
     /// No scheduler can be reached.
     NoScheduler,
+    /// All zones are evacuated.
+    Evacuated,
     /// No upstream of the service has room for such a task, even when idle.
     TooLarge,
     /// The instance is shutting down.
@@ -137,6 +139,7 @@
         match self {
             Self::Overload(_) => "overload",
             Self::NoScheduler => "no_scheduler",
+            Self::Evacuated => "evacuated",
             Self::TooLarge => "too_large",
             Self::Draining => "draining",
             Self::Unsupported(_) => "unsupported",
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`status`]: how an instance stands, in numbers.
 //! - [`vault`], [`fetch`], [`pack`] and [`routing`]: the replicated configuration, how it reaches
 //!   everybody, and what it says of a request.
+//! - [`evacuation`]: the zones where nothing is started until they are taken back.
 //!
 //! # Decisions about queueing, refusing and placing
 //!
@@ -39,8 +40,8 @@
 //!     life: 1_800_000_000_000,
 //! };
 //! let policy = state::policy::Policy::default();
-//! let (seeds, cores) = (Vec::new(), 1_000);
-//! let config = core::Config { me, seeds, lease: 950, seed: 7, cores, policy, disk: None };
+//! let (seeds, zones, cores) = (Vec::new(), Vec::new(), 1_000);
+//! let config = core::Config { me, seeds, lease: 950, seed: 7, cores, policy, zones, disk: None };
 //! let mut clock = time::Now::new(1, 1_800_000_000_000);
 //! let mut core = Core::new(config, clock);
 //! for _ in 0..100 {
@@ -56,8 +57,10 @@
 pub mod contest;
 pub mod core;
 pub mod desk;
+pub mod evacuation;
 pub mod event;
 pub mod fetch;
+mod handback;
 pub mod health;
 mod intake;
 pub mod job;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -2,7 +2,7 @@
 
 use state::name;
 
-use crate::{claim, job, member, share, suspect, upstream};
+use crate::{claim, evacuation, job, member, share, suspect, upstream};
 
 /// One message between two instances.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -111,6 +111,8 @@
     pub claims: Vec<claim::Claim>,
     /// Version of the configuration in force at the sender; 0 without one.
     pub version: u64,
+    /// The evacuated zones, as far as the sender knows.
+    pub evacuations: evacuation::Evacuations,
     /// Digest of all instances that the sender knows.
     pub members: u64,
     /// Digest of the upstreams of the receiver's zone, if the sender holds these.
@@ -196,6 +198,8 @@
     pub tasks: share::Tasks,
     /// Room at its upstreams.
     pub load: Load,
+    /// Whether it may have started one of them, which does not run any more.
+    pub begun: bool,
 }
 
 /// How full the upstreams of a zone are.
--- a/crates/dispatch/src/news.rs
+++ b/crates/dispatch/src/news.rs
@@ -5,7 +5,8 @@
 
 use crate::{
     core::Core,
-    event::Output,
+    evacuation,
+    event::{Output, Reply, Ticket},
     fetch, member,
     message::{Ask, Body, Document, Part},
     time::{MS, Now},
@@ -110,12 +111,53 @@
 
     pub(crate) fn adopt_vault(&mut self, now: Now) {
         let Some(vault) = &self.vault else { return };
-        if vault.document().version > self.document.version {
-            let document = vault.document().clone();
+        let newer = vault.document().version > self.document.version;
+        let document = newer.then(|| vault.document().clone());
+        let evacuations = vault.evacuations().clone();
+        self.adopt_evacuations(&evacuations, now);
+        if let Some(document) = document {
             self.adopt(document, now);
         }
     }
 
+    /// Takes an order of the operator to evacuate a zone or to take it back.
+    pub(crate) fn order_evacuation(
+        &mut self,
+        ticket: Ticket,
+        zone: name::Name,
+        evacuated: bool,
+        now: Now,
+    ) {
+        if !self.has_zone(&zone) {
+            return self.reply(ticket, Reply::NoZone);
+        }
+        match &mut self.vault {
+            Some(vault) => vault.evacuate(ticket, zone, evacuated, now.mono),
+            None => self.reply(ticket, Reply::Unavailable),
+        }
+    }
+
+    /// Whether a zone is named by the settings, or an instance or upstream of it is known.
+    fn has_zone(&self, zone: &name::Name) -> bool {
+        let me = self.roster.me();
+        let named = self.named_zones.contains(zone) || me.zone == *zone;
+        named || !self.roster.of_zone(zone).is_empty() || self.table.of_zone(zone).next().is_some()
+    }
+
+    /// Puts a newer set of evacuated zones in force.
+    pub(crate) fn adopt_evacuations(&mut self, heard: &evacuation::Evacuations, now: Now) {
+        if heard.revision <= self.evacuations.revision {
+            return;
+        }
+        self.evacuations = heard.clone();
+        let me = self.roster.me().name.clone();
+        let detail = format!("revision {}: {}", heard.revision, heard.names());
+        self.note("settings: Evacuated zones changed.", &me, detail);
+        if self.vault.is_some() {
+            self.announce_version(now);
+        }
+    }
+
     /// Tells the others of a newer configuration without waiting for the next heartbeat.
     pub(crate) fn announce_version(&mut self, now: Now) {
         let near = |card: &member::Card| {
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -43,7 +43,10 @@
     fn used(&self, led: bool) -> Vec<name::Name> {
         let zone = &self.roster.me().zone;
         let next = self.roster.is_few() || !led || self.is_scheduler() || self.desk.is_short(zone);
-        let watched = self.claims.watched(zone).filter(|claim| next || claim.zone == *zone);
+        let watched = self
+            .claims
+            .watched(zone, &self.evacuations)
+            .filter(|claim| next || claim.zone == *zone);
         let watched = watched.map(|claim| claim.holder.clone());
         let backed = self.backed.iter().cloned();
         watched.chain(self.desk.schedulers().cloned()).chain(backed).collect()
@@ -77,6 +80,7 @@
             led: self.claims.is_led(zone, &self.roster, now.mono),
             claims: self.claims.iter().cloned().collect(),
             version: self.document.version,
+            evacuations: self.evacuations.clone(),
             members: self.roster.digest(),
             records: None,
             load: self.zones.get(zone).and_then(|zone| zone.load(now.mono)),
@@ -224,6 +228,7 @@
                 self.meet(&claim.holder, now);
             }
         }
+        self.adopt_evacuations(&ping.evacuations, now);
         if let Some(load) = ping.load {
             self.desk.load(&ping.card.zone, load, now.mono);
         }
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -11,7 +11,7 @@
     lane::{Lane, Pace},
     message,
     order::{Call, End},
-    share, suspect, tempo, time, upstream,
+    suspect, tempo, time, upstream,
 };
 
 /// Runs that a former scheduler started for an entry may go on this long after the entry last told
@@ -81,6 +81,7 @@
     /// Upstreams without a hold under way.
     pub(crate) unasked: collections::BTreeSet<name::Name>,
     pub(crate) dirty: bool,
+    pub(crate) evacuated: bool,
     pub(crate) policy: policy::Policy,
     pub(crate) findings: suspect::Findings,
     pub(crate) tempo: tempo::Tempo,
@@ -106,6 +107,7 @@
             number: now << 8,
             unasked: collections::BTreeSet::new(),
             dirty: false,
+            evacuated: false,
             policy: policy::Policy::default(),
             findings: suspect::Findings::default(),
             tempo: tempo::Tempo::default(),
@@ -155,9 +157,9 @@
         self.jobs.values().map(|active| u64::from(active.waiting())).sum()
     }
 
-    /// Room of the upstreams that take work, less what waits.
+    /// Room of the upstreams that take work, less what waits; none while the zone is evacuated.
     pub fn load(&self, now: u64) -> message::Load {
-        let open = self.lanes.values().filter(|lane| lane.is_open(now));
+        let open = self.lanes.values().filter(|lane| !self.evacuated && lane.is_open(now));
         let open = open.filter(|lane| !lane.health.is_aside(now));
         let mut load = message::Load::default();
         for lane in open {
@@ -243,7 +245,12 @@
         now: u64,
     ) {
         if std::mem::take(&mut self.dirty) {
-            self.dispatch(&alive, suspects, now);
+            self.send_stops(now);
+            if self.evacuated {
+                self.return_all(now);
+            } else {
+                self.dispatch(&alive, suspects, now);
+            }
             self.return_offers(now);
         }
         let asked = self.lanes.values().filter(|lane| lane.is_asked() && !lane.is_heard());
@@ -385,39 +392,6 @@
         self.verdicts.insert(id.clone(), (ruling, now));
     }
 
-    /// Gives back what is offered and could not start.
-    fn return_offers(&mut self, now: u64) {
-        for id in std::mem::take(&mut self.offers) {
-            let Some(active) = self.jobs.get_mut(&id) else { continue };
-            if !std::mem::take(&mut active.offer) {
-                continue;
-            }
-            let tasks = active.give_back();
-            if !tasks.is_empty() {
-                self.give_back(&id, tasks, now);
-            }
-            if self.jobs.get(&id).is_some_and(|active| active.held().is_empty()) {
-                self.drop_job(&id);
-            }
-            self.settle(&id, now);
-        }
-    }
-
-    /// Tells the entry of a job that it has these tasks back.
-    pub(crate) fn give_back(&mut self, id: &name::Name, tasks: share::Tasks, now: u64) {
-        let load = self.load(now);
-        let Some(active) = self.jobs.get(id) else { return };
-        let (entry, number) = (active.entry.clone(), active.number);
-        let detail = format!(
-            "{} tasks to {entry}, {}m of {}m cores free",
-            tasks.len(),
-            load.free,
-            load.total
-        );
-        self.note("job: Gave tasks back.", id, &detail);
-        self.out.spares.push((entry, id.clone(), message::Spare { number, tasks, load }));
-    }
-
     pub(crate) fn drop_job(&mut self, id: &name::Name) {
         let Some(active) = self.jobs.remove(id) else { return };
         for (step, items) in active.items.iter().enumerate() {
--- a/crates/dispatch/src/seats.rs
+++ b/crates/dispatch/src/seats.rs
@@ -146,6 +146,7 @@
         let Some(zone) = self.zones.get_mut(name) else { return };
         let Some(sched) = &mut zone.sched else { return };
         let roster = &self.roster;
+        sched.set_evacuated(self.evacuations.has(name));
         sched.cover(|digest| zone.census.find(digest).is_some());
         sched.run(|entry| roster.clock(entry, now.mono), &self.suspects, now.mono);
         let out = sched.take();
@@ -156,6 +157,10 @@
             self.send(&to, Body::Verdict(id, Box::new(ruling)), now);
         }
         for (to, id, spare) in out.spares {
+            // An entry that does not know that the zone is evacuated would hand them in again.
+            if !self.knows_evacuations(&to) {
+                self.beat_now(&to, now);
+            }
             self.send(&to, Body::Spare(id, spare), now);
         }
         for (id, last) in out.gone {
@@ -168,6 +173,13 @@
         }
     }
 
+    /// Whether an instance has told of the evacuations that are in force here.
+    fn knows_evacuations(&self, name: &name::Name) -> bool {
+        let told = self.roster.peer(name).and_then(|peer| peer.ping.as_ref());
+        let revision = told.map_or(0, |ping| ping.evacuations.revision);
+        *name == self.roster.me().name || revision >= self.evacuations.revision
+    }
+
     /// Tells a scheduler that gets a job which upstreams were lost under its tasks elsewhere.
     pub(crate) fn tell_former(&mut self, to: &name::Name, job: &name::Name, now: Now) {
         let losses = self.suspects.losses_of(job);
--- a/crates/dispatch/src/start.rs
+++ b/crates/dispatch/src/start.rs
@@ -27,17 +27,10 @@
         suspects: &suspect::Suspects,
         now: u64,
     ) {
-        self.send_stops(now);
         if self.jobs.values().all(|active| active.waiting() == 0) {
             return;
         }
         let unread = self.lanes.values().any(|lane| !lane.is_read());
-        // A run that another scheduler started may go on at an upstream that has not answered yet,
-        // or that is not known here.
-        let barred = |active: &Active| {
-            let unsure = unread || !active.uncovered.is_empty();
-            active.job.resumed && unsure && now < active.over
-        };
         // A stamp later than the entry's clock is of a former life of it.
         let fresh = |active: &Active| {
             let is_fresh = |clock| (active.stamp..=active.stamp + FRESH).contains(&clock);
@@ -47,7 +40,7 @@
         let mut room = room.with_policy(self.policy);
         let most = room.most();
         let waits = |active: &&Active| {
-            active.waiting() > 0 && !barred(active) && active.job.least() <= most
+            active.waiting() > 0 && !active.is_barred(unread, now) && active.job.least() <= most
         };
         let load = self.load(now);
         let crowded = self.policy.shortest_first && queue::is_crowded(load);
--- a/crates/dispatch/src/status.rs
+++ b/crates/dispatch/src/status.rs
@@ -33,6 +33,10 @@
     pub silent: usize,
     /// Version of the configuration in force here.
     pub version: u64,
+    /// Zones that are evacuated, as far as is known here.
+    pub evacuated: usize,
+    /// Revision of the set of these zones.
+    pub revision: u64,
     /// Whether it leads the group that holds the configuration; what follows up to `behind` is 0
     /// at instances without a disk.
     pub leading: bool,
@@ -78,6 +82,8 @@
             ready: self.is_ready(now),
             open: self.open(),
             version: self.document.version,
+            evacuated: self.evacuations.zones.len(),
+            revision: self.evacuations.revision,
             known: self.roster.names().count(),
             heard: self.roster.names().filter(|name| self.roster.is_alive(name, now.mono)).count(),
             redials: self.roster.redials(),
--- a/crates/dispatch/src/vault.rs
+++ b/crates/dispatch/src/vault.rs
@@ -1,4 +1,5 @@
-//! The replicated configuration: whole documents under the operator's versions, the highest wins.
+//! What the operator orders, replicated: configurations, of which the highest version wins, and the
+//! zones that are evacuated.
 
 use std::collections;
 
@@ -6,6 +7,7 @@
 use state::name;
 
 use crate::{
+    evacuation,
     event::{Reply, Ticket},
     message::{Body, Document},
     pack, time,
@@ -31,33 +33,92 @@
 /// Incarnation of a disk in the group's first members.
 pub const FIRST_LIFE: u64 = 1;
 
+/// A change of the replicated state, as it is in the log.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+enum Change {
+    Publish(Document),
+    Evacuate(evacuation::Order),
+}
+
 #[derive(serde::Serialize, serde::Deserialize)]
 struct Command {
+    change: Change,
+    origin: u64,
+}
+
+/// How a log entry was written before there were evacuations.
+#[derive(serde::Deserialize)]
+struct FormerCommand {
     origin: u64,
     document: Document,
 }
 
+impl Command {
+    fn decode(bytes: &[u8]) -> Option<Self> {
+        // An origin is far above the numbers of the kinds of change, so neither is read as the other.
+        postcard::from_bytes(bytes).ok().or_else(|| {
+            let FormerCommand { origin, document } = postcard::from_bytes(bytes).ok()?;
+            Some(Self { change: Change::Publish(document), origin })
+        })
+    }
+}
+
 /// How an order ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Applied {
     origin: u64,
-    held: bool,
+    outcome: Outcome,
 }
 
-/// The configuration as a state machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    Held,
+    /// Another configuration has the version.
+    Conflict,
+    /// The order was given on a state that has changed since.
+    Stale,
+}
+
+/// The replicated state.
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+struct State {
+    document: Document,
+    evacuations: evacuation::Evacuations,
+}
+
+/// The replicated state as a state machine.
 #[derive(Debug, Default)]
 pub struct Machine {
-    document: Document,
+    state: State,
 }
 
 impl Machine {
     /// Whether `document` may be acknowledged beside the one that is held; nothing if it is newer.
     fn judge(&self, document: &Document) -> Option<bool> {
-        if document.version > self.document.version {
+        let held = &self.state.document;
+        if document.version > held.version {
             return None;
         }
-        let older = document.version < self.document.version;
-        Some(older || is_same(&document.body, &self.document.body))
+        let older = document.version < held.version;
+        Some(older || is_same(&document.body, &held.body))
+    }
+
+    fn publish(&mut self, document: Document) -> Outcome {
+        match self.judge(&document) {
+            Some(true) => Outcome::Held,
+            Some(false) => Outcome::Conflict,
+            None => {
+                self.state.document = document;
+                Outcome::Held
+            }
+        }
+    }
+
+    fn evacuate(&mut self, order: &evacuation::Order) -> Outcome {
+        match self.state.evacuations.apply(order) {
+            evacuation::Outcome::Held => Outcome::Held,
+            evacuation::Outcome::Stale => Outcome::Stale,
+        }
     }
 }
 
@@ -65,24 +126,30 @@
     type Effect = Applied;
 
     fn apply(&mut self, command: &[u8]) -> Vec<Applied> {
-        let Ok(Command { origin, document }) = postcard::from_bytes(command) else {
+        let Some(Command { change, origin }) = Command::decode(command) else {
             return Vec::new();
         };
-        let held = self.judge(&document).unwrap_or_else(|| {
-            self.document = document;
-            true
-        });
-        vec![Applied { origin, held }]
+        let outcome = match change {
+            Change::Publish(document) => self.publish(document),
+            Change::Evacuate(order) => self.evacuate(&order),
+        };
+        vec![Applied { origin, outcome }]
     }
 
     fn snapshot(&self) -> bytes::Bytes {
-        coord::machine::encode(&self.document)
+        coord::machine::encode(&self.state)
     }
 
     fn restore(&mut self, state: &[u8]) {
-        let document: Document = postcard::from_bytes(state).unwrap_or_default();
-        if document.version >= self.document.version {
-            self.document = document;
+        // Snapshots held the configuration only before there were evacuations.
+        let former = || State {
+            document: postcard::from_bytes(state).unwrap_or_default(),
+            ..State::default()
+        };
+        let state = postcard::from_bytes(state).unwrap_or_else(|_| former());
+        let key = |state: &State| (state.document.version, state.evacuations.revision);
+        if key(&state) >= key(&self.state) {
+            self.state = state;
         }
     }
 
@@ -92,7 +159,7 @@
 #[derive(Debug)]
 struct Order {
     ticket: Ticket,
-    command: bytes::Bytes,
+    change: Change,
     repeat: u64,
     until: u64,
 }
@@ -180,7 +247,15 @@
         self.out.saves.extend(group.saves);
         for applied in group.effects {
             if let Some(order) = self.orders.remove(&applied.origin) {
-                let reply = if applied.held { Reply::Noted } else { Reply::Conflict };
+                let reply = match applied.outcome {
+                    Outcome::Held => Reply::Noted,
+                    Outcome::Conflict => Reply::Conflict,
+                    Outcome::Stale => {
+                        // The next tick proposes it on the present state.
+                        self.orders.insert(applied.origin, Order { repeat: 0, ..order });
+                        continue;
+                    }
+                };
                 self.out.replies.push((order.ticket, reply));
             }
         }
@@ -189,7 +264,12 @@
 
     /// The newest configuration that is known to be committed.
     pub fn document(&self) -> &Document {
-        &self.group.machine().document
+        &self.group.machine().state.document
+    }
+
+    /// The evacuated zones, by the newest order that is known to be committed.
+    pub fn evacuations(&self) -> &evacuation::Evacuations {
+        &self.group.machine().state.evacuations
     }
 
     /// Whether this member leads the group.
@@ -213,19 +293,28 @@
         self.group.set_others(others);
     }
 
-    /// Takes an order of the operator.
+    /// Takes a configuration from the operator.
     pub fn publish(&mut self, ticket: Ticket, document: Document, now: u64) {
         if let Some(same) = self.group.machine().judge(&document) {
             let reply = if same { Reply::Noted } else { Reply::Conflict };
             self.out.replies.push((ticket, reply));
             return;
         }
+        self.order(ticket, Change::Publish(document), now);
+    }
+
+    /// Takes an order to evacuate a zone, or to take it back. It goes through the log even where it
+    /// asks for what holds here: this member may lag behind.
+    pub fn evacuate(&mut self, ticket: Ticket, zone: name::Name, evacuated: bool, now: u64) {
+        let order = evacuation::Order { zone, evacuated, base: 0 };
+        self.order(ticket, Change::Evacuate(order), now);
+    }
+
+    fn order(&mut self, ticket: Ticket, change: Change, now: u64) {
         self.next += 1;
-        let origin = self.next;
-        let command = coord::machine::encode(&Command { origin, document });
-        self.group.propose(&command, now);
-        let order = Order { ticket, command, repeat: now + REPEAT, until: now + PATIENCE };
-        self.orders.insert(origin, order);
+        let order = Order { ticket, change, repeat: 0, until: now + PATIENCE };
+        self.orders.insert(self.next, order);
+        self.repeat(now);
     }
 
     /// Looks up the newest configuration for the operator.
@@ -292,14 +381,20 @@
         }
     }
 
+    /// Proposes the orders that are due, and gives up those that are not committed in time.
     fn repeat(&mut self, now: u64) {
         let mut over = Vec::new();
+        let revision = self.evacuations().revision;
         for (origin, order) in &mut self.orders {
             if now >= order.until {
                 over.push(*origin);
             } else if now >= order.repeat {
                 order.repeat = now + REPEAT;
-                self.group.propose(&order.command, now);
+                if let Change::Evacuate(order) = &mut order.change {
+                    order.base = revision;
+                }
+                let command = Command { change: order.change.clone(), origin: *origin };
+                self.group.propose(&coord::machine::encode(&command), now);
             }
         }
         for origin in over {
--- a/crates/dispatch/src/view.rs
+++ b/crates/dispatch/src/view.rs
@@ -1,6 +1,8 @@
 //! What an entry's desk goes by: who is alive, who schedules, what is known of upstreams.
 
-use crate::{claim, contest, roster};
+use state::name;
+
+use crate::{claim, contest, evacuation, roster};
 
 /// What a desk goes by.
 #[derive(Clone, Copy, Debug)]
@@ -9,6 +11,8 @@
     pub roster: &'a roster::Roster,
     /// Who schedules.
     pub claims: &'a contest::Claims,
+    /// Where nothing is started.
+    pub evacuations: &'a evacuation::Evacuations,
     /// Digest of the upstreams of its own zone that this instance knows.
     pub upstreams: u64,
     /// Time.
@@ -34,6 +38,24 @@
         self.roster.peer(&claim.holder).map(|peer| peer.heard)
     }
 
+    /// Whether tasks may be started at the upstreams of a zone.
+    pub(crate) fn is_open(&self, zone: &name::Name) -> bool {
+        !self.evacuations.has(zone)
+    }
+
+    /// Whether there is no zone where a task may be started.
+    pub(crate) fn is_closed(&self) -> bool {
+        let mut zones = self.claims.iter().map(|claim| &claim.zone).peekable();
+        zones.peek().is_some() && !zones.any(|zone| self.is_open(zone))
+    }
+
+    /// Whether a scheduler is heard that may start tasks.
+    pub(crate) fn is_led(&self) -> bool {
+        let able =
+            |claim: &claim::Claim| self.is_open(&claim.zone) && self.roster.holds(claim, self.now);
+        self.claims.iter().any(able)
+    }
+
     pub(crate) fn is_current(&self, claim: &claim::Claim) -> bool {
         let same = self.claims.of(&claim.zone).is_some_and(|held| held == claim);
         same && self.roster.holds(claim, self.now)
--- /dev/null
+++ b/crates/dispatch/tests/evacuation.rs
@@ -0,0 +1,328 @@
+//! Evacuated zones: nothing is started there until they are taken back, wherever the order came in
+//! and whatever is lost meanwhile.
+
+mod world;
+
+use coord::group::Machine as _;
+use dispatch::{
+    evacuation::{Evacuations, Order, Outcome},
+    event::{Event, Reply},
+    job::{Refusal, Verdict},
+    message::Document,
+    vault::Machine,
+};
+use world::{World, zone_name};
+
+/// Keepers of the three zones, as instances of the world.
+const KEEPERS: [usize; 3] = [0, 3, 6];
+/// An order is in force everywhere after this, milliseconds: three heartbeats.
+const IN_FORCE: u64 = 450;
+
+fn ready(seed: u64) -> World {
+    let mut world = World::new(seed, 3, 2, 8);
+    world.run(3_000);
+    world
+}
+
+/// Jobs of all zones for `ms` milliseconds, one each `gap` milliseconds.
+fn load(world: &mut World, ms: u64, gap: u64) {
+    for at in 0..ms / gap {
+        let (count, length) = [(8, 60), (2, 200), (4, 900)][at as usize % 3];
+        world.submit(at as usize % 3, count, 14_000, length);
+        world.run(gap);
+    }
+}
+
+fn order(world: &mut World, keeper: usize, zone: usize, evacuated: bool) -> Option<Reply> {
+    let ticket = world.evacuate(keeper, zone, evacuated);
+    world.run(300);
+    world.reply(ticket).cloned()
+}
+
+/// Zones where something was started in the last milliseconds.
+fn busy(world: &World, ms: u64) -> Vec<usize> {
+    (0..3).filter(|zone| world.last_start(*zone) + ms * 1_000 > world.now).collect()
+}
+
+#[test]
+fn started_elsewhere() {
+    let mut world = ready(1);
+    load(&mut world, 600, 40);
+    for (keeper, zone) in [(0, 1), (3, 1), (6, 2)] {
+        assert_eq!(order(&mut world, keeper, zone, true), Some(Reply::Noted));
+        load(&mut world, 1_500, 60);
+        assert!(!busy(&world, 1_500 - IN_FORCE).contains(&zone), "by {keeper}");
+        assert_eq!(order(&mut world, keeper, zone, false), Some(Reply::Noted));
+        load(&mut world, 1_500, 40);
+        assert_eq!(busy(&world, 600), [0, 1, 2], "taken back by {keeper}");
+    }
+    world.run(4_000);
+    assert_eq!(world.faults, Vec::<String>::new());
+    let (good, all) = world.in_time();
+    assert_eq!(world.complete(), all);
+    assert!(good * 100 >= all * 97, "{good} of {all} in time");
+}
+
+#[test]
+fn runs_end() {
+    // What runs is done where it runs, and only once.
+    let mut world = ready(2);
+    let jobs: Vec<_> = (0..6).map(|_| world.submit(1, 2, 14_000, 900)).collect();
+    world.run(100);
+    assert_eq!(order(&mut world, 0, 1, true), Some(Reply::Noted));
+    world.run(1_500);
+    assert_eq!(world.complete(), jobs.len());
+    assert!(world.begun.values().all(|count| *count == 1), "{:?}", world.begun);
+}
+
+#[test]
+fn queue_moves() {
+    // All zones are full; what waits in the evacuated one is done elsewhere.
+    for seed in 0..10 {
+        let mut world = ready(seed);
+        for _ in 0..3 {
+            for zone in 0..3 {
+                world.submit(zone, 8, 14_000, 400);
+            }
+        }
+        world.run(50);
+        assert_eq!(order(&mut world, 6, 0, true), Some(Reply::Noted));
+        world.run(3_000);
+        assert_eq!(world.complete(), 9, "seed {seed}");
+        assert_eq!(world.faults, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+#[test]
+fn burst_meets_order() {
+    // Half as much again as fits comes while the order is given: answers are late at most.
+    for seed in 0..10 {
+        let mut world = ready(seed);
+        load(&mut world, 400, 15);
+        let ticket = world.evacuate(3, 2, true);
+        load(&mut world, 1_000, 15);
+        assert_eq!(world.reply(ticket), Some(&Reply::Noted));
+        assert!(!busy(&world, 1_000 - IN_FORCE).contains(&2), "seed {seed}");
+        world.run(5_000);
+        assert_eq!(world.faults, Vec::<String>::new(), "seed {seed}");
+        let verdicts = world.requests.values().filter(|request| request.verdict.is_some());
+        assert_eq!(verdicts.count(), world.requests.len(), "seed {seed}");
+    }
+}
+
+#[test]
+fn all_evacuated() {
+    let mut world = ready(3);
+    for zone in 0..3 {
+        assert_eq!(order(&mut world, 0, zone, true), Some(Reply::Noted));
+    }
+    world.run(IN_FORCE);
+    let job = world.submit(0, 2, 14_000, 60);
+    world.run(20);
+    let verdict = world.requests[&job].verdict.as_ref().map(|(verdict, _)| verdict);
+    assert_eq!(verdict, Some(&Verdict::NotRun(Refusal::Evacuated)));
+}
+
+#[test]
+fn cut_off_clients() {
+    // Clients of an evacuated zone that is cut off for longer than it takes to replace a scheduler are
+    // refused at once, not when they have waited.
+    let mut world = ready(11);
+    assert_eq!(order(&mut world, 0, 1, true), Some(Reply::Noted));
+    world.cut_zone(1, true);
+    world.run(3_000);
+    let job = world.submit(1, 2, 14_000, 60);
+    world.run(50);
+    let verdict = world.requests[&job].verdict.as_ref().map(|(verdict, _)| verdict);
+    assert_eq!(verdict, Some(&Verdict::NotRun(Refusal::NoScheduler)));
+    world.cut_zone(1, false);
+    world.run(1_000);
+    let job = world.submit(1, 2, 14_000, 60);
+    world.run(300);
+    let verdict = world.requests[&job].verdict.as_ref().map(|(verdict, _)| verdict);
+    assert_eq!(verdict, Some(&Verdict::Complete));
+}
+
+#[test]
+fn steps_stay_together() {
+    // A job of two steps moves as a whole or, once it has begun, is given up.
+    let mut world = ready(8);
+    let begun = world.submit_steps(1, 14_000, 300);
+    world.run(100);
+    assert_eq!(order(&mut world, 0, 1, true), Some(Reply::Noted));
+    world.run(IN_FORCE);
+    let fresh = world.submit_steps(1, 14_000, 300);
+    world.run(1_500);
+    let verdict = |id| world.requests[id].verdict.as_ref().map(|(verdict, _)| verdict.clone());
+    assert_eq!(verdict(&begun), Some(Verdict::GaveUp));
+    assert_eq!(verdict(&fresh), Some(Verdict::Complete));
+}
+
+#[test]
+fn sent_again() {
+    let mut world = ready(4);
+    let tickets: Vec<_> = KEEPERS
+        .iter()
+        .flat_map(|keeper| [*keeper; 2])
+        .map(|k| world.evacuate(k, 1, true))
+        .collect();
+    world.run(300);
+    for ticket in tickets {
+        assert_eq!(world.reply(ticket), Some(&Reply::Noted));
+    }
+    let revision = |world: &World, at: usize| {
+        world.instances[at].core.as_ref().map(|core| core.evacuations().revision)
+    };
+    assert_eq!(revision(&world, 3), Some(1));
+    // Two operators at once: both orders have an answer, and all agree about what holds.
+    for keeper in KEEPERS {
+        let one = world.evacuate(keeper, 1, false);
+        let other = world.evacuate((keeper + 3) % 9, 2, true);
+        world.run(600);
+        assert_eq!(world.reply(one), Some(&Reply::Noted));
+        assert_eq!(world.reply(other), Some(&Reply::Noted));
+    }
+    for at in 0..world.instances.len() {
+        let zones = world.instances[at].core.as_ref().map(|core| core.evacuations().names());
+        assert_eq!(zones.as_deref(), Some(zone_name(2).as_str()), "instance {at}");
+    }
+}
+
+#[test]
+fn late_copy() {
+    // A copy of an order that arrives after the zone was taken back has no effect.
+    let mut held = Evacuations::default();
+    let order = |evacuated, base| Order { zone: zone_name(1), evacuated, base };
+    assert_eq!(held.apply(&order(true, 0)), Outcome::Held);
+    assert_eq!(held.apply(&order(true, 0)), Outcome::Held, "a second copy");
+    assert_eq!(held.apply(&order(false, 1)), Outcome::Held);
+    assert_eq!(held.apply(&order(true, 0)), Outcome::Stale);
+    assert!(!held.has(&zone_name(1)));
+    assert_eq!(held.revision, 2);
+}
+
+#[test]
+fn lagging_keeper() {
+    // A keeper that was cut off while the zone was evacuated takes it back once it is heard again.
+    let mut world = ready(5);
+    world.cut_zone(2, true);
+    world.run(1_500);
+    assert_eq!(order(&mut world, 0, 1, true), Some(Reply::Noted));
+    world.cut_zone(2, false);
+    let ticket = world.evacuate(6, 1, false);
+    world.run(900);
+    match world.reply(ticket) {
+        Some(Reply::Noted) => {}
+        // It did not hear of a leader in time, and says so.
+        Some(Reply::Unavailable) => {
+            assert_eq!(order(&mut world, 6, 1, false), Some(Reply::Noted));
+        }
+        other => panic!("{other:?}"),
+    }
+    world.run(IN_FORCE);
+    for instance in &world.instances {
+        assert_eq!(instance.core.as_ref().map(|core| core.evacuations().zones.len()), Some(0));
+    }
+}
+
+#[test]
+fn minority_cannot_order() {
+    let mut world = ready(6);
+    world.cut_zone(0, true);
+    world.run(2_000);
+    let ticket = world.evacuate(0, 1, true);
+    world.run(1_000);
+    assert_eq!(world.reply(ticket), Some(&Reply::Unavailable));
+}
+
+#[test]
+fn unknown_zone() {
+    let mut world = ready(7);
+    assert_eq!(order(&mut world, 0, 9, true), Some(Reply::NoZone));
+    assert_eq!(order(&mut world, 0, 9, false), Some(Reply::NoZone));
+}
+
+#[test]
+fn scheduler_lost() {
+    // The keeper that schedules the zone, or the one that acknowledged, is lost at once.
+    for seed in 0..10 {
+        for lost in [0, 3] {
+            let mut world = ready(seed);
+            load(&mut world, 300, 30);
+            let ticket = world.evacuate(0, 1, true);
+            while world.reply(ticket).is_none() {
+                world.run(5);
+            }
+            assert_eq!(world.reply(ticket), Some(&Reply::Noted), "seed {seed}");
+            world.kill(lost);
+            load(&mut world, 3_000, 60);
+            assert!(!busy(&world, 3_000 - IN_FORCE).contains(&1), "seed {seed}, lost {lost}");
+            world.start(lost);
+            load(&mut world, 2_000, 60);
+            assert!(!busy(&world, 2_000).contains(&1), "seed {seed}, lost {lost} is back");
+            world.run(4_000);
+            assert_eq!(world.faults, Vec::<String>::new(), "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn power_lost() {
+    // Everything loses power right after the acknowledgement, and one disk with it.
+    for wiped in KEEPERS {
+        for seed in 0..5 {
+            let mut world = ready(seed);
+            let ticket = world.evacuate(KEEPERS[0], 1, true);
+            while world.reply(ticket).is_none() {
+                world.run(5);
+            }
+            assert_eq!(world.reply(ticket), Some(&Reply::Noted));
+            world.wipe(wiped);
+            (0..world.instances.len()).for_each(|at| world.kill(at));
+            world.run(500);
+            (0..world.instances.len()).for_each(|at| world.start(at));
+            world.run(3_000);
+            load(&mut world, 1_000, 60);
+            assert!(!busy(&world, 1_000).contains(&1), "seed {seed}, lost {wiped}");
+            assert!(busy(&world, 1_000).contains(&0), "seed {seed}, lost {wiped}");
+        }
+    }
+}
+
+#[test]
+fn cut_off_zone() {
+    // The zone is cut off while it is evacuated, and hears of it when it is heard again.
+    let mut world = ready(9);
+    world.cut_zone(1, true);
+    world.run(1_500);
+    assert_eq!(order(&mut world, 0, 1, true), Some(Reply::Noted));
+    load(&mut world, 1_000, 60);
+    assert!(busy(&world, 500).contains(&1), "it goes on with what it knows");
+    world.cut_zone(1, false);
+    world.run(IN_FORCE);
+    load(&mut world, 2_000, 60);
+    assert!(!busy(&world, 2_000 - IN_FORCE).contains(&1));
+    world.run(4_000);
+    assert_eq!(world.faults, Vec::<String>::new());
+}
+
+#[test]
+fn former_disk() {
+    // Logs and snapshots of before there were evacuations hold a configuration only.
+    let document = Document { version: 7, body: "text".into() };
+    let mut machine = Machine::default();
+    let command = coord::machine::encode(&(1_u64 << 40, document.clone()));
+    assert_eq!(machine.apply(&command).len(), 1);
+    let state = coord::machine::encode(&(document.clone(), Evacuations::default()));
+    assert_eq!(machine.snapshot(), state);
+    let mut restored = Machine::default();
+    restored.restore(&coord::machine::encode(&document));
+    assert_eq!(restored.snapshot(), state);
+}
+
+#[test]
+fn no_disk() {
+    let mut world = ready(10);
+    world.handle_event(1, Event::Evacuate(77, zone_name(1), true));
+    assert_eq!(world.reply(77), Some(&Reply::Unavailable));
+}
--- a/crates/dispatch/tests/random_faults.rs
+++ b/crates/dispatch/tests/random_faults.rs
@@ -151,6 +151,29 @@
     }
 }
 
+/// Some fault, or a zone that is evacuated, and the step that ends it.
+fn evacuation_fault(world: &mut World) -> End {
+    if world.rng.random_range(0..3) > 0 {
+        return fault(world);
+    }
+    let zone = world.rng.random_range(0..ZONES);
+    let keeper = world.rng.random_range(0..ZONES) * (ENTRIES + 1);
+    world.evacuate(keeper, zone, true);
+    Box::new(move |world| {
+        world.evacuate(keeper, zone, false);
+    })
+}
+
+/// Takes all zones back, now that an order can be carried out.
+fn take_back(world: &mut World) {
+    world.run(3_000);
+    for zone in 0..ZONES {
+        let ticket = world.evacuate(0, zone, false);
+        world.run(500);
+        assert_eq!(world.reply(ticket), Some(&Reply::Noted), "zone {zone}");
+    }
+}
+
 /// A zone with two keepers and two entries, as the tests of slow streams have it.
 const SLOW_KEEPERS: usize = 2;
 const SLOW_SIZE: usize = SLOW_KEEPERS + ENTRIES;
@@ -252,18 +275,24 @@
     kinds: Kinds,
     /// Faults last this many times longer.
     pace: u64,
+    /// What is done once the faults are over.
+    calm: fn(&mut World),
 }
 
 fn play(seed: u64) {
     let world = World::new(seed, ZONES, ENTRIES, UPSTREAMS);
     let kinds = [(8, 60), (2, 200), (4, 900)];
-    play_with(world, seed, &Plan { size: ENTRIES + 1, fault, kinds, pace: 1 });
+    play_with(world, seed, &Plan { size: ENTRIES + 1, fault, kinds, pace: 1, calm: |_| {} });
 }
 
 fn play_slow(seed: u64, kinds: Kinds) {
     let mut world = World::with_keepers(seed, ZONES, SLOW_KEEPERS, ENTRIES, UPSTREAMS);
     world.lossy = true;
-    play_with(world, seed, &Plan { size: SLOW_SIZE, fault: slow_fault, kinds, pace: 2 });
+    play_with(
+        world,
+        seed,
+        &Plan { size: SLOW_SIZE, fault: slow_fault, kinds, pace: 2, calm: |_| {} },
+    );
 }
 
 /// Upstreams that guard nothing shrink and grow, and one job in a hundred brings down each upstream
@@ -275,7 +304,7 @@
         upstream.guards = false;
     }
     let kinds = [(8, 60), (2, 200), (4, 900)];
-    let plan = Plan { size: ENTRIES + 1, fault: fatal_fault, kinds, pace: 3 };
+    let plan = Plan { size: ENTRIES + 1, fault: fatal_fault, kinds, pace: 3, calm: |_| {} };
     let world = play_with(world, seed, &plan);
     let over: u32 = world.upstreams.iter().map(|upstream| upstream.over).sum();
     assert_eq!(over, 0, "seed {seed}: starts over a room that had shrunk");
@@ -286,7 +315,7 @@
 }
 
 fn play_with(mut world: World, seed: u64, plan: &Plan) -> World {
-    let Plan { size, fault, kinds, pace } = *plan;
+    let Plan { size, fault, kinds, pace, calm } = *plan;
     world.run(3_000);
     let mut version = 0;
     let mut held = 0;
@@ -318,6 +347,7 @@
         }
     }
     world.fatal = 0;
+    calm(&mut world);
     world.run(6_000);
     let before = world.complete();
     load(&mut world, kinds, 1_000);
@@ -340,6 +370,22 @@
     }
 }
 
+#[test]
+fn evacuated_seeds() {
+    let first = number("FIRST_SEED", 1);
+    for seed in first..first + number("SEEDS", 12) {
+        let world = World::new(seed, ZONES, ENTRIES, UPSTREAMS);
+        let kinds = [(8, 60), (2, 200), (4, 900)];
+        let (size, fault, calm) =
+            (ENTRIES + 1, evacuation_fault as fn(&mut World) -> End, take_back);
+        let world = play_with(world, seed, &Plan { size, fault, kinds, pace: 1, calm });
+        for instance in &world.instances {
+            let held = instance.core.as_ref().map(|core| core.evacuations().zones.len());
+            assert_eq!(held, Some(0), "seed {seed}: {}", instance.card.name);
+        }
+    }
+}
+
 #[test]
 fn fatal_seeds() {
     let first = number("FIRST_SEED", 1);
@@ -357,7 +403,11 @@
         world.start(at);
     }
     let kinds = [(8, 60), (2, 200), (4, 900)];
-    play_with(world, seed, &Plan { size: WEAK_ENTRIES + 1, fault: weak_fault, kinds, pace: 2 });
+    play_with(
+        world,
+        seed,
+        &Plan { size: WEAK_ENTRIES + 1, fault: weak_fault, kinds, pace: 2, calm: |_| {} },
+    );
 }
 
 /// A fault that keepers have more often than others.
--- a/crates/dispatch/tests/world/client.rs
+++ b/crates/dispatch/tests/world/client.rs
@@ -56,6 +56,16 @@
         id
     }
 
+    /// A client of `zone` hands in a job of two steps with two tasks each.
+    pub fn submit_steps(&mut self, zone: usize, cpu: u64, length: u64) -> Name {
+        let id = self.submit(zone, 2, cpu, length);
+        if let Some(request) = self.requests.get_mut(&id) {
+            let next = Step { after: smallvec::smallvec![0], ..request.job.steps[0].clone() };
+            request.job.steps.push(next);
+        }
+        id
+    }
+
     /// The client hands its job in once more, in this zone, as if it had got no answer.
     pub fn resubmit(&mut self, id: &Name, zone: usize) {
         if let Some(request) = self.requests.get_mut(id) {
--- a/crates/dispatch/tests/world/effect.rs
+++ b/crates/dispatch/tests/world/effect.rs
@@ -3,12 +3,12 @@
 use dispatch::{
     event::{Event, Measure, Output, Reply},
     message::Body,
-    order::Order,
+    order::{Call, Order},
     time::MS,
 };
 use rand::RngExt as _;
 
-use super::{What, World};
+use super::{What, World, zone_name};
 
 impl World {
     pub(super) fn handle(&mut self, at: usize, event: Event) {
@@ -54,6 +54,7 @@
             Output::Call(call) => {
                 *self.calls.entry(at).or_default() += 1;
                 let (number, fence) = (call.number, call.fence);
+                self.note_start(&call);
                 let patience = call.patience * MS;
                 let late = matches!(call.order, Order::Start { .. })
                     && self.late > 0
@@ -93,6 +94,19 @@
         }
     }
 
+    /// Notes an order to start a task.
+    fn note_start(&mut self, call: &Call) {
+        let upstream = self.upstreams.iter().find(|u| u.id == call.upstream.as_str());
+        if let (Order::Start { .. }, Some(upstream)) = (&call.order, upstream) {
+            self.orders.insert(upstream.zone.clone(), self.now);
+        }
+    }
+
+    /// When a task was last ordered to start in a zone, microseconds.
+    pub fn last_start(&self, zone: usize) -> u64 {
+        self.orders.get(zone_name(zone).as_str()).copied().unwrap_or(0)
+    }
+
     pub(super) fn count(&mut self, at: usize, sent: bool, body: &Body) {
         if self.weigh {
             let kind = match body {
--- a/crates/dispatch/tests/world/fault.rs
+++ b/crates/dispatch/tests/world/fault.rs
@@ -31,7 +31,8 @@
         let (me, policy) = (instance.card.clone(), self.policy);
         let times = if me.role == Role::Keeper { 5 } else { 1 };
         let cores = self.cores * times;
-        let config = core::Config { me, seeds, lease: 950, seed, cores, policy, disk };
+        let zones = Vec::new();
+        let config = core::Config { me, seeds, lease: 950, seed, cores, policy, zones, disk };
         instance.core = Some(Core::new(config, now));
     }
 
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -156,6 +156,8 @@
     pub begun: BTreeMap<Task, u32>,
     /// When each task was last told to start.
     pub starts: BTreeMap<Task, u64>,
+    /// When a task was last ordered to start at an upstream of each zone.
+    orders: BTreeMap<String, u64>,
     /// Tasks that have done their work.
     pub done: BTreeSet<Task>,
     pub replies: Vec<(u64, Reply)>,
@@ -236,6 +238,7 @@
             crashing: BTreeSet::new(),
             begun: BTreeMap::new(),
             starts: BTreeMap::new(),
+            orders: BTreeMap::new(),
             done: BTreeSet::new(),
             replies: Vec::new(),
             spent: BTreeMap::new(),
--- a/crates/dispatch/tests/world/operator.rs
+++ b/crates/dispatch/tests/world/operator.rs
@@ -5,7 +5,7 @@
     message::Document,
 };
 
-use super::World;
+use super::{World, zone_name};
 
 impl World {
     /// The operator hands a configuration to a keeper; gives the ticket.
@@ -25,6 +25,19 @@
         ticket
     }
 
+    /// The operator evacuates a zone, or takes it back, at a keeper; gives the ticket.
+    pub fn evacuate(&mut self, at: usize, zone: usize, evacuated: bool) -> u64 {
+        self.order += 1;
+        let ticket = self.order;
+        self.handle(at, Event::Evacuate(ticket, zone_name(zone), evacuated));
+        ticket
+    }
+
+    /// Tells an instance of something.
+    pub fn handle_event(&mut self, at: usize, event: Event) {
+        self.handle(at, event);
+    }
+
     pub fn reply(&self, ticket: u64) -> Option<&Reply> {
         self.replies.iter().find(|(other, _)| *other == ticket).map(|(_, reply)| reply)
     }
--- a/crates/state/src/node.rs
+++ b/crates/state/src/node.rs
@@ -51,6 +51,8 @@
     pub folder: Option<path::PathBuf>,
     /// Operator addresses of some keepers.
     pub seeds: Vec<net::SocketAddr>,
+    /// All availability zones, as far as they are known from the start.
+    pub zones: Vec<name::Name>,
     /// Whether the whole system starts for the first time.
     pub first: bool,
     /// Longest lease that upstreams grant, milliseconds.
@@ -120,6 +122,7 @@
         let metrics = self.address_of(root, &mut map, "metrics_address", false);
         let folder = map.remove("data_folder").and_then(|at| self.text(&at));
         let seeds = self.seeds(&mut map);
+        let zones = self.zones(&mut map);
         let first = map.remove("first_start").and_then(|at| self.flag(&at));
         let lease = map.remove("lease_ms").and_then(|at| self.whole(&at));
         let grace = map.remove("grace_ms").and_then(|at| self.whole(&at));
@@ -141,6 +144,7 @@
             metrics,
             folder: folder.map(path::PathBuf::from),
             seeds,
+            zones,
             first: first.unwrap_or(false),
             lease_ms: lease.unwrap_or(DEFAULT_LEASE_MS),
             grace_ms: grace.unwrap_or(DEFAULT_GRACE_MS),
@@ -185,16 +189,24 @@
         policy
     }
 
-    fn seeds(&mut self, map: &mut Members<'_>) -> Vec<net::SocketAddr> {
-        let Some(at) = map.remove("seeds") else {
-            return Vec::new();
-        };
-        let Some(items) = at.items() else {
+    fn items<'a>(&mut self, map: &mut Members<'a>, key: &str) -> Vec<Located<'a>> {
+        let Some(at) = map.remove(key) else { return Vec::new() };
+        let items = at.items();
+        if items.is_none() {
             self.faults.push(at.fault("expected an array"));
-            return Vec::new();
-        };
+        }
+        items.unwrap_or_default()
+    }
+
+    fn zones(&mut self, map: &mut Members<'_>) -> Vec<name::Name> {
+        let items = self.items(map, "availability_zones");
+        let zones = items.iter().filter_map(|item| self.text(item));
+        zones.map(|zone| name::Name::new(&zone)).collect()
+    }
+
+    fn seeds(&mut self, map: &mut Members<'_>) -> Vec<net::SocketAddr> {
         let mut seeds = Vec::new();
-        for item in &items {
+        for item in &self.items(map, "seeds") {
             let address = item.value().as_str().and_then(|text| text.parse().ok());
             match address {
                 Some(address) => seeds.push(address),
