--- a/crates/apricotroute/benches/trials.rs
+++ b/crates/apricotroute/benches/trials.rs
@@ -1,5 +1,5 @@
 //! Trials with real processes: `cargo bench --bench trials -- NAME...`, or none for all of them.
-//! Each prints rows of docs/MEASUREMENTS.md; a baseline runs right before what it is held against.
+//! Each prints rows of docs/design/measurements.md; a baseline runs right before what it is held against.
 
 #[path = "../tests/harness/mod.rs"]
 mod harness;
--- a/crates/apricotroute/src/explain.rs
+++ b/crates/apricotroute/src/explain.rs
@@ -60,14 +60,14 @@
         let own: Vec<_> = all.iter().filter(|line| line.is_about(&ids)).collect();
         let involved: collections::BTreeSet<_> = own.iter().map(|line| &line.instance).collect();
         let span = own.first().zip(own.last()).map(|(first, last)| (first.ts, last.ts));
-        let is_near = |line: &Line| {
+        let is_watched = |line: &Line| {
             let within =
                 span.is_some_and(|(first, last)| line.ts + BEFORE >= first && line.ts <= last);
             let change = CHANGES.iter().any(|part| line.msg.starts_with(part));
             within && change && involved.contains(&line.instance)
         };
         let lines =
-            all.iter().filter(|line| line.is_about(&ids) || is_near(line)).cloned().collect();
+            all.iter().filter(|line| line.is_about(&ids) || is_watched(line)).cloned().collect();
         let lines = if own.is_empty() { Vec::new() } else { lines };
         Self { lines, ids, unread: log.unread, left_out: log.left_out() }
     }
--- a/crates/apricotroute/src/losses.rs
+++ b/crates/apricotroute/src/losses.rs
@@ -5,7 +5,7 @@
 
 use std::{collections, fmt, path};
 
-use dispatch::{split, time};
+use dispatch::{time, timing};
 
 use crate::{
     error,
@@ -88,7 +88,7 @@
     rerun: bool,
     left: bool,
     /// Where the time of the task went that ended last.
-    parts: Option<split::Parts>,
+    parts: Option<timing::Breakdown>,
     answer: Option<String>,
     /// Whether it went elsewhere, or was given back, because a zone is evacuated.
     moved: bool,
@@ -200,8 +200,8 @@
                 }
             }
             "job: Ended." => {
-                let parts = split::Parts::read(detail).into_iter().chain(self.parts);
-                self.parts = parts.max_by_key(split::Parts::whole);
+                let parts = timing::Breakdown::read(detail).into_iter().chain(self.parts);
+                self.parts = parts.max_by_key(timing::Breakdown::whole);
             }
             "job: Handed over." => {
                 let zone = detail.split(" in ").nth(1).and_then(|rest| rest.split(',').next());
@@ -247,7 +247,7 @@
 }
 
 /// What made a request late that was answered after `took`, microseconds.
-fn longest(parts: &split::Parts, took: u64, objective: u64, elsewhere: bool) -> Cause {
+fn longest(parts: &timing::Breakdown, took: u64, objective: u64, elsewhere: bool) -> Cause {
     if parts.work > objective {
         return Cause::LateSize;
     }
--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -244,7 +244,7 @@
     match measure {
         event::Measure::FirstWait(waited) => metric::note_first_start(time(waited)),
         event::Measure::IdleRoom(idle) => metric::note_idle_room(time(idle)),
-        event::Measure::Parts(parts) => {
+        event::Measure::Breakdown(parts) => {
             metric::note_part("order", time(parts.order));
             metric::note_part("work", time(parts.work));
             metric::note_part("told", time(parts.told));
--- a/crates/apricotroute/src/node/measure.rs
+++ b/crates/apricotroute/src/node/measure.rs
@@ -19,7 +19,7 @@
     ("free_cores", |status| status.free),
     ("total_cores", |status| status.total),
     ("upstreams", |status| status.upstreams as f64),
-    ("upstreams_aside", |status| status.aside as f64),
+    ("upstreams_ejected", |status| status.ejected as f64),
     ("upstreams_silent", |status| status.silent as f64),
     ("settings_version", |status| status.version as f64),
     ("evacuated_zones", |status| status.evacuated as f64),
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -184,8 +184,8 @@
     founder: bool,
     log: &slog::Logger,
 ) -> error::Result<store::Store> {
-    let fresh = u64::from(rand::random::<u32>()) + dispatch::vault::FIRST_LIFE + 1;
-    let life = if node.first && founder { dispatch::vault::FIRST_LIFE } else { fresh };
+    let fresh = u64::from(rand::random::<u32>()) + dispatch::control_log::FIRST_LIFE + 1;
+    let life = if node.first && founder { dispatch::control_log::FIRST_LIFE } else { fresh };
     let store = store::Store::open(folder, &peer_name(node), life)?;
     if store.torn > 0 {
         slog::warn!(log, "store: Cut an unfinished write."; "bytes" => store.torn);
--- a/crates/dispatch/src/active.rs
+++ b/crates/dispatch/src/active.rs
@@ -2,7 +2,7 @@
 
 use state::name;
 
-use crate::{job, message, share, split, time};
+use crate::{job, message, share, time, timing};
 
 /// How a task stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -63,7 +63,7 @@
     /// Whether what cannot start at once is given back.
     pub offer: bool,
     /// Where the time of the task went that did its work last.
-    pub last: Option<split::Parts>,
+    pub last: Option<timing::Breakdown>,
     /// Its tasks, step by step.
     pub items: Vec<Vec<Item>>,
     waiting: u32,
@@ -147,7 +147,7 @@
 
     /// Whether a run that another scheduler started may go on, at an upstream that has not answered
     /// yet (`unread`) or that is not known here.
-    pub fn is_barred(&self, unread: bool, now: u64) -> bool {
+    pub fn is_blocked(&self, unread: bool, now: u64) -> bool {
         let unsure = unread || !self.uncovered.is_empty();
         self.job.resumed && unsure && now < self.over
     }
--- a/crates/dispatch/src/intake.rs
+++ b/crates/dispatch/src/admission.rs
@@ -5,11 +5,11 @@
 use crate::{
     active::{Active, Phase},
     job::{Job, Refusal, Verdict},
-    lane::Lane,
     message::{self, Ruling},
     order::End,
     queue,
     sched::{FORMER, Sched},
+    session::Session,
     time, upstream,
 };
 
@@ -105,11 +105,12 @@
         if job.resumed || handover.begun || handover.offer {
             return None;
         }
-        let serves = |lane: &&Lane| lane.record.service == job.service && lane.is_read();
-        let mut known = self.lanes.values().filter(serves).peekable();
+        let serves =
+            |session: &&Session| session.record.service == job.service && session.is_read();
+        let mut known = self.sessions.values().filter(serves).peekable();
         if known.peek().is_some() {
             let fits = |need: &upstream::Room| {
-                self.lanes.values().filter(serves).any(|lane| need.fits(&lane.record.most))
+                self.sessions.values().filter(serves).any(|session| need.fits(&session.record.most))
             };
             if !job.steps.iter().all(|step| fits(&step.need)) {
                 return Some(Refusal::TooLarge);
@@ -118,7 +119,7 @@
         if !self.policy.refuse_overload {
             return None;
         }
-        if now < self.since + SURVEY && self.lanes.values().any(|lane| !lane.is_read()) {
+        if now < self.since + SURVEY && self.sessions.values().any(|session| !session.is_read()) {
             return None;
         }
         let line = self.jobs.values().map(|active| (active.due(), active.waiting_cpu()));
@@ -129,8 +130,8 @@
     pub(crate) fn adopt(&mut self, id: &name::Name, now: u64) {
         self.orphans.retain(|task, _| task.job != *id);
         let mut found = Vec::new();
-        for (name, lane) in &mut self.lanes {
-            for (task, run) in lane.runs.iter_mut().filter(|(task, _)| task.job == *id) {
+        for (name, session) in &mut self.sessions {
+            for (task, run) in session.runs.iter_mut().filter(|(task, _)| task.job == *id) {
                 // One that was told to stop already ends, and the task waits again then.
                 if run.unwanted == Some(0) {
                     run.unwanted = None;
@@ -140,20 +141,20 @@
         }
         let mut spare = Vec::new();
         if let Some(active) = self.jobs.get_mut(id) {
-            for (lane, task, attempt) in found {
+            for (session, task, attempt) in found {
                 let Some(item) = active.item_mut(&task) else { continue };
                 item.attempt = item.attempt.max(attempt);
                 // A start that was carried out late may have left two runs of one task; a task that is
                 // elsewhere now may have one left of a former submission.
                 if matches!(item.phase, Phase::Placed(_) | Phase::Away) {
-                    spare.push((lane, task));
+                    spare.push((session, task));
                 } else {
-                    active.set(&task, Phase::Placed(lane));
+                    active.set(&task, Phase::Placed(session));
                 }
             }
         }
-        for (lane, task) in spare {
-            self.unwant(&lane, &task);
+        for (session, task) in spare {
+            self.mark_unwanted(&session, &task);
         }
         let done = self.ends.iter().filter(|(task, (end, _))| task.job == *id && *end == End::Done);
         let done: Vec<_> = done.map(|(task, _)| task.clone()).collect();
--- a/crates/dispatch/src/part.rs
+++ b/crates/dispatch/src/assignment.rs
@@ -11,7 +11,7 @@
 
 /// Tasks of a job that are with one scheduler at a time.
 #[derive(Debug)]
-pub(crate) struct Part {
+pub(crate) struct Assignment {
     /// Number of its last hand-over, or one that was never used: no other part has it.
     pub(crate) number: u64,
     pub(crate) share: share::Share,
@@ -46,7 +46,7 @@
     Give,
 }
 
-impl Part {
+impl Assignment {
     /// Tasks that no scheduler has.
     pub(crate) fn new(number: u64, share: share::Share, now: u64) -> Self {
         Self {
@@ -93,7 +93,7 @@
         }
         self.lost.get_or_insert(now);
         let next = view.claims.of(&claim.zone);
-        if next.is_some_and(|next| next != claim && view.roster.holds(next, now)) {
+        if next.is_some_and(|next| next != claim && view.membership.holds(next, now)) {
             self.resume();
             return Due::Give;
         }
--- a/crates/dispatch/src/tempo.rs
+++ b/crates/dispatch/src/call_timeout.rs
@@ -24,7 +24,7 @@
 
 /// Times and losses of the calls to all upstreams of a scheduler.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Tempo {
+pub struct CallTimeout {
     /// This span and the one before.
     spans: [Span; 2],
     turned: u64,
@@ -38,7 +38,7 @@
     lost: u32,
 }
 
-impl Tempo {
+impl CallTimeout {
     /// A call was answered after `took` microseconds; 0 where that tells nothing.
     pub fn answered(&mut self, took: u64, now: u64) {
         let span = self.span(now);
--- a/crates/dispatch/src/squeeze.rs
+++ b/crates/dispatch/src/capacity_limit.rs
@@ -15,14 +15,14 @@
 
 /// Cores at which an upstream refused a task lately.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Squeeze {
+pub struct CapacityLimit {
     /// All that runs there takes less than this, thousandths of a core.
     refused: u64,
     until: u64,
     times: u32,
 }
 
-impl Squeeze {
+impl CapacityLimit {
     /// A task was refused that would have made the upstream hold `cpu`.
     pub fn refused(&mut self, cpu: u64, now: u64) {
         self.refused = cpu;
--- a/crates/dispatch/src/pack.rs
+++ b/crates/dispatch/src/compression.rs
@@ -14,14 +14,14 @@
 /// What cannot be unpacked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
-    /// It is not what [`pack`] gave.
+    /// It is not what [`compress`] gave.
     Broken,
     /// It holds more than 64 MB.
     TooLong,
 }
 
 /// Packs a text; the same text gives the same bytes.
-pub fn pack(text: &[u8]) -> Bytes {
+pub fn compress(text: &[u8]) -> Bytes {
     let mut packed = Vec::new();
     let mut reader = bufread::DeflateEncoder::new(text, Compression::fast());
     // Reading from memory into memory does not fail.
@@ -33,16 +33,16 @@
 ///
 /// # Errors
 ///
-/// It was not packed by [`pack`], or is too long.
+/// It was not compressed by [`compress`], or is too long.
 ///
 /// ```
-/// use dispatch::pack;
+/// use dispatch::compression;
 ///
-/// let packed = pack::pack(b"text");
-/// assert_eq!(pack::unpack(&packed).unwrap(), "text");
-/// assert_eq!(pack::unpack(b"text"), Err(pack::Fault::Broken));
+/// let packed = compression::compress(b"text");
+/// assert_eq!(compression::decompress(&packed).unwrap(), "text");
+/// assert_eq!(compression::decompress(b"text"), Err(compression::Fault::Broken));
 /// ```
-pub fn unpack(packed: &[u8]) -> Result<Bytes, Fault> {
+pub fn decompress(packed: &[u8]) -> Result<Bytes, Fault> {
     let mut text = Vec::new();
     let mut reader = bufread::DeflateDecoder::new(packed).take(MAX_TEXT + 1);
     reader.read_to_end(&mut text).map_err(|_broken| Fault::Broken)?;
--- a/crates/dispatch/src/vault.rs
+++ b/crates/dispatch/src/control_log.rs
@@ -7,10 +7,10 @@
 use state::name;
 
 use crate::{
-    evacuation,
+    compression, evacuation,
     event::{Reply, Ticket},
     message::{Body, Document},
-    pack, time,
+    time,
 };
 
 /// Intervals of the group. A leader that is lost is replaced within 1.5 s, so that an order which
@@ -191,7 +191,7 @@
 
 /// A member of the group that holds the configuration.
 #[derive(Debug)]
-pub struct Vault {
+pub struct ControlLog {
     group: group::Group<Machine>,
     orders: collections::BTreeMap<u64, Order>,
     questions: collections::BTreeMap<u64, Question>,
@@ -199,7 +199,7 @@
     out: Output,
 }
 
-impl Vault {
+impl ControlLog {
     /// A member that starts from what it had stored. `founders` are the first members, if the
     /// whole system starts for the first time and this instance is one of them.
     pub fn new(
@@ -456,5 +456,6 @@
 /// Whether two packed texts are the same. Another version of this program may pack the same text to
 /// other bytes.
 fn is_same(one: &bytes::Bytes, other: &bytes::Bytes) -> bool {
-    one == other || matches!((pack::unpack(one), pack::unpack(other)), (Ok(a), Ok(b)) if a == b)
+    one == other
+        || matches!((compression::decompress(one), compression::decompress(other)), (Ok(a), Ok(b)) if a == b)
 }
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -6,15 +6,15 @@
 use state::{name, policy};
 
 use crate::{
-    claim, contest, desk, evacuation,
+    claim, control_log, evacuation,
     event::{Event, Known, Note, Output, Reply, Ticket},
     fetch,
     job::{Refusal, Verdict},
-    member,
+    leadership, member, membership,
     message::{Body, Document},
-    order, roster, sched, suspect,
+    order, sched, submissions, suspect,
     time::{MS, Now},
-    upstream, vault, view, zone,
+    upstream, view, zone,
 };
 
 /// An instance that did nothing for this long has been stopped, microseconds: what it knows of the
@@ -76,8 +76,8 @@
     /// Processor time, thousandths of a core.
     pub(crate) cores: u64,
     pub(crate) policy: policy::Policy,
-    pub(crate) roster: roster::Roster,
-    pub(crate) claims: contest::Claims,
+    pub(crate) membership: membership::Membership,
+    pub(crate) claims: leadership::Claims,
     pub(crate) table: upstream::Table,
     /// The zones whose upstreams it knows, its own among them.
     pub(crate) zones: collections::BTreeMap<name::Name, zone::Zone>,
@@ -85,8 +85,8 @@
     pub(crate) backed: Vec<name::Name>,
     /// Tasks that ran at upstreams that were lost.
     pub(crate) suspects: suspect::Suspects,
-    pub(crate) desk: desk::Desk,
-    pub(crate) vault: Option<vault::Vault>,
+    pub(crate) submissions: submissions::Submissions,
+    pub(crate) control_log: Option<control_log::ControlLog>,
     pub(crate) document: Document,
     pub(crate) evacuations: evacuation::Evacuations,
     pub(crate) named_zones: Vec<name::Name>,
@@ -106,26 +106,26 @@
     pub fn new(config: Config, now: Now) -> Self {
         let Config { me, seeds, lease, seed, cores, policy, zones, mut disk } = config;
         let known = disk.as_mut().map(|disk| std::mem::take(&mut disk.known)).unwrap_or_default();
-        let vault = disk.map(|disk| {
+        let control_log = disk.map(|disk| {
             let member = name::Member::new(&me.name, disk.life);
             let founder = disk.first && seeds.contains(&me.name);
             let founders = founder.then_some(seeds.as_slice());
-            vault::Vault::new(member, disk.recovered, founders, now.mono, seed)
+            control_log::ControlLog::new(member, disk.recovered, founders, now.mono, seed)
         });
-        let mut roster = roster::Roster::new(me, &seeds, now.mono);
-        roster.recall(&known.instances, now.mono);
+        let mut membership = membership::Membership::new(me, &seeds, now.mono);
+        membership.add_known(&known.instances, now.mono);
         let mut core = Self {
             lease,
             cores,
             policy,
-            roster,
-            claims: contest::Claims::default(),
+            membership,
+            claims: leadership::Claims::default(),
             table: upstream::Table::default(),
             zones: collections::BTreeMap::new(),
             backed: Vec::new(),
             suspects: suspect::Suspects::default(),
-            desk: desk::Desk::default().with_policy(policy),
-            vault,
+            submissions: submissions::Submissions::default().with_policy(policy),
+            control_log,
             document: Document::default(),
             evacuations: evacuation::Evacuations::default(),
             named_zones: zones,
@@ -137,7 +137,7 @@
             last: now,
             out: Vec::new(),
         };
-        core.adopt_vault(now);
+        core.adopt_log(now);
         core.on_records(known.upstreams);
         core
     }
@@ -156,28 +156,28 @@
             Event::Tick => self.tick(now),
             Event::Peer(from, body) => self.on_peer(&from, body, true, now),
             Event::Saved(number) => {
-                if let Some(vault) = &mut self.vault {
-                    vault.saved(number, now.mono);
+                if let Some(control_log) = &mut self.control_log {
+                    control_log.saved(number, now.mono);
                 }
             }
             Event::Submit(ticket, job) => {
-                let (view, desk) = self.view(now);
-                desk.submit(ticket, *job, view);
+                let (view, submissions) = self.view(now);
+                submissions.submit(ticket, *job, view);
             }
-            Event::Left(ticket) => self.desk.left(ticket),
+            Event::Left(ticket) => self.submissions.left(ticket),
             Event::Announce(ticket, record) => self.announce(ticket, &record, now),
             Event::Unlisted(ticket, record) => self.unlisted(ticket, &record, now),
             Event::Unread(id, why) => self.note(REFUSED, &id, why),
             Event::Withdraw(ticket, id) => self.withdraw(ticket, &id, now),
-            Event::Publish(ticket, document) => match &mut self.vault {
-                Some(vault) => vault.publish(ticket, document, now.mono),
+            Event::Publish(ticket, document) => match &mut self.control_log {
+                Some(control_log) => control_log.publish(ticket, document, now.mono),
                 None => self.reply(ticket, Reply::Unavailable),
             },
             Event::Evacuate(ticket, zone, evacuated) => {
                 self.order_evacuation(ticket, zone, evacuated, now);
             }
-            Event::Read(ticket) => match &mut self.vault {
-                Some(vault) => vault.read(ticket, now.mono),
+            Event::Read(ticket) => match &mut self.control_log {
+                Some(control_log) => control_log.read(ticket, now.mono),
                 None => self.reply(ticket, Reply::Unavailable),
             },
             Event::Called(order::Answer { number, fence, took, outcome }) => {
@@ -188,7 +188,7 @@
                 }
             }
             Event::Seeds(seeds) => {
-                self.roster.set_seeds(&seeds, now.mono);
+                self.membership.set_seeds(&seeds, now.mono);
             }
             Event::Drain => self.drain(now),
         }
@@ -207,46 +207,46 @@
         let wall = now.wall.saturating_sub(last.wall) * MS;
         let steady = now.mono.saturating_sub(last.mono);
         if wall > steady + PAUSE {
-            self.roster.stood_still(now.mono);
+            self.membership.stood_still(now.mono);
         }
         let gap = steady.max(wall);
         if gap < STOPPED {
             return;
         }
-        self.roster.distrust(now.mono);
+        self.membership.suspect_all(now.mono);
         self.scheds_mut().for_each(sched::Sched::drop_all);
-        let me = self.roster.me().name.clone();
+        let me = self.membership.me().name.clone();
         self.note("node: Was stopped, trusting nobody until heard again.", &me, gap.to_string());
     }
 
     /// Whether clients may be sent here.
     pub fn is_ready(&self, now: Now) -> bool {
-        let reached = |claim: &claim::Claim| self.roster.holds(claim, now.mono);
+        let reached = |claim: &claim::Claim| self.membership.holds(claim, now.mono);
         let settled = self.document.version > 0 && !self.is_outdated(now);
         !self.draining && settled && self.claims.iter().any(reached)
     }
 
     /// Jobs that clients wait for here.
     pub fn open(&self) -> usize {
-        self.desk.open()
+        self.submissions.open()
     }
 
     /// Digest of the upstreams of its own zone that it knows.
     pub(crate) fn digest(&self) -> u64 {
-        self.zones.get(&self.roster.me().zone).map_or(0, |zone| zone.census.digest())
+        self.zones.get(&self.membership.me().zone).map_or(0, |zone| zone.directory.digest())
     }
 
-    /// The desk, and what it goes by.
-    pub(crate) fn view(&mut self, now: Now) -> (view::View<'_>, &mut desk::Desk) {
+    /// The clients' jobs, and what is known for deciding about them.
+    pub(crate) fn view(&mut self, now: Now) -> (view::View<'_>, &mut submissions::Submissions) {
         let upstreams = self.digest();
         let view = view::View {
-            roster: &self.roster,
+            membership: &self.membership,
             claims: &self.claims,
             evacuations: &self.evacuations,
             upstreams,
             now: now.mono,
         };
-        (view, &mut self.desk)
+        (view, &mut self.submissions)
     }
 
     /// Jobs under way here, as a scheduler.
@@ -273,32 +273,32 @@
             |id: &name::Name| table.get(id).is_none_or(|held| held.phase == upstream::Phase::Gone);
         self.zones.values_mut().for_each(|zone| zone.drop_lingering(gone));
         self.remember(now);
-        for name in self.roster.mute(now.mono) {
+        for name in self.membership.unresponsive(now.mono) {
             self.note("peer: Nothing comes back, dialling anew.", &name, String::new());
             self.out.push(Output::Redial(name));
         }
-        for name in self.roster.forget(now.mono) {
+        for name in self.membership.forget(now.mono) {
             self.note("peer: Forgotten.", &name, String::new());
             self.out.push(Output::Disconnect(name));
         }
         if !self.draining {
-            self.contend(now);
+            self.campaign(now);
         }
         self.suspects.expire(now.mono);
-        let roster = &self.roster;
+        let membership = &self.membership;
         for sched in self.zones.values_mut().filter_map(|zone| zone.sched.as_mut()) {
-            sched.tick(|entry| roster.clock(entry, now.mono), now.mono);
+            sched.tick(|entry| membership.clock(entry, now.mono), now.mono);
         }
-        let (view, desk) = self.view(now);
-        desk.tick(view);
-        let keepers: Vec<_> = self.roster.keepers().cloned().collect();
-        if let Some(vault) = &mut self.vault {
-            vault.set_others(keepers);
-            vault.tick(now);
-            let leads = vault.is_leader();
+        let (view, submissions) = self.view(now);
+        submissions.tick(view);
+        let keepers: Vec<_> = self.membership.keepers().cloned().collect();
+        if let Some(control_log) = &mut self.control_log {
+            control_log.set_others(keepers);
+            control_log.tick(now);
+            let leads = control_log.is_leader();
             if std::mem::replace(&mut self.leads, leads) != leads {
-                let voters = vault.voters();
-                let me = self.roster.me().name.clone();
+                let voters = control_log.voters();
+                let me = self.membership.me().name.clone();
                 let text = if leads { "settings: Leading." } else { "settings: Not leading." };
                 self.note(text, &me, voters);
             }
@@ -308,11 +308,11 @@
     /// Keeps who is known, on an instance with a disk.
     fn remember(&mut self, now: Now) {
         let (former, at) = self.kept;
-        let state = self.table.changes() ^ self.roster.digest();
-        if self.vault.is_some() && now.mono >= at + KEEP && state != former {
+        let state = self.table.changes() ^ self.membership.digest();
+        if self.control_log.is_some() && now.mono >= at + KEEP && state != former {
             self.kept = (state, now.mono);
             let upstreams = self.table.all_present().cloned().collect();
-            let instances = self.roster.neighbours();
+            let instances = self.membership.neighbours();
             self.out.push(Output::Remember(Known { upstreams, instances }));
         }
     }
@@ -348,10 +348,10 @@
     /// Tells every instance that may schedule the upstream of its news.
     pub(crate) fn spread(&mut self, record: &upstream::Record, now: Now) {
         self.tell_sched(record);
-        let names: Vec<_> = self.roster.names().cloned().collect();
+        let names: Vec<_> = self.membership.names().cloned().collect();
         for to in names {
             let concerned = self
-                .roster
+                .membership
                 .peer(&to)
                 .and_then(|peer| peer.card.as_ref())
                 .is_some_and(|card| self.is_told(card, &record.zone));
@@ -363,32 +363,32 @@
 
     pub(crate) fn drain(&mut self, now: Now) {
         self.draining = true;
-        if let Some(vault) = &mut self.vault {
-            vault.hand_over(now.mono);
+        if let Some(control_log) = &mut self.control_log {
+            control_log.hand_over(now.mono);
         }
         self.beat_all(now);
     }
 
     /// Moves the effects of the parts on.
     pub(crate) fn settle_parts(&mut self, now: Now) {
-        for zone in self.seats() {
+        for zone in self.scheduled_zones() {
             self.settle_findings(&zone, now);
             self.settle_sched(&zone, now);
         }
-        let desk = self.desk.take();
-        for (to, body) in desk.sends {
+        let submissions = self.submissions.take();
+        for (to, body) in submissions.sends {
             if let Body::Submit(_, job, _) = &body {
                 self.tell_former(&to, &job.id, now);
             }
             self.send(&to, body, now);
         }
-        self.out.extend(desk.notes.into_iter().map(Output::Note));
-        self.out.extend(desk.measures.into_iter().map(Output::Measure));
-        for (ticket, verdict) in desk.verdicts {
+        self.out.extend(submissions.notes.into_iter().map(Output::Note));
+        self.out.extend(submissions.measures.into_iter().map(Output::Measure));
+        for (ticket, verdict) in submissions.verdicts {
             self.reply(ticket, Reply::Verdict(verdict));
         }
-        if let Some(vault) = &mut self.vault {
-            let out = vault.take();
+        if let Some(control_log) = &mut self.control_log {
+            let out = control_log.take();
             for (to, body) in out.sends {
                 self.send(&to, body, now);
             }
@@ -396,7 +396,7 @@
             for (ticket, reply) in out.replies {
                 self.reply(ticket, reply);
             }
-            self.adopt_vault(now);
+            self.adopt_log(now);
         }
     }
 
--- a/crates/dispatch/src/census.rs
+++ b/crates/dispatch/src/directory.rs
@@ -15,14 +15,14 @@
 
 /// The upstreams of one zone, as a number that rises with each one that is added.
 #[derive(Clone, Debug, Default)]
-pub struct Census {
+pub struct Directory {
     added: collections::BTreeMap<name::Name, u64>,
     count: u64,
     digest: u64,
     former: collections::VecDeque<(u64, u64)>,
 }
 
-impl Census {
+impl Directory {
     /// An upstream is there.
     pub fn add(&mut self, id: &name::Name) {
         if self.added.contains_key(id) {
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -2,7 +2,7 @@
 
 use state::name;
 
-use crate::{job, message, order, split, upstream};
+use crate::{job, message, order, timing, upstream};
 
 /// A request that waits for a reply.
 pub type Ticket = u64;
@@ -78,7 +78,7 @@
     /// as long: the room stood empty.
     IdleRoom(u64),
     /// Where the time of a task went that has done its work.
-    Parts(split::Parts),
+    Breakdown(timing::Breakdown),
     /// Age of the word of a zone's room by which tasks were handed there.
     LoadAge(u64),
 }
--- a/crates/dispatch/src/handback.rs
+++ b/crates/dispatch/src/handback.rs
@@ -33,8 +33,8 @@
     /// Gives back what waits, so that other zones run it. What a former scheduler may have started
     /// stays until that is known, and what runs goes on to its end.
     pub(crate) fn return_all(&mut self, now: u64) {
-        let unread = self.lanes.values().any(|lane| !lane.is_read());
-        let waits = |active: &Active| active.waiting() > 0 && !active.is_barred(unread, now);
+        let unread = self.sessions.values().any(|session| !session.is_read());
+        let waits = |active: &Active| active.waiting() > 0 && !active.is_blocked(unread, now);
         let waiting = self.jobs.iter().filter(|(_, active)| waits(active));
         for id in waiting.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
             let Some(active) = self.jobs.get_mut(&id) else { continue };
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -51,7 +51,7 @@
     }
 
     /// Whether it is put aside.
-    pub fn is_aside(&self, now: u64) -> bool {
+    pub fn is_ejected(&self, now: u64) -> bool {
         now < self.aside
     }
 
@@ -61,7 +61,7 @@
     }
 
     /// Whether an end was bad lately.
-    pub fn is_doubtful(&self) -> bool {
+    pub fn is_suspected(&self) -> bool {
         self.ends != 0
     }
 
--- a/crates/dispatch/src/contest.rs
+++ b/crates/dispatch/src/leadership.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     claim::{Claim, NEXT_FENCE, OWNER_BITS},
-    evacuation, member, roster, time,
+    evacuation, member, membership, time,
 };
 
 /// An instance that starts waits this long for an older scheduler to be heard of, microseconds.
@@ -49,7 +49,7 @@
 
 /// How an instance stands that may claim its zone.
 #[derive(Clone, Copy, Debug)]
-pub struct Stand {
+pub struct Candidate {
     /// Whether it schedules the zone already.
     pub schedules: bool,
     /// Whether it has a configuration and knows an upstream of the zone: without them there is nothing to
@@ -61,13 +61,13 @@
 
 /// How an instance goes about a claim to one zone.
 #[derive(Clone, Copy, Debug, Default)]
-struct Seat {
+struct Candidacy {
     /// Since when nobody is heard who schedules it.
     vacant: Option<u64>,
     /// Since when an instance has it that is not a keeper of the zone.
     lent: Option<u64>,
     /// Until when it is left to others.
-    barred: u64,
+    blocked: u64,
     /// When the highest claim was heard of.
     heard: Option<u64>,
 }
@@ -76,7 +76,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Claims {
     highest: collections::BTreeMap<name::Name, Claim>,
-    seats: collections::BTreeMap<name::Name, Seat>,
+    candidacies: collections::BTreeMap<name::Name, Candidacy>,
 }
 
 impl Claims {
@@ -88,7 +88,7 @@
             return false;
         }
         self.highest.insert(claim.zone.clone(), claim.clone());
-        self.seat(&claim.zone).heard = Some(now);
+        self.candidacy(&claim.zone).heard = Some(now);
         true
     }
 
@@ -123,44 +123,44 @@
     }
 
     /// Whether the scheduler of `zone` is heard.
-    pub fn is_led(&self, zone: &name::Name, roster: &roster::Roster, now: u64) -> bool {
-        self.of(zone).is_some_and(|claim| roster.holds(claim, now))
+    pub fn is_led(&self, zone: &name::Name, membership: &membership::Membership, now: u64) -> bool {
+        self.of(zone).is_some_and(|claim| membership.holds(claim, now))
     }
 
     /// Claims the zone of `me` if nobody of it hears a scheduler and it is this instance's turn.
-    pub fn contend(
+    pub fn campaign(
         &mut self,
-        roster: &roster::Roster,
-        stand: Stand,
+        membership: &membership::Membership,
+        candidate: Candidate,
         now: time::Now,
     ) -> Option<Claim> {
-        let me = roster.me();
+        let me = membership.me();
         let zone = &me.zone;
-        if self.is_take_back_due(roster, now.mono) {
+        if self.is_take_back_due(membership, now.mono) {
             return Some(self.raise(me, zone, now));
         }
         // A claim of its own that others remember and that it does not stand by any more.
-        let disused = !stand.schedules && self.is_own(me, zone);
-        let led = self.is_led(zone, roster, now.mono) || roster.mate_is_led(now.mono);
+        let disused = !candidate.schedules && self.is_own(me, zone);
+        let led = self.is_led(zone, membership, now.mono) || membership.zone_peer_is_led(now.mono);
         let led = led && !disused;
         let entry = me.role == member::Role::Entry;
-        let unfit = entry && (!stand.equipped || stand.weak);
-        let settled = roster.start() + if unfit { UNSET } else { SETTLE };
-        let news = if entry && stand.weak { WEAK_NEWS } else { NEWS };
-        let seat = self.seat(zone);
-        let early = now.mono < settled.max(seat.barred);
-        if led || early || seat.is_news(news, now.mono) && !disused {
-            seat.vacant = None;
+        let unfit = entry && (!candidate.equipped || candidate.weak);
+        let settled = membership.start() + if unfit { UNSET } else { SETTLE };
+        let news = if entry && candidate.weak { WEAK_NEWS } else { NEWS };
+        let candidacy = self.candidacy(zone);
+        let early = now.mono < settled.max(candidacy.blocked);
+        if led || early || candidacy.is_news(news, now.mono) && !disused {
+            candidacy.vacant = None;
             return None;
         }
-        let vacant = *seat.vacant.get_or_insert(now.mono);
-        let alone = if roster.is_cut_off(now.mono) { ALONE } else { 0 };
+        let vacant = *candidacy.vacant.get_or_insert(now.mono);
+        let alone = if membership.is_cut_off(now.mono) { ALONE } else { 0 };
         // A keeper of another zone has more to spare.
-        let behind = if entry && stand.weak { TURN } else { 0 };
-        if now.mono < vacant + turn(roster, now.mono) + alone + behind {
+        let behind = if entry && candidate.weak { TURN } else { 0 };
+        if now.mono < vacant + turn(membership, now.mono) + alone + behind {
             return None;
         }
-        seat.vacant = None;
+        candidacy.vacant = None;
         Some(self.raise(me, zone, now))
     }
 
@@ -173,54 +173,54 @@
         &mut self,
         zone: &name::Name,
         schedules: bool,
-        roster: &roster::Roster,
+        membership: &membership::Membership,
         now: time::Now,
     ) -> Option<Claim> {
-        let me = roster.me();
-        let led = self.is_led(zone, roster, now.mono) && !self.is_own(me, zone);
-        let early = now.mono < roster.start() + ACQUAINTED;
-        let orphan = !schedules && !led && !early && roster.is_orphan(zone, now.mono);
-        let seat = self.seat(zone);
-        if !orphan || now.mono < seat.barred || seat.is_news(NEWS, now.mono) {
-            seat.vacant = None;
+        let me = membership.me();
+        let led = self.is_led(zone, membership, now.mono) && !self.is_own(me, zone);
+        let early = now.mono < membership.start() + ACQUAINTED;
+        let orphan = !schedules && !led && !early && membership.is_orphan(zone, now.mono);
+        let candidacy = self.candidacy(zone);
+        if !orphan || now.mono < candidacy.blocked || candidacy.is_news(NEWS, now.mono) {
+            candidacy.vacant = None;
             return None;
         }
-        let vacant = *seat.vacant.get_or_insert(now.mono);
-        if now.mono < vacant + roster.before(zone, now.mono) as u64 * TURN {
+        let vacant = *candidacy.vacant.get_or_insert(now.mono);
+        if now.mono < vacant + membership.before(zone, now.mono) as u64 * TURN {
             return None;
         }
-        seat.vacant = None;
+        candidacy.vacant = None;
         Some(self.raise(me, zone, now))
     }
 
     /// Whether this instance is the first keeper of a zone that an entry, or a keeper of another zone,
     /// has had for long enough.
-    fn is_take_back_due(&mut self, roster: &roster::Roster, now: u64) -> bool {
-        let me = roster.me();
+    fn is_take_back_due(&mut self, membership: &membership::Membership, now: u64) -> bool {
+        let me = membership.me();
         let lent = self.of(&me.zone).is_some_and(|claim| {
-            let card = roster.peer(&claim.holder).and_then(|peer| peer.card.as_ref());
-            roster.is_direct(&claim.holder, now)
-                && roster.holds(claim, now)
+            let card = membership.peer(&claim.holder).and_then(|peer| peer.card.as_ref());
+            membership.is_direct(&claim.holder, now)
+                && membership.holds(claim, now)
                 && card.is_some_and(|card| card.role == member::Role::Entry || card.zone != me.zone)
         });
-        let first = roster.mates(now).all(|card| card.rank() > me.rank());
-        let seat = self.seat(&me.zone);
+        let first = membership.zone_peers(now).all(|card| card.rank() > me.rank());
+        let candidacy = self.candidacy(&me.zone);
         if me.role != member::Role::Keeper || !lent || !first {
-            seat.lent = None;
+            candidacy.lent = None;
             return false;
         }
-        let since = *seat.lent.get_or_insert(now);
-        let due = now >= (since + TAKE_BACK).max(seat.barred);
+        let since = *candidacy.lent.get_or_insert(now);
+        let due = now >= (since + TAKE_BACK).max(candidacy.blocked);
         if due {
-            seat.lent = None;
+            candidacy.lent = None;
         }
         due
     }
 
     /// Leaves the zone to a scheduler that is not heard. The own claim is taken back: told on once the
     /// scheduler is heard again it would outrank that one's, and nobody would schedule the zone.
-    pub fn bar(&mut self, me: &member::Card, zone: &name::Name, now: u64) {
-        self.seat(zone).barred = now + BARRED;
+    pub fn stand_down(&mut self, me: &member::Card, zone: &name::Name, now: u64) {
+        self.candidacy(zone).blocked = now + BARRED;
         if self.is_own(me, zone) {
             self.highest.remove(zone);
         }
@@ -231,12 +231,12 @@
         self.of(zone).is_some_and(|claim| claim.holder == me.name)
     }
 
-    fn seat(&mut self, zone: &name::Name) -> &mut Seat {
-        self.seats.entry(zone.clone()).or_default()
+    fn candidacy(&mut self, zone: &name::Name) -> &mut Candidacy {
+        self.candidacies.entry(zone.clone()).or_default()
     }
 
     /// Claims a zone above a scheduler that is not heard of but has a higher fencing token.
-    pub fn overrule(&mut self, me: &member::Card, zone: &name::Name, now: time::Now) -> Claim {
+    pub fn supersede(&mut self, me: &member::Card, zone: &name::Name, now: time::Now) -> Claim {
         self.raise(me, zone, time::Now::new(now.mono, now.wall + LEAP))
     }
 
@@ -250,7 +250,7 @@
     }
 }
 
-impl Seat {
+impl Candidacy {
     /// Whether the highest claim was first heard of less than `news` ago.
     fn is_news(&self, news: u64, now: u64) -> bool {
         self.heard.is_some_and(|heard| now < heard + news)
@@ -258,8 +258,8 @@
 }
 
 /// How long this instance lets those that rank before it go first, microseconds.
-pub fn turn(roster: &roster::Roster, now: u64) -> u64 {
-    let me = roster.me();
-    let better = roster.mates(now).filter(|card| card.rank() < me.rank()).count();
+pub fn turn(membership: &membership::Membership, now: u64) -> u64 {
+    let me = membership.me();
+    let better = membership.zone_peers(now).filter(|card| card.rank() < me.rank()).count();
     better as u64 * TURN
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,15 +4,15 @@
 //! An instance is a [`Core`]. It is told what happens ([`event::Event`]) and when
 //! ([`time::Now`]), and says what to do ([`event::Output`]).
 //!
-//! - [`roster`], [`peer`], [`near`], [`redial`] and [`contest`]: which instances are heard, which
+//! - [`membership`], [`peer`], [`watch_list`], [`redial`] and [`leadership`]: which instances are heard, which
 //!   ought to be, when streams are dialled anew, and who schedules a zone.
-//! - [`upstream`], [`census`] and [`lane`]: the table of upstreams, who knows which of them, and
+//! - [`upstream`], [`directory`] and [`session`]: the table of upstreams, who knows which of them, and
 //!   one of them as its owner sees it.
 //! - [`sched`], [`active`], [`queue`], [`place`] and [`health`]: jobs, their order, and where
 //!   their tasks run.
-//! - [`desk`] and [`share`]: the entry's side of a job, and which of its tasks are with whom.
+//! - [`submissions`] and [`share`]: the entry's side of a job, and which of its tasks are with whom.
 //! - [`status`]: how an instance stands, in numbers.
-//! - [`vault`], [`fetch`], [`pack`] and [`routing`]: the replicated configuration, how it reaches
+//! - [`control_log`], [`fetch`], [`compression`] and [`routing`]: the replicated configuration, how it reaches
 //!   everybody, and what it says of a request.
 //! - [`evacuation`]: the zones where nothing is started until they are taken back.
 //!
@@ -20,15 +20,15 @@
 //!
 //! | decision | load that it answers | where |
 //! | --- | --- | --- |
-//! | which zone gets a task | one zone is full while others are not | [`desk`], [`share`] |
+//! | which zone gets a task | one zone is full while others are not | [`submissions`], [`share`] |
 //! | which job goes first, which late ones are refused | arrivals near the room and beyond | [`queue`] |
 //! | what is refused when it arrives | queues longer than any objective | [`queue::refuse`] |
 //! | which upstream gets a task | more jobs than fit, tasks of 10 to 20 cores | [`place`] |
-//! | what an upstream holds that refused a task | room that shrinks without a word | [`squeeze`] |
+//! | what an upstream holds that refused a task | room that shrinks without a word | [`capacity_limit`] |
 //! | which upstreams are put aside, which tasks stopped | ones that fail or hang | [`health`] |
 //! | which task brings upstreams down | tasks that crash each upstream that starts them | [`suspect`] |
-//! | when an order is given up | orders that get lost | [`tempo`] |
-//! | who schedules a zone, and when another does | losses, cuts, restarts of everything | [`contest`] |
+//! | when an order is given up | orders that get lost | [`call_timeout`] |
+//! | who schedules a zone, and when another does | losses, cuts, restarts of everything | [`leadership`] |
 //!
 //! ```
 //! use dispatch::{Core, core, event, member, time};
@@ -52,49 +52,49 @@
 //! ```
 
 pub mod active;
-pub mod census;
+mod admission;
+mod assignment;
+pub mod call_timeout;
+pub mod capacity_limit;
 pub mod claim;
-pub mod contest;
+pub mod compression;
+pub mod control_log;
 pub mod core;
-pub mod desk;
+pub mod directory;
 pub mod evacuation;
 pub mod event;
 pub mod fetch;
 mod handback;
 pub mod health;
-mod intake;
 pub mod job;
-pub mod lane;
+pub mod leadership;
 pub mod member;
+pub mod membership;
 pub mod message;
-pub mod near;
-mod news;
 pub mod order;
 mod outcome;
-pub mod pack;
-mod part;
 pub mod peer;
 mod peers;
 pub mod place;
+mod propagation;
 pub mod queue;
 pub mod redial;
 mod relay;
-pub mod roster;
 pub mod routing;
 pub mod sched;
-mod seats;
+mod scheduling;
+pub mod session;
 pub mod share;
-pub mod split;
-pub mod squeeze;
 mod start;
 pub mod status;
+pub mod submissions;
 pub mod suspect;
-pub mod tempo;
 pub mod time;
+pub mod timing;
 mod upkeep;
 pub mod upstream;
-pub mod vault;
 pub mod view;
+pub mod watch_list;
 mod zone;
 mod zones;
 
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/membership.rs
@@ -9,9 +9,9 @@
 use state::name;
 
 use crate::{
-    claim, member, message, near,
+    claim, member, message,
     peer::{FORGET, Peer, SILENT},
-    redial, time,
+    redial, time, watch_list,
 };
 
 /// Between two heartbeats to the same instance, microseconds. Three of them fit into
@@ -32,7 +32,7 @@
 
 /// The instances that this one knows.
 #[derive(Clone, Debug)]
-pub struct Roster {
+pub struct Membership {
     me: member::Card,
     start: u64,
     seeds: Vec<name::Name>,
@@ -43,15 +43,15 @@
     stood: u64,
     beat: u64,
     digest: u64,
-    pub(crate) near: near::Near,
-    window: near::Window,
+    pub(crate) watch_list: watch_list::WatchList,
+    window: watch_list::Window,
     dials: redial::Budget,
 }
 
-impl Roster {
-    /// A roster that knows the seeds.
+impl Membership {
+    /// A membership that knows the seeds.
     pub fn new(me: member::Card, seeds: &[name::Name], now: u64) -> Self {
-        let mut roster = Self {
+        let mut membership = Self {
             me,
             start: now,
             seeds: Vec::new(),
@@ -61,13 +61,13 @@
             stood: 0,
             beat: 0,
             digest: 0,
-            near: near::Near::default(),
-            window: near::Window::default(),
+            watch_list: watch_list::WatchList::default(),
+            window: watch_list::Window::default(),
             dials: redial::Budget::new(now),
         };
-        roster.set_seeds(seeds, now);
-        roster.refresh(now);
-        roster
+        membership.set_seeds(seeds, now);
+        membership.refresh(now);
+        membership
     }
 
     /// Takes other seeds.
@@ -80,7 +80,7 @@
     }
 
     /// Looks for instances that it knew before a restart.
-    pub fn recall(&mut self, names: &[name::Name], now: u64) {
+    pub fn add_known(&mut self, names: &[name::Name], now: u64) {
         for name in names.iter().filter(|name| **name != self.me.name) {
             let fresh = Peer { since: now, ..Peer::default() };
             self.peers.entry(name.clone()).or_insert(fresh);
@@ -146,7 +146,11 @@
         let peer = self.peers.get(name)?;
         let ping = peer.ping.as_ref()?;
         let (life, clock, upstreams) = (ping.card.life, ping.clock, ping.upstreams);
-        let adopted = ping.adopted.iter().map(|ward| (ward.zone.clone(), ward.upstreams)).collect();
+        let adopted = ping
+            .adopted
+            .iter()
+            .map(|adopted_zone| (adopted_zone.zone.clone(), adopted_zone.upstreams))
+            .collect();
         Some(message::Heard { life, clock, at: peer.read, upstreams, adopted })
     }
 
@@ -239,7 +243,7 @@
 
     /// Counts everybody as silent, and what is heard within the next moment as old: it waited
     /// while this instance was stopped.
-    pub fn distrust(&mut self, now: u64) {
+    pub fn suspect_all(&mut self, now: u64) {
         self.distrust = now + STALE;
         self.stood_still(now);
         for peer in self.peers.values_mut() {
@@ -261,7 +265,7 @@
     /// Takes a higher life than any that others know of this instance or have forgotten, and tells
     /// whether it had to: the time of day was set back since the former began, or this one stood
     /// still for so long that nobody would believe it.
-    pub fn outlive(
+    pub fn raise_life(
         &mut self,
         cards: &[member::Card],
         gone: &[(name::Name, u64)],
@@ -346,9 +350,9 @@
         let others = || self.peers.values().filter_map(|peer| peer.card.as_ref());
         let hashes = others().map(|card| one(&card.name, card.life));
         self.digest = hashes.fold(one(&self.me.name, self.me.life), |sum, hash| sum ^ hash);
-        self.near = near::Near::new(others().chain([&self.me]));
+        self.watch_list = watch_list::WatchList::new(others().chain([&self.me]));
         for peer in self.peers.values_mut() {
-            let ought = peer.card.as_ref().is_none_or(|card| self.near.ought(&self.me, card));
+            let ought = peer.card.as_ref().is_none_or(|card| self.watch_list.ought(&self.me, card));
             let ought_before = std::mem::replace(&mut peer.ought, ought);
             if ought && !ought_before {
                 // Its silence counts from here on.
@@ -358,18 +362,18 @@
     }
 
     /// Whether this instance is to hear `card` in any case.
-    pub(crate) fn is_near(&self, card: &member::Card) -> bool {
-        self.near.hears(&self.me, card, self.window.size())
+    pub(crate) fn is_watched(&self, card: &member::Card) -> bool {
+        self.watch_list.hears(&self.me, card, self.window.size())
     }
 
     /// Whether instances are so few that everybody hears its zone and all keepers.
     pub fn is_few(&self) -> bool {
-        self.near.is_few()
+        self.watch_list.is_few()
     }
 
     /// Whether an instance hears of the upstreams of a zone without scheduling it.
     pub fn is_told(&self, card: &member::Card, zone: &name::Name) -> bool {
-        self.near.is_told(card, zone)
+        self.watch_list.is_told(card, zone)
     }
 
     /// Hears more of the zone while nobody is heard who schedules it. `leads` says that this
@@ -381,7 +385,7 @@
 
     /// Whether this instance wants to hear another one; `used` says that it works with it.
     pub fn is_chosen(&self, name: &name::Name, used: bool) -> bool {
-        let near = |peer: &Peer| peer.card.as_ref().is_none_or(|card| self.is_near(card));
+        let near = |peer: &Peer| peer.card.as_ref().is_none_or(|card| self.is_watched(card));
         used || self.peers.get(name).is_some_and(near)
     }
 
@@ -409,7 +413,7 @@
         let mut due = Vec::new();
         for (name, peer) in &mut self.peers {
             let near = peer.card.as_ref();
-            let near = near.is_none_or(|c| self.near.hears(&self.me, c, self.window.size()));
+            let near = near.is_none_or(|c| self.watch_list.hears(&self.me, c, self.window.size()));
             let answered = peer.chosen > 0 && now < peer.chosen + RETURN;
             if near || answered || used(name) {
                 peer.due.get_or_insert(now);
@@ -428,7 +432,7 @@
     }
 
     /// Streams that seem to carry nothing any more and that may be dialled anew now.
-    pub fn mute(&mut self, now: u64) -> Vec<name::Name> {
+    pub fn unresponsive(&mut self, now: u64) -> Vec<name::Name> {
         self.dials.refill(now);
         let own = short(&self.me.name);
         let streams = || self.peers.values().filter_map(|peer| peer.answered(now));
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -99,7 +99,7 @@
     pub echo: bool,
     /// The receiver's last heartbeat.
     pub heard: Option<Heard>,
-    /// Digest of the upstreams of the sender's zone that it knows ([`crate::census`]).
+    /// Digest of the upstreams of the sender's zone that it knows ([`crate::directory`]).
     pub upstreams: u64,
     /// Whether it tells of something new and should not wait.
     pub urgent: bool,
@@ -145,11 +145,11 @@
 }
 
 /// Zones that an instance schedules besides its own.
-pub type Adopted = smallvec::SmallVec<[Ward; 1]>;
+pub type Adopted = smallvec::SmallVec<[AdoptedZone; 1]>;
 
 /// A zone that an instance of another one schedules.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Ward {
+pub struct AdoptedZone {
     /// The zone.
     pub zone: name::Name,
     /// Digest of its upstreams that the scheduler knows.
@@ -216,7 +216,7 @@
 pub struct Document {
     /// Its version, by the operator.
     pub version: u64,
-    /// Its text, packed by [`crate::pack`]; nothing here reads it.
+    /// Its text, packed by [`crate::compression`]; nothing here reads it.
     pub body: bytes::Bytes,
 }
 
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -8,10 +8,10 @@
     active::{Active, Phase},
     event,
     job::{Task, Verdict},
-    lane::{Run, Stage},
     order::{End, Ended, Outcome, Reason, Running},
     sched::{Sched, Sent},
-    split, time, upstream,
+    session::{Run, Stage},
+    time, timing, upstream,
 };
 
 /// A task that made no progress for this long hangs, microseconds. Percents of a task of 3,600 ms,
@@ -39,7 +39,7 @@
             None => return,
         };
         if matches!(outcome, Outcome::Done(_) | Outcome::Held { .. }) {
-            self.tempo.answered(took, now);
+            self.call_timeout.answered(took, now);
         }
     }
 
@@ -50,13 +50,13 @@
         };
         self.dirty = true;
         self.unasked.insert(id.clone());
-        let Some(lane) = self.lanes.get_mut(&id) else {
+        let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
         if let Some(clock) = clock_of(&outcome) {
-            lane.tell_time(clock, now);
+            session.tell_time(clock, now);
         }
-        let current = fence == lane.fence;
+        let current = fence == session.fence;
         match &outcome {
             Outcome::Replaced => {
                 if let Sent::Start(task, attempt) = &sent {
@@ -78,18 +78,18 @@
 
     /// An order to start did not reach the life of the upstream that it was meant for.
     fn never_began(&mut self, id: &name::Name, task: &Task, attempt: u32) {
-        let Some(lane) = self.lanes.get_mut(id) else { return };
-        let run = lane.runs.get(task).filter(|run| run.attempt == attempt);
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        let run = session.runs.get(task).filter(|run| run.attempt == attempt);
         if run.is_some_and(|run| run.stage == Stage::Starting) {
-            lane.runs.remove(task);
+            session.runs.remove(task);
             self.requeue(id, task);
         }
     }
 
     fn outranked(&mut self, id: &name::Name, number: u64, now: u64) {
-        if let Some(lane) = self.lanes.get_mut(id) {
-            lane.end_hold(number);
-            lane.outranked(now);
+        if let Some(session) = self.sessions.get_mut(id) {
+            session.end_hold(number);
+            session.outranked(now);
         }
         self.out.outranked.push(id.clone());
     }
@@ -103,18 +103,18 @@
         outcome: Outcome,
         now: u64,
     ) {
-        let Some(lane) = self.lanes.get_mut(id) else { return };
-        let under_way = lane.end_hold(number).is_some();
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        let under_way = session.end_hold(number).is_some();
         match outcome {
             Outcome::Held { clock, running, ended } => {
                 if !current || !under_way {
                     return;
                 }
-                if lane.silent.is_some_and(|since| now < since + BRIEF) {
-                    self.tempo.lost(now);
+                if session.silent.is_some_and(|since| now < since + BRIEF) {
+                    self.call_timeout.lost(now);
                 }
-                lane.answered();
-                if !std::mem::take(&mut lane.lapsed).is_empty() {
+                session.answered();
+                if !std::mem::take(&mut session.lapsed).is_empty() {
                     self.findings.back.push(id.clone());
                 }
                 self.take_ends(id, ended, clock, now);
@@ -122,10 +122,10 @@
             }
             Outcome::Refused(Reason::Fence, _) => {}
             _ if under_way => {
-                lane.miss(now);
-                let silent = lane.silent.unwrap_or(now);
+                session.miss(now);
+                let silent = session.silent.unwrap_or(now);
                 if silent == now {
-                    self.note("lane: No answer.", id, &format!("{outcome:?}"));
+                    self.note("upstream: No answer.", id, &format!("{outcome:?}"));
                 }
             }
             _ => {}
@@ -134,37 +134,37 @@
 
     fn take_ends(&mut self, id: &name::Name, ended: Vec<Ended>, clock: u64, now: u64) {
         for end in ended {
-            let Some(lane) = self.lanes.get_mut(id) else { return };
-            if end.number <= lane.seen {
+            let Some(session) = self.sessions.get_mut(id) else { return };
+            if end.number <= session.seen {
                 continue;
             }
-            lane.seen = end.number;
-            let run = lane.runs.get(&end.task);
+            session.seen = end.number;
+            let run = session.runs.get(&end.task);
             let known = run.is_some_and(|run| run.attempt == end.attempt);
             let begun = run.and_then(|run| run.begun).filter(|_| known && end.end == End::Done);
             if known {
-                lane.runs.remove(&end.task);
-                lane.freed = now;
+                session.runs.remove(&end.task);
+                session.freed = now;
             }
             match end.end {
-                End::Done => lane.health.good(),
+                End::Done => session.health.good(),
                 End::Failed if known => {
-                    if self.policy.put_aside && lane.health.bad(now) {
-                        self.note("lane: Put aside, it fails what it starts.", id, "");
+                    if self.policy.eject && session.health.bad(now) {
+                        self.note("upstream: Put aside, it fails what it starts.", id, "");
                     }
                 }
                 End::Failed | End::Stopped | End::Lapsed => {}
             }
             if let Some(begun) = begun {
-                self.split(&end.task, begun.end(clock, now), now);
+                self.note_breakdown(&end.task, begun.end(clock, now), now);
             }
             self.end_task(id, &end, known, now);
         }
     }
 
     /// Notes where the time of a task went that has done its work.
-    fn split(&mut self, task: &Task, parts: split::Parts, now: u64) {
-        self.out.measures.push(event::Measure::Parts(parts));
+    fn note_breakdown(&mut self, task: &Task, parts: timing::Breakdown, now: u64) {
+        self.out.measures.push(event::Measure::Breakdown(parts));
         if let Some(active) = self.jobs.get_mut(&task.job) {
             let whole = now.saturating_sub(active.arrived);
             active.last = Some(parts.after(active.job.age * time::MS, whole));
@@ -191,7 +191,7 @@
                 if let Some(Phase::Placed(other)) = former
                     && other != *id
                 {
-                    self.unwant(&other, task);
+                    self.mark_unwanted(&other, task);
                 }
             }
             End::Failed if known => {
@@ -220,9 +220,9 @@
         clock: u64,
         now: u64,
     ) {
-        let Some(lane) = self.lanes.get_mut(id) else { return };
-        for task in lane.missing(running, asked) {
-            lane.runs.remove(&task);
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        for task in session.missing(running, asked) {
+            session.runs.remove(&task);
             if let Some(active) = self.jobs.get_mut(&task.job)
                 && active.item(&task).is_some_and(|item| item.phase == Phase::Placed(id.clone()))
             {
@@ -231,12 +231,12 @@
         }
         let mut hung = Vec::new();
         for row in running {
-            let Some(lane) = self.lanes.get_mut(id) else { return };
+            let Some(session) = self.sessions.get_mut(id) else { return };
             let need = need_of(&self.jobs, &row.task);
-            match lane.runs.get_mut(&row.task) {
+            match session.runs.get_mut(&row.task) {
                 Some(run) if run.attempt == row.attempt => {
-                    if run.stage == Stage::Doubt {
-                        self.tempo.late(now);
+                    if run.stage == Stage::Unconfirmed {
+                        self.call_timeout.late(now);
                     }
                     if let Some(begun) = &mut run.begun {
                         begun.hear(clock, now);
@@ -258,14 +258,14 @@
                 None => {
                     let run = Run {
                         attempt: row.attempt,
-                        need: need.unwrap_or(lane.record.room),
+                        need: need.unwrap_or(session.record.room),
                         stage: Stage::Running,
                         since: now,
                         begun: None,
                         progress: (now, row.percent),
                         unwanted: None,
                     };
-                    lane.runs.insert(row.task.clone(), run);
+                    session.runs.insert(row.task.clone(), run);
                     self.found(id, &row.task, row.attempt, now);
                 }
             }
@@ -288,24 +288,24 @@
                 item.attempt = item.attempt.max(attempt);
             }
         } else {
-            self.unwant(id, task);
+            self.mark_unwanted(id, task);
         }
     }
 
     fn hung(&mut self, id: &name::Name, task: &Task, now: u64) {
-        self.note("lane: A task makes no progress, stopping it.", id, &task.job.to_string());
-        if self.policy.put_aside
-            && let Some(lane) = self.lanes.get_mut(id)
-            && lane.health.bad(now)
+        self.note("upstream: A task makes no progress, stopping it.", id, &task.job.to_string());
+        if self.policy.eject
+            && let Some(session) = self.sessions.get_mut(id)
+            && session.health.bad(now)
         {
-            self.note("lane: Put aside, its tasks make no progress.", id, "");
+            self.note("upstream: Put aside, its tasks make no progress.", id, "");
         }
-        self.unwant(id, task);
+        self.mark_unwanted(id, task);
     }
 
     fn started(&mut self, id: &name::Name, task: &Task, attempt: u32, outcome: &Outcome, now: u64) {
-        let Some(lane) = self.lanes.get_mut(id) else { return };
-        let Some(run) = lane.runs.get_mut(task).filter(|run| run.attempt == attempt) else {
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        let Some(run) = session.runs.get_mut(task).filter(|run| run.attempt == attempt) else {
             return;
         };
         match outcome {
@@ -318,25 +318,27 @@
                     run.since = now;
                     run.progress = (now, 0);
                 }
-                let cpu = lane.taken().cpu;
-                lane.squeeze.taken(cpu);
+                let cpu = session.taken().cpu;
+                session.capacity_limit.taken(cpu);
             }
             Outcome::Lost => {
-                run.stage = Stage::Doubt;
+                run.stage = Stage::Unconfirmed;
                 run.since = now;
-                lane.doubt(now);
-                self.note("lane: A start had no answer.", id, &task.job.to_string());
+                session.mark_unconfirmed(now);
+                self.note("upstream: A start had no answer.", id, &task.job.to_string());
             }
             Outcome::Refused(reason, _) => {
                 let need = run.need;
-                lane.runs.remove(task);
+                session.runs.remove(task);
                 match reason {
-                    Reason::Room => lane.squeeze.refused(lane.taken().cpu + need.cpu, now),
-                    Reason::Late => lane.full = now + FULL,
+                    Reason::Room => {
+                        session.capacity_limit.refused(session.taken().cpu + need.cpu, now);
+                    }
+                    Reason::Late => session.full = now + FULL,
                     Reason::Unhealthy => {
-                        lane.full = now + FULL * 3;
-                        if self.policy.put_aside {
-                            lane.health.bad(now);
+                        session.full = now + FULL * 3;
+                        if self.policy.eject {
+                            session.health.bad(now);
                         }
                     }
                     Reason::Old | Reason::Fence | Reason::Invalid => {}
@@ -344,8 +346,8 @@
                 self.refused(id, task, *reason, now);
             }
             Outcome::Unsent => {
-                lane.runs.remove(task);
-                lane.miss(now);
+                session.runs.remove(task);
+                session.miss(now);
                 self.refused(id, task, Reason::Unhealthy, now);
             }
             Outcome::Replaced => {}
@@ -354,7 +356,7 @@
 
     /// A start was refused: the task did not run and waits again.
     fn refused(&mut self, id: &name::Name, task: &Task, reason: Reason, now: u64) {
-        self.note("lane: A start was refused.", id, &format!("{} {reason:?}", task.job));
+        self.note("upstream: A start was refused.", id, &format!("{} {reason:?}", task.job));
         let Some(active) = self.jobs.get_mut(&task.job) else { return };
         let Some(item) = active.item_mut(task) else { return };
         if item.phase != Phase::Placed(id.clone()) {
@@ -372,10 +374,10 @@
     }
 
     fn stopped(&mut self, id: &name::Name, outcome: &Outcome, now: u64) {
-        if let Some(lane) = self.lanes.get_mut(id)
+        if let Some(session) = self.sessions.get_mut(id)
             && *outcome == Outcome::Lost
         {
-            lane.doubt(now);
+            session.mark_unconfirmed(now);
         }
     }
 }
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -6,7 +6,7 @@
     core::Core,
     event::Output,
     fetch, job, member,
-    message::{Adopted, Body, Handover, Heard, Ping, Ward},
+    message::{Adopted, AdoptedZone, Body, Handover, Heard, Ping},
     sched,
     time::Now,
     upstream, zone,
@@ -16,21 +16,21 @@
     /// Sends the heartbeats that are due, also through a third instance where the direct way is
     /// silent.
     pub(crate) fn beat(&mut self, now: Now) {
-        let zone = self.roster.me().zone.clone();
-        let led = self.claims.is_led(&zone, &self.roster, now.mono);
-        self.roster.widen(self.is_scheduler(), led, now.mono);
+        let zone = self.membership.me().zone.clone();
+        let led = self.claims.is_led(&zone, &self.membership, now.mono);
+        self.membership.widen(self.is_scheduler(), led, now.mono);
         let used = self.used(led);
-        let due = self.roster.due(|name| used.contains(name), now.mono);
+        let due = self.membership.due(|name| used.contains(name), now.mono);
         if due.is_empty() {
             return;
         }
         let ping = self.ping(now);
         for to in due {
-            let chosen = self.roster.is_chosen(&to, used.contains(&to));
+            let chosen = self.membership.is_chosen(&to, used.contains(&to));
             let ping = self.address_ping(Ping { chosen, ..ping.clone() }, &to, now);
             let body = Body::Ping(Box::new(ping));
-            if let Some(relay) = self.roster.relay(&to, now.mono).cloned() {
-                let me = self.roster.me().name.clone();
+            if let Some(relay) = self.membership.relay(&to, now.mono).cloned() {
+                let me = self.membership.me().name.clone();
                 let relayed = Body::Relay(me, to.clone(), Box::new(body.clone()));
                 self.out.push(Output::Send(relay, relayed));
             }
@@ -41,65 +41,69 @@
     /// The schedulers that this instance works with: the one of its zone, those that have jobs of
     /// its clients, and, where it might need room there, the one of the next zone.
     fn used(&self, led: bool) -> Vec<name::Name> {
-        let zone = &self.roster.me().zone;
-        let next = self.roster.is_few() || !led || self.is_scheduler() || self.desk.is_short(zone);
+        let zone = &self.membership.me().zone;
+        let next = self.membership.is_few()
+            || !led
+            || self.is_scheduler()
+            || self.submissions.is_short(zone);
         let watched = self
             .claims
             .watched(zone, &self.evacuations)
             .filter(|claim| next || claim.zone == *zone);
         let watched = watched.map(|claim| claim.holder.clone());
         let backed = self.backed.iter().cloned();
-        watched.chain(self.desk.schedulers().cloned()).chain(backed).collect()
+        watched.chain(self.submissions.schedulers().cloned()).chain(backed).collect()
     }
 
     /// Entries that a keeper hears of zones that it may have to schedule: of those that are without a
     /// scheduler, and of those where it comes first if their keepers are lost.
     pub(crate) fn work_out_backed(&self, now: Now) -> Vec<name::Name> {
-        let me = self.roster.me();
-        if me.role != member::Role::Keeper || self.roster.is_few() {
+        let me = self.membership.me();
+        if me.role != member::Role::Keeper || self.membership.is_few() {
             return Vec::new();
         }
         let others = self.zones.keys().filter(|name| **name != me.zone);
         let wanted = others.filter(|zone| {
-            self.roster.is_next(zone, now.mono) || !self.claims.is_led(zone, &self.roster, now.mono)
+            self.membership.is_next(zone, now.mono)
+                || !self.claims.is_led(zone, &self.membership, now.mono)
         });
-        wanted.flat_map(|zone| self.roster.hubs(zone)).collect()
+        wanted.flat_map(|zone| self.membership.hubs(zone)).collect()
     }
 
     /// A heartbeat, but for what depends on its receiver.
     pub(crate) fn ping(&self, now: Now) -> Ping {
-        let zone = &self.roster.me().zone;
+        let zone = &self.membership.me().zone;
         Ping {
-            card: self.roster.me().clone(),
+            card: self.membership.me().clone(),
             clock: now.mono,
             echo: false,
             heard: None,
             upstreams: self.digest(),
             urgent: false,
             draining: self.draining,
-            led: self.claims.is_led(zone, &self.roster, now.mono),
+            led: self.claims.is_led(zone, &self.membership, now.mono),
             claims: self.claims.iter().cloned().collect(),
             version: self.document.version,
             evacuations: self.evacuations.clone(),
-            members: self.roster.digest(),
+            members: self.membership.digest(),
             records: None,
             load: self.zones.get(zone).and_then(|zone| zone.load(now.mono)),
             adopted: self.adopted(now),
             weak: self.is_weak(),
             chosen: false,
-            lacks: self.roster.lacks(now.mono),
+            lacks: self.membership.lacks(now.mono),
         }
     }
 
     /// The zones besides its own that this instance schedules.
     fn adopted(&self, now: Now) -> Adopted {
-        let home = &self.roster.me().zone;
+        let home = &self.membership.me().zone;
         let others = self.zones.iter().filter(|(name, _)| *name != home);
-        let ward = |(name, zone): (&name::Name, &zone::Zone)| {
-            let (load, upstreams) = (zone.load(now.mono)?, zone.census.digest());
-            Some(Ward { zone: name.clone(), upstreams, load })
+        let adopted_zone = |(name, zone): (&name::Name, &zone::Zone)| {
+            let (load, upstreams) = (zone.load(now.mono)?, zone.directory.digest());
+            Some(AdoptedZone { zone: name.clone(), upstreams, load })
         };
-        others.filter_map(ward).collect()
+        others.filter_map(adopted_zone).collect()
     }
 
     /// Takes a message; `direct` says that it came from its sender without a relay.
@@ -107,8 +111,8 @@
         match body {
             Body::Ping(ping) => self.on_ping(*ping, direct, now),
             Body::Members(cards, gone) => {
-                if self.roster.outlive(&cards, &gone, now.mono) {
-                    let life = self.roster.me().life.to_string();
+                if self.membership.raise_life(&cards, &gone, now.mono) {
+                    let life = self.membership.me().life.to_string();
                     self.note(
                         "node: A former life had a later clock, taking a higher one.",
                         from,
@@ -116,7 +120,7 @@
                     );
                     self.yield_to_higher();
                 }
-                let lost = self.roster.learn(cards, gone, now.mono);
+                let lost = self.membership.learn(cards, gone, now.mono);
                 self.out.extend(lost.into_iter().map(Output::Disconnect));
             }
             Body::Records(records) => self.on_records(records),
@@ -128,18 +132,18 @@
             }
             Body::Part(part) => self.on_part(from, &part, now),
             Body::Agree(body) => {
-                if let Some(vault) = &mut self.vault {
-                    vault.agree(from, *body, now);
+                if let Some(control_log) = &mut self.control_log {
+                    control_log.agree(from, *body, now);
                 }
             }
             Body::Confirm(number) => {
-                if let Some(vault) = &mut self.vault {
-                    vault.confirm(from, number, now.mono);
+                if let Some(control_log) = &mut self.control_log {
+                    control_log.confirm(from, number, now.mono);
                 }
             }
             Body::Confirmed(number, version) => {
-                if let Some(vault) = &mut self.vault {
-                    vault.confirmed(number, version);
+                if let Some(control_log) = &mut self.control_log {
+                    control_log.confirmed(number, version);
                 }
             }
             Body::Submit(zone, job, handover) => self.on_submit(from, &zone, *job, handover, now),
@@ -155,21 +159,21 @@
                     self.send(from, Body::Unknown(awaited.job, awaited.number), now);
                 }
             }
-            Body::Unknown(id, number) => self.desk.unknown(from, &id, number),
-            Body::Verdict(id, ruling) => self.desk.verdict(from, &id, &ruling, now.mono),
+            Body::Unknown(id, number) => self.submissions.unknown(from, &id, number),
+            Body::Verdict(id, ruling) => self.submissions.verdict(from, &id, &ruling, now.mono),
             Body::Spare(id, spare) => {
-                let (view, desk) = self.view(now);
-                desk.spare(from, &id, &spare, view);
+                let (view, submissions) = self.view(now);
+                submissions.spare(from, &id, &spare, view);
             }
             Body::Lost(losses) => self.note_losses(&losses, now),
-            Body::Relay(origin, to, body) if to == self.roster.me().name => {
+            Body::Relay(origin, to, body) if to == self.membership.me().name => {
                 if !matches!(*body, Body::Relay(..)) {
-                    self.roster.came(&origin, from, now.mono);
+                    self.membership.came(&origin, from, now.mono);
                     self.on_peer(&origin, *body, false, now);
                 }
             }
             Body::Relay(origin, to, body) => {
-                if self.roster.is_direct(&to, now.mono) {
+                if self.membership.is_direct(&to, now.mono) {
                     self.out.push(Output::Send(to.clone(), Body::Relay(origin, to, body)));
                 }
             }
@@ -190,15 +194,15 @@
         now: Now,
     ) {
         let held = self.zones.get_mut(zone);
-        let Some((sched, census)) =
-            held.and_then(|zone| Some((zone.sched.as_mut()?, &zone.census)))
+        let Some((sched, directory)) =
+            held.and_then(|zone| Some((zone.sched.as_mut()?, &zone.directory)))
         else {
             return self.send(from, Body::Unknown(job.id, handover.number), now);
         };
         if self.suspects.is_given_up(&job.id) {
             return sched.refuse_given_up(&job.id, from, handover, now.mono);
         }
-        if let Some(number) = census.find(handover.upstreams) {
+        if let Some(number) = directory.find(handover.upstreams) {
             sched.learn(from, number);
         }
         sched.hand_over(job, from, handover, now.mono);
@@ -206,10 +210,10 @@
 
     /// Takes note of the upstreams that another instance knows by a heartbeat of this one.
     fn learn_sets(&mut self, from: &name::Name, heard: &Heard) {
-        let home = self.roster.me().zone.clone();
+        let home = self.membership.me().zone.clone();
         for (name, zone) in &mut self.zones {
             let Some(sched) = &mut zone.sched else { continue };
-            let told = heard.set(name, &home).and_then(|digest| zone.census.find(digest));
+            let told = heard.set(name, &home).and_then(|digest| zone.directory.find(digest));
             if let Some(number) = told {
                 sched.learn(from, number);
             }
@@ -219,26 +223,26 @@
     /// Takes a heartbeat, and asks for what the sender knows better.
     pub(crate) fn on_ping(&mut self, ping: Ping, direct: bool, now: Now) {
         let from = ping.card.name.clone();
-        if from == self.roster.me().name {
+        if from == self.membership.me().name {
             return;
         }
         for claim in &ping.claims {
             if self.claims.merge(claim, now.mono) {
                 self.note("zone: Claimed.", &claim.holder, claim.zone.to_string());
-                self.meet(&claim.holder, now);
+                self.introduce(&claim.holder, now);
             }
         }
         self.adopt_evacuations(&ping.evacuations, now);
         if let Some(load) = ping.load {
-            self.desk.load(&ping.card.zone, load, now.mono);
+            self.submissions.load(&ping.card.zone, load, now.mono);
         }
-        for ward in &ping.adopted {
-            self.desk.load(&ward.zone, ward.load, now.mono);
+        for adopted_zone in &ping.adopted {
+            self.submissions.load(&adopted_zone.zone, adopted_zone.load, now.mono);
         }
         let told = ping.heard.clone();
         let (version, members, records) = (ping.version, ping.members, ping.records);
-        let held = self.roster.last_heard(&from).map(|heard| (heard.upstreams, heard.adopted));
-        if self.roster.heard(ping, direct, now.mono) {
+        let held = self.membership.last_heard(&from).map(|heard| (heard.upstreams, heard.adopted));
+        if self.membership.heard(ping, direct, now.mono) {
             self.note("peer: Heard.", &from, String::new());
             // It has just started: what it lacks comes with the answer to this.
             self.beat_now(&from, now);
@@ -253,18 +257,18 @@
         // A scheduler waits to hear that its new upstreams are known here: 165 ms at most instead of
         // 325 (`doubled::soon_used`).
         let is_scheduler = self.claims.iter().any(|claim| claim.holder == from);
-        let told = self.roster.last_heard(&from).map(|heard| (heard.upstreams, heard.adopted));
+        let told = self.membership.last_heard(&from).map(|heard| (heard.upstreams, heard.adopted));
         if is_scheduler && held.is_some() && held != told {
             self.beat_now(&from, now);
         }
         self.hear_version(version, now);
-        let zone = self.roster.me().zone.clone();
-        let strange = members != self.roster.digest() || self.roster.is_forgotten(&from);
-        if strange && self.roster.is_sync_due(&from, now.mono) {
-            self.send(&from, Body::Members(self.roster.cards(), self.roster.gone()), now);
+        let zone = self.membership.me().zone.clone();
+        let strange = members != self.membership.digest() || self.membership.is_forgotten(&from);
+        if strange && self.membership.is_sync_due(&from, now.mono) {
+            self.send(&from, Body::Members(self.membership.cards(), self.membership.gone()), now);
         }
         let differs = records.is_some_and(|digest| digest != self.table.digest(&zone));
-        if differs && self.roster.is_listing_due(&from, now.mono) {
+        if differs && self.membership.is_listing_due(&from, now.mono) {
             let records = self.table.present(&zone).cloned().collect();
             self.send(&from, Body::Listing(zone, records), now);
         }
@@ -273,10 +277,10 @@
 
     /// Introduces this instance to a scheduler that it knows by its claim only: after a restart of everything
     /// lists of instances come 500 ms later, and jobs wait for a scheduler that is heard.
-    fn meet(&mut self, holder: &name::Name, now: Now) {
-        let me = &self.roster.me().name;
-        if holder != me && self.roster.peer(holder).is_none() {
-            self.roster.recall(std::slice::from_ref(holder), now.mono);
+    fn introduce(&mut self, holder: &name::Name, now: Now) {
+        let me = &self.membership.me().name;
+        if holder != me && self.membership.peer(holder).is_none() {
+            self.membership.add_known(std::slice::from_ref(holder), now.mono);
             self.beat_now(&holder.clone(), now);
         }
     }
@@ -316,13 +320,13 @@
     /// Tells its zone and all keepers of something new; the others read it in the heartbeats of
     /// these.
     pub(crate) fn beat_all(&mut self, now: Now) {
-        let zone = &self.roster.me().zone;
+        let zone = &self.membership.me().zone;
         let near = |card: &member::Card| card.zone == *zone || card.role == member::Role::Keeper;
         let told = |name: &&name::Name| {
-            let card = self.roster.peer(name).and_then(|peer| peer.card.as_ref());
-            self.roster.is_few() || card.is_none_or(near)
+            let card = self.membership.peer(name).and_then(|peer| peer.card.as_ref());
+            self.membership.is_few() || card.is_none_or(near)
         };
-        let names: Vec<_> = self.roster.names().filter(told).cloned().collect();
+        let names: Vec<_> = self.membership.names().filter(told).cloned().collect();
         for to in names {
             self.beat_now(&to, now);
         }
@@ -330,18 +334,18 @@
 
     /// Tells the instances of another zone of something new.
     pub(crate) fn beat_zone(&mut self, zone: &name::Name, now: Now) {
-        if *zone == self.roster.me().zone {
+        if *zone == self.membership.me().zone {
             return;
         }
-        for to in self.roster.of_zone(zone) {
+        for to in self.membership.of_zone(zone) {
             self.beat_now(&to, now);
         }
     }
 
     /// Sends a heartbeat with something new in it.
     pub(crate) fn beat_now(&mut self, to: &name::Name, now: Now) {
-        let led = self.claims.is_led(&self.roster.me().zone, &self.roster, now.mono);
-        let chosen = self.roster.is_chosen(to, self.used(led).contains(to));
+        let led = self.claims.is_led(&self.membership.me().zone, &self.membership, now.mono);
+        let chosen = self.membership.is_chosen(to, self.used(led).contains(to));
         let ping = Ping { urgent: true, chosen, ..self.ping(now) };
         let ping = self.address_ping(ping, to, now);
         self.send(to, Body::Ping(Box::new(ping)), now);
@@ -349,27 +353,27 @@
 
     /// Completes a heartbeat with what is meant for its receiver.
     pub(crate) fn address_ping(&mut self, ping: Ping, to: &name::Name, now: Now) -> Ping {
-        let card = self.roster.peer(to).and_then(|peer| peer.card.as_ref());
-        let me = self.roster.me();
+        let card = self.membership.peer(to).and_then(|peer| peer.card.as_ref());
+        let me = self.membership.me();
         let held =
             |card: &&member::Card| self.is_told(me, &card.zone) && self.is_told(card, &card.zone);
         let records = card.filter(held).map(|card| self.table.digest(&card.zone));
-        let (echo, heard) = (self.roster.echo(to, now.mono), self.roster.last_heard(to));
+        let (echo, heard) = (self.membership.echo(to, now.mono), self.membership.last_heard(to));
         Ping { echo, heard, records, ..ping }
     }
 
     /// Whether an instance hears of the upstreams of a zone.
     pub(crate) fn is_told(&self, card: &member::Card, zone: &name::Name) -> bool {
         let scheduler = self.claims.of(zone).is_some_and(|claim| claim.holder == card.name);
-        scheduler || self.roster.is_told(card, zone)
+        scheduler || self.membership.is_told(card, zone)
     }
 
     pub(crate) fn send(&mut self, to: &name::Name, body: Body, now: Now) {
-        let me = self.roster.me().name.clone();
+        let me = self.membership.me().name.clone();
         if *to == me {
             return self.on_peer(&me, body, true, now);
         }
-        if let Some(relay) = self.roster.detour(to, now.mono).cloned() {
+        if let Some(relay) = self.membership.detour(to, now.mono).cloned() {
             let body = Body::Relay(me, to.clone(), Box::new(body));
             return self.out.push(Output::Send(relay, body));
         }
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -16,7 +16,7 @@
 
 use state::{name, policy};
 
-use crate::{job, lane, suspect, upstream};
+use crate::{job, session, suspect, upstream};
 
 /// What came of the attempt to place a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,11 +32,11 @@
 /// Free room of all upstreams, as tasks are being placed.
 #[derive(Debug)]
 pub struct Room<'a> {
-    lanes: &'a collections::BTreeMap<name::Name, lane::Lane>,
+    sessions: &'a collections::BTreeMap<name::Name, session::Session>,
     /// Upstreams without a fault lately, in the order of their free cores.
     sound: Vec<Free<'a>>,
     /// Those that failed lately, are on trial or run a suspect, in the same order.
-    doubtful: Vec<Free<'a>>,
+    suspected: Vec<Free<'a>>,
     /// All tasks that run; worked out when it is first asked for.
     running: Option<collections::HashSet<&'a job::Task>>,
     suspects: &'a suspect::Suspects,
@@ -46,7 +46,7 @@
 
 #[derive(Debug)]
 struct Free<'a> {
-    lane: &'a lane::Lane,
+    session: &'a session::Session,
     room: upstream::Room,
     /// Tasks that run there.
     runs: usize,
@@ -57,25 +57,28 @@
 impl<'a> Room<'a> {
     /// The room that is free now.
     pub fn new(
-        lanes: &'a collections::BTreeMap<name::Name, lane::Lane>,
+        sessions: &'a collections::BTreeMap<name::Name, session::Session>,
         suspects: &'a suspect::Suspects,
         now: u64,
     ) -> Self {
-        let open = lanes.values().filter(|lane| lane.is_open(now) && !lane.health.is_aside(now));
-        let usable = open.filter(|lane| !lane.health.is_on_trial() || lane.runs.is_empty());
-        let free = usable.map(|lane| Free {
-            lane,
-            room: lane.free(now),
-            runs: lane.runs.len(),
-            suspect: lane.runs.keys().any(|task| suspects.has(task)),
+        let open = sessions
+            .values()
+            .filter(|session| session.is_open(now) && !session.health.is_ejected(now));
+        let usable =
+            open.filter(|session| !session.health.is_on_trial() || session.runs.is_empty());
+        let free = usable.map(|session| Free {
+            session,
+            room: session.free(now),
+            runs: session.runs.len(),
+            suspect: session.runs.keys().any(|task| suspects.has(task)),
         });
-        let (mut doubtful, mut sound): (Vec<_>, Vec<_>) =
-            free.filter(|free| free.room.cpu > 0).partition(Free::is_doubtful);
+        let (mut suspected, mut sound): (Vec<_>, Vec<_>) =
+            free.filter(|free| free.room.cpu > 0).partition(Free::is_suspected);
         sound.sort_by_key(|free| free.room.cpu);
-        doubtful.sort_by_key(|free| free.room.cpu);
+        suspected.sort_by_key(|free| free.room.cpu);
         let policy = policy::Policy::default();
         let placed = Vec::new();
-        Self { lanes, sound, doubtful, running: None, suspects, placed, policy }
+        Self { sessions, sound, suspected, running: None, suspects, placed, policy }
     }
 
     /// Places tasks by `policy`.
@@ -87,13 +90,13 @@
     /// The most cores that are free at one upstream, thousandths.
     pub fn most(&self) -> u64 {
         let last = |list: &[Free<'_>]| list.last().map_or(0, |free| free.room.cpu);
-        last(&self.sound).max(last(&self.doubtful))
+        last(&self.sound).max(last(&self.suspected))
     }
 
     /// Takes room for a task, at an upstream whose number is `known` at most.
     pub fn place(&mut self, job: &job::Job, task: &job::Task, known: u64) -> Choice {
         let step = &job.steps[task.step as usize];
-        let (doubtful, at) = match self.find(false, job, step, task, known) {
+        let (suspected, at) = match self.find(false, job, step, task, known) {
             Some(at) => (false, at),
             None => match self.find(true, job, step, task, known) {
                 Some(at) => (true, at),
@@ -103,14 +106,14 @@
         if self.is_running(task) {
             return Choice::Running;
         }
-        let list = if doubtful { &mut self.doubtful } else { &mut self.sound };
+        let list = if suspected { &mut self.suspected } else { &mut self.sound };
         let mut free = list.remove(at);
         free.room = free.room.less(step.need);
         free.runs += 1;
         free.suspect |= self.suspects.has(task);
-        self.placed.push((task.clone(), free.lane.record.id.clone()));
-        let list = if free.is_doubtful() { &mut self.doubtful } else { &mut self.sound };
-        if !free.lane.health.is_on_trial() && free.room.cpu > 0 {
+        self.placed.push((task.clone(), free.session.record.id.clone()));
+        let list = if free.is_suspected() { &mut self.suspected } else { &mut self.sound };
+        if !free.session.health.is_on_trial() && free.room.cpu > 0 {
             let at = list.partition_point(|other| other.room.cpu < free.room.cpu);
             list.insert(at, free);
         }
@@ -125,22 +128,22 @@
     /// Position of the upstream with the least room that is enough.
     fn find(
         &self,
-        doubtful: bool,
+        suspected: bool,
         job: &job::Job,
         step: &job::Step,
         task: &job::Task,
         known: u64,
     ) -> Option<usize> {
-        let list = if doubtful { &self.doubtful } else { &self.sound };
+        let list = if suspected { &self.suspected } else { &self.sound };
         let from = list.partition_point(|free| free.room.cpu < step.need.cpu);
         let fits = |free: &Free<'_>| {
-            let record = &free.lane.record;
+            let record = &free.session.record;
             let labelled = step.label.as_ref().is_none_or(|label| record.labels.contains(label));
             record.service == job.service
-                && free.lane.number <= known
+                && free.session.number <= known
                 && step.need.fits(&free.room)
                 && labelled
-                && (step.spread == 0 || self.count(free.lane, task) < step.spread)
+                && (step.spread == 0 || self.count(free.session, task) < step.spread)
         };
         if self.suspects.has(task) {
             let able = list.iter().enumerate().skip(from).filter(|(_, free)| fits(free));
@@ -153,22 +156,22 @@
     }
 
     /// Tasks of the step at an upstream, those that were just placed there included.
-    fn count(&self, lane: &lane::Lane, task: &job::Task) -> u32 {
+    fn count(&self, session: &session::Session, task: &job::Task) -> u32 {
         let here = |(other, id): &&(job::Task, name::Name)| {
-            *id == lane.record.id && other.job == task.job && other.step == task.step
+            *id == session.record.id && other.job == task.job && other.step == task.step
         };
-        lane.count(&task.job, task.step) + self.placed.iter().filter(here).count() as u32
+        session.count(&task.job, task.step) + self.placed.iter().filter(here).count() as u32
     }
 
     fn is_running(&mut self, task: &job::Task) -> bool {
-        let lanes = self.lanes;
-        let running = || lanes.values().flat_map(|lane| lane.runs.keys()).collect();
+        let sessions = self.sessions;
+        let running = || sessions.values().flat_map(|session| session.runs.keys()).collect();
         self.running.get_or_insert_with(running).contains(task)
     }
 }
 
 impl Free<'_> {
-    fn is_doubtful(&self) -> bool {
-        self.suspect || self.lane.health.is_on_trial() || self.lane.health.is_doubtful()
+    fn is_suspected(&self) -> bool {
+        self.suspect || self.session.health.is_on_trial() || self.session.health.is_suspected()
     }
 }
--- a/crates/dispatch/src/news.rs
+++ b/crates/dispatch/src/propagation.rs
@@ -37,7 +37,7 @@
     /// the one in force, and somebody who has it is heard.
     pub fn is_outdated(&self, now: Now) -> bool {
         let Some((version, since)) = self.told.first_key_value() else { return false };
-        now.mono >= since + OUTDATED && !self.roster.holders(*version, now.mono).is_empty()
+        now.mono >= since + OUTDATED && !self.membership.holders(*version, now.mono).is_empty()
     }
 
     /// Asks for the newest configuration that is known of, if that is due.
@@ -46,7 +46,7 @@
         if !self.fetch.is_due(newest, now.mono) {
             return;
         }
-        let sources = self.roster.holders(newest, now.mono);
+        let sources = self.membership.holders(newest, now.mono);
         if let Some((source, ask)) = self.fetch.begin(newest, &sources, now.mono) {
             let detail = format!(
                 "version {newest} from byte {}, held {}",
@@ -60,7 +60,7 @@
     /// Gives the configuration to an instance that has none, unasked if it is short: its question may
     /// be lost, as its stream to here is not up yet.
     pub(crate) fn give_document(&mut self, to: &name::Name, now: Now) {
-        let held = self.vault.is_some() && self.document.version > 0;
+        let held = self.control_log.is_some() && self.document.version > 0;
         if held && self.document.body.len() <= UNASKED {
             let ask = Ask { version: self.document.version, offset: 0 };
             if let Some(part) = fetch::part(&self.document, ask) {
@@ -95,25 +95,25 @@
         let waited = now.mono.saturating_sub(since) / MS;
         self.fetch.drop_older(document.version);
         self.document = document.clone();
-        let name = self.roster.me().name.clone();
+        let name = self.membership.me().name.clone();
         self.note(
             "settings: In force.",
             &name,
             format!("version {}, known of for {waited} ms", document.version),
         );
         self.out.push(Output::Document(document));
-        if self.vault.is_some() {
+        if self.control_log.is_some() {
             self.announce_version(now);
         }
         // What is newer still was told of while this one was on its way.
         self.fetch_newer(now);
     }
 
-    pub(crate) fn adopt_vault(&mut self, now: Now) {
-        let Some(vault) = &self.vault else { return };
-        let newer = vault.document().version > self.document.version;
-        let document = newer.then(|| vault.document().clone());
-        let evacuations = vault.evacuations().clone();
+    pub(crate) fn adopt_log(&mut self, now: Now) {
+        let Some(control_log) = &self.control_log else { return };
+        let newer = control_log.document().version > self.document.version;
+        let document = newer.then(|| control_log.document().clone());
+        let evacuations = control_log.evacuations().clone();
         self.adopt_evacuations(&evacuations, now);
         if let Some(document) = document {
             self.adopt(document, now);
@@ -131,17 +131,19 @@
         if !self.has_zone(&zone) {
             return self.reply(ticket, Reply::NoZone);
         }
-        match &mut self.vault {
-            Some(vault) => vault.evacuate(ticket, zone, evacuated, now.mono),
+        match &mut self.control_log {
+            Some(control_log) => control_log.evacuate(ticket, zone, evacuated, now.mono),
             None => self.reply(ticket, Reply::Unavailable),
         }
     }
 
     /// Whether a zone is named by the settings, or an instance or upstream of it is known.
     fn has_zone(&self, zone: &name::Name) -> bool {
-        let me = self.roster.me();
+        let me = self.membership.me();
         let named = self.named_zones.contains(zone) || me.zone == *zone;
-        named || !self.roster.of_zone(zone).is_empty() || self.table.of_zone(zone).next().is_some()
+        named
+            || !self.membership.of_zone(zone).is_empty()
+            || self.table.of_zone(zone).next().is_some()
     }
 
     /// Puts a newer set of evacuated zones in force.
@@ -150,10 +152,10 @@
             return;
         }
         self.evacuations = heard.clone();
-        let me = self.roster.me().name.clone();
+        let me = self.membership.me().name.clone();
         let detail = format!("revision {}: {}", heard.revision, heard.names());
         self.note("settings: Evacuated zones changed.", &me, detail);
-        if self.vault.is_some() {
+        if self.control_log.is_some() {
             self.announce_version(now);
         }
     }
@@ -161,10 +163,10 @@
     /// Tells the others of a newer configuration without waiting for the next heartbeat.
     pub(crate) fn announce_version(&mut self, now: Now) {
         let near = |card: &member::Card| {
-            card.role == member::Role::Entry && card.zone == self.roster.me().zone
+            card.role == member::Role::Entry && card.zone == self.membership.me().zone
         };
-        let names = self.roster.names().filter(|name| {
-            self.roster.peer(name).and_then(|peer| peer.card.as_ref()).is_some_and(near)
+        let names = self.membership.names().filter(|name| {
+            self.membership.peer(name).and_then(|peer| peer.card.as_ref()).is_some_and(near)
         });
         let names: Vec<_> = names.cloned().collect();
         for to in names {
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -5,9 +5,9 @@
 //! three times the objective.
 //!
 //! - While little waits, the most urgent of the jobs that can still be in time goes first.
-//! - With more than that ([`is_crowded`]) the shortest of them goes first, since it holds room for
+//! - With more than that ([`is_congested`]) the shortest of them goes first, since it holds room for
 //!   the least time.
-//! - When more waits than all upstreams hold ([`is_swamped`]) what is late already is refused: room
+//! - When more waits than all upstreams hold ([`is_overloaded`]) what is late already is refused: room
 //!   for it would make others late.
 //! - What has no hope is refused at any time, while it has not begun.
 //!
@@ -19,14 +19,14 @@
 
 /// An answer after this many times the objective is worth nothing.
 const WORTHLESS: u64 = 3;
-/// It is crowded when more cores are waited for than are free by this share of all, per cent. At 0
+/// It is congested when more cores are waited for than are free by this share of all, per cent. At 0
 /// what waits for some milliseconds at nine tenths of the arrivals changes the order, at a loss of
 /// 0.01; at 60 the play of twice the arrivals gains 0.03 less.
-const CROWDED: i64 = 20;
-/// It is swamped with this share. At 20 a zone that lost its scheduler for 0.6 s at 93% of its room
+const CONGESTED: i64 = 20;
+/// It is overloaded with this share. At 20 a zone that lost its scheduler for 0.6 s at 93% of its room
 /// refuses 11 of 144 jobs that would have been late (`takeover::keeper_lost`), and no other is in
 /// time for it; at 130 the play of twice the arrivals gains 0.005 less.
-const SWAMPED: i64 = 100;
+const OVERLOADED: i64 = 100;
 /// Shortest time after which a refused client may come back, milliseconds: a few tasks' length.
 const MIN_RETRY: u64 = 200;
 /// The longest, milliseconds.
@@ -34,7 +34,7 @@
 
 /// How a waiting job stands; what comes first goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Hope {
+pub enum Feasibility {
     /// Some of its tasks have begun.
     Begun,
     /// It can still be in time.
@@ -44,30 +44,30 @@
 }
 
 /// Place of a job in the queue; the least goes first.
-pub fn rank(active: &active::Active, crowded: bool, now: u64) -> (Hope, u64, u64) {
-    let length = if crowded { active.job.chain() } else { 0 };
-    (hope(active, now), length, latest(active))
+pub fn rank(active: &active::Active, congested: bool, now: u64) -> (Feasibility, u64, u64) {
+    let length = if congested { active.job.chain() } else { 0 };
+    (feasibility(active, now), length, latest(active))
 }
 
 /// How a job stands.
-pub fn hope(active: &active::Active, now: u64) -> Hope {
+pub fn feasibility(active: &active::Active, now: u64) -> Feasibility {
     if active.started {
-        Hope::Begun
+        Feasibility::Begun
     } else if now <= latest(active) {
-        Hope::InTime
+        Feasibility::InTime
     } else {
-        Hope::Late
+        Feasibility::Late
     }
 }
 
 /// Whether more waits than there is room for, so that the shortest go first.
-pub fn is_crowded(load: message::Load) -> bool {
-    exceeds(load, CROWDED)
+pub fn is_congested(load: message::Load) -> bool {
+    exceeds(load, CONGESTED)
 }
 
 /// Whether so much waits that what is late already is refused.
-pub fn is_swamped(load: message::Load) -> bool {
-    exceeds(load, SWAMPED)
+pub fn is_overloaded(load: message::Load) -> bool {
+    exceeds(load, OVERLOADED)
 }
 
 /// Whether more cores are waited for than are free, by a share of all, per cent.
--- a/crates/dispatch/src/relay.rs
+++ b/crates/dispatch/src/relay.rs
@@ -4,9 +4,9 @@
 
 use crate::{
     member,
+    membership::{Membership, PING, short},
     peer::Peer,
     peer::SILENT,
-    roster::{PING, Roster, short},
 };
 
 /// Messages to an instance that does not echo go through a third one after this, microseconds: its
@@ -15,7 +15,7 @@
 /// Instances that a heartbeat names as not heard: more than are lost at a time but with their zone.
 const LACKS: usize = 16;
 
-impl Roster {
+impl Membership {
     /// Notes that a message of an instance came through a third one.
     pub fn came(&mut self, name: &name::Name, via: &name::Name, now: u64) {
         if let Some(peer) = self.peers.get_mut(name) {
@@ -41,7 +41,8 @@
         let hash = short(name);
         let able = |(_, other): &(&name::Name, &Peer)| {
             let lacks = other.ping.as_ref().is_none_or(|ping| ping.lacks.contains(&hash));
-            let ought = |held: &member::Card| held.name != *name && self.near.ought(held, card);
+            let ought =
+                |held: &member::Card| held.name != *name && self.watch_list.ought(held, card);
             !lacks && other.is_direct(now) && other.card.as_ref().is_some_and(ought)
         };
         let able = self.peers.iter().filter(able).map(|(name, _)| name);
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -6,16 +6,16 @@
 
 use crate::{
     active::{Active, Phase},
-    event,
+    call_timeout, event,
     job::{Task, Verdict},
-    lane::{Lane, Pace},
     message,
     order::{Call, End},
-    suspect, tempo, time, upstream,
+    session::{Pace, Session},
+    suspect, time, upstream,
 };
 
 /// Runs that a former scheduler started for an entry may go on this long after the entry last told
-/// it that it waits, microseconds: the time after which it drops the job ([`upkeep::FORSAKEN`],
+/// it that it waits, microseconds: the time after which it drops the job ([`upkeep::ABANDONED`],
 /// 900 ms, and a tick of 40 ms) and the lease that it renewed last (950 ms and 2.5% for clocks).
 /// Counted from the hand-over of each job: an entry may leave a scheduler long after the next claim.
 pub(crate) const FORMER: u64 = 2_000 * time::MS;
@@ -62,7 +62,7 @@
 #[derive(Debug)]
 pub struct Sched {
     /// Upstreams of the zone.
-    pub lanes: collections::BTreeMap<name::Name, Lane>,
+    pub sessions: collections::BTreeMap<name::Name, Session>,
     pub(crate) jobs: collections::BTreeMap<name::Name, Active>,
     pub(crate) sent: collections::HashMap<u64, (name::Name, u64, Sent)>,
     pub(crate) ends: collections::HashMap<Task, (End, u64)>,
@@ -84,7 +84,7 @@
     pub(crate) evacuated: bool,
     pub(crate) policy: policy::Policy,
     pub(crate) findings: suspect::Findings,
-    pub(crate) tempo: tempo::Tempo,
+    pub(crate) call_timeout: call_timeout::CallTimeout,
     pub(crate) out: Output,
 }
 
@@ -92,7 +92,7 @@
     /// A scheduler that has claimed its zone with `epoch`. Leases are `lease` milliseconds long.
     pub fn new(epoch: u64, lease: u64, now: u64) -> Self {
         Self {
-            lanes: collections::BTreeMap::new(),
+            sessions: collections::BTreeMap::new(),
             jobs: collections::BTreeMap::new(),
             sent: collections::HashMap::new(),
             ends: collections::HashMap::new(),
@@ -110,7 +110,7 @@
             evacuated: false,
             policy: policy::Policy::default(),
             findings: suspect::Findings::default(),
-            tempo: tempo::Tempo::default(),
+            call_timeout: call_timeout::CallTimeout::default(),
             out: Output::default(),
         }
     }
@@ -159,12 +159,12 @@
 
     /// Room of the upstreams that take work, less what waits; none while the zone is evacuated.
     pub fn load(&self, now: u64) -> message::Load {
-        let open = self.lanes.values().filter(|lane| !self.evacuated && lane.is_open(now));
-        let open = open.filter(|lane| !lane.health.is_aside(now));
+        let open = self.sessions.values().filter(|session| !self.evacuated && session.is_open(now));
+        let open = open.filter(|session| !session.health.is_ejected(now));
         let mut load = message::Load::default();
-        for lane in open {
-            load.free += lane.free(now).cpu as i64;
-            load.total += lane.record.room.cpu as i64;
+        for session in open {
+            load.free += session.free(now).cpu as i64;
+            load.total += session.record.room.cpu as i64;
         }
         for active in self.jobs.values() {
             load.free -= active.waiting_cpu();
@@ -174,30 +174,32 @@
 
     /// Takes news of an upstream of the zone.
     pub fn record(&mut self, record: &upstream::Record) {
-        let known = self.lanes.get_mut(&record.id);
+        let known = self.sessions.get_mut(&record.id);
         match (known, record.phase) {
-            (Some(lane), _) if record.serial == u64::MAX && lane.record.serial != u64::MAX => {
+            (Some(session), _)
+                if record.serial == u64::MAX && session.record.serial != u64::MAX =>
+            {
                 self.bury(&record.id.clone());
             }
-            (Some(lane), _) => {
+            (Some(session), _) => {
                 if record.phase != upstream::Phase::Gone {
-                    lane.told(record.clone());
+                    session.told(record.clone());
                 }
             }
             (None, upstream::Phase::Gone) => {}
             (None, _) => {
-                let lane = Lane::new(record.clone(), self.epoch);
-                self.lanes.insert(record.id.clone(), lane);
+                let session = Session::new(record.clone(), self.epoch);
+                self.sessions.insert(record.id.clone(), session);
                 self.unasked.insert(record.id.clone());
             }
         }
         self.dirty = true;
     }
 
-    /// Notes the number of an upstream in the census of this instance.
+    /// Notes the number of an upstream in the directory of this instance.
     pub fn number(&mut self, id: &name::Name, number: u64) {
-        if let Some(lane) = self.lanes.get_mut(id) {
-            lane.number = number;
+        if let Some(session) = self.sessions.get_mut(id) {
+            session.number = number;
         }
     }
 
@@ -225,10 +227,10 @@
 
     /// Lets time pass. `alive` gives what the clocks of the entries that are heard show at most.
     pub fn tick(&mut self, alive: impl Fn(&name::Name) -> Option<u64>, now: u64) {
-        self.drop_forsaken(&alive, now);
+        self.drop_abandoned(&alive, now);
         self.expire(now);
         self.lapse(now);
-        self.unwant_orphans(now);
+        self.mark_orphans(now);
         self.give_up_lost(now);
         self.ends.retain(|_, (_, at)| now < *at + KEEP_ENDS);
         self.verdicts.retain(|_, (_, at)| now < *at + KEEP_VERDICTS);
@@ -253,12 +255,13 @@
             }
             self.return_offers(now);
         }
-        let asked = self.lanes.values().filter(|lane| lane.is_asked() && !lane.is_heard());
+        let asked =
+            self.sessions.values().filter(|session| session.is_asked() && !session.is_heard());
         let mut probes = PROBES.saturating_sub(asked.count());
-        let pace = Pace { lanes: self.lanes.len(), tempo: self.tempo };
+        let pace = Pace { sessions: self.sessions.len(), call_timeout: self.call_timeout };
         for id in std::mem::take(&mut self.unasked) {
-            let Some(lane) = self.lanes.get_mut(&id) else { continue };
-            if !lane.is_heard() && lane.is_due(now) {
+            let Some(session) = self.sessions.get_mut(&id) else { continue };
+            if !session.is_heard() && session.is_due(now) {
                 if probes == 0 {
                     self.unasked.insert(id);
                     continue;
@@ -266,12 +269,12 @@
                 probes -= 1;
             }
             self.number += 1;
-            match lane.due(self.number, self.lease, pace, now) {
+            match session.due(self.number, self.lease, pace, now) {
                 Some(call) => {
                     self.sent.insert(call.number, (id, now, Sent::Hold));
                     self.out.calls.push(call);
                 }
-                None if !lane.is_asked() => {
+                None if !session.is_asked() => {
                     self.unasked.insert(id);
                 }
                 None => {}
@@ -281,13 +284,13 @@
 
     /// Takes all upstreams over again, above the token that some of them have seen: whoever used
     /// it may have started anything anywhere.
-    pub fn overrule(&mut self, epoch: u64, now: u64) {
+    pub fn supersede(&mut self, epoch: u64, now: u64) {
         self.epoch = epoch;
         self.since = now;
-        for lane in self.lanes.values_mut() {
-            lane.take_over(epoch, now);
+        for session in self.sessions.values_mut() {
+            session.take_over(epoch, now);
         }
-        self.unasked.extend(self.lanes.keys().cloned());
+        self.unasked.extend(self.sessions.keys().cloned());
         for active in self.jobs.values_mut() {
             active.job.resumed = true;
             active.started = true;
@@ -298,10 +301,13 @@
 
     /// Another life of the upstream is at its address: nothing of the former one runs.
     pub(crate) fn replaced(&mut self, id: &name::Name) {
-        self.note("lane: Replaced by another life.", id, "");
+        self.note("upstream: Replaced by another life.", id, "");
         self.out.gone.push((id.clone(), true));
-        let ran = self.lanes.get(id).filter(|lane| lane.record.phase == upstream::Phase::Serving);
-        let ran = ran.map(|lane| lane.runs.keys().chain(&lane.lapsed).cloned().collect());
+        let ran = self
+            .sessions
+            .get(id)
+            .filter(|session| session.record.phase == upstream::Phase::Serving);
+        let ran = ran.map(|session| session.runs.keys().chain(&session.lapsed).cloned().collect());
         self.bury(id);
         if let Some(tasks) = ran {
             self.lose(suspect::Loss { upstream: id.clone(), proved: true, tasks });
@@ -314,7 +320,7 @@
             return;
         }
         let detail = format!("{} tasks, proved {}", loss.tasks.len(), loss.proved);
-        self.note("lane: Lost with what ran there.", &loss.upstream, &detail);
+        self.note("upstream: Lost with what ran there.", &loss.upstream, &detail);
         self.findings.losses.push(loss);
     }
 
@@ -330,8 +336,8 @@
     }
 
     pub(crate) fn bury(&mut self, id: &name::Name) {
-        if let Some(lane) = self.lanes.remove(id) {
-            for task in lane.runs.into_keys() {
+        if let Some(session) = self.sessions.remove(id) {
+            for task in session.runs.into_keys() {
                 self.requeue(id, &task);
             }
         }
@@ -347,8 +353,9 @@
     }
 
     /// Marks a run as not wanted any more; it is told to stop.
-    pub(crate) fn unwant(&mut self, id: &name::Name, task: &Task) {
-        if let Some(run) = self.lanes.get_mut(id).and_then(|lane| lane.runs.get_mut(task)) {
+    pub(crate) fn mark_unwanted(&mut self, id: &name::Name, task: &Task) {
+        if let Some(run) = self.sessions.get_mut(id).and_then(|session| session.runs.get_mut(task))
+        {
             run.unwanted.get_or_insert(0);
         }
         self.dirty = true;
@@ -396,9 +403,9 @@
         let Some(active) = self.jobs.remove(id) else { return };
         for (step, items) in active.items.iter().enumerate() {
             for (index, item) in items.iter().enumerate() {
-                if let Phase::Placed(lane) = &item.phase {
+                if let Phase::Placed(session) = &item.phase {
                     let task = Task { job: id.clone(), step: step as u32, index: index as u32 };
-                    self.unwant(&lane.clone(), &task);
+                    self.mark_unwanted(&session.clone(), &task);
                 }
             }
         }
--- a/crates/dispatch/src/seats.rs
+++ b/crates/dispatch/src/scheduling.rs
@@ -5,10 +5,10 @@
 use state::name;
 
 use crate::{
-    claim, contest,
+    claim,
     core::Core,
     event::Output,
-    member,
+    leadership, member,
     message::Body,
     sched, suspect,
     time::{MS, Now},
@@ -34,7 +34,7 @@
 impl Core {
     /// Whether this instance schedules its zone.
     pub fn is_scheduler(&self) -> bool {
-        self.schedules(&self.roster.me().zone)
+        self.schedules(&self.membership.me().zone)
     }
 
     /// Whether this instance schedules a zone.
@@ -43,7 +43,7 @@
     }
 
     /// The zones that it schedules.
-    pub(crate) fn seats(&self) -> smallvec::SmallVec<[name::Name; 2]> {
+    pub(crate) fn scheduled_zones(&self) -> smallvec::SmallVec<[name::Name; 2]> {
         let held = self.zones.iter().filter(|(_, zone)| zone.sched.is_some());
         held.map(|(name, _)| name.clone()).collect()
     }
@@ -57,23 +57,23 @@
     }
 
     /// Claims what it is this instance's turn to schedule.
-    pub(crate) fn contend(&mut self, now: Now) {
-        let home = self.roster.me().zone.clone();
-        let stand = contest::Stand {
+    pub(crate) fn campaign(&mut self, now: Now) {
+        let home = self.membership.me().zone.clone();
+        let candidate = leadership::Candidate {
             schedules: self.is_scheduler(),
             equipped: self.document.version > 0 && self.knows_upstreams(),
             weak: self.is_weak(),
         };
-        if let Some(claim) = self.claims.contend(&self.roster, stand, now) {
+        if let Some(claim) = self.claims.campaign(&self.membership, candidate, now) {
             self.lead(&claim, now);
         }
-        if self.roster.me().role != member::Role::Keeper {
+        if self.membership.me().role != member::Role::Keeper {
             return;
         }
         let others = self.zones.keys().filter(|name| **name != home);
         for zone in others.cloned().collect::<Vec<_>>() {
             let schedules = self.schedules(&zone);
-            if let Some(claim) = self.claims.adopt(&zone, schedules, &self.roster, now) {
+            if let Some(claim) = self.claims.adopt(&zone, schedules, &self.membership, now) {
                 self.lead(&claim, now);
             }
         }
@@ -81,20 +81,20 @@
 
     /// Whether it knows an upstream of its zone.
     fn knows_upstreams(&self) -> bool {
-        self.zones.get(&self.roster.me().zone).is_some_and(|zone| !zone.census.is_empty())
+        self.zones.get(&self.membership.me().zone).is_some_and(|zone| !zone.directory.is_empty())
     }
 
     /// Whether scheduling its zone would take more processor time than it has to spare.
     pub(crate) fn is_weak(&self) -> bool {
-        let zone = self.zones.get(&self.roster.me().zone);
-        let upstreams = zone.map_or(0, |zone| zone.census.len() as u64);
+        let zone = self.zones.get(&self.membership.me().zone);
+        let upstreams = zone.map_or(0, |zone| zone.directory.len() as u64);
         upstreams * SCHEDULING > self.cores * SPARE / 100
     }
 
     /// Stops scheduling where another instance has the higher claim.
     pub(crate) fn yield_to_higher(&mut self) {
-        for zone in self.seats() {
-            let me = self.roster.me();
+        for zone in self.scheduled_zones() {
+            let me = self.membership.me();
             let holder = self.claims.of(&zone);
             if holder.is_some_and(|claim| claim.holder == me.name && claim.life == me.life) {
                 continue;
@@ -113,7 +113,7 @@
 
     pub(crate) fn lead(&mut self, claim: &claim::Claim, now: Now) {
         let mut sched = sched::Sched::new(claim.epoch, self.lease, now.mono)
-            .with_slot(self.seats().len() as u64)
+            .with_slot(self.scheduled_zones().len() as u64)
             .with_policy(self.policy);
         // What this instance knows it tells itself at once.
         sched.learn(&claim.holder, u64::MAX - 1);
@@ -127,7 +127,7 @@
     }
 
     pub(crate) fn tell_sched(&mut self, record: &upstream::Record) {
-        let me = self.roster.me();
+        let me = self.membership.me();
         if record.zone == me.zone || me.role == member::Role::Keeper {
             self.zones.entry(record.zone.clone()).or_default().record(record);
         }
@@ -145,10 +145,10 @@
     pub(crate) fn settle_sched(&mut self, name: &name::Name, now: Now) {
         let Some(zone) = self.zones.get_mut(name) else { return };
         let Some(sched) = &mut zone.sched else { return };
-        let roster = &self.roster;
+        let membership = &self.membership;
         sched.set_evacuated(self.evacuations.has(name));
-        sched.cover(|digest| zone.census.find(digest).is_some());
-        sched.run(|entry| roster.clock(entry, now.mono), &self.suspects, now.mono);
+        sched.cover(|digest| zone.directory.find(digest).is_some());
+        sched.run(|entry| membership.clock(entry, now.mono), &self.suspects, now.mono);
         let out = sched.take();
         self.out.extend(out.calls.into_iter().map(Output::Call));
         self.out.extend(out.notes.into_iter().map(Output::Note));
@@ -175,9 +175,9 @@
 
     /// Whether an instance has told of the evacuations that are in force here.
     fn knows_evacuations(&self, name: &name::Name) -> bool {
-        let told = self.roster.peer(name).and_then(|peer| peer.ping.as_ref());
+        let told = self.membership.peer(name).and_then(|peer| peer.ping.as_ref());
         let revision = told.map_or(0, |ping| ping.evacuations.revision);
-        *name == self.roster.me().name || revision >= self.evacuations.revision
+        *name == self.membership.me().name || revision >= self.evacuations.revision
     }
 
     /// Tells a scheduler that gets a job which upstreams were lost under its tasks elsewhere.
@@ -195,15 +195,15 @@
         if losses.is_empty() {
             return;
         }
-        let (me, zone) = (self.roster.me().name.clone(), self.roster.me().zone.clone());
+        let (me, zone) = (self.membership.me().name.clone(), self.membership.me().zone.clone());
         let concerned = |name: &&name::Name| {
-            let card = self.roster.peer(name).and_then(|peer| peer.card.as_ref());
+            let card = self.membership.peer(name).and_then(|peer| peer.card.as_ref());
             card.is_some_and(|card| self.is_told(card, &zone) || self.is_told(card, &card.zone))
         };
         let tasks = losses.iter().flat_map(|loss| &loss.tasks);
         let entries =
             tasks.filter_map(|task| self.scheds().find_map(|sched| sched.entry(&task.job)));
-        let names = self.roster.names().filter(concerned).chain(entries);
+        let names = self.membership.names().filter(concerned).chain(entries);
         let names: collections::BTreeSet<_> = names.filter(|name| **name != me).cloned().collect();
         for to in names {
             self.send(&to, Body::Lost(losses.to_vec()), now);
@@ -220,7 +220,7 @@
 
     /// Upstreams have seen a higher token although nobody with a higher claim is heard.
     fn outranked(&mut self, name: &name::Name, ids: &[name::Name], now: Now) {
-        let me = self.roster.me().clone();
+        let me = self.membership.me().clone();
         let Some(zone) = self.zones.get_mut(name) else { return };
         // Refusals that are over were settled by another claim.
         let since = zone.outranked.filter(|(_, last)| now.mono < last + HEAR);
@@ -231,10 +231,11 @@
             self.note("zone: Outranked at an upstream.", &ids[0], detail);
         }
         let away = *name != me.zone;
-        if away && !self.roster.reaches(name, now.mono) || !away && self.roster.is_cut_off(now.mono)
+        if away && !self.membership.reaches(name, now.mono)
+            || !away && self.membership.is_cut_off(now.mono)
         {
             // The larger part of the zone has a scheduler of its own.
-            self.claims.bar(&me, name, now.mono);
+            self.claims.stand_down(&me, name, now.mono);
             self.resign(name);
             return self.note(
                 "zone: Yielded, cut off from most of it.",
@@ -242,14 +243,14 @@
                 name.to_string(),
             );
         }
-        if now.mono < first + HEAR + contest::turn(&self.roster, now.mono) {
+        if now.mono < first + HEAR + leadership::turn(&self.membership, now.mono) {
             return;
         }
-        let claim = self.claims.overrule(&me, name, now);
+        let claim = self.claims.supersede(&me, name, now);
         let Some(zone) = self.zones.get_mut(name) else { return };
         zone.outranked = None;
         if let Some(sched) = &mut zone.sched {
-            sched.overrule(claim.epoch, now.mono);
+            sched.supersede(claim.epoch, now.mono);
         }
         self.note("zone: Going above a higher token.", &me.name, format!("epoch {}", claim.epoch));
     }
--- a/crates/dispatch/src/lane.rs
+++ b/crates/dispatch/src/session.rs
@@ -9,9 +9,9 @@
 use state::name;
 
 use crate::{
-    claim, job,
+    call_timeout, capacity_limit, claim, job,
     order::{Call, Order, Running},
-    split, squeeze, tempo, time, upstream,
+    time, timing, upstream,
 };
 
 /// How long an answer may wait for an end while tasks run, milliseconds. Between two answers a
@@ -45,7 +45,7 @@
     /// The upstream has said that it runs.
     Running,
     /// It may be running.
-    Doubt,
+    Unconfirmed,
 }
 
 /// A run that takes room at an upstream.
@@ -60,7 +60,7 @@
     /// Since when the stage holds.
     pub since: u64,
     /// When it was ordered and heard to have begun; nothing for one that another scheduler started.
-    pub begun: Option<split::Begun>,
+    pub begun: Option<timing::Begun>,
     /// Last progress: when, and how much was done.
     pub progress: (u64, u32),
     /// Whether nobody wants it any more, and when it was last told to stop.
@@ -78,24 +78,24 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
     /// How many there are.
-    pub lanes: usize,
+    pub sessions: usize,
     /// How they answer.
-    pub tempo: tempo::Tempo,
+    pub call_timeout: call_timeout::CallTimeout,
 }
 
 /// An upstream and what its owner knows of it.
 #[derive(Debug)]
-pub struct Lane {
+pub struct Session {
     /// What it says about itself.
     pub record: upstream::Record,
     /// What may be running there.
     pub runs: collections::BTreeMap<job::Task, Run>,
     /// How it did lately.
     pub health: crate::health::Health,
-    pub(crate) squeeze: squeeze::Squeeze,
+    pub(crate) capacity_limit: capacity_limit::CapacityLimit,
     /// What ran there when its leases were over while it was silent.
     pub(crate) lapsed: Vec<job::Task>,
-    /// Its number in the census of its scheduler.
+    /// Its number in the directory of its scheduler.
     pub(crate) number: u64,
     pub(crate) fence: u64,
     pub(crate) owned: bool,
@@ -112,11 +112,11 @@
     misses: u32,
 }
 
-impl Lane {
+impl Session {
     /// An upstream that is to be taken over with the fencing token `fence`.
     pub fn new(record: upstream::Record, fence: u64) -> Self {
         Self {
-            squeeze: squeeze::Squeeze::default(),
+            capacity_limit: capacity_limit::CapacityLimit::default(),
             lapsed: Vec::new(),
             record,
             runs: collections::BTreeMap::new(),
@@ -153,7 +153,7 @@
     /// Takes what it says about itself.
     pub fn told(&mut self, record: upstream::Record) {
         if record.room != self.record.room {
-            self.squeeze = squeeze::Squeeze::default();
+            self.capacity_limit = capacity_limit::CapacityLimit::default();
         }
         self.record = record;
     }
@@ -166,7 +166,7 @@
 
     /// Room that is not taken.
     pub fn free(&self, now: u64) -> upstream::Room {
-        let cpu = self.squeeze.limit(self.record.room.cpu, now);
+        let cpu = self.capacity_limit.limit(self.record.room.cpu, now);
         upstream::Room { cpu, ..self.record.room }.less(self.taken())
     }
 
@@ -185,8 +185,9 @@
         if !self.is_due(now) {
             return None;
         }
-        let (heard, lossy) = (self.is_heard(), pace.tempo.is_lossy());
-        let stretched = |wait: u64, longest| (wait * pace.lanes as u64 / MANY).clamp(wait, longest);
+        let (heard, lossy) = (self.is_heard(), pace.call_timeout.is_lossy());
+        let stretched =
+            |wait: u64, longest| (wait * pace.sessions as u64 / MANY).clamp(wait, longest);
         let wait = match (heard, self.runs.is_empty()) {
             (false, _) => 0,
             (true, true) if lossy => stretched(WAIT_LOSSY, LONGEST_IDLE),
@@ -203,7 +204,7 @@
         self.hold = Some((number, now));
         let order = Order::Hold { seen: self.seen, until, wait };
         // Upstreams' timers may be late, and whether an answer was would never be known.
-        Some(self.call(number, order, wait + tempo::PATIENCE))
+        Some(self.call(number, order, wait + call_timeout::PATIENCE))
     }
 
     /// Whether a hold is under way.
@@ -254,7 +255,7 @@
     }
 
     /// An order had no answer: what was ordered may take effect until a higher token is seen.
-    pub fn doubt(&mut self, now: u64) {
+    pub fn mark_unconfirmed(&mut self, now: u64) {
         self.fence += claim::NEXT_FENCE;
         self.silent.get_or_insert(now);
         self.hold = None;
@@ -298,7 +299,7 @@
         let sure = |run: &Run| match run.stage {
             Stage::Starting => false,
             Stage::Running => run.since < asked,
-            Stage::Doubt => true,
+            Stage::Unconfirmed => true,
         };
         let missing = self.runs.iter().filter(|(task, run)| sure(run) && !there(task, run));
         missing.map(|(task, _)| task.clone()).collect()
--- a/crates/dispatch/src/start.rs
+++ b/crates/dispatch/src/start.rs
@@ -6,11 +6,11 @@
     active::{Active, Phase},
     event,
     job::Task,
-    lane::{Run, Stage},
     order::Order,
     place, queue,
     sched::{Sched, Sent},
-    split, suspect, time,
+    session::{Run, Stage},
+    suspect, time, timing,
 };
 
 /// A task is started only if its entry has asked for the job within this time by its own clock,
@@ -30,56 +30,56 @@
         if self.jobs.values().all(|active| active.waiting() == 0) {
             return;
         }
-        let unread = self.lanes.values().any(|lane| !lane.is_read());
+        let unread = self.sessions.values().any(|session| !session.is_read());
         // A stamp later than the entry's clock is of a former life of it.
         let fresh = |active: &Active| {
             let is_fresh = |clock| (active.stamp..=active.stamp + FRESH).contains(&clock);
             alive(&active.entry).is_some_and(is_fresh)
         };
-        let room = place::Room::new(&self.lanes, suspects, now);
+        let room = place::Room::new(&self.sessions, suspects, now);
         let mut room = room.with_policy(self.policy);
         let most = room.most();
         let waits = |active: &&Active| {
-            active.waiting() > 0 && !active.is_barred(unread, now) && active.job.least() <= most
+            active.waiting() > 0 && !active.is_blocked(unread, now) && active.job.least() <= most
         };
         let load = self.load(now);
-        let crowded = self.policy.shortest_first && queue::is_crowded(load);
-        let swamped = self.policy.refuse_late && queue::is_swamped(load);
+        let congested = self.policy.shortest_first && queue::is_congested(load);
+        let overloaded = self.policy.refuse_late && queue::is_overloaded(load);
         let waiting = self.jobs.values().filter(waits).filter(|active| fresh(active));
-        let ranked = waiting.map(|active| (queue::rank(active, crowded, now), active));
-        let welcome = |rank: queue::Hope| !(swamped && rank == queue::Hope::Late);
+        let ranked = waiting.map(|active| (queue::rank(active, congested, now), active));
+        let welcome = |rank: queue::Feasibility| !(overloaded && rank == queue::Feasibility::Late);
         let mut line: Vec<_> = ranked.filter(|(rank, _)| welcome(rank.0)).collect();
         line.sort_by_key(|(rank, active)| (*rank, &active.job.id));
         for (_, active) in line {
             let known = self.known.get(&active.entry).copied().unwrap_or(0);
             place_job(active, known, &mut room);
         }
-        for (task, lane) in room.into_placed() {
-            self.start(&task, &lane, now);
+        for (task, session) in room.into_placed() {
+            self.start(&task, &session, now);
         }
     }
 
     /// Starts a task at an upstream that has room for it.
     pub(crate) fn start(&mut self, task: &Task, id: &name::Name, now: u64) {
         let Some(active) = self.jobs.get_mut(&task.job) else { return };
-        let Some(lane) = self.lanes.get_mut(id) else { return };
-        let Some(until) = lane.grant(self.lease, now) else { return };
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        let Some(until) = session.grant(self.lease, now) else { return };
         let need = active.job.steps[task.step as usize].need;
         let waited = now.saturating_sub(active.arrived);
         if !active.started {
             self.out.measures.push(event::Measure::FirstWait(waited));
         }
-        let idle = waited.min(now.saturating_sub(lane.freed));
+        let idle = waited.min(now.saturating_sub(session.freed));
         self.out.measures.push(event::Measure::IdleRoom(idle));
         active.set(task, Phase::Placed(id.clone()));
         let Some(item) = active.item_mut(task) else { return };
         item.attempt += 1;
         let attempt = item.attempt;
         let stage = Stage::Starting;
-        let begun = Some(split::Begun::new(now));
+        let begun = Some(timing::Begun::new(now));
         let progress = (now, 0);
         let run = Run { attempt, need, stage, since: now, begun, progress, unwanted: None };
-        lane.runs.insert(task.clone(), run);
+        session.runs.insert(task.clone(), run);
         self.number += 1;
         let spec = active.job.spec.clone();
         let waited = waited / time::MS;
@@ -88,14 +88,14 @@
              token {}",
             task.step,
             task.index,
-            lane.free(now).cpu,
-            lane.fence
+            session.free(now).cpu,
+            session.fence
         );
         let (text, subject) = ("job: Starting a task.", task.job.clone());
         self.out.notes.push(event::Note { text, subject, detail });
         let order = Order::Start { task: task.clone(), attempt, spec, until, waited };
         self.sent.insert(self.number, (id.clone(), now, Sent::Start(task.clone(), attempt)));
-        self.out.calls.push(lane.call(self.number, order, self.tempo.patience()));
+        self.out.calls.push(session.call(self.number, order, self.call_timeout.patience()));
     }
 }
 
--- a/crates/dispatch/src/status.rs
+++ b/crates/dispatch/src/status.rs
@@ -2,7 +2,7 @@
 
 use state::name;
 
-use crate::{core::Core, lane::Lane, message, sched, time, zone};
+use crate::{core::Core, message, sched, session::Session, time, zone};
 
 /// How an instance stands.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -28,7 +28,7 @@
     /// Upstreams of these zones.
     pub upstreams: usize,
     /// Those that are put aside for what they did.
-    pub aside: usize,
+    pub ejected: usize,
     /// Those that do not answer.
     pub silent: usize,
     /// Version of the configuration in force here.
@@ -84,15 +84,19 @@
             version: self.document.version,
             evacuated: self.evacuations.zones.len(),
             revision: self.evacuations.revision,
-            known: self.roster.names().count(),
-            heard: self.roster.names().filter(|name| self.roster.is_alive(name, now.mono)).count(),
-            redials: self.roster.redials(),
+            known: self.membership.names().count(),
+            heard: self
+                .membership
+                .names()
+                .filter(|name| self.membership.is_alive(name, now.mono))
+                .count(),
+            redials: self.membership.redials(),
             ..Status::default()
         };
         for sched in self.scheds() {
             Self::add_zone(&mut status, sched, now.mono);
         }
-        if let Some(raft) = self.vault.as_ref().and_then(|vault| vault.raft()) {
+        if let Some(raft) = self.control_log.as_ref().and_then(|control_log| control_log.raft()) {
             status.leading = self.leads;
             status.term = raft.term();
             status.voters = raft.voters().0.len();
@@ -107,16 +111,16 @@
         let waiting = || sched.jobs.values().filter(|active| active.waiting() > 0);
         let oldest = waiting().map(|active| now.saturating_sub(active.arrived)).max();
         let oldest = oldest.unwrap_or(0) as f64 / (1_000 * time::MS) as f64;
-        let count = |is: &dyn Fn(&&Lane) -> bool| sched.lanes.values().filter(is).count();
+        let count = |is: &dyn Fn(&&Session) -> bool| sched.sessions.values().filter(is).count();
         status.scheduling += 1;
         status.jobs += sched.jobs();
         status.waiting += sched.waiting();
         status.oldest = status.oldest.max(oldest);
-        status.running += sched.lanes.values().map(|lane| lane.runs.len()).sum::<usize>();
+        status.running += sched.sessions.values().map(|session| session.runs.len()).sum::<usize>();
         status.free += load.free as f64 / CORE;
         status.total += load.total as f64 / CORE;
-        status.upstreams += sched.lanes.len();
-        status.aside += count(&|lane| lane.health.is_aside(now));
-        status.silent += count(&|lane| lane.silent.is_some());
+        status.upstreams += sched.sessions.len();
+        status.ejected += count(&|session| session.health.is_ejected(now));
+        status.silent += count(&|session| session.silent.is_some());
     }
 }
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/submissions.rs
@@ -15,11 +15,11 @@
 use state::{name, policy};
 
 use crate::{
-    claim,
+    assignment, claim,
     event::{Measure, Note, Ticket},
     job::{Job, Refusal, Verdict},
     message::{Awaited, Body, Handover, Load, Ruling, Spare},
-    part, sched, share, time,
+    sched, share, time,
     view::View,
 };
 
@@ -63,7 +63,7 @@
     tickets: smallvec::SmallVec<[Ticket; 1]>,
     arrived: u64,
     /// Its tasks that are not known to be done, by the scheduler that has them.
-    parts: smallvec::SmallVec<[part::Part; 1]>,
+    parts: smallvec::SmallVec<[assignment::Assignment; 1]>,
     /// Whether a scheduler kept some tasks when it gave others back, or has done them.
     begun: bool,
     /// Whether a part that is done was another scheduler's before.
@@ -74,7 +74,7 @@
 
 /// The jobs of the clients of one entry.
 #[derive(Debug, Default)]
-pub struct Desk {
+pub struct Submissions {
     open: collections::BTreeMap<name::Name, Open>,
     tickets: collections::HashMap<Ticket, name::Name>,
     /// How full the zones are, and when that was told.
@@ -95,8 +95,8 @@
     offer: bool,
 }
 
-impl Desk {
-    /// A desk that decides by `policy`.
+impl Submissions {
+    /// Decides by `policy`.
     #[must_use]
     pub fn with_policy(self, policy: policy::Policy) -> Self {
         Self { policy, ..self }
@@ -138,7 +138,7 @@
             return;
         }
         let number = self.next_number(view.now);
-        let part = part::Part::new(number, share::Share::ALL, view.now);
+        let part = assignment::Assignment::new(number, share::Share::ALL, view.now);
         let (tickets, parts) = (smallvec::smallvec![ticket], smallvec::smallvec![part]);
         let (arrived, zones) = (view.now, smallvec::SmallVec::new());
         let open = Open { job, tickets, arrived, parts, begun: false, resumed: false, zones };
@@ -185,8 +185,9 @@
             // A scheduler speaks for itself only; one that had the job before may have started it,
             // or another one that has some of its tasks.
             Verdict::NotRun(_) | Verdict::GaveUp => {
-                let is_meant =
-                    |part: &&part::Part| part.number == ruling.number && part.is_with(from);
+                let is_meant = |part: &&assignment::Assignment| {
+                    part.number == ruling.number && part.is_with(from)
+                };
                 let Some(part) = open.parts.iter().find(is_meant) else { return };
                 let alone = open.parts.len() == 1 && !open.begun && !part.resumed;
                 let verdict = if alone { &ruling.verdict } else { &Verdict::GaveUp };
@@ -199,7 +200,8 @@
     /// an instance that schedules no more would be asked as fast as it answers.
     pub fn unknown(&mut self, from: &name::Name, id: &name::Name, number: u64) {
         let Some(open) = self.open.get_mut(id) else { return };
-        let is_meant = |part: &&mut part::Part| part.number == number && part.is_with(from);
+        let is_meant =
+            |part: &&mut assignment::Assignment| part.number == number && part.is_with(from);
         if let Some(part) = open.parts.iter_mut().find(is_meant) {
             part.disowned = true;
         }
@@ -209,7 +211,8 @@
     pub fn spare(&mut self, from: &name::Name, id: &name::Name, spare: &Spare, view: View<'_>) {
         let number = self.next_number(view.now);
         let Some(open) = self.open.get_mut(id) else { return };
-        let is_meant = |part: &&mut part::Part| part.number == spare.number && part.is_with(from);
+        let is_meant =
+            |part: &&mut assignment::Assignment| part.number == spare.number && part.is_with(from);
         let Some(part) = open.parts.iter_mut().find(is_meant) else { return };
         if let Some(claim) = &part.with {
             self.loads.insert(claim.zone.clone(), (spare.load, view.now));
@@ -247,8 +250,8 @@
             }
             for part in &mut open.parts {
                 match part.tick(view, ASK, DROPPED) {
-                    part::Due::Nothing => {}
-                    part::Due::Ask => {
+                    assignment::Due::Nothing => {}
+                    assignment::Due::Ask => {
                         if let Some(claim) = &part.with {
                             let seat = (claim.holder.clone(), claim.zone.clone());
                             let count = part.share.len(open.job.count());
@@ -256,7 +259,7 @@
                             ask.entry(seat).or_default().push(awaited);
                         }
                     }
-                    part::Due::Give => again.push((id.clone(), part.number)),
+                    assignment::Due::Give => again.push((id.clone(), part.number)),
                 }
             }
             if !open.is_given() && now >= open.arrived + NO_SCHEDULER {
@@ -339,12 +342,12 @@
         job.stamp = view.now;
         job.age += view.now.saturating_sub(open.arrived) / time::MS;
         let count = part.share.len(job.count());
-        let evacuated = !view.is_open(&view.roster.me().zone);
+        let evacuated = !view.is_open(&view.membership.me().zone);
         self.hand(job, handover, count, choice.claim, evacuated);
     }
 
     /// Why tasks that nobody can take are not worth waiting with, if they are not.
-    fn refusal(&self, part: &part::Part, view: View<'_>) -> Option<Refusal> {
+    fn refusal(&self, part: &assignment::Assignment, view: View<'_>) -> Option<Refusal> {
         if part.pin.is_some() {
             None
         } else if view.is_closed() {
@@ -392,9 +395,9 @@
     ///
     /// It is offered from zone to zone, its entry's own first, as long as one may have room at once.
     /// What is left waits where most is free, or least is waited for.
-    fn choose(&self, open: &Open, part: &part::Part, view: View<'_>) -> Option<Choice> {
-        let home = &view.roster.me().zone;
-        let reached = |claim: &&claim::Claim| view.roster.holds(claim, view.now);
+    fn choose(&self, open: &Open, part: &assignment::Assignment, view: View<'_>) -> Option<Choice> {
+        let home = &view.membership.me().zone;
+        let reached = |claim: &&claim::Claim| view.membership.holds(claim, view.now);
         if let Some(zone) = &part.pin {
             let claim = view.claims.of(zone).filter(reached)?.clone();
             return Some(Choice { claim, offer: false });
@@ -462,7 +465,7 @@
     /// Joins a part with the one that the holder of a claim has already, if it has one; gives the
     /// position of what goes there.
     fn join(&mut self, at: usize, claim: &claim::Claim) -> usize {
-        let has = |(other, part): &(usize, &part::Part)| {
+        let has = |(other, part): &(usize, &assignment::Assignment)| {
             *other != at && part.with.as_ref() == Some(claim)
         };
         let Some((other, _)) = self.parts.iter().enumerate().find(has) else { return at };
--- a/crates/dispatch/src/suspect.rs
+++ b/crates/dispatch/src/suspect.rs
@@ -102,7 +102,7 @@
     /// Takes what a scheduler has found out but for the losses, of which others are told, too.
     pub fn learn(&mut self, findings: &Findings) {
         for task in &findings.done {
-            self.acquit(task);
+            self.absolve(task);
         }
         for upstream in &findings.back {
             self.clear(upstream);
@@ -118,7 +118,7 @@
     }
 
     /// A task has done its work.
-    pub fn acquit(&mut self, task: &job::Task) {
+    pub fn absolve(&mut self, task: &job::Task) {
         self.tasks.remove(task);
     }
 
--- a/crates/dispatch/src/split.rs
+++ b/crates/dispatch/src/timing.rs
@@ -35,19 +35,19 @@
     ///
     /// A run that was never heard to go on had its order, or the answer to it, lost: all of that time counts
     /// for the order.
-    pub fn end(&self, clock: u64, now: u64) -> Parts {
+    pub fn end(&self, clock: u64, now: u64) -> Breakdown {
         let whole = now.saturating_sub(self.ordered);
         let (heard, began) = self.heard.unwrap_or((now, clock));
         let work = (clock.saturating_sub(began) * time::MS).min(whole);
         let order = heard.saturating_sub(self.ordered).min(whole - work);
         let told = whole - work - order;
-        Parts { order, work, told, ..Parts::default() }
+        Breakdown { order, work, told, ..Breakdown::default() }
     }
 }
 
 /// The time of a task from its client's request on, microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Parts {
+pub struct Breakdown {
     /// Until its scheduler had it.
     pub handed: u64,
     /// Until its order was decided: for room, or for an earlier step or run of it.
@@ -60,7 +60,7 @@
     pub told: u64,
 }
 
-impl Parts {
+impl Breakdown {
     /// These parts after a request that reached its scheduler after `handed`, and ended `whole` after it
     /// was taken, microseconds each.
     #[must_use]
@@ -93,7 +93,7 @@
     }
 }
 
-impl fmt::Display for Parts {
+impl fmt::Display for Breakdown {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { handed, waited, order, work, told } = self;
         let [handed, waited, order, work, told] =
--- a/crates/dispatch/src/upkeep.rs
+++ b/crates/dispatch/src/upkeep.rs
@@ -6,10 +6,10 @@
 use crate::{
     active::Active,
     job::{Refusal, Verdict},
-    lane::{Lane, Stage},
     order::Order,
     peer, queue,
     sched::{Sched, Sent},
+    session::{Session, Stage},
     suspect, time, upstream,
 };
 
@@ -17,7 +17,7 @@
 /// its cancelling was lost, or another scheduler has it. Longer than two questions of the entry
 /// (300 ms each) are apart, and short enough for its runs to be stopped before a client that lost
 /// its entry comes back (1,300 ms).
-pub(crate) const FORSAKEN: u64 = 900 * time::MS;
+pub(crate) const ABANDONED: u64 = 900 * time::MS;
 /// An unwanted run is told to stop again after this, microseconds.
 const STOP_AGAIN: u64 = 150 * time::MS;
 /// An upstream that never answers is given up after this, microseconds.
@@ -25,15 +25,17 @@
 
 impl Sched {
     /// Drops jobs that no entry waits for, so that another scheduler may take them.
-    pub(crate) fn drop_forsaken(&mut self, alive: &impl Fn(&name::Name) -> Option<u64>, now: u64) {
-        let forsaken = |active: &Active| {
+    pub(crate) fn drop_abandoned(&mut self, alive: &impl Fn(&name::Name) -> Option<u64>, now: u64) {
+        let abandoned = |active: &Active| {
             // By when the question was asked: one that waited on its way says nothing of now.
             match alive(&active.entry) {
-                Some(clock) => clock >= active.stamp + FORSAKEN || now >= active.awaited + FORSAKEN,
+                Some(clock) => {
+                    clock >= active.stamp + ABANDONED || now >= active.awaited + ABANDONED
+                }
                 None => now >= active.awaited + peer::SILENT,
             }
         };
-        let gone = self.jobs.iter().filter(|(_, active)| forsaken(active));
+        let gone = self.jobs.iter().filter(|(_, active)| abandoned(active));
         for id in gone.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
             self.note("job: Dropped, its entry is not heard.", &id, "");
             self.drop_job(&id);
@@ -44,8 +46,10 @@
     pub(crate) fn expire(&mut self, now: u64) {
         let mut over = Vec::new();
         let policy = self.policy;
-        let swamped = policy.refuse_late && queue::is_swamped(self.load(now));
-        let unwelcome = |active: &Active| swamped && queue::hope(active, now) == queue::Hope::Late;
+        let overloaded = policy.refuse_late && queue::is_overloaded(self.load(now));
+        let unwelcome = |active: &Active| {
+            overloaded && queue::feasibility(active, now) == queue::Feasibility::Late
+        };
         for (id, active) in &self.jobs {
             if now >= active.end() {
                 over.push((id.clone(), active.started));
@@ -65,10 +69,10 @@
     /// Counts runs as over where the last lease has run out and nobody can have renewed it.
     pub(crate) fn lapse(&mut self, now: u64) {
         let mut lapsed = Vec::new();
-        for (id, lane) in &mut self.lanes {
-            if lane.silent.is_some() && lane.has_lapsed(now) && !lane.runs.is_empty() {
-                lane.lapsed = std::mem::take(&mut lane.runs).into_keys().collect();
-                lapsed.push((id.clone(), lane.lapsed.clone(), lane.record.phase));
+        for (id, session) in &mut self.sessions {
+            if session.silent.is_some() && session.has_lapsed(now) && !session.runs.is_empty() {
+                session.lapsed = std::mem::take(&mut session.runs).into_keys().collect();
+                lapsed.push((id.clone(), session.lapsed.clone(), session.record.phase));
             }
         }
         for (upstream, tasks, phase) in lapsed {
@@ -82,13 +86,13 @@
     }
 
     /// Marks runs that no entry has asked for in time as unwanted; placing tells them to stop.
-    pub(crate) fn unwant_orphans(&mut self, now: u64) {
+    pub(crate) fn mark_orphans(&mut self, now: u64) {
         let due = |at: u64| now >= at;
         let orphans = self.orphans.iter().filter(|(_, at)| due(**at));
         for task in orphans.map(|(task, _)| task.clone()).collect::<Vec<_>>() {
             self.orphans.remove(&task);
-            for lane in self.lanes.values_mut() {
-                if let Some(run) = lane.runs.get_mut(&task) {
+            for session in self.sessions.values_mut() {
+                if let Some(run) = session.runs.get_mut(&task) {
                     run.unwanted.get_or_insert(0);
                 }
             }
@@ -97,12 +101,12 @@
 
     /// Tells unwanted runs to stop, again where that did not help.
     pub(crate) fn send_stops(&mut self, now: u64) {
-        for (id, lane) in &mut self.lanes {
-            if !lane.owned || lane.silent.is_some() {
+        for (id, session) in &mut self.sessions {
+            if !session.owned || session.silent.is_some() {
                 continue;
             }
             let mut stops = Vec::new();
-            for (task, run) in &mut lane.runs {
+            for (task, run) in &mut session.runs {
                 let due = run.unwanted.is_some_and(|at| at == 0 || now >= at + STOP_AGAIN);
                 if due && run.stage != Stage::Starting {
                     run.unwanted = Some(now);
@@ -113,21 +117,23 @@
                 self.number += 1;
                 let order = Order::Stop { task: task.clone(), attempt };
                 self.sent.insert(self.number, (id.clone(), now, Sent::Stop));
-                self.out.calls.push(lane.call(self.number, order, self.tempo.patience()));
+                self.out.calls.push(session.call(self.number, order, self.call_timeout.patience()));
             }
         }
     }
 
     pub(crate) fn give_up_lost(&mut self, now: u64) {
-        let lost = |lane: &Lane| {
-            let since = if lane.owned { lane.silent } else { Some(lane.silent.unwrap_or(now)) };
-            since.is_some_and(|since| now >= since + GIVE_UP) && lane.runs.is_empty()
+        let lost = |session: &Session| {
+            let since =
+                if session.owned { session.silent } else { Some(session.silent.unwrap_or(now)) };
+            since.is_some_and(|since| now >= since + GIVE_UP) && session.runs.is_empty()
         };
-        let lost = self.lanes.iter().filter(|(_, lane)| lost(lane)).map(|(id, _)| id.clone());
+        let lost =
+            self.sessions.iter().filter(|(_, session)| lost(session)).map(|(id, _)| id.clone());
         for id in lost.collect::<Vec<_>>() {
-            self.note("lane: Given up, it does not answer.", &id, "");
+            self.note("upstream: Given up, it does not answer.", &id, "");
             self.out.gone.push((id.clone(), false));
-            self.lanes.remove(&id);
+            self.sessions.remove(&id);
         }
     }
 }
--- a/crates/dispatch/src/view.rs
+++ b/crates/dispatch/src/view.rs
@@ -1,16 +1,16 @@
-//! What an entry's desk goes by: who is alive, who schedules, what is known of upstreams.
+//! What an entry goes by with its clients' jobs: who is alive, who schedules, what is known of upstreams.
 
 use state::name;
 
-use crate::{claim, contest, evacuation, roster};
+use crate::{claim, evacuation, leadership, membership};
 
-/// What a desk goes by.
+/// What an entry goes by.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
     /// Who is alive.
-    pub roster: &'a roster::Roster,
+    pub membership: &'a membership::Membership,
     /// Who schedules.
-    pub claims: &'a contest::Claims,
+    pub claims: &'a leadership::Claims,
     /// Where nothing is started.
     pub evacuations: &'a evacuation::Evacuations,
     /// Digest of the upstreams of its own zone that this instance knows.
@@ -22,20 +22,20 @@
 impl View<'_> {
     /// Digest of its upstreams that the holder of a claim told last.
     pub(crate) fn told(&self, claim: &claim::Claim) -> Option<u64> {
-        if claim.holder == self.roster.me().name {
+        if claim.holder == self.membership.me().name {
             return Some(self.upstreams);
         }
-        let heard = self.roster.last_heard(&claim.holder)?;
-        let zone = &self.roster.peer(&claim.holder)?.card.as_ref()?.zone;
+        let heard = self.membership.last_heard(&claim.holder)?;
+        let zone = &self.membership.peer(&claim.holder)?.card.as_ref()?.zone;
         heard.set(&claim.zone, zone).filter(|_| heard.life == claim.life)
     }
 
     /// When the holder of a claim was last heard, microseconds.
     pub(crate) fn heard(&self, claim: &claim::Claim) -> Option<u64> {
-        if claim.holder == self.roster.me().name {
+        if claim.holder == self.membership.me().name {
             return Some(self.now);
         }
-        self.roster.peer(&claim.holder).map(|peer| peer.heard)
+        self.membership.peer(&claim.holder).map(|peer| peer.heard)
     }
 
     /// Whether tasks may be started at the upstreams of a zone.
@@ -51,13 +51,14 @@
 
     /// Whether a scheduler is heard that may start tasks.
     pub(crate) fn is_led(&self) -> bool {
-        let able =
-            |claim: &claim::Claim| self.is_open(&claim.zone) && self.roster.holds(claim, self.now);
+        let able = |claim: &claim::Claim| {
+            self.is_open(&claim.zone) && self.membership.holds(claim, self.now)
+        };
         self.claims.iter().any(able)
     }
 
     pub(crate) fn is_current(&self, claim: &claim::Claim) -> bool {
         let same = self.claims.of(&claim.zone).is_some_and(|held| held == claim);
-        same && self.roster.holds(claim, self.now)
+        same && self.membership.holds(claim, self.now)
     }
 }
--- a/crates/dispatch/src/near.rs
+++ b/crates/dispatch/src/watch_list.rs
@@ -3,7 +3,7 @@
 //!
 //! Where instances are few everybody hears its zone and all keepers. Where they are many an entry
 //! hears the first two of its zone by rank, its hubs; what it pays does not depend on how many
-//! instances there are, and a keeper pays for its zone and the other keepers. docs/SCALE.md weighs
+//! instances there are, and a keeper pays for its zone and the other keepers. docs/design/scale.md weighs
 //! this against other ways.
 
 use std::collections;
@@ -31,12 +31,12 @@
 
 /// The first instances of each zone by rank.
 #[derive(Clone, Debug, Default)]
-pub struct Near {
+pub struct WatchList {
     few: bool,
     first: collections::BTreeMap<name::Name, Vec<name::Name>>,
 }
 
-impl Near {
+impl WatchList {
     /// What follows from these instances, of which there may be one for each address.
     pub fn new<'a>(cards: impl Iterator<Item = &'a member::Card>) -> Self {
         let mut zones: collections::BTreeMap<_, Vec<_>> = collections::BTreeMap::new();
--- a/crates/dispatch/src/zone.rs
+++ b/crates/dispatch/src/zone.rs
@@ -4,13 +4,13 @@
 
 use state::name;
 
-use crate::{census, message, sched, upstream};
+use crate::{directory, message, sched, upstream};
 
 /// One zone: a keeper knows all of them, an entry its own.
 #[derive(Debug, Default)]
 pub(crate) struct Zone {
     /// The upstreams of the zone.
-    pub(crate) census: census::Census,
+    pub(crate) directory: directory::Directory,
     /// Those of them that others gave up while something runs there.
     lingering: collections::BTreeSet<name::Name>,
     pub(crate) sched: Option<sched::Sched>,
@@ -26,14 +26,14 @@
             // has to know.
             let last = record.serial == u64::MAX;
             if last || !self.is_busy(&record.id) {
-                self.census.remove(&record.id, last);
+                self.directory.remove(&record.id, last);
             } else {
                 self.lingering.insert(record.id.clone());
             }
         } else {
-            self.census.add(&record.id);
+            self.directory.add(&record.id);
         }
-        let number = self.census.number(&record.id).unwrap_or(u64::MAX);
+        let number = self.directory.number(&record.id).unwrap_or(u64::MAX);
         if let Some(sched) = &mut self.sched {
             sched.record(record);
             sched.number(&record.id, number);
@@ -48,7 +48,7 @@
     ) {
         for record in records {
             sched.record(record);
-            sched.number(&record.id, self.census.number(&record.id).unwrap_or(u64::MAX));
+            sched.number(&record.id, self.directory.number(&record.id).unwrap_or(u64::MAX));
         }
         self.sched = Some(sched);
         self.outranked = None;
@@ -60,14 +60,14 @@
         self.sched = None;
     }
 
-    /// Takes upstreams that others gave up out of the census once nothing runs there.
+    /// Takes upstreams that others gave up out of the directory once nothing runs there.
     pub(crate) fn drop_lingering(&mut self, is_gone: impl Fn(&name::Name) -> bool) {
         for id in std::mem::take(&mut self.lingering) {
             let gone = is_gone(&id);
             if gone && self.is_busy(&id) {
                 self.lingering.insert(id);
             } else if gone {
-                self.census.remove(&id, false);
+                self.directory.remove(&id, false);
             }
         }
     }
@@ -79,7 +79,7 @@
 
     /// Whether this instance has something running at an upstream, as its scheduler.
     fn is_busy(&self, id: &name::Name) -> bool {
-        let lane = self.sched.as_ref().and_then(|sched| sched.lanes.get(id));
-        lane.is_some_and(|lane| !lane.runs.is_empty())
+        let session = self.sched.as_ref().and_then(|sched| sched.sessions.get(id));
+        session.is_some_and(|session| !session.runs.is_empty())
     }
 }
--- a/crates/dispatch/src/zones.rs
+++ b/crates/dispatch/src/zones.rs
@@ -1,10 +1,10 @@
-//! What the roster tells of zones: who of them is heard, and who is to schedule them.
+//! What the membership tells of zones: who of them is heard, and who is to schedule them.
 
 use state::name;
 
-use crate::{member, near, peer::Peer, roster::Roster};
+use crate::{member, membership::Membership, peer::Peer, watch_list};
 
-impl Roster {
+impl Membership {
     /// The other instances that are alive and stay.
     fn staying(&self, now: u64) -> impl Iterator<Item = &member::Card> {
         let alive = self.peers.values().filter(move |peer| peer.is_alive(now));
@@ -12,7 +12,7 @@
     }
 
     /// Those of them that are in this zone.
-    pub fn mates(&self, now: u64) -> impl Iterator<Item = &member::Card> {
+    pub fn zone_peers(&self, now: u64) -> impl Iterator<Item = &member::Card> {
         self.staying(now).filter(|card| card.zone == self.me().zone)
     }
 
@@ -20,7 +20,7 @@
     /// that are known, itself included, or half without the one that ranks first.
     pub fn is_cut_off(&self, now: u64) -> bool {
         let cards = self.peers.values().filter_map(|peer| peer.card.as_ref());
-        let near = cards.filter(|card| card.zone == self.me().zone && self.is_near(card));
+        let near = cards.filter(|card| card.zone == self.me().zone && self.is_watched(card));
         let mut zone: Vec<_> = near.collect();
         zone.push(self.me());
         let heard = |card: &member::Card| self.is_alive(&card.name, now);
@@ -34,9 +34,9 @@
     }
 
     /// Whether another instance of this zone hears the zone's scheduler.
-    pub fn mate_is_led(&self, now: u64) -> bool {
+    pub fn zone_peer_is_led(&self, now: u64) -> bool {
         let led = |peer: &Peer| peer.ping.as_ref().is_some_and(|ping| ping.led);
-        self.mates(now).any(|card| self.peers.get(&card.name).is_some_and(led))
+        self.zone_peers(now).any(|card| self.peers.get(&card.name).is_some_and(led))
     }
 
     /// Whether a keeper of a zone is alive and stays.
@@ -63,7 +63,7 @@
 
     /// The entries among the first of a zone by rank.
     pub fn hubs(&self, zone: &name::Name) -> Vec<name::Name> {
-        let first = self.near.first(zone, near::FRONT).iter();
+        let first = self.watch_list.first(zone, watch_list::FRONT).iter();
         first.filter(|name| self.role(name) == Some(member::Role::Entry)).cloned().collect()
     }
 
--- a/crates/dispatch/tests/claims.rs
+++ b/crates/dispatch/tests/claims.rs
@@ -2,9 +2,9 @@
 
 use dispatch::{
     claim::Claim,
-    contest::{Claims, Stand},
+    leadership::{Candidate, Claims},
     member::{Card, Role},
-    roster::Roster,
+    membership::Membership,
     time::{MS, Now},
 };
 
@@ -12,14 +12,14 @@
 
 /// When an entry claims its zone whose last instance was lost as it started, milliseconds, if the keeper's
 /// claim is told to it at `told`; nobody is ever met.
-fn claimed(stand: Stand, told: Option<u64>) -> u64 {
+fn claimed(stand: Candidate, told: Option<u64>) -> u64 {
     claimed_from(0, stand, told)
 }
 
 /// The same of one that has been running for `age` milliseconds when its zone loses the others.
-fn claimed_from(age: u64, stand: Stand, told: Option<u64>) -> u64 {
+fn claimed_from(age: u64, stand: Candidate, told: Option<u64>) -> u64 {
     let card = |name: &str, role| Card { name: name.into(), zone: "west".into(), role, life: 7 };
-    let roster = Roster::new(card("10.0.0.2:7", Role::Entry), &[], 0);
+    let membership = Membership::new(card("10.0.0.2:7", Role::Entry), &[], 0);
     let mut claims = Claims::default();
     let keeper = Claim { zone: "west".into(), epoch: 9, holder: "10.0.0.1:7".into(), life: 7 };
     for ms in (0..10_000).step_by(20) {
@@ -27,14 +27,14 @@
         if told == Some(ms) {
             claims.merge(&keeper, now.mono);
         }
-        if claims.contend(&roster, stand, now).is_some() {
+        if claims.campaign(&membership, stand, now).is_some() {
             return ms;
         }
     }
     panic!("it never claims");
 }
 
-const STRONG: Stand = Stand { schedules: false, equipped: true, weak: false };
+const STRONG: Candidate = Candidate { schedules: false, equipped: true, weak: false };
 
 /// Story: everything came back within 150 ms after a loss of power, and the keepers claimed their zones.
 /// Entries that had not met them yet claimed 40 ms later, as they knew of no upstream and took themselves
@@ -43,9 +43,9 @@
 /// 0.12 of a core, while all clients came back: 550 answers of 2 s were late, 245 jobs refused.
 #[test]
 fn restart_of_everything() {
-    let bare = Stand { equipped: false, ..STRONG };
+    let bare = Candidate { equipped: false, ..STRONG };
     assert!((1_000..1_400).contains(&claimed(bare, None)), "without upstreams it lets others go");
-    let weak = Stand { weak: true, ..STRONG };
+    let weak = Candidate { weak: true, ..STRONG };
     assert!((1_200..1_600).contains(&claimed(weak, Some(200))), "a claim that it heard of stands");
 }
 
@@ -60,7 +60,7 @@
 /// it may know of a configuration and of upstreams by a keeper of another zone before its own is back.
 #[test]
 fn weak_entry() {
-    let weak = Stand { weak: true, ..STRONG };
+    let weak = Candidate { weak: true, ..STRONG };
     assert!((290..350).contains(&claimed_from(5_000, weak, None)));
     assert!((1_290..1_350).contains(&claimed(weak, None)));
 }
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -132,7 +132,7 @@
     suspects.add(&loss("u1", true, &["a", "b"]), 0);
     assert_eq!(suspects.add(&loss("u2", true, &["a", "b"]), 0), [], "either may be at fault");
     assert_eq!(suspects.add(&loss("u3", true, &["b"]), 0), [task("b")]);
-    suspects.acquit(&task("a"));
+    suspects.absolve(&task("a"));
     assert!(!suspects.has(&task("a")));
 
     let mut suspects = Suspects::default();
--- a/crates/dispatch/tests/doubled.rs
+++ b/crates/dispatch/tests/doubled.rs
@@ -153,21 +153,21 @@
 fn gone_but_running() {
     // Order of events: the zone's only keeper does not reach one upstream for 12 s and gives it up;
     // that news waits in its full queue, and it is killed. An entry claims the zone, reaches the
-    // upstream and starts a task there. The late news takes the upstream out of the entry's census,
-    // not out of its lanes. The next scheduler covers the set that is told then.
+    // upstream and starts a task there. The late news takes the upstream out of the entry's directory,
+    // not out of its sessions. The next scheduler covers the set that is told then.
     let mut faults = Vec::new();
     for seed in 0..10 {
         let mut world = World::new(seed, 1, 4, 4);
         world.run(3_000);
         world.wall(0, 0, true);
-        while !world.notes.contains_key("lane: No answer.") {
+        while !world.notes.contains_key("upstream: No answer.") {
             world.run(5);
         }
         world.run(11_900);
         for other in 1..5 {
             world.slow(0, other, 2_500);
         }
-        while !world.notes.contains_key("lane: Given up, it does not answer.") {
+        while !world.notes.contains_key("upstream: Given up, it does not answer.") {
             world.run(5);
         }
         world.run(5);
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -5,11 +5,11 @@
 
 use coord::group::Machine as _;
 use dispatch::{
+    control_log::Machine,
     evacuation::{Evacuations, Order, Outcome},
     event::{Event, Reply},
     job::{Refusal, Verdict},
     message::Document,
-    vault::Machine,
 };
 use world::{World, zone_name};
 
--- a/crates/dispatch/tests/many.rs
+++ b/crates/dispatch/tests/many.rs
@@ -1,6 +1,6 @@
 //! Systems of many instances: what each role sends and gets, and what a late answer leads to.
 //!
-//! `cargo test --test many -- --ignored --nocapture table` prints the figures of docs/SCALE.md.
+//! `cargo test --test many -- --ignored --nocapture table` prints the figures of docs/design/scale.md.
 
 mod world;
 
--- a/crates/dispatch/tests/roster.rs
+++ b/crates/dispatch/tests/membership.rs
@@ -2,7 +2,7 @@
 
 use dispatch::{
     member::{Card, Role},
-    roster::Roster,
+    membership::Membership,
     time::MS,
 };
 use state::name::Name;
@@ -23,10 +23,10 @@
 /// instances were sent at once after a start (`many::nobody_forgotten` failed then).
 #[test]
 fn not_heard_any_more() {
-    let mut roster = Roster::new(card(30), &[], 0);
-    roster.learn((1..8).map(card).collect(), Vec::new(), 100 * MS);
-    roster.learn((0..30).map(card).collect(), Vec::new(), 200 * MS);
-    let forgotten = roster.forget(LONG * MS);
+    let mut membership = Membership::new(card(30), &[], 0);
+    membership.learn((1..8).map(card).collect(), Vec::new(), 100 * MS);
+    membership.learn((0..30).map(card).collect(), Vec::new(), 200 * MS);
+    let forgotten = membership.forget(LONG * MS);
     let heard = [0, 1].map(|at| card(at).name);
     assert!(forgotten.iter().all(|name| heard.contains(name)), "{forgotten:?}");
     assert!(!forgotten.is_empty(), "those that it ought to hear are silent");
@@ -35,11 +35,11 @@
 /// The silence of one that it ought to hear from some time on counts from then.
 #[test]
 fn heard_again() {
-    let mut roster = Roster::new(card(30), &[], 0);
-    roster.learn((0..30).map(card).collect(), Vec::new(), 100 * MS);
+    let mut membership = Membership::new(card(30), &[], 0);
+    membership.learn((0..30).map(card).collect(), Vec::new(), 100 * MS);
     // The first two of the zone are gone: the next ones are heard instead.
     let gone = vec![(card(1).name, 7), (card(0).name, 7)];
-    roster.learn(Vec::new(), gone, LONG * MS);
-    let forgotten = roster.forget((LONG + 1) * MS);
+    membership.learn(Vec::new(), gone, LONG * MS);
+    let forgotten = membership.forget((LONG + 1) * MS);
     assert!(!forgotten.contains(&card(3).name), "{forgotten:?}");
 }
--- a/crates/dispatch/tests/owner.rs
+++ b/crates/dispatch/tests/owner.rs
@@ -163,7 +163,7 @@
     play.answer(hold, Outcome::Replaced);
     let gone = play.sched.take().gone;
     assert_eq!(gone, [(Name::new("old"), true)]);
-    assert!(play.sched.lanes.contains_key("new") && !play.sched.lanes.contains_key("old"));
+    assert!(play.sched.sessions.contains_key("new") && !play.sched.sessions.contains_key("old"));
     assert_eq!(starts(&play.calls()), [], "the task runs on");
 }
 
--- a/crates/dispatch/tests/split.rs
+++ b/crates/dispatch/tests/timing.rs
@@ -3,12 +3,13 @@
 mod world;
 
 use dispatch::{
-    split::{Begun, Parts},
     time::MS,
+    timing::{Begun, Breakdown},
 };
 use world::World;
 
-const PARTS: Parts = Parts { handed: 0, waited: 0, order: 4 * MS, work: 200 * MS, told: 6 * MS };
+const PARTS: Breakdown =
+    Breakdown { handed: 0, waited: 0, order: 4 * MS, work: 200 * MS, told: 6 * MS };
 
 #[test]
 fn by_the_clocks_of_both() {
@@ -17,18 +18,18 @@
     begun.hear(90_050, 1_054 * MS);
     assert_eq!(begun.end(90_200, 1_210 * MS), PARTS, "the first time counts");
     let whole = PARTS.after(2 * MS, 252 * MS);
-    assert_eq!(whole, Parts { handed: 2 * MS, waited: 40 * MS, ..PARTS });
+    assert_eq!(whole, Breakdown { handed: 2 * MS, waited: 40 * MS, ..PARTS });
     let text = "last task: handed 2 ms, waited 40 ms, order 4 ms, work 200 ms, told 6 ms";
     assert_eq!(whole.to_string(), text);
-    assert_eq!(Parts::read(&format!("Complete, {whole}")), Some(whole));
-    assert_eq!(Parts::read("Complete"), None);
+    assert_eq!(Breakdown::read(&format!("Complete, {whole}")), Some(whole));
+    assert_eq!(Breakdown::read("Complete"), None);
 }
 
 #[test]
 fn odd_clocks() {
     // Never heard to go on: its order was lost, or the answer to it.
     let lost = Begun::new(0).end(90_000, 70 * MS);
-    assert_eq!(lost, Parts { order: 70 * MS, ..Parts::default() });
+    assert_eq!(lost, Breakdown { order: 70 * MS, ..Breakdown::default() });
     // A clock of milliseconds that runs ahead, or goes back, makes no more time than there was.
     let mut begun = Begun::new(0);
     begun.hear(90_000, 3 * MS);
@@ -37,7 +38,7 @@
     let back = begun.end(80_000, 100 * MS);
     assert_eq!((back.order, back.work, back.told), (3 * MS, 0, 97 * MS));
     // A scheduler that got the job late has seen less of it than its client waited.
-    assert_eq!(PARTS.after(20 * MS, 10 * MS), Parts { handed: 20 * MS, ..PARTS });
+    assert_eq!(PARTS.after(20 * MS, 10 * MS), Breakdown { handed: 20 * MS, ..PARTS });
 }
 
 #[test]
--- a/crates/dispatch/tests/world/effect.rs
+++ b/crates/dispatch/tests/world/effect.rs
@@ -87,7 +87,7 @@
             }
             Output::Remember(known) => self.instances[at].known = known,
             Output::Note(note) => *self.notes.entry(note.text).or_default() += 1,
-            Output::Measure(Measure::Parts(parts)) => self.splits.push(parts),
+            Output::Measure(Measure::Breakdown(parts)) => self.splits.push(parts),
             Output::Reply(ticket, Reply::Verdict(verdict)) => self.verdict(ticket, verdict),
             Output::Reply(ticket, reply) => self.replies.push((ticket, reply)),
             _ => {}
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -13,8 +13,8 @@
     member::{Card, Role},
     message::Body,
     order::{Answer, Call, Outcome},
-    split::Parts,
     time::Now,
+    timing::Breakdown,
     upstream::Phase,
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
@@ -144,7 +144,7 @@
     /// Answers of upstreams come this much later, microseconds.
     pub answer_lag: u64,
     /// Where the time of tasks went that have done their work.
-    pub splits: Vec<Parts>,
+    pub splits: Vec<Breakdown>,
     /// One question for what runs and has ended in so many is lost; 0 for none.
     pub mute: u32,
     pub faults: Vec<String>,
--- a/crates/state/src/policy.rs
+++ b/crates/state/src/policy.rs
@@ -18,7 +18,7 @@
     /// A job that would wait behind too much is refused when it arrives.
     pub refuse_overload: bool,
     /// Upstreams that fail what they start are put aside, and those that failed lately come last.
-    pub put_aside: bool,
+    pub eject: bool,
     /// Tasks that make no progress are stopped and started elsewhere.
     pub stop_hung: bool,
     /// Tasks go where they leave the least room over.
@@ -36,7 +36,7 @@
         ("refuse_late", |policy| &mut policy.refuse_late),
         ("refuse_hopeless", |policy| &mut policy.refuse_hopeless),
         ("refuse_overload", |policy| &mut policy.refuse_overload),
-        ("put_aside", |policy| &mut policy.put_aside),
+        ("eject", |policy| &mut policy.eject),
         ("stop_hung", |policy| &mut policy.stop_hung),
         ("tight_fit", |policy| &mut policy.tight_fit),
     ];
@@ -50,7 +50,7 @@
             refuse_late: true,
             refuse_hopeless: true,
             refuse_overload: true,
-            put_aside: true,
+            eject: true,
             stop_hung: true,
             tight_fit: true,
         }
