Upstreams that fell silent together are asked together when one answers

Change: when one that fell silent answers, those that fell silent within 450 ms of it are asked at once; the bound on questions to silent upstreams holds as before.

--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -110,10 +110,12 @@
                 if !current || !under_way {
                     return;
                 }
-                if session.silent.is_some_and(|since| now < since + BRIEF) {
-                    self.call_timeout.lost(now);
-                }
+                let silent = session.silent;
                 session.answered();
+                if let Some(since) = silent {
+                    self.heard_again(since, now);
+                }
+                let Some(session) = self.sessions.get_mut(id) else { return };
                 if !std::mem::take(&mut session.lapsed).is_empty() {
                     self.findings.back.push(id.clone());
                 }
@@ -132,6 +134,16 @@
         }
     }
 
+    /// An upstream that fell silent at `since` has answered.
+    fn heard_again(&mut self, since: u64, now: u64) {
+        if now < since + BRIEF {
+            return self.call_timeout.lost(now);
+        }
+        for session in self.sessions.values_mut() {
+            session.retry_with(since, now);
+        }
+    }
+
     fn take_ends(&mut self, id: &name::Name, ended: Vec<Ended>, clock: u64, now: u64) {
         for end in ended {
             let Some(session) = self.sessions.get_mut(id) else { return };
--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -33,6 +33,9 @@
 /// Pause before an upstream that did not answer, or obeys another owner, is asked again,
 /// microseconds.
 const RETRY: u64 = 60 * time::MS;
+/// Upstreams that fell silent within this time of one another may have done so for one cause, microseconds: the
+/// longest time between two questions to a busy upstream.
+const TOGETHER: u64 = LONGEST_BUSY * time::MS;
 /// The first time it is asked at once: one call may be lost. Then the pause doubles so many times at most,
 /// to 480 ms: each question that is given up takes its connection with it.
 const DOUBLINGS: u32 = 3;
@@ -288,6 +291,14 @@
         self.misses = (self.misses + 1).min(DOUBLINGS + 1);
     }
 
+    /// An upstream that fell silent at `since` answers again; what silenced this one may be over as well.
+    pub fn retry_with(&mut self, since: u64, now: u64) {
+        let together = self.silent.is_some_and(|own| own.abs_diff(since) <= TOGETHER);
+        if together && self.hold.is_none() {
+            self.retry = self.retry.min(now);
+        }
+    }
+
     /// The upstream has answered under the present token.
     pub fn answered(&mut self) {
         self.owned = true;
