--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -7,9 +7,9 @@
 /// Bad ends in the window that put an upstream aside. One alone happens to sound ones: a task
 /// fails by its own fault about once in 500 runs.
 const BAD: u32 = 2;
-/// Time for which an upstream is put aside first, microseconds; it doubles each time.
+/// Time for which an upstream is ejected first, microseconds; it doubles each time.
 const ASIDE: u64 = 1_500 * time::MS;
-/// Longest time for which it is put aside, microseconds.
+/// Longest time for which it is ejected, microseconds.
 const MAX_ASIDE: u64 = 6_000 * time::MS;
 
 /// How an upstream did lately.
@@ -35,7 +35,7 @@
         }
     }
 
-    /// A run failed or made no progress. True if the upstream is put aside by it.
+    /// A run failed or made no progress. True if the upstream is ejected by it.
     pub fn bad(&mut self, now: u64) -> bool {
         self.note(true);
         let aside = self.trial || self.ends.count_ones() >= BAD;
@@ -50,7 +50,7 @@
         false
     }
 
-    /// Whether it is put aside.
+    /// Whether it is ejected.
     pub fn is_ejected(&self, now: u64) -> bool {
         now < self.aside
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -25,7 +25,7 @@
 //! | what is refused when it arrives | queues longer than any objective | [`queue::refuse`] |
 //! | which upstream gets a task | more jobs than fit, tasks of 10 to 20 cores | [`place`] |
 //! | what an upstream holds that refused a task | room that shrinks without a word | [`capacity_limit`] |
-//! | which upstreams are put aside, which tasks stopped | ones that fail or hang | [`health`] |
+//! | which upstreams are ejected, which tasks stopped | ones that fail or hang | [`health`] |
 //! | which upstreams are slow | ones that do what they are told, several times slower | [`speed`] |
 //! | which task brings upstreams down | tasks that crash each upstream that starts them | [`suspect`] |
 //! | when an order is given up | orders that get lost | [`call_timeout`] |
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -163,7 +163,7 @@
                 End::Done => session.health.good(),
                 End::Failed if known => {
                     if self.policy.eject && session.health.bad(now) {
-                        self.note("upstream: Put aside, it fails what it starts.", id, "");
+                        self.note("upstream: Ejected, it fails what it starts.", id, "");
                     }
                 }
                 End::Failed | End::Stopped | End::Lapsed => {}
@@ -315,7 +315,7 @@
             && let Some(session) = self.sessions.get_mut(id)
             && session.health.bad(now)
         {
-            self.note("upstream: Put aside, its tasks make no progress.", id, "");
+            self.note("upstream: Ejected, its tasks make no progress.", id, "");
         }
         self.mark_unwanted(id, task);
     }
--- a/crates/dispatch/src/status.rs
+++ b/crates/dispatch/src/status.rs
@@ -27,7 +27,7 @@
     pub total: f64,
     /// Upstreams of these zones.
     pub upstreams: usize,
-    /// Those that are put aside for what they did.
+    /// Those that are ejected for what they did.
     pub ejected: usize,
     /// Those that do not answer.
     pub silent: usize,
--- a/crates/state/src/policy.rs
+++ b/crates/state/src/policy.rs
@@ -17,7 +17,7 @@
     pub refuse_hopeless: bool,
     /// A job that would wait behind too much is refused when it arrives.
     pub refuse_overload: bool,
-    /// Upstreams that fail what they start are put aside, and those that failed lately come last.
+    /// Upstreams that fail what they start are ejected, and those that failed lately come last.
     pub eject: bool,
     /// Tasks that make no progress are stopped and started elsewhere.
     pub stop_hung: bool,
