Read again: one way to tell a slow upstream, sets of evacuated zones copied only when newer

Placing and the load of a zone told slow upstreams by two copies of one condition; Session::slowness serves both. Each turn of the loop cloned the set of evacuated zones to find it unchanged. No behaviour meant.

--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -92,11 +92,7 @@
             room: session.free(now),
             runs: session.runs.len(),
             suspect: session.runs.keys().any(|task| suspects.has(task)),
-            slowness: if policy.avoid_slow && session.speed.is_slow(now) {
-                session.speed.slowness(now)
-            } else {
-                1.0
-            },
+            slowness: session.slowness(policy, now),
         });
         let (mut slow, free): (Vec<_>, Vec<_>) =
             free.filter(|free| free.room.cpu > 0).partition(|free| free.slowness > 1.0);
--- a/crates/dispatch/src/propagation.rs
+++ b/crates/dispatch/src/propagation.rs
@@ -113,8 +113,11 @@
         let Some(control_log) = &self.control_log else { return };
         let newer = control_log.document().version > self.document.version;
         let document = newer.then(|| control_log.document().clone());
-        let evacuations = control_log.evacuations().clone();
-        self.adopt_evacuations(&evacuations, now);
+        let evacuations = control_log.evacuations();
+        if evacuations.revision > self.evacuations.revision {
+            let evacuations = evacuations.clone();
+            self.adopt_evacuations(&evacuations, now);
+        }
         if let Some(document) = document {
             self.adopt(document, now);
         }
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -163,7 +163,7 @@
     pub fn load(&self, now: u64) -> message::Load {
         let open = self.sessions.values().filter(|session| !self.evacuated && session.is_open(now));
         let open = open.filter(|session| !session.health.is_ejected(now));
-        let open = open.filter(|session| !self.avoids(session, now));
+        let open = open.filter(|session| session.slowness(self.policy, now) <= 1.0);
         let mut load = message::Load::default();
         for session in open {
             load.free += session.free(now).cpu as i64;
--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -6,7 +6,7 @@
 
 use std::collections;
 
-use state::name;
+use state::{name, policy};
 
 use crate::{
     call_timeout, capacity_limit, claim, job,
@@ -153,6 +153,11 @@
             && now >= self.full
     }
 
+    /// By how much tasks take longer there where that counts, 1 elsewhere.
+    pub fn slowness(&self, policy: policy::Policy, now: u64) -> f64 {
+        if policy.avoid_slow && self.speed.is_slow(now) { self.speed.slowness(now) } else { 1.0 }
+    }
+
     /// Whether it has answered this owner at all.
     pub fn is_read(&self) -> bool {
         self.owned
--- a/crates/dispatch/src/slow.rs
+++ b/crates/dispatch/src/slow.rs
@@ -1,15 +1,10 @@
-//! What a scheduler does about upstreams that work slowly.
+//! What a scheduler learns of the speed of its upstreams from their answers.
 
 use state::name;
 
-use crate::{order::Running, sched::Sched, session::Session, speed, time, timing};
+use crate::{order::Running, sched::Sched, speed, time, timing};
 
 impl Sched {
-    /// Whether an upstream works slowly and is to be avoided.
-    pub(crate) fn avoids(&self, session: &Session, now: u64) -> bool {
-        self.policy.avoid_slow && session.speed.is_slow(now)
-    }
-
     /// Learns from a run that has done its work.
     pub(crate) fn note_speed(
         &mut self,
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -7,7 +7,7 @@
 use dispatch::{
     control_log::Machine,
     evacuation::{Evacuations, Order, Outcome},
-    event::{Event, Reply},
+    event::Reply,
     job::{Refusal, Verdict},
     message::Document,
 };
@@ -39,6 +39,15 @@
     world.reply(ticket).cloned()
 }
 
+/// Evacuates zone 1 at the first keeper; gives control back as soon as that is acknowledged.
+fn acknowledged(world: &mut World, seed: u64) {
+    let ticket = world.evacuate(KEEPERS[0], 1, true);
+    while world.reply(ticket).is_none() {
+        world.run(5);
+    }
+    assert_eq!(world.reply(ticket), Some(&Reply::Noted), "seed {seed}");
+}
+
 /// Zones where something was started in the last milliseconds.
 fn busy(world: &World, ms: u64) -> Vec<usize> {
     (0..3).filter(|zone| world.last_start(*zone) + ms * 1_000 > world.now).collect()
@@ -249,11 +258,7 @@
         for lost in [0, 3] {
             let mut world = ready(seed);
             load(&mut world, 300, 30);
-            let ticket = world.evacuate(0, 1, true);
-            while world.reply(ticket).is_none() {
-                world.run(5);
-            }
-            assert_eq!(world.reply(ticket), Some(&Reply::Noted), "seed {seed}");
+            acknowledged(&mut world, seed);
             world.kill(lost);
             load(&mut world, 3_000, 60);
             assert!(!busy(&world, 3_000 - IN_FORCE).contains(&1), "seed {seed}, lost {lost}");
@@ -272,11 +277,7 @@
     for wiped in KEEPERS {
         for seed in 0..5 {
             let mut world = ready(seed);
-            let ticket = world.evacuate(KEEPERS[0], 1, true);
-            while world.reply(ticket).is_none() {
-                world.run(5);
-            }
-            assert_eq!(world.reply(ticket), Some(&Reply::Noted));
+            acknowledged(&mut world, seed);
             world.wipe(wiped);
             (0..world.instances.len()).for_each(|at| world.kill(at));
             world.run(500);
@@ -323,6 +324,6 @@
 #[test]
 fn no_disk() {
     let mut world = ready(10);
-    world.handle_event(1, Event::Evacuate(77, zone_name(1), true));
-    assert_eq!(world.reply(77), Some(&Reply::Unavailable));
+    let ticket = world.evacuate(1, 1, true);
+    assert_eq!(world.reply(ticket), Some(&Reply::Unavailable));
 }
--- a/crates/dispatch/tests/world/operator.rs
+++ b/crates/dispatch/tests/world/operator.rs
@@ -33,11 +33,6 @@
         ticket
     }
 
-    /// Tells an instance of something.
-    pub fn handle_event(&mut self, at: usize, event: Event) {
-        self.handle(at, event);
-    }
-
     pub fn reply(&self, ticket: u64) -> Option<&Reply> {
         self.replies.iter().find(|(other, _)| *other == ticket).map(|(_, reply)| reply)
     }
