An answer names its task, and unverified connections are not used again

Ruled out: closing every connection (a new one for each task); trusting a pause before the next use (bytes may come at any time). Change: a start carries Task-Id and Task-Attempt, and its answer repeats both. A connection is used again only after an answer that does; an answer with other values, or without them on a kept connection, fails its task. The stand-in repeats them.

--- a/crates/apricotroute/src/standin.rs
+++ b/crates/apricotroute/src/standin.rs
@@ -4,7 +4,10 @@
 use std::{collections, fs, io::Write as _, net, path, sync, thread, time};
 
 use error_stack::ResultExt as _;
-use link::http::{self, Request, Responder, Response};
+use link::{
+    http::{self, Request, Responder, Response},
+    task,
+};
 use rand::RngExt as _;
 use serde_json::json;
 
@@ -195,30 +198,35 @@
 
 impl TaskHandler {
     fn start(&self, request: &Request, responder: Responder) {
-        let task = request.header("Task-Id").unwrap_or_default().to_owned();
+        let id = request.header(task::ID_HEADER).unwrap_or_default().to_owned();
+        let attempt = request.header(task::ATTEMPT_HEADER).unwrap_or_default().to_owned();
+        let repeat = |response: Response| {
+            let response = response.with_header(task::ID_HEADER, &id);
+            response.with_header(task::ATTEMPT_HEADER, &attempt)
+        };
         let Ok(mut table) = self.table.lock() else {
             return;
         };
         let is_full = table.running.len() >= self.options.slots as usize;
         if is_full || self.options.mode == Mode::Refuse {
             let refusal = Response::text(503, "no slot is free\n").with_header("Not-Run", "true");
-            return responder.send(refusal);
+            return responder.send(repeat(refusal));
         }
         table.starts += 1;
-        self.log_start(&task);
+        self.log_start(&id);
         if self.options.mode == Mode::Fail {
-            return responder.send(Response::text(500, "failed\n"));
+            return responder.send(repeat(Response::text(500, "failed\n")));
         }
-        table.running.insert(task.clone(), Some(responder));
+        table.running.insert(id.clone(), Some(responder));
         drop(table);
         if self.options.mode == Mode::Hang {
             return;
         }
-        let answer = self.answer(&task, request);
+        let answer = repeat(self.answer(&id, request));
         let (table, service_time) = (sync::Arc::clone(&self.table), self.service_time());
         self.runtime.spawn(async move {
             tokio::time::sleep(service_time).await;
-            let responder = table.lock().ok().and_then(|mut table| table.running.remove(&task));
+            let responder = table.lock().ok().and_then(|mut table| table.running.remove(&id));
             if let Some(responder) = responder.flatten() {
                 responder.send(answer);
             }
--- a/crates/link/src/task.rs
+++ b/crates/link/src/task.rs
@@ -1,6 +1,6 @@
 //! Blocking calls to upstreams that start and stop tasks.
 
-use std::{io, time};
+use std::{io, sync::atomic, time};
 
 use bytes::Bytes;
 use ureq::unversioned::transport::{Connector as _, TcpConnector};
@@ -16,6 +16,14 @@
 /// Timeout of the call that stops a task.
 const STOP_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// Header with the id of the task, in the request and in its answer.
+pub const ID_HEADER: &str = "Task-Id";
+/// Header with the number of the attempt, in the request and in its answer.
+pub const ATTEMPT_HEADER: &str = "Task-Attempt";
+
+/// The number of the last attempt of this process.
+static LAST_ATTEMPT: atomic::AtomicU64 = atomic::AtomicU64::new(0);
+
 /// The request to start one task on an upstream.
 #[derive(Clone, Debug)]
 pub struct Task {
@@ -76,26 +84,34 @@
             .max_idle_connections_per_host(MAX_PER_HOST)
             .max_idle_connections(MAX_TOTAL)
             .build();
-        let connector = ().chain(TcpConnector::default()).chain(gate::LeaseConnector);
+        let connector = ().chain(TcpConnector::default()).chain(gate::CheckedConnector);
         Self { agent: ureq::Agent::with_parts(config, connector, gate::Resolver::default()) }
     }
 
     /// Starts a task and waits for its answer.
+    ///
+    /// An answer that repeats the id of the task and the number of the attempt is known to belong
+    /// to this request, and only then the connection is used again: an upstream that answers twice
+    /// would otherwise answer the next request with what belongs to this one.
     pub fn start(&self, task: &Task) -> End {
+        let attempt = LAST_ATTEMPT.fetch_add(1, atomic::Ordering::Relaxed) + 1;
+        let attempt = attempt.to_string();
         let request = self
             .agent
             .post(format!("http://{}/v1/tasks", task.address))
-            .header("Task-Id", &task.id)
+            .header(ID_HEADER, &task.id)
+            .header(ATTEMPT_HEADER, &attempt)
             .header("Deadline-Ms", task.timeout.as_millis().to_string())
             .header("traceparent", task.context.to_string())
             .header("Content-Type", &task.content_type)
             .config()
             .timeout_global(Some(task.timeout + ABORT_DELAY))
             .build();
-        let (result, written) = gate::with_lease(task.lease, || request.send(task.body.as_ref()));
+        let send = || request.send(task.body.as_ref());
+        let (result, written, connection) = gate::with_lease(task.lease, send);
         match result {
             Err(_) if written == gate::Written::Nothing => End::Unsent,
-            Ok(response) => read_response(response),
+            Ok(response) => read_response(response, &task.id, &attempt, connection.as_ref()),
             Err(e) if is_unreached(&e) => End::Unreached(e.to_string()),
             Err(e) => End::Failed(e.to_string()),
         }
@@ -109,12 +125,25 @@
             .config()
             .timeout_global(Some(STOP_TIMEOUT))
             .build();
-        drop(request.call());
+        drop(gate::with_lease(None, || request.call()));
     }
 }
 
-fn read_response(mut response: ureq::http::Response<ureq::Body>) -> End {
+fn read_response(
+    mut response: ureq::http::Response<ureq::Body>,
+    id: &str,
+    attempt: &str,
+    connection: Option<&gate::Connection>,
+) -> End {
     let status = response.status().as_u16();
+    let repeated = [(ID_HEADER, id), (ATTEMPT_HEADER, attempt)].map(|(name, sent)| {
+        response.headers().get(name).map(|value| value.as_bytes() == sent.as_bytes())
+    });
+    let is_verified = repeated == [Some(true); 2];
+    let is_reused = connection.is_some_and(|connection| connection.is_reused);
+    if repeated.contains(&Some(false)) || is_reused && !is_verified {
+        return End::Failed("the answer belongs to another request".to_owned());
+    }
     let header = |name: &str| {
         let value = response.headers().get(name).and_then(|value| value.to_str().ok());
         value.map(str::to_owned)
@@ -122,6 +151,10 @@
     let not_run = header("Not-Run").is_some_and(|value| value.eq_ignore_ascii_case("true"));
     let content_type =
         header("Content-Type").unwrap_or_else(|| "application/octet-stream".to_owned());
+    // The client returns the connection to its pool when it has read the whole body.
+    if let Some(connection) = connection.filter(|_| is_verified) {
+        connection.mark_verified();
+    }
     let body = response.body_mut().with_config().limit(MAX_ANSWER).read_to_vec();
     match (status, body) {
         (503, _) if not_run => End::NotRun,
