--- a/crates/apricotroute/src/demo_platform.rs
+++ b/crates/apricotroute/src/demo_platform.rs
@@ -72,6 +72,7 @@
     let start = |number| {
         let options = platform::standin::Options {
             id: format!("i-{number}"),
+            born: None,
             service: SERVICE.to_owned(),
             zone: "west".to_owned(),
             cpu: 32_000,
--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -266,6 +266,7 @@
         Reply::Verdict(job::Verdict::NotRun(refusal)) => refusal.name(),
         Reply::Noted => "noted",
         Reply::Newest(_) => "newest",
+        Reply::Incomplete => "incomplete",
         Reply::Conflict => "conflict",
         Reply::NoZone => "no_zone",
         Reply::Unavailable => "unavailable",
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -21,9 +21,6 @@
 
 use crate::{clock, error, store};
 
-/// Length of a lease, in per cent of the longest lease that upstreams grant. The rest covers the
-/// network delay to the upstream.
-const LEASE_PERCENT: u64 = 95;
 /// How long an entry still accepts clients during shutdown: the load balancer sends them elsewhere
 /// only after two failed readiness checks, at one check per second.
 const ENTRY_DELAY: time::Duration = time::Duration::from_millis(2_600);
@@ -181,10 +178,10 @@
         first: node.first_start,
         known: store.known.clone(),
     });
-    let lease = node.lease_ms * LEASE_PERCENT / 100;
+    let longest_lease = node.lease_ms;
     let (seed, cores, policy, zones) =
         (rand::random(), node.millicores, node.policy, node.zones.clone());
-    let config = core::Config { me, seeds, lease, seed, cores, policy, zones, disk };
+    let config = core::Config { me, seeds, longest_lease, seed, cores, policy, zones, disk };
     Ok(control::Parts { config, store, traffic, log: log.clone() })
 }
 
--- a/crates/apricotroute/tests/system/mod.rs
+++ b/crates/apricotroute/tests/system/mod.rs
@@ -133,8 +133,20 @@
 
     /// Adds an upstream; with an `address`, it replaces an earlier upstream at that address.
     pub fn add_upstream(&mut self, id: &str, zone: usize, address: Option<net::SocketAddr>) {
+        self.add_incarnation(id, zone, address, None);
+    }
+
+    /// Adds an upstream that states its start time, milliseconds since 1970, if there is one.
+    pub fn add_incarnation(
+        &mut self,
+        id: &str,
+        zone: usize,
+        address: Option<net::SocketAddr>,
+        born: Option<u64>,
+    ) {
         let options = platform::standin::Options {
             id: id.to_owned(),
+            born,
             service: SERVICE.to_owned(),
             zone: zone_name(zone),
             cpu: UPSTREAM_CPU,
--- a/crates/apricotroute/tests/upstream_troubles.rs
+++ b/crates/apricotroute/tests/upstream_troubles.rs
@@ -75,9 +75,7 @@
             let same_address = system.upstreams.iter().filter(|other| other.address() == address);
             if system.upstreams[at].has_crashed() && same_address.count() == 1 {
                 system.upstreams[at].crash();
-                // The listener of the crashed upstream closes on another thread.
-                let is_free = || net::TcpListener::bind(address).is_ok();
-                wait_until("the address of the crashed upstream is free", is_free);
+                let address = free_address(&system.upstreams[at]);
                 system.add_upstream(&format!("j-{at}"), 0, Some(address));
             }
         }
@@ -96,6 +94,60 @@
     }
 }
 
+/// Returns the address of an upstream that has crashed, once another one can listen there.
+fn free_address(upstream: &platform::standin::Standin) -> net::SocketAddr {
+    let address = upstream.address();
+    // The listener of the crashed upstream closes on another thread.
+    wait_until("the address of the crashed upstream is free", || {
+        net::TcpListener::bind(address).is_ok()
+    });
+    address
+}
+
+/// Upstreams crash and start again under their ids, at once, with start times that rise or fall:
+/// what ran there starts elsewhere, and the new incarnations get tasks.
+#[test]
+fn restarted_ids() {
+    const BORN: u64 = 1_800_000_000_000;
+    let layout = system::Layout { subnet: 3, zones: vec![(KEEPERS, 1)], has_relays: false };
+    let mut system = System::new(layout);
+    for at in 0..UPSTREAMS {
+        system.add_incarnation(&format!("i-{at}"), 0, None, Some(BORN));
+    }
+    wait_until("a keeper accepts the configuration", || system.publish(0, &config(3)) == 200);
+    system.wait_ready();
+    wait_until("all upstreams are known", || system.submit(ENTRY, &id(0), 8).0 == 200);
+    let url = |number: usize| format!("http://{}/board/{}", system.client(ENTRY), id(number));
+    let mut answers: Vec<_> = (1..5).map(|number| submit(url(number), job(2))).collect();
+    thread::sleep(Duration::from_millis(50));
+    for (at, born) in [(0, BORN + 1), (1, BORN - 60_000)] {
+        system.upstreams[at].crash();
+        let address = free_address(&system.upstreams[at]);
+        system.add_incarnation(&format!("i-{at}"), 0, Some(address), Some(born));
+    }
+    for number in 5..60 {
+        thread::sleep(Duration::from_millis(50));
+        let url = format!("http://{}/board/{}", system.client(ENTRY), id(number));
+        answers.push(submit(url, job(2)));
+    }
+    for answer in answers {
+        assert_eq!(answer.join().unwrap(), (200, json!({"State": "completed"})));
+    }
+    for upstream in &system.upstreams[UPSTREAMS..] {
+        assert!(upstream.start_counts().0 > 0, "a new incarnation got no task");
+    }
+    let runs = || system.upstreams.iter().flat_map(platform::standin::Standin::history);
+    for run in runs() {
+        let ended = |run: &platform::standin::RunRecord| run.ended.map(|(at, _)| at);
+        let overlaps = |other: &platform::standin::RunRecord| {
+            other.task == run.task
+                && other.began > run.began
+                && ended(&run).is_none_or(|end| other.began < end)
+        };
+        assert!(!runs().any(|other| overlaps(&other)), "{} runs twice at a time", run.task);
+    }
+}
+
 /// Upstreams that start tasks even without room shrink to the capacity for one task, and grow
 /// again; the scheduler never sends them more tasks than they have room for.
 #[test]
--- a/crates/dispatch/src/active.rs
+++ b/crates/dispatch/src/active.rs
@@ -2,7 +2,7 @@
 
 use state::name;
 
-use crate::{job, message, share, time, timing};
+use crate::{incarnation, job, message, share, time, timing};
 
 /// State of a task at one scheduler.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -10,7 +10,7 @@
     /// The task waits for room, or for an earlier step.
     Waiting,
     /// The task may be running on this upstream.
-    Placed(name::Name),
+    Placed(incarnation::Incarnation),
     /// The task is done.
     Done,
     /// The task is not with this scheduler.
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -8,7 +8,7 @@
 use crate::{
     claim, control_log, evacuation,
     event::{Event, Known, Note, Output, Reply, Ticket},
-    fetch,
+    fetch, incarnation,
     job::{Refusal, Verdict},
     leadership, member, membership,
     message::{Body, Document},
@@ -42,8 +42,8 @@
     pub me: member::Card,
     /// Addresses of the instances to contact first.
     pub seeds: Vec<name::Name>,
-    /// Lease duration of upstreams, in milliseconds.
-    pub lease: u64,
+    /// Longest lease that upstreams grant, in milliseconds.
+    pub longest_lease: u64,
     /// Seed of the random number generators.
     pub seed: u64,
     /// CPU capacity of this instance, in thousandths of a core.
@@ -72,7 +72,7 @@
 /// The state machine of one instance; it makes all decisions and does no I/O.
 #[derive(Debug)]
 pub struct Core {
-    pub(crate) lease: u64,
+    pub(crate) longest_lease: u64,
     /// CPU capacity of this instance, in thousandths of a core.
     pub(crate) cores: u64,
     pub(crate) policy: policy::Policy,
@@ -104,7 +104,7 @@
 impl Core {
     /// Creates an instance that starts at `now`.
     pub fn new(config: Config, now: Now) -> Self {
-        let Config { me, seeds, lease, seed, cores, policy, zones, mut disk } = config;
+        let Config { me, seeds, longest_lease, seed, cores, policy, zones, mut disk } = config;
         let known = disk.as_mut().map(|disk| std::mem::take(&mut disk.known)).unwrap_or_default();
         let control_log = disk.map(|disk| {
             let member = name::Member::new(&me.name, disk.incarnation);
@@ -115,7 +115,7 @@
         let mut membership = membership::Membership::new(me, &seeds, now.mono);
         membership.add_known(&known.instances, now.mono);
         let mut core = Self {
-            lease,
+            longest_lease,
             cores,
             policy,
             membership,
@@ -273,7 +273,7 @@
         self.send_heartbeats(now);
         self.fetch_newer(now);
         let table = &self.table;
-        let is_gone = |id: &name::Name| {
+        let is_gone = |id: &incarnation::Incarnation| {
             table.get(id).is_none_or(|known| known.phase == upstream::Phase::Gone)
         };
         self.zones.values_mut().for_each(|zone| zone.drop_lingering(is_gone));
@@ -323,9 +323,14 @@
     }
 
     pub(crate) fn announce(&mut self, ticket: Ticket, record: &upstream::Record, now: Now) {
+        if self.table.is_undated(record) {
+            self.note(ANNOUNCEMENT_REFUSED, &record.id.name, "no start time".to_owned());
+            return self.reply(ticket, Reply::Incomplete);
+        }
         if let Some(merged) = self.table.merge(record.clone()) {
-            let detail = format!("{:?} at {} in {}", record.phase, record.address, record.zone);
-            self.note("upstream: Announced.", &record.id, detail);
+            let upstream::Record { id, phase, address, zone, .. } = record;
+            let detail = format!("{phase:?} at {address} in {zone}, incarnation {}", id.started);
+            self.note("upstream: Announced.", &record.id.name, detail);
             self.send_record(&merged, now);
         }
         self.reply(ticket, Reply::Noted);
@@ -344,14 +349,17 @@
         if self.table.get(&record.id).is_some_and(|held| held.service == record.service) {
             return self.announce(ticket, record, now);
         }
-        self.note(ANNOUNCEMENT_REFUSED, &record.id, format!("no service {}", record.service));
+        self.note(ANNOUNCEMENT_REFUSED, &record.id.name, format!("no service {}", record.service));
         self.reply(ticket, Reply::Unavailable);
     }
 
-    pub(crate) fn withdraw(&mut self, ticket: Ticket, id: &name::Name, now: Now) {
-        if let Some(record) = self.table.mark_gone(id, true) {
-            self.note("upstream: Withdrawn.", id, String::new());
+    pub(crate) fn withdraw(&mut self, ticket: Ticket, id: &incarnation::Incarnation, now: Now) {
+        let withdrawn = self.table.withdrawn(id);
+        if let Some(record) = withdrawn.and_then(|id| self.table.mark_gone(&id, true)) {
+            self.note("upstream: Withdrawn.", &id.name, record.id.to_string());
             self.send_record(&record, now);
+        } else {
+            self.note("upstream: Ignored a withdrawal.", &id.name, id.to_string());
         }
         self.reply(ticket, Reply::Noted);
     }
--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -7,7 +7,7 @@
 
 use std::collections;
 
-use state::name;
+use crate::incarnation;
 
 /// Number of digests of former sets that a directory keeps; they take 16 KB in all. After a restart
 /// of the whole system, the instances of a zone with a thousand upstreams learn of all of them
@@ -17,7 +17,7 @@
 /// The upstreams of one zone, numbered in the order in which they were added.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
-    added: collections::BTreeMap<name::Name, u64>,
+    added: collections::BTreeMap<incarnation::Incarnation, u64>,
     count: u64,
     digest: u64,
     former: collections::VecDeque<(u64, u64)>,
@@ -25,7 +25,7 @@
 
 impl Directory {
     /// Adds an upstream.
-    pub fn add(&mut self, id: &name::Name) {
+    pub fn add(&mut self, id: &incarnation::Incarnation) {
         if self.added.contains_key(id) {
             return;
         }
@@ -36,7 +36,7 @@
 
     /// Removes an upstream. Without `last`, tasks that other instances know may still run there:
     /// no former set that contains it counts as covered any more.
-    pub fn remove(&mut self, id: &name::Name, last: bool) {
+    pub fn remove(&mut self, id: &incarnation::Incarnation, last: bool) {
         if self.added.remove(id).is_none() {
             return;
         }
@@ -46,8 +46,9 @@
         self.update_digest(id);
     }
 
-    fn update_digest(&mut self, id: &name::Name) {
-        self.digest ^= xxhash_rust::xxh3::xxh3_64(id.as_str().as_bytes());
+    fn update_digest(&mut self, id: &incarnation::Incarnation) {
+        self.digest ^=
+            xxhash_rust::xxh3::xxh3_64_with_seed(id.name.as_str().as_bytes(), id.started);
         self.former.push_back((self.digest, self.count));
         if self.former.len() > MAX_FORMER {
             self.former.pop_front();
@@ -77,7 +78,7 @@
     }
 
     /// Returns the number of an upstream.
-    pub fn number(&self, id: &name::Name) -> Option<u64> {
+    pub fn number(&self, id: &incarnation::Incarnation) -> Option<u64> {
         self.added.get(id).copied()
     }
 }
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -2,7 +2,7 @@
 
 use state::name;
 
-use crate::{job, message, order, timing, upstream};
+use crate::{incarnation, job, message, order, timing, upstream};
 
 /// Identifier of a request that awaits a reply.
 pub type Ticket = u64;
@@ -28,7 +28,7 @@
     /// An announcement under this id is rejected, with the reason.
     RejectedAnnouncement(name::Name, String),
     /// An upstream announces that it shuts down.
-    Withdraw(Ticket, name::Name),
+    Withdraw(Ticket, incarnation::Incarnation),
     /// The operator publishes a configuration.
     Publish(Ticket, message::Document),
     /// The operator evacuates a zone, or ends its evacuation where this is `false`.
@@ -92,6 +92,8 @@
     Noted,
     /// The newest configuration.
     Newest(message::Document),
+    /// The announcement lacks the start time that other upstreams of its service state.
+    Incomplete,
     /// Another configuration already has this version.
     Conflict,
     /// The zone does not exist.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,8 +8,9 @@
 //! - [`membership`], [`peer`], [`watch_list`], [`redial`] and [`leadership`]: which instances are
 //!   alive, which of them exchange heartbeats, when streams are reconnected, and which instance
 //!   schedules a zone.
-//! - [`upstream`], [`directory`] and [`session`]: the table of upstreams, which instance knows
-//!   which of them, and the state of one upstream at its owner.
+//! - [`incarnation`], [`upstream`], [`directory`] and [`session`]: the identity of an upstream, the
+//!   table of upstreams, which instance knows which of them, and the state of one upstream at its
+//!   owner.
 //! - [`sched`], [`active`], [`queue`], [`place`] and [`health`]: jobs, their order, and where
 //!   their tasks run.
 //! - [`submissions`] and [`share`]: the entry's side of a job, and which scheduler has which of its
@@ -45,7 +46,8 @@
 //! };
 //! let policy = state::policy::Policy::default();
 //! let (seeds, zones, cores) = (Vec::new(), Vec::new(), 1_000);
-//! let config = core::Config { me, seeds, lease: 950, seed: 7, cores, policy, zones, disk: None };
+//! let (longest_lease, seed, disk) = (1_000, 7, None);
+//! let config = core::Config { me, seeds, longest_lease, seed, cores, policy, zones, disk };
 //! let mut clock = time::Now::new(1, 1_800_000_000_000);
 //! let mut core = Core::new(config, clock);
 //! for _ in 0..100 {
@@ -70,6 +72,7 @@
 pub mod fetch;
 mod handback;
 pub mod health;
+pub mod incarnation;
 pub mod job;
 pub mod leadership;
 pub mod member;
@@ -84,6 +87,7 @@
 pub mod queue;
 pub mod redial;
 mod relay;
+mod restart;
 pub mod routing;
 pub mod sched;
 mod scheduling;
--- a/crates/dispatch/src/order.rs
+++ b/crates/dispatch/src/order.rs
@@ -2,7 +2,7 @@
 
 use state::name;
 
-use crate::job;
+use crate::{incarnation, job};
 
 /// An order to an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,7 +46,7 @@
     /// Number of the call; the answer carries it too.
     pub number: u64,
     /// Incarnation of the upstream that the call is for.
-    pub upstream: name::Name,
+    pub upstream: incarnation::Incarnation,
     /// Address of the upstream, `IP:PORT`.
     pub address: name::Name,
     /// Fencing token.
@@ -131,6 +131,8 @@
     Done(u64),
     /// The answer to a hold.
     Held {
+        /// Start of the process that answers, milliseconds since 1970, if the answer states it.
+        started: Option<u64>,
         /// The upstream's clock, milliseconds.
         clock: u64,
         /// Runs in progress.
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     active::{ActiveJob, Phase},
-    event,
+    event, incarnation,
     job::{Task, Verdict},
     order::{End, Ended, Outcome, Reason, Running},
     sched::{CallPurpose, Sched},
@@ -51,12 +51,23 @@
     }
 
     /// Processes the outcome of a call.
-    pub fn process_outcome(&mut self, number: u64, fence: u64, outcome: Outcome, now: u64) {
+    pub fn process_outcome(&mut self, number: u64, fence: u64, mut outcome: Outcome, now: u64) {
         let Some((id, asked, purpose)) = self.pending_calls.remove(&number) else {
             return;
         };
         self.dirty = true;
         self.idle_sessions.insert(id.clone());
+        if let Outcome::Held { started, .. } = &outcome {
+            match id.compare(*started) {
+                incarnation::Match::Same => {}
+                incarnation::Match::Other(started) => {
+                    let next = incarnation::Incarnation::new(&id.name, started);
+                    return self.replace(&id, &next, now);
+                }
+                // The lists may be those of another incarnation.
+                incarnation::Match::Unknown => outcome = Outcome::Lost,
+            }
+        }
         let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
@@ -86,7 +97,7 @@
     }
 
     /// Requeues a task whose start order did not reach the intended incarnation of the upstream.
-    fn requeue_unstarted(&mut self, id: &name::Name, task: &Task, attempt: u32) {
+    fn requeue_unstarted(&mut self, id: &incarnation::Incarnation, task: &Task, attempt: u32) {
         let Some(session) = self.sessions.get_mut(id) else { return };
         let run = session.runs.get(task).filter(|run| run.attempt == attempt);
         if run.is_some_and(|run| run.stage == Stage::Starting) {
@@ -95,7 +106,7 @@
         }
     }
 
-    fn process_outranked(&mut self, id: &name::Name, number: u64, now: u64) {
+    fn process_outranked(&mut self, id: &incarnation::Incarnation, number: u64, now: u64) {
         if let Some(session) = self.sessions.get_mut(id) {
             session.end_hold(number);
             session.mark_outranked(now);
@@ -105,7 +116,7 @@
 
     fn process_hold(
         &mut self,
-        id: &name::Name,
+        id: &incarnation::Incarnation,
         number: u64,
         asked: u64,
         current: bool,
@@ -115,7 +126,7 @@
         let Some(session) = self.sessions.get_mut(id) else { return };
         let under_way = session.end_hold(number).is_some();
         match outcome {
-            Outcome::Held { clock, running, ended } => {
+            Outcome::Held { clock, running, ended, .. } => {
                 if !current || !under_way {
                     return;
                 }
@@ -130,13 +141,14 @@
                 }
                 self.process_ended(id, ended, clock, now);
                 self.process_running(id, &running, asked, clock, now);
+                self.replace_former(id, number, now);
             }
             Outcome::Refused(Reason::Fence, _) => {}
             _ if under_way => {
                 session.record_timeout(now);
                 let silent = session.silent_since.unwrap_or(now);
                 if silent == now {
-                    self.note("upstream: No answer.", id, &format!("{outcome:?}"));
+                    self.note("upstream: No answer.", &id.name, &format!("{outcome:?}"));
                 }
             }
             _ => {}
@@ -153,7 +165,13 @@
         }
     }
 
-    fn process_ended(&mut self, id: &name::Name, ended: Vec<Ended>, clock: u64, now: u64) {
+    fn process_ended(
+        &mut self,
+        id: &incarnation::Incarnation,
+        ended: Vec<Ended>,
+        clock: u64,
+        now: u64,
+    ) {
         for end in ended {
             let Some(session) = self.sessions.get_mut(id) else { return };
             if end.number <= session.seen {
@@ -172,7 +190,7 @@
                 End::Done => session.health.record_success(),
                 End::Failed if known => {
                     if self.policy.eject && session.health.record_failure(now) {
-                        self.note("upstream: Ejected after failed runs.", id, "");
+                        self.note("upstream: Ejected after failed runs.", &id.name, "");
                     }
                 }
                 End::Failed | End::Stopped | End::Lapsed => {}
@@ -195,7 +213,7 @@
         }
     }
 
-    fn end_task(&mut self, id: &name::Name, end: &Ended, known: bool, now: u64) {
+    fn end_task(&mut self, id: &incarnation::Incarnation, end: &Ended, known: bool, now: u64) {
         let task = &end.task;
         let Some(active) = self.jobs.get_mut(&task.job) else {
             self.ends.insert(task.clone(), (end.end, now));
@@ -238,7 +256,7 @@
 
     fn process_running(
         &mut self,
-        id: &name::Name,
+        id: &incarnation::Incarnation,
         running: &[Running],
         asked: u64,
         clock: u64,
@@ -265,6 +283,7 @@
                     if let Some(timing) = &mut run.timing {
                         timing.confirm(clock, now);
                     }
+                    run.listed = true;
                     if run.stage != Stage::Running {
                         run.stage = Stage::Running;
                         run.since = run.since.min(asked);
@@ -284,6 +303,7 @@
                         attempt: row.attempt,
                         need: need.unwrap_or(session.record.room),
                         stage: Stage::Running,
+                        listed: true,
                         since: now,
                         timing: None,
                         estimate: 0,
@@ -302,7 +322,7 @@
     }
 
     /// Adopts a run that this scheduler did not start.
-    fn adopt_run(&mut self, id: &name::Name, task: &Task, attempt: u32, now: u64) {
+    fn adopt_run(&mut self, id: &incarnation::Incarnation, task: &Task, attempt: u32, now: u64) {
         let Some(active) = self.jobs.get_mut(&task.job) else {
             self.orphan_runs.insert(task.clone(), now + ORPHAN_GRACE);
             return;
@@ -318,20 +338,20 @@
         }
     }
 
-    fn stop_hung_task(&mut self, id: &name::Name, task: &Task, now: u64) {
-        self.note("upstream: Stopping a task without progress.", id, &task.job.to_string());
+    fn stop_hung_task(&mut self, id: &incarnation::Incarnation, task: &Task, now: u64) {
+        self.note("upstream: Stopping a task without progress.", &id.name, &task.job.to_string());
         if self.policy.eject
             && let Some(session) = self.sessions.get_mut(id)
             && session.health.record_failure(now)
         {
-            self.note("upstream: Ejected after runs without progress.", id, "");
+            self.note("upstream: Ejected after runs without progress.", &id.name, "");
         }
         self.mark_unwanted(id, task);
     }
 
     fn process_start(
         &mut self,
-        id: &name::Name,
+        id: &incarnation::Incarnation,
         task: &Task,
         attempt: u32,
         outcome: &Outcome,
@@ -358,7 +378,7 @@
                 run.stage = Stage::Unconfirmed;
                 run.since = now;
                 session.mark_unconfirmed(now);
-                self.note("upstream: No answer to a start.", id, &task.job.to_string());
+                self.note("upstream: No answer to a start.", &id.name, &task.job.to_string());
             }
             Outcome::Refused(reason, _) => {
                 let need = run.need;
@@ -388,8 +408,14 @@
     }
 
     /// Requeues a task whose start was refused; the task did not run.
-    fn process_refusal(&mut self, id: &name::Name, task: &Task, reason: Reason, now: u64) {
-        self.note("upstream: A start was refused.", id, &format!("{} {reason:?}", task.job));
+    fn process_refusal(
+        &mut self,
+        id: &incarnation::Incarnation,
+        task: &Task,
+        reason: Reason,
+        now: u64,
+    ) {
+        self.note("upstream: A start was refused.", &id.name, &format!("{} {reason:?}", task.job));
         let Some(active) = self.jobs.get_mut(&task.job) else { return };
         let Some(item) = active.task_mut(task) else { return };
         if item.phase != Phase::Placed(id.clone()) {
@@ -406,7 +432,7 @@
         active.set_phase(task, Phase::Waiting);
     }
 
-    fn process_stop(&mut self, id: &name::Name, outcome: &Outcome, now: u64) {
+    fn process_stop(&mut self, id: &incarnation::Incarnation, outcome: &Outcome, now: u64) {
         if let Some(session) = self.sessions.get_mut(id)
             && *outcome == Outcome::Lost
         {
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -15,9 +15,9 @@
 
 use std::collections;
 
-use state::{name, policy};
+use state::policy;
 
-use crate::{job, session, suspect, upstream};
+use crate::{incarnation, job, session, suspect, upstream};
 
 /// Result of an attempt to place a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,7 +33,7 @@
 /// Free room of all upstreams while tasks are being placed.
 #[derive(Debug)]
 pub struct Placement<'a> {
-    sessions: &'a collections::BTreeMap<name::Name, session::Session>,
+    sessions: &'a collections::BTreeMap<incarnation::Incarnation, session::Session>,
     /// Upstreams without recent failures, sorted by their free cores.
     healthy: Vec<Candidate<'a>>,
     /// Upstreams that failed recently, are on trial or run a suspect task, in the same order.
@@ -43,7 +43,7 @@
     /// All running tasks, computed on first use.
     running: Option<collections::HashSet<&'a job::Task>>,
     suspects: &'a suspect::Suspects,
-    placed: Vec<(job::Task, name::Name)>,
+    placed: Vec<(job::Task, incarnation::Incarnation)>,
     policy: policy::Policy,
 }
 
@@ -80,7 +80,7 @@
 impl<'a> Placement<'a> {
     /// Collects the room that is free now.
     pub fn new(
-        sessions: &'a collections::BTreeMap<name::Name, session::Session>,
+        sessions: &'a collections::BTreeMap<incarnation::Incarnation, session::Session>,
         suspects: &'a suspect::Suspects,
         policy: policy::Policy,
         now: u64,
@@ -144,7 +144,7 @@
     }
 
     /// Placed tasks, each with its upstream.
-    pub fn into_placed(self) -> Vec<(job::Task, name::Name)> {
+    pub fn into_placed(self) -> Vec<(job::Task, incarnation::Incarnation)> {
         self.placed
     }
 
@@ -191,7 +191,7 @@
 
     /// Number of tasks of the step at an upstream, including those just placed there.
     fn count(&self, session: &session::Session, task: &job::Task) -> u32 {
-        let here = |(other, id): &&(job::Task, name::Name)| {
+        let here = |(other, id): &&(job::Task, incarnation::Incarnation)| {
             *id == session.record.id && other.job == task.job && other.step == task.step
         };
         session.count(&task.job, task.step) + self.placed.iter().filter(here).count() as u32
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     active::{ActiveJob, Phase},
-    call_timeout, event,
+    call_timeout, event, incarnation,
     job::{Task, Verdict},
     message,
     order::{Call, End},
@@ -20,6 +20,9 @@
 /// lease that it renewed (950 ms, and 2.5% for clock differences). The time counts from the
 /// handover of each job, because an entry may leave a scheduler long after the next claim.
 pub(crate) const FORMER_RUN_TIMEOUT: u64 = 2_000 * time::MS;
+/// Length of a lease, in per cent of the longest lease that upstreams grant. The rest covers the
+/// network delay to the upstream.
+const LEASE_PERCENT: u64 = 95;
 /// How long the scheduler keeps the ends of runs of unknown jobs, microseconds: their entries may
 /// submit these jobs again.
 const END_RETENTION: u64 = 3_000 * time::MS;
@@ -44,10 +47,12 @@
     pub verdicts: Vec<(name::Name, name::Name, message::Decision)>,
     /// Tasks that the scheduler returns to their entries: entry, job, tasks.
     pub returned: Vec<(name::Name, name::Name, message::ReturnedTasks)>,
+    /// Incarnations that have answered and not announced themselves yet.
+    pub found: Vec<upstream::Record>,
     /// Upstreams that are gone; `true` if that incarnation has ended for good.
-    pub gone: Vec<(name::Name, bool)>,
+    pub gone: Vec<(incarnation::Incarnation, bool)>,
     /// Upstreams that have seen a higher fencing token than any that this scheduler used.
-    pub outranked: Vec<name::Name>,
+    pub outranked: Vec<incarnation::Incarnation>,
     /// Decisions to be logged.
     pub notes: Vec<event::Note>,
     /// Durations for histograms.
@@ -66,10 +71,11 @@
 #[derive(Debug)]
 pub struct Sched {
     /// Upstreams of the zone.
-    pub sessions: collections::BTreeMap<name::Name, Session>,
+    pub sessions: collections::BTreeMap<incarnation::Incarnation, Session>,
     pub(crate) jobs: collections::BTreeMap<name::Name, ActiveJob>,
     /// Calls without an outcome by number: upstream, time of sending and purpose.
-    pub(crate) pending_calls: collections::HashMap<u64, (name::Name, u64, CallPurpose)>,
+    pub(crate) pending_calls:
+        collections::HashMap<u64, (incarnation::Incarnation, u64, CallPurpose)>,
     /// Ends of runs of unknown jobs, and when the scheduler learned of each.
     pub(crate) ends: collections::HashMap<Task, (End, u64)>,
     /// Runs of unknown jobs, and when each of them counts as unwanted.
@@ -83,10 +89,13 @@
     pub(crate) offers: collections::BTreeSet<name::Name>,
     pub(crate) epoch: u64,
     pub(crate) since: u64,
+    /// Length of the leases that it grants, milliseconds.
     pub(crate) lease: u64,
+    /// Longest lease that upstreams grant, milliseconds.
+    pub(crate) longest_lease: u64,
     pub(crate) number: u64,
     /// Upstreams without a pending hold.
-    pub(crate) idle_sessions: collections::BTreeSet<name::Name>,
+    pub(crate) idle_sessions: collections::BTreeSet<incarnation::Incarnation>,
     pub(crate) dirty: bool,
     pub(crate) evacuated: bool,
     pub(crate) policy: policy::Policy,
@@ -97,9 +106,9 @@
 }
 
 impl Sched {
-    /// Creates the scheduler of a zone that was claimed with `epoch`. Leases are `lease`
-    /// milliseconds long.
-    pub fn new(epoch: u64, lease: u64, now: u64) -> Self {
+    /// Creates the scheduler of a zone that was claimed with `epoch`. Upstreams grant leases of at
+    /// most `longest_lease` milliseconds.
+    pub fn new(epoch: u64, longest_lease: u64, now: u64) -> Self {
         Self {
             sessions: collections::BTreeMap::new(),
             jobs: collections::BTreeMap::new(),
@@ -112,7 +121,8 @@
             offers: collections::BTreeSet::new(),
             epoch,
             since: now,
-            lease,
+            lease: longest_lease * LEASE_PERCENT / 100,
+            longest_lease,
             number: now << 8,
             idle_sessions: collections::BTreeSet::new(),
             dirty: false,
@@ -201,7 +211,8 @@
             }
             (None, upstream::Phase::Gone) => {}
             (None, _) => {
-                let session = Session::new(record.clone(), self.epoch);
+                let mut session = Session::new(record.clone(), self.epoch);
+                session.first_call = self.number;
                 self.sessions.insert(record.id.clone(), session);
                 self.idle_sessions.insert(record.id.clone());
             }
@@ -210,7 +221,7 @@
     }
 
     /// Sets the number of an upstream in the directory of this instance.
-    pub fn set_number(&mut self, id: &name::Name, number: u64) {
+    pub fn set_number(&mut self, id: &incarnation::Incarnation, number: u64) {
         if let Some(session) = self.sessions.get_mut(id) {
             session.number = number;
         }
@@ -317,8 +328,8 @@
     }
 
     /// Handles a new incarnation of the upstream at its address: no run of the former one is left.
-    pub(crate) fn handle_replaced(&mut self, id: &name::Name) {
-        self.note("upstream: Replaced by a new incarnation.", id, "");
+    pub(crate) fn handle_replaced(&mut self, id: &incarnation::Incarnation) {
+        self.note("upstream: Replaced by a new incarnation.", &id.name, "");
         self.out.gone.push((id.clone(), true));
         let ran = self
             .sessions
@@ -337,7 +348,7 @@
             return;
         }
         let detail = format!("{} tasks, proved {}", loss.tasks.len(), loss.proved);
-        self.note("upstream: Lost while it ran tasks.", &loss.upstream, &detail);
+        self.note("upstream: Lost while it ran tasks.", &loss.upstream.name, &detail);
         self.findings.losses.push(loss);
     }
 
@@ -352,7 +363,7 @@
         }
     }
 
-    pub(crate) fn remove_upstream(&mut self, id: &name::Name) {
+    pub(crate) fn remove_upstream(&mut self, id: &incarnation::Incarnation) {
         if let Some(session) = self.sessions.remove(id) {
             for task in session.runs.into_keys() {
                 self.requeue(id, &task);
@@ -361,7 +372,7 @@
         self.dirty = true;
     }
 
-    pub(crate) fn requeue(&mut self, id: &name::Name, task: &Task) {
+    pub(crate) fn requeue(&mut self, id: &incarnation::Incarnation, task: &Task) {
         if let Some(active) = self.jobs.get_mut(&task.job)
             && active.task(task).is_some_and(|item| item.phase == Phase::Placed(id.clone()))
         {
@@ -370,7 +381,7 @@
     }
 
     /// Marks a run as no longer wanted; the scheduler then sends the order to stop it.
-    pub(crate) fn mark_unwanted(&mut self, id: &name::Name, task: &Task) {
+    pub(crate) fn mark_unwanted(&mut self, id: &incarnation::Incarnation, task: &Task) {
         if let Some(run) = self.sessions.get_mut(id).and_then(|session| session.runs.get_mut(task))
         {
             run.unwanted.get_or_insert(0);
--- a/crates/dispatch/src/scheduling.rs
+++ b/crates/dispatch/src/scheduling.rs
@@ -9,7 +9,7 @@
     claim,
     core::Core,
     event::Output,
-    leadership, member,
+    incarnation, leadership, member,
     message::Body,
     sched, suspect,
     time::{MS, Now},
@@ -113,7 +113,7 @@
     }
 
     pub(crate) fn lead(&mut self, claim: &claim::Claim, now: Now) {
-        let mut sched = sched::Sched::new(claim.epoch, self.lease, now.mono)
+        let mut sched = sched::Sched::new(claim.epoch, self.longest_lease, now.mono)
             .with_slot(self.scheduled_zones().len() as u64)
             .with_policy(self.policy);
         // This instance's entry knows at once every upstream that its scheduler knows.
@@ -165,6 +165,12 @@
             }
             self.send(&to, Body::Spare(id, returned), now);
         }
+        for record in out.found {
+            self.note("upstream: Found restarted.", &record.id.name, record.id.to_string());
+            if let Some(record) = self.table.merge(record) {
+                self.send_record(&record, now);
+            }
+        }
         for (id, last) in out.gone {
             if let Some(record) = self.table.mark_gone(&id, last) {
                 self.send_record(&record, now);
@@ -225,7 +231,7 @@
 
     /// Handles refusals by upstreams that have seen a higher token, while no message arrives from
     /// an instance with a higher claim.
-    fn handle_outranked(&mut self, name: &name::Name, ids: &[name::Name], now: Now) {
+    fn handle_outranked(&mut self, name: &name::Name, ids: &[incarnation::Incarnation], now: Now) {
         let me = self.membership.me().clone();
         let Some(zone) = self.zones.get_mut(name) else { return };
         // Refusals that stopped were resolved by another claim.
@@ -234,7 +240,7 @@
         zone.token_refusals = Some((first, now.mono));
         if since.is_none() {
             let detail = format!("{} in all", ids.len());
-            self.note("zone: An upstream has seen a higher token.", &ids[0], detail);
+            self.note("zone: An upstream has seen a higher token.", &ids[0].name, detail);
         }
         let away = *name != me.zone;
         if away && !self.membership.reaches(name, now.mono)
--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -65,6 +65,9 @@
     pub need: upstream::Room,
     /// How much the owner knows about it.
     pub stage: Stage,
+    /// Whether a list of this incarnation of the upstream has shown it. Otherwise the order to
+    /// start it may have reached the next incarnation, which accepts it as well.
+    pub listed: bool,
     /// When the run entered its stage.
     pub since: u64,
     /// When it was ordered and confirmed as begun; `None` for a run that another scheduler started.
@@ -110,6 +113,8 @@
     pub(crate) lapsed: Vec<job::Task>,
     /// Its number in the directory of its scheduler.
     pub(crate) number: u64,
+    /// Calls with a higher number were sent after the owner learned of this incarnation.
+    pub(crate) first_call: u64,
     pub(crate) fence: u64,
     pub(crate) owned: bool,
     /// When the upstream stopped answering; `None` while it answers.
@@ -140,6 +145,7 @@
             health: crate::health::Health::default(),
             speed: crate::speed::Speed::default(),
             number: 0,
+            first_call: 0,
             fence,
             owned: false,
             silent_since: None,
@@ -228,7 +234,10 @@
         let wanted = self.runs.is_empty() || self.runs.values().any(|run| run.unwanted.is_none());
         let until = if responsive && wanted { self.grant(lease, now) } else { None };
         self.hold = Some((number, now));
-        let order = Order::Hold { seen: self.seen, until, wait };
+        // A silent upstream may have restarted, and the new incarnation numbers its ends anew: it
+        // must not forget ends that the owner has not read.
+        let seen = if responsive { self.seen } else { 0 };
+        let order = Order::Hold { seen, until, wait };
         // Timers of upstreams may fire late, and the owner would never know whether an answer was
         // late.
         Some(self.call(number, order, wait + call_timeout::MAX_TIMEOUT))
@@ -299,6 +308,26 @@
         self.retry_at = now;
     }
 
+    /// Takes in runs whose start orders were meant for the former incarnation of this upstream,
+    /// which was called with the fencing token `fence`. They may be in progress here, or begin
+    /// until this incarnation has seen a higher token, under leases that end by `until`.
+    pub(crate) fn inherit(
+        &mut self,
+        runs: collections::BTreeMap<job::Task, Run>,
+        fence: u64,
+        until: u64,
+        now: u64,
+    ) {
+        if !runs.is_empty() {
+            self.lease_end = self.lease_end.max(until);
+        }
+        for (task, run) in runs {
+            let run = Run { stage: Stage::Unconfirmed, since: now, timing: None, ..run };
+            self.runs.entry(task).or_insert(run);
+        }
+        self.take_over(fence + claim::FENCE_STEP, now);
+    }
+
     /// Handles a refusal by an upstream that has seen a higher token: it obeys another owner for
     /// now.
     pub fn mark_outranked(&mut self, now: u64) {
--- a/crates/dispatch/src/slow.rs
+++ b/crates/dispatch/src/slow.rs
@@ -1,14 +1,12 @@
 //! How a scheduler measures the speed of its upstreams from their answers.
 
-use state::name;
-
-use crate::{order::Running, sched::Sched, speed, time, timing};
+use crate::{incarnation, order::Running, sched::Sched, speed, time, timing};
 
 impl Sched {
     /// Updates the speed of an upstream from a completed run.
     pub(crate) fn record_speed(
         &mut self,
-        id: &name::Name,
+        id: &incarnation::Incarnation,
         parts: &timing::Breakdown,
         estimate: u64,
         now: u64,
@@ -26,7 +24,7 @@
     /// Updates the speed of an upstream from the runs in progress.
     pub(crate) fn watch_speed(
         &mut self,
-        id: &name::Name,
+        id: &incarnation::Incarnation,
         running: &[Running],
         clock: u64,
         now: u64,
@@ -44,13 +42,13 @@
         self.log_slowness(id, was_slow, now);
     }
 
-    fn log_slowness(&mut self, id: &name::Name, was_slow: bool, now: u64) {
+    fn log_slowness(&mut self, id: &incarnation::Incarnation, was_slow: bool, now: u64) {
         let Some(session) = self.sessions.get(id) else { return };
         let slowness = session.speed.slowness(now);
         if session.speed.is_slow(now) && !was_slow {
             self.note(
                 "upstream: Detected as slow.",
-                id,
+                &id.name,
                 &format!("{slowness:.1} times as long as usual"),
             );
         }
--- a/crates/dispatch/src/start.rs
+++ b/crates/dispatch/src/start.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     active::{ActiveJob, Phase},
-    event,
+    event, incarnation,
     job::{self, Task},
     order::Order,
     place, queue,
@@ -63,7 +63,7 @@
     }
 
     /// Starts a task on an upstream that has room for it.
-    pub(crate) fn start(&mut self, task: &Task, id: &name::Name, now: u64) {
+    pub(crate) fn start(&mut self, task: &Task, id: &incarnation::Incarnation, now: u64) {
         let Some(active) = self.jobs.get_mut(&task.job) else { return };
         let Some(session) = self.sessions.get_mut(id) else { return };
         let Some(until) = session.grant(self.lease, now) else { return };
@@ -81,8 +81,17 @@
         let stage = Stage::Starting;
         let timing = Some(timing::RunTiming::new(now));
         let progress = (now, 0);
-        let run =
-            Run { attempt, need, stage, since: now, timing, estimate, progress, unwanted: None };
+        let run = Run {
+            attempt,
+            need,
+            stage,
+            listed: false,
+            since: now,
+            timing,
+            estimate,
+            progress,
+            unwanted: None,
+        };
         session.runs.insert(task.clone(), run);
         self.number += 1;
         let spec = active.job.spec.clone();
--- a/crates/dispatch/src/suspect.rs
+++ b/crates/dispatch/src/suspect.rs
@@ -14,7 +14,7 @@
 
 use state::name;
 
-use crate::{job, time};
+use crate::{incarnation, job, time};
 
 /// Weight of a proved loss of an incarnation.
 const PROVED_WEIGHT: u32 = 3;
@@ -33,7 +33,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Loss {
     /// The upstream incarnation that has ended.
-    pub upstream: name::Name,
+    pub upstream: incarnation::Incarnation,
     /// Whether a new incarnation has taken its place; otherwise the upstream is only silent.
     pub proved: bool,
     /// The tasks that may have been running there.
@@ -46,7 +46,7 @@
     /// Upstreams that were lost while tasks may have been running there.
     pub losses: Vec<Loss>,
     /// Upstreams that were silent and have answered again.
-    pub back: Vec<name::Name>,
+    pub back: Vec<incarnation::Incarnation>,
     /// Tasks that have completed.
     pub done: Vec<job::Task>,
 }
@@ -61,7 +61,7 @@
 #[derive(Clone, Debug, Default)]
 struct History {
     /// Upstreams that were lost while they ran the task, and whether the loss is proved.
-    losses: smallvec::SmallVec<[(name::Name, bool); 2]>,
+    losses: smallvec::SmallVec<[(incarnation::Incarnation, bool); 2]>,
     last_loss: u64,
     given_up: bool,
 }
@@ -118,7 +118,7 @@
     }
 
     /// Removes the losses of an upstream that was silent and has answered: no task crashed it.
-    pub fn clear_upstream(&mut self, upstream: &name::Name) {
+    pub fn clear_upstream(&mut self, upstream: &incarnation::Incarnation) {
         for history in self.tasks.values_mut() {
             history.losses.retain(|(id, _)| id != upstream);
         }
--- a/crates/dispatch/src/upkeep.rs
+++ b/crates/dispatch/src/upkeep.rs
@@ -143,7 +143,7 @@
         let lost =
             self.sessions.iter().filter(|(_, session)| is_lost(session)).map(|(id, _)| id.clone());
         for id in lost.collect::<Vec<_>>() {
-            self.note("upstream: Given up, it does not answer.", &id, "");
+            self.note("upstream: Given up, it does not answer.", &id.name, "");
             self.out.gone.push((id.clone(), false));
             self.sessions.remove(&id);
         }
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -5,6 +5,8 @@
 
 use state::name;
 
+use crate::incarnation;
+
 /// Whether an upstream takes new work.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
@@ -71,8 +73,8 @@
 /// The announced properties of one incarnation of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Record {
-    /// Its name; each incarnation of an upstream has another one.
-    pub id: name::Name,
+    /// Its name and incarnation.
+    pub id: incarnation::Incarnation,
     /// Service whose tasks it runs.
     pub service: name::Name,
     /// The address for calls to it, `IP:PORT`.
@@ -100,10 +102,12 @@
 /// The upstreams that an instance knows.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
-    records: collections::BTreeMap<name::Name, Record>,
+    records: collections::BTreeMap<incarnation::Incarnation, Record>,
     /// The incarnations that are gone, in the order of their ends.
-    gone: collections::VecDeque<name::Name>,
+    gone: collections::VecDeque<incarnation::Incarnation>,
     digests: collections::BTreeMap<name::Name, u64>,
+    /// Services of which an upstream has stated its start time.
+    dated: collections::BTreeSet<name::Name>,
     changes: u64,
 }
 
@@ -132,6 +136,9 @@
     /// learned of the upstream later than others.
     fn merge_record(&mut self, mut record: Record) -> bool {
         record.most = record.most.most(record.room);
+        if record.id.started != 0 && !self.dated.contains(&record.service) {
+            self.dated.insert(record.service.clone());
+        }
         let Some(held) = self.records.get_mut(&record.id) else {
             self.digests.remove(&record.zone);
             self.changes += 1;
@@ -166,7 +173,7 @@
     }
 
     /// Marks an upstream as gone; `last` means that this incarnation never returns.
-    pub fn mark_gone(&mut self, id: &name::Name, last: bool) -> Option<Record> {
+    pub fn mark_gone(&mut self, id: &incarnation::Incarnation, last: bool) -> Option<Record> {
         let held = self.records.get_mut(id)?;
         self.digests.remove(&held.zone);
         self.changes += 1;
@@ -183,7 +190,7 @@
     }
 
     /// Adds an incarnation that is gone, and removes the oldest one if there are too many.
-    fn remember_gone(&mut self, id: &name::Name) {
+    fn remember_gone(&mut self, id: &incarnation::Incarnation) {
         self.gone.push_back(id.clone());
         if self.gone.len() > MAX_GONE
             && let Some(first) = self.gone.pop_front()
@@ -193,8 +200,26 @@
         }
     }
 
+    /// Whether an announcement states no start time although upstreams of its service do: it does
+    /// not tell which incarnation it is about.
+    pub fn is_undated(&self, record: &Record) -> bool {
+        record.id.started == 0 && self.dated.contains(&record.service)
+    }
+
+    /// The incarnation that a withdrawal is about. A withdrawal without a start time may have been
+    /// delayed until the upstream has restarted, so that it ends only an incarnation that has
+    /// announced its end.
+    pub fn withdrawn(&self, id: &incarnation::Incarnation) -> Option<incarnation::Incarnation> {
+        if id.started != 0 || self.records.contains_key(id) {
+            return Some(id.clone());
+        }
+        let of_name = self.records.range(incarnation::Incarnation::all_of(&id.name));
+        let mut leaving = of_name.filter(|(_, record)| record.phase == Phase::Leaving);
+        leaving.next().map(|(id, _)| id.clone())
+    }
+
     /// The record of an upstream.
-    pub fn get(&self, id: &name::Name) -> Option<&Record> {
+    pub fn get(&self, id: &incarnation::Incarnation) -> Option<&Record> {
         self.records.get(id)
     }
 
--- a/crates/dispatch/src/zone.rs
+++ b/crates/dispatch/src/zone.rs
@@ -2,9 +2,7 @@
 
 use std::collections;
 
-use state::name;
-
-use crate::{directory, message, sched, upstream};
+use crate::{directory, incarnation, message, sched, upstream};
 
 /// State of one zone: a keeper keeps it for all zones, an entry for its own zone.
 #[derive(Debug, Default)]
@@ -12,7 +10,7 @@
     /// The upstreams of the zone.
     pub(crate) directory: directory::Directory,
     /// Upstreams that other instances gave up while tasks of this instance run there.
-    lingering: collections::BTreeSet<name::Name>,
+    lingering: collections::BTreeSet<incarnation::Incarnation>,
     pub(crate) sched: Option<sched::Sched>,
     /// When upstreams began to refuse this scheduler's fencing token, and when one last refused it.
     pub(crate) token_refusals: Option<(u64, u64)>,
@@ -61,7 +59,7 @@
     }
 
     /// Removes upstreams that other instances gave up from the directory once no task runs there.
-    pub(crate) fn drop_lingering(&mut self, is_gone: impl Fn(&name::Name) -> bool) {
+    pub(crate) fn drop_lingering(&mut self, is_gone: impl Fn(&incarnation::Incarnation) -> bool) {
         for id in std::mem::take(&mut self.lingering) {
             let gone = is_gone(&id);
             if gone && self.is_busy(&id) {
@@ -78,7 +76,7 @@
     }
 
     /// Whether tasks that this instance scheduled are running at an upstream.
-    fn is_busy(&self, id: &name::Name) -> bool {
+    fn is_busy(&self, id: &incarnation::Incarnation) -> bool {
         let session = self.sched.as_ref().and_then(|sched| sched.sessions.get(id));
         session.is_some_and(|session| !session.runs.is_empty())
     }
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use dispatch::{
+    incarnation::Incarnation,
     job::{Job, Task, Verdict},
     order::{Call, Order, Outcome, Running},
     sched::Sched,
@@ -149,7 +150,7 @@
     suspects: Suspects,
     now: u64,
     /// The last hold call to each upstream.
-    holds: BTreeMap<Name, Call>,
+    holds: BTreeMap<Incarnation, Call>,
 }
 
 impl Harness {
@@ -184,7 +185,7 @@
     fn answer(&mut self, call: &Call, running: Vec<Running>) {
         let clock = CLOCK + self.now / MS;
         let outcome = match call.order {
-            Order::Hold { .. } => Outcome::Held { clock, running, ended: vec![] },
+            Order::Hold { .. } => Outcome::Held { started: None, clock, running, ended: vec![] },
             _ => Outcome::Done(clock),
         };
         self.sched.process_outcome(call.number, call.fence, outcome, self.now);
--- a/crates/dispatch/tests/owner.rs
+++ b/crates/dispatch/tests/owner.rs
@@ -3,6 +3,7 @@
 mod sample;
 
 use dispatch::{
+    incarnation::Incarnation,
     job::{Job, Task, Verdict},
     message::Decision,
     order::{Call, End, Ended, Order, Outcome, Reason, Running},
@@ -25,7 +26,7 @@
 }
 
 fn held(running: Vec<Running>, ended: Vec<Ended>, now: u64) -> Outcome {
-    Outcome::Held { clock: CLOCK + now / MS, running, ended }
+    Outcome::Held { started: None, clock: CLOCK + now / MS, running, ended }
 }
 
 fn running(job: &str, index: u32) -> Running {
@@ -65,7 +66,7 @@
     }
 }
 
-fn starts(calls: &[Call]) -> Vec<(Name, Task)> {
+fn starts(calls: &[Call]) -> Vec<(Incarnation, Task)> {
     let start = |call: &Call| match &call.order {
         Order::Start { task, .. } => Some((call.upstream.clone(), task.clone())),
         _ => None,
@@ -164,12 +165,13 @@
     assert_eq!(starts(&calls), [("new".into(), task("j", 0))]);
     harness.sched.update_upstream(&record("old"));
     let calls = harness.calls();
-    let hold = calls.iter().find(|call| call.upstream.as_str() == "old").unwrap();
+    let hold = calls.iter().find(|call| call.upstream.name.as_str() == "old").unwrap();
     harness.answer(hold, Outcome::Replaced);
     let gone = harness.sched.take_output().gone;
-    assert_eq!(gone, [(Name::new("old"), true)]);
+    assert_eq!(gone, [(Incarnation::from("old"), true)]);
     assert!(
-        harness.sched.sessions.contains_key("new") && !harness.sched.sessions.contains_key("old")
+        harness.sched.sessions.contains_key(&"new".into())
+            && !harness.sched.sessions.contains_key(&"old".into())
     );
     assert_eq!(starts(&harness.calls()), [], "the task keeps running");
 }
@@ -250,5 +252,5 @@
 fn outranked() {
     let (mut harness, holds) = Harness::new(&["u1"]);
     harness.answer(&holds[0], Outcome::Refused(Reason::Fence, Some(CLOCK)));
-    assert_eq!(harness.sched.take_output().outranked, [Name::new("u1")]);
+    assert_eq!(harness.sched.take_output().outranked, [Incarnation::from("u1")]);
 }
--- a/crates/dispatch/tests/random_faults.rs
+++ b/crates/dispatch/tests/random_faults.rs
@@ -24,6 +24,8 @@
 /// The number of entries of a zone in the tests of weak entries: enough that not every instance
 /// receives messages from all keepers.
 const WEAK_ENTRIES: usize = 6;
+/// The earliest start of an upstream that states one, milliseconds since 1970.
+const FIRST_START: u64 = 1_800_000_000_000;
 /// The highest number of starts of a task that crashes its upstreams: no more than two after it has
 /// crashed three.
 const MAX_STARTS: u32 = 5;
@@ -168,6 +170,20 @@
     })
 }
 
+/// Starts a random fault or restarts an upstream under its id, and returns the function that ends
+/// it. The wall clock of the upstream may have been set back.
+fn restart_fault(world: &mut World) -> FaultEnd {
+    if world.rng.random_range(0..2) > 0 {
+        return start_fault(world);
+    }
+    for _ in 0..world.rng.random_range(1..4) {
+        let up = world.rng.random_range(0..world.upstreams.len());
+        let started = FIRST_START + world.rng.random_range(0..100_000);
+        world.restart_upstream(up, started);
+    }
+    Box::new(|_| {})
+}
+
 /// Reverts the evacuation of all zones, once the faults are over and such an order can be carried
 /// out.
 fn revert_evacuations(world: &mut World) {
@@ -413,6 +429,20 @@
     }
 }
 
+#[test]
+fn restarted_seeds() {
+    let first = env_number("FIRST_SEED", 1);
+    for seed in first..first + env_number("SEEDS", 12) {
+        let mut world = World::new(seed, ZONES, ENTRIES, UPSTREAMS);
+        for upstream in &mut world.upstreams {
+            upstream.started = FIRST_START + 50_000;
+        }
+        let kinds = [(8, 60), (2, 200), (4, 900)];
+        let (size, fault) = (ENTRIES + 1, restart_fault as fn(&mut World) -> FaultEnd);
+        run_plan(world, seed, &Plan { size, fault, kinds, duration_factor: 1, recover: |_| {} });
+    }
+}
+
 #[test]
 fn fatal_seeds() {
     let first = env_number("FIRST_SEED", 1);
--- a/crates/dispatch/tests/room.rs
+++ b/crates/dispatch/tests/room.rs
@@ -147,7 +147,10 @@
         let clock = CLOCK + self.now / MS;
         for call in std::mem::take(&mut self.calls) {
             if matches!(call.order, Order::Hold { .. }) {
-                self.answer(&call, Outcome::Held { clock, running: vec![], ended: vec![] });
+                self.answer(
+                    &call,
+                    Outcome::Held { started: None, clock, running: vec![], ended: vec![] },
+                );
             } else {
                 self.calls.push(call);
             }
--- a/crates/dispatch/tests/sample/mod.rs
+++ b/crates/dispatch/tests/sample/mod.rs
@@ -29,7 +29,7 @@
 /// Returns a scheduler with these upstreams, which has not called any of them.
 #[allow(dead_code, reason = "not every test uses it")]
 pub fn scheduler(upstreams: &[&str], now: u64) -> Sched {
-    let mut sched = Sched::new(1_000, 950, now);
+    let mut sched = Sched::new(1_000, 1_000, now);
     for id in upstreams {
         sched.update_upstream(&record(id));
     }
--- a/crates/dispatch/tests/stopped.rs
+++ b/crates/dispatch/tests/stopped.rs
@@ -52,7 +52,7 @@
     }
 
     fn answer(&mut self, call: &Call, running: Vec<Running>, ended: Vec<Ended>) {
-        let outcome = Outcome::Held { clock: CLOCK + self.now / MS, running, ended };
+        let outcome = Outcome::Held { started: None, clock: CLOCK + self.now / MS, running, ended };
         self.sched.process_outcome(call.number, call.fence, outcome, self.now);
     }
 
@@ -62,12 +62,12 @@
 }
 
 fn call_to<'a>(calls: &'a [Call], id: &str) -> &'a Call {
-    calls.iter().find(|call| call.upstream.as_str() == id).unwrap()
+    calls.iter().find(|call| call.upstream.name.as_str() == id).unwrap()
 }
 
 fn stops(calls: &[Call]) -> Vec<Name> {
     let stops = calls.iter().filter(|call| matches!(call.order, Order::Stop { .. }));
-    stops.map(|call| call.upstream.clone()).collect()
+    stops.map(|call| call.upstream.name.clone()).collect()
 }
 
 /// Lets the scheduler find two runs of one task of an unknown job, as after a start that was
--- a/crates/dispatch/tests/world/call.rs
+++ b/crates/dispatch/tests/world/call.rs
@@ -2,6 +2,7 @@
 
 use dispatch::{
     event::Event,
+    incarnation::Incarnation,
     member::Role,
     order::{Call, Order, Outcome},
     upstream::{Phase, Record},
@@ -27,7 +28,7 @@
         let upstream = &mut self.upstreams[at];
         upstream.serial += 1;
         let record = Record {
-            id: Name::new(&upstream.id),
+            id: Incarnation::new(&Name::new(&upstream.id), upstream.started),
             service: "board".into(),
             address: Name::new(&upstream.address),
             zone: Name::new(&upstream.zone),
@@ -66,6 +67,12 @@
         }
     }
 
+    /// Restarts an upstream under its id at once: its tasks and its pending calls are lost.
+    pub fn restart_upstream(&mut self, at: usize, started: u64) {
+        self.upstreams[at].restart_at(started, self.now);
+        self.announce(at, Phase::Serving);
+    }
+
     /// Crashes an upstream, which loses its running tasks and restarts later under another id.
     pub(super) fn crash_upstream(&mut self, at: usize, id: &str) {
         if self.upstreams[at].id == id && self.upstreams[at].is_up {
--- a/crates/dispatch/tests/world/effect.rs
+++ b/crates/dispatch/tests/world/effect.rs
@@ -97,7 +97,7 @@
 
     /// Records the time of an order to start a task.
     fn record_start(&mut self, call: &Call) {
-        let upstream = self.upstreams.iter().find(|u| u.id == call.upstream.as_str());
+        let upstream = self.upstreams.iter().find(|u| u.id == call.upstream.name.as_str());
         if let (Order::Start { .. }, Some(upstream)) = (&call.order, upstream) {
             self.order_times.insert(upstream.zone.clone(), self.now);
         }
--- a/crates/dispatch/tests/world/fault.rs
+++ b/crates/dispatch/tests/world/fault.rs
@@ -33,7 +33,8 @@
         let factor = if me.role == Role::Keeper { 5 } else { 1 };
         let cores = self.cores * factor;
         let zones = Vec::new();
-        let config = core::Config { me, seeds, lease: 950, seed, cores, policy, zones, disk };
+        let config =
+            core::Config { me, seeds, longest_lease: 1_000, seed, cores, policy, zones, disk };
         instance.core = Some(Core::new(config, now));
     }
 
--- a/crates/dispatch/tests/world/upstream.rs
+++ b/crates/dispatch/tests/world/upstream.rs
@@ -54,6 +54,8 @@
 #[derive(Debug)]
 pub struct Upstream {
     pub id: String,
+    /// The start of its process that it states, milliseconds since 1970; 0 if it states none.
+    pub started: u64,
     pub address: String,
     pub zone: String,
     pub room: Room,
@@ -80,6 +82,8 @@
     pub serial: u64,
     /// The difference of its clock from the virtual time, milliseconds.
     offset: u64,
+    /// When its process started, milliseconds of virtual time.
+    epoch: u64,
     /// The highest fencing token that it has received.
     fence: u64,
     /// When its lease ends, by its clock, milliseconds.
@@ -102,6 +106,7 @@
     pub fn new(id: &str, zone: &str, cpu: u64, offset: u64) -> Self {
         Self {
             id: id.to_owned(),
+            started: 0,
             address: "10.9.0.1:80".to_owned(),
             zone: zone.to_owned(),
             room: Room { cpu, memory: 64_000, accelerators: 0 },
@@ -118,6 +123,7 @@
             waiting: Vec::new(),
             serial: 0,
             offset,
+            epoch: 0,
             fence: 0,
             lease: 0,
             ended: Vec::new(),
@@ -129,7 +135,7 @@
 
     /// Returns its monotonic clock, milliseconds.
     pub fn clock(&self, now: u64) -> u64 {
-        now / MS + self.offset
+        now / MS - self.epoch + self.offset
     }
 
     /// Changes its processor capacity while it runs.
@@ -151,7 +157,17 @@
     pub fn restart_as(&mut self, id: &str) {
         let fresh = Self::new(id, &self.zone.clone(), self.room.cpu, self.offset);
         let (address, enforces_room) = (self.address.clone(), self.enforces_room);
-        *self = Self { address, enforces_room, ..fresh };
+        let started = self.started + u64::from(self.started > 0);
+        *self = Self { started, address, enforces_room, ..fresh };
+    }
+
+    /// Restarts the upstream under its id, without its tasks and its former state. Its clock begins
+    /// anew.
+    pub fn restart_at(&mut self, started: u64, now: u64) {
+        self.restart_as(&self.id.clone());
+        self.started = started;
+        self.offset = 0;
+        self.epoch = now / MS;
     }
 
     /// Executes the order of a call. Returns `None` for a hold that waits.
@@ -163,7 +179,7 @@
         now: u64,
     ) -> Option<Outcome> {
         let clock = self.clock(now);
-        if call.upstream.as_str() != self.id {
+        if call.upstream.name.as_str() != self.id {
             return Some(Outcome::Replaced);
         }
         if call.fence < self.fence {
@@ -239,7 +255,8 @@
             Running { task: task.clone(), attempt: run.attempt, percent: (done * 100.0) as u32 }
         };
         let running = self.runs.iter().map(row).collect();
-        Outcome::Held { clock: self.clock(now), running, ended: self.ended.clone() }
+        let started = (self.started > 0).then_some(self.started);
+        Outcome::Held { started, clock: self.clock(now), running, ended: self.ended.clone() }
     }
 
     /// Updates the tasks to the time `now`; returns the calls that have to be answered.
