--- a/crates/dispatch/src/active.rs
+++ b/crates/dispatch/src/active.rs
@@ -56,6 +56,8 @@
     pub uncovered: smallvec::SmallVec<[u64; 2]>,
     /// Whether a task of the job may have been started, here or elsewhere.
     pub started: bool,
+    /// Highest number that earlier schedulers may have used for runs of its tasks.
+    pub used_attempts: u32,
     /// Number of the last handover of the job.
     pub number: u64,
     /// Tasks that were part of that handover.
@@ -86,6 +88,7 @@
             runs_end: 0,
             uncovered: smallvec::SmallVec::new(),
             started: false,
+            used_attempts: 0,
             number: 0,
             share: share::Share::default(),
             offer: false,
@@ -103,6 +106,7 @@
         self.share = handover.share.clone();
         self.offer = handover.offer;
         self.started |= handover.maybe_started || self.job.resumed;
+        self.used_attempts = self.used_attempts.max(handover.used_attempts);
         for tasks in &mut self.tasks {
             for (task, index) in tasks.iter_mut().zip(0..) {
                 if task.phase == Phase::Away && self.share.has(index) {
--- a/crates/dispatch/src/assignment.rs
+++ b/crates/dispatch/src/assignment.rs
@@ -7,6 +7,9 @@
 /// Largest number of former schedulers' sets of upstreams in a handover; a single [`UNKNOWN_SET`]
 /// replaces more of them.
 const MAX_FORMER_SETS: usize = 4;
+/// Run numbers of a task that are set aside for each scheduler that may start it: far more than it
+/// can start before its client gives up.
+const ATTEMPTS_PER_SCHEDULER: u32 = 1 << 16;
 /// A digest that matches no set: the next scheduler waits until no run of the former ones can be
 /// left.
 const UNKNOWN_SET: u64 = u64::MAX;
@@ -25,6 +28,8 @@
     pub(crate) handed_over: bool,
     /// Whether another scheduler may have started some of the tasks.
     pub(crate) resumed: bool,
+    /// Highest number that earlier schedulers may have used for runs of the tasks.
+    pub(crate) used_attempts: u32,
     /// Whether the scheduler does not know the handover.
     pub(crate) disowned: bool,
     /// Digest of the upstreams that the scheduler reported last.
@@ -59,6 +64,7 @@
             last_asked: now,
             handed_over: false,
             resumed: false,
+            used_attempts: 0,
             disowned: false,
             last_digest: 0,
             former_digests: smallvec::SmallVec::new(),
@@ -109,6 +115,7 @@
         self.resumed = true;
         if self.claim.take().is_some() {
             self.add_former(self.last_digest);
+            self.skip_attempts();
         }
     }
 
@@ -124,6 +131,11 @@
         }
     }
 
+    /// Sets aside the run numbers that the last scheduler may have used.
+    pub(crate) fn skip_attempts(&mut self) {
+        self.used_attempts = self.used_attempts.saturating_add(ATTEMPTS_PER_SCHEDULER);
+    }
+
     /// Records that the scheduler returned all tasks and that none of them runs there.
     pub(crate) fn mark_returned(&mut self) {
         if let Some(claim) = self.claim.take() {
@@ -137,13 +149,15 @@
     pub(crate) fn split(&self, number: u64, tasks: share::Tasks, now: u64) -> Self {
         let mut full_zones = self.full_zones.clone();
         full_zones.extend(self.claim.as_ref().map(|claim| claim.zone.clone()));
-        Self { full_zones, ..Self::new(number, share::Share::new(tasks), now) }
+        let used_attempts = self.used_attempts;
+        Self { used_attempts, full_zones, ..Self::new(number, share::Share::new(tasks), now) }
     }
 
     /// Merges the tasks of an assignment that goes to the same scheduler.
     pub(crate) fn join(&mut self, other: Self) {
         self.share.add(&other.share);
         self.resumed |= other.resumed;
+        self.used_attempts = self.used_attempts.max(other.used_attempts);
         self.full_zones = other.full_zones;
         for set in other.former_digests {
             self.add_former(set);
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -174,6 +174,8 @@
     pub offer: bool,
     /// Whether other tasks of the job may have begun elsewhere.
     pub maybe_started: bool,
+    /// Highest number that earlier schedulers may have used for runs of these tasks.
+    pub used_attempts: u32,
     /// Digest of its zone's upstreams that the receiver last reported.
     pub upstreams: u64,
     /// Last reported digests of the schedulers that had these tasks before: the tasks run only at
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -88,8 +88,10 @@
         let open = sessions
             .values()
             .filter(|session| session.is_open(now) && !session.health.is_ejected(now));
-        let usable =
-            open.filter(|session| !session.health.is_on_trial() || session.runs.is_empty());
+        // A start renews the lease of the upstream.
+        let usable = open.filter(|session| {
+            !session.has_unwanted() && (!session.health.is_on_trial() || session.runs.is_empty())
+        });
         let candidates = usable.map(|session| Candidate {
             session,
             room: session.free(now),
--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -228,11 +228,9 @@
         };
         // The upstream may have received a hold that it did not answer. While it is silent the
         // owner renews no lease, so that its runs are known to be over once the last lease has
-        // expired. The owner does not renew it either where no run is wanted: a run that is not
-        // stopped ends with its lease, and so within the time after which another scheduler may
-        // start its task.
-        let wanted = self.runs.is_empty() || self.runs.values().any(|run| run.unwanted.is_none());
-        let until = if responsive && wanted { self.grant(lease, now) } else { None };
+        // expired.
+        let renews = responsive && !self.has_unwanted();
+        let until = if renews { self.grant(lease, now) } else { None };
         self.hold = Some((number, now));
         // A silent upstream may have restarted, and the new incarnation numbers its ends anew: it
         // must not forget ends that the owner has not read.
@@ -270,6 +268,14 @@
         Some(until)
     }
 
+    /// Whether a run there is no longer wanted. A lease holds for all runs of an upstream, so the
+    /// owner grants none until that run has ended: it ends with the last lease at the latest, and so
+    /// within the time after which another scheduler may start its task, even if it is never
+    /// stopped.
+    pub fn has_unwanted(&self) -> bool {
+        self.runs.values().any(|run| run.unwanted.is_some())
+    }
+
     /// Whether all granted leases have expired, even on the slowest clock.
     pub fn has_lapsed(&self, now: u64) -> bool {
         now >= self.lease_end
--- a/crates/dispatch/src/start.rs
+++ b/crates/dispatch/src/start.rs
@@ -75,8 +75,9 @@
         let idle = waited.min(now.saturating_sub(session.freed_at));
         self.out.measures.push(event::Measure::IdleRoom(idle));
         active.set_phase(task, Phase::Placed(id.clone()));
+        let used = active.used_attempts;
         let Some(item) = active.task_mut(task) else { return };
-        item.attempt += 1;
+        item.attempt = item.attempt.max(used) + 1;
         let attempt = item.attempt;
         let stage = Stage::Starting;
         let timing = Some(timing::RunTiming::new(now));
--- a/crates/dispatch/src/submissions.rs
+++ b/crates/dispatch/src/submissions.rs
@@ -247,6 +247,9 @@
             return;
         }
         open.maybe_started |= returned.maybe_started;
+        if returned.maybe_started {
+            part.skip_attempts();
+        }
         if kept.is_empty() {
             part.mark_returned();
             return self.assign(id, returned.number, view);
@@ -350,6 +353,7 @@
             share: part.share.clone(),
             offer: choice.offer,
             maybe_started,
+            used_attempts: part.used_attempts,
             upstreams: digest,
             former: part.former_digests.clone(),
             release_age: part.since_asked(view.now),
--- a/crates/dispatch/tests/world/call.rs
+++ b/crates/dispatch/tests/world/call.rs
@@ -54,7 +54,8 @@
         };
         let (number, fence, order) = (call.number, call.fence, call.order.clone());
         if let Some(outcome) = self.upstreams[at].handle_call(call, from, spec, self.now) {
-            if let (Order::Start { task, .. }, Outcome::Done(_)) = (&order, &outcome) {
+            if let (Order::Start { task, attempt, .. }, Outcome::Done(_)) = (&order, &outcome) {
+                self.attempts.entry(task.clone()).or_default().push(*attempt);
                 self.start_times.insert(task.clone(), self.now);
                 *self.start_counts.entry(task.clone()).or_default() += 1;
                 if self.crashing.contains(&task.job) {
--- a/crates/dispatch/tests/world/client.rs
+++ b/crates/dispatch/tests/world/client.rs
@@ -176,4 +176,9 @@
         let complete = |r: &&Request| matches!(r.verdict, Some((Verdict::Complete, _)));
         self.requests.values().filter(complete).count()
     }
+
+    /// Returns whether the client of a job was told that the job is complete.
+    pub fn is_complete(&self, id: &Name) -> bool {
+        self.requests.get(id).is_some_and(|r| matches!(r.verdict, Some((Verdict::Complete, _))))
+    }
 }
--- a/crates/dispatch/tests/world/fault.rs
+++ b/crates/dispatch/tests/world/fault.rs
@@ -33,8 +33,16 @@
         let factor = if me.role == Role::Keeper { 5 } else { 1 };
         let cores = self.cores * factor;
         let zones = Vec::new();
-        let config =
-            core::Config { me, seeds, longest_lease: 1_000, seed, cores, policy, zones, disk };
+        let config = core::Config {
+            me,
+            seeds,
+            longest_lease: self.longest_lease,
+            seed,
+            cores,
+            policy,
+            zones,
+            disk,
+        };
         instance.core = Some(Core::new(config, now));
     }
 
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -155,6 +155,12 @@
     /// One start order in this many is carried out 3 s late, and its caller gets no answer in time;
     /// 0 for none.
     pub late_orders: u32,
+    /// The longest lease that instances which start from now on ask for, milliseconds.
+    pub longest_lease: u64,
+    /// The number of answers of upstreams that each instance reads in a tick, if it is limited.
+    pub answers_per_tick: Option<usize>,
+    /// The number of answers that each instance has read in this tick.
+    answers_read: BTreeMap<usize, usize>,
     /// The extra delay of answers from upstreams, microseconds.
     pub answer_lag: u64,
     /// The time breakdowns of finished tasks.
@@ -169,6 +175,8 @@
     pub crashing: BTreeSet<Name>,
     /// The number of starts of each task.
     pub start_counts: BTreeMap<Task, u32>,
+    /// The number of each run of each task, in the order of their starts.
+    pub attempts: BTreeMap<Task, Vec<u32>>,
     /// When each task was last started at an upstream, microseconds.
     pub start_times: BTreeMap<Task, u64>,
     /// When an instance last ordered a task to start at an upstream of each zone, microseconds.
@@ -247,6 +255,9 @@
             stream_delays: BTreeMap::new(),
             redial_loss: false,
             late_orders: 0,
+            longest_lease: upstream::LONGEST_LEASE,
+            answers_per_tick: None,
+            answers_read: BTreeMap::new(),
             answer_lag: 0,
             breakdowns: Vec::new(),
             hold_loss: 0,
@@ -254,6 +265,7 @@
             crash_odds: 0,
             crashing: BTreeSet::new(),
             start_counts: BTreeMap::new(),
+            attempts: BTreeMap::new(),
             start_times: BTreeMap::new(),
             order_times: BTreeMap::new(),
             done: BTreeSet::new(),
@@ -370,6 +382,12 @@
             }
             Action::Arrive { call, from } => self.arrive(call, from),
             Action::Answer { to, number, fence, outcome } => {
+                let read = self.answers_read.entry(to.0).or_default();
+                if self.answers_per_tick.is_some_and(|limit| *read >= limit) {
+                    let action = Action::Answer { to, number, fence, outcome };
+                    return self.push(self.now + TICK_INTERVAL, action);
+                }
+                *read += 1;
                 if self.instances[to.0].generation == to.1 {
                     let took = 600;
                     let answer = Answer { number, fence, took, outcome };
@@ -401,6 +419,7 @@
 
     fn tick(&mut self) {
         self.push(self.now + TICK_INTERVAL, Action::Tick);
+        self.answers_read.clear();
         for at in 0..self.instances.len() {
             if !self.instances[at].frozen {
                 self.handle(at, Event::Tick);
--- a/crates/dispatch/tests/world/upstream.rs
+++ b/crates/dispatch/tests/world/upstream.rs
@@ -11,8 +11,8 @@
 
 /// One millisecond, microseconds.
 pub const MS: u64 = 1_000;
-/// The longest lease, milliseconds.
-const MAX_LEASE: u64 = 1_000;
+/// The longest lease of most upstreams, milliseconds.
+pub const LONGEST_LEASE: u64 = 1_000;
 /// The time in which schedulers must learn that the capacity has shrunk, microseconds: 3 s and one
 /// announcement interval.
 const RESIZE_GRACE: u64 = 4_500 * MS;
@@ -88,6 +88,8 @@
     fence: u64,
     /// When its lease ends, by its clock, milliseconds.
     lease: u64,
+    /// The longest lease that it grants, milliseconds.
+    pub longest_lease: u64,
     ended: Vec<Ended>,
     /// The number of the last end.
     number: u64,
@@ -126,6 +128,7 @@
             epoch: 0,
             fence: 0,
             lease: 0,
+            longest_lease: LONGEST_LEASE,
             ended: Vec::new(),
             number: 0,
             highest: BTreeMap::new(),
@@ -158,7 +161,8 @@
         let fresh = Self::new(id, &self.zone.clone(), self.room.cpu, self.offset);
         let (address, enforces_room) = (self.address.clone(), self.enforces_room);
         let started = self.started + u64::from(self.started > 0);
-        *self = Self { started, address, enforces_room, ..fresh };
+        let longest_lease = self.longest_lease;
+        *self = Self { started, address, enforces_room, longest_lease, ..fresh };
     }
 
     /// Restarts the upstream under its id, without its tasks and its former state. Its clock begins
@@ -244,7 +248,7 @@
     /// Extends the lease, by no more than the longest lease from now on.
     fn grant(&mut self, until: Option<u64>, clock: u64) {
         if let Some(until) = until {
-            self.lease = self.lease.max(until.min(clock + MAX_LEASE));
+            self.lease = self.lease.max(until.min(clock + self.longest_lease));
         }
     }
 
