--- a/crates/apricotroute/tests/soak.rs
+++ b/crates/apricotroute/tests/soak.rs
@@ -55,6 +55,11 @@
     }
 }
 
+#[test]
+fn same_ids() {
+    soak(98, plan::SAME_ID_SEED, 8_000);
+}
+
 #[test]
 fn regressions() {
     for (seed, ms) in REGRESSIONS {
--- a/crates/apricotroute/tests/soak/plan.rs
+++ b/crates/apricotroute/tests/soak/plan.rs
@@ -116,6 +116,8 @@
 /// Seeds below this one draw from fewer kinds of faults, so that they still give the plan with
 /// which they failed before.
 const FULL_SEED: u64 = 1_000;
+/// From this seed on, upstreams state their start times and keep their ids when they restart.
+pub const SAME_ID_SEED: u64 = 3_000;
 /// Number of random values that select a fault, for a seed below [`FULL_SEED`].
 const EARLY_CHOICES: u32 = 26;
 /// Number of random values that select a fault, for all other seeds.
--- a/crates/apricotroute/tests/soak/play.rs
+++ b/crates/apricotroute/tests/soak/play.rs
@@ -4,7 +4,7 @@
     fs,
     io::Write as _,
     net, sync, thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use platform::standin;
@@ -58,6 +58,8 @@
     /// For each upstream, the index of its current process in the system, and how many processes
     /// it had before.
     upstreams: Vec<(usize, u32)>,
+    /// Whether upstreams keep their ids when they restart.
+    keeps_ids: bool,
     /// The faults applied so far, with their times.
     timeline: Vec<String>,
     /// Start and end of each time in which instances or the connections between them were
@@ -104,6 +106,7 @@
             launches: sync::Arc::new(sync::Mutex::new(launches)),
             operators,
             upstreams: Vec::new(),
+            keeps_ids: seed >= plan::SAME_ID_SEED,
             timeline: Vec::new(),
             disturbed: Vec::new(),
             began: Instant::now(),
@@ -115,7 +118,7 @@
             for _ in 0..self.size.upstreams {
                 let upstream = self.upstreams.len();
                 self.upstreams.push((upstream, 0));
-                self.system.add_upstream(&format!("i-{upstream}-0"), zone, None);
+                self.add_upstream(upstream, 0, zone, None);
             }
         }
         let first = load::config(self.observed.next_version(1), 0);
@@ -123,6 +126,24 @@
         self.system.wait_ready();
     }
 
+    /// Adds an upstream that replaces `earlier` ones.
+    fn add_upstream(
+        &mut self,
+        upstream: usize,
+        earlier: u32,
+        zone: usize,
+        address: Option<net::SocketAddr>,
+    ) {
+        /// The wall clock of every other incarnation is set back by this time, milliseconds.
+        const SET_BACK: u64 = 60_000;
+        if !self.keeps_ids {
+            return self.system.add_upstream(&format!("i-{upstream}-{earlier}"), zone, address);
+        }
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        let born = wall.as_millis() as u64 - u64::from(earlier % 2) * SET_BACK;
+        self.system.add_incarnation(&format!("i-{upstream}"), zone, address, Some(born));
+    }
+
     /// Starts the clients, the reader and the prober.
     fn start_load(&mut self, seed: u64) {
         for zone in 0..self.size.zones {
@@ -359,8 +380,7 @@
                 let address = self.system.upstreams[at].address();
                 self.upstreams[upstream] = (self.system.upstreams.len(), earlier + 1);
                 let zone = upstream / self.size.upstreams;
-                let id = format!("i-{upstream}-{}", earlier + 1);
-                self.system.add_upstream(&id, zone, Some(address));
+                self.add_upstream(upstream, earlier + 1, zone, Some(address));
             }
         }
     }
