Tasks wait for upstreams that are fast enough

Cause: upstreams may work at different speeds for good, by less than the 2.5 times from which one counts as slow. Long jobs, which have 1.6 times their length, were late whenever one of their tasks ran at a slow one, with room elsewhere.

--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -5,7 +5,8 @@
 //! on an upstream of 32 or 48 cores.
 //!
 //! Upstreams with recent failures are used after the others, and one that is on trial gets one task
-//! at a time. Slow upstreams are used last, and only for tasks that are still useful when they are
+//! at a time. A task that an upstream of lasting low speed would make late waits for a faster one
+//! as long as that would be in time. Slow upstreams are used last, and only for tasks that are still useful when they are
 //! done there. A task that may crash its upstream goes where the fewest other tasks run, and other
 //! tasks are placed at other upstreams as long as there is room.
 //!
@@ -17,7 +18,7 @@
 
 use state::policy;
 
-use crate::{incarnation, job, session, suspect, upstream};
+use crate::{incarnation, job, session, speed, suspect, upstream};
 
 /// Result of an attempt to place a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,6 +46,8 @@
     suspects: &'a suspect::Suspects,
     placed: Vec<(job::Task, incarnation::Incarnation)>,
     policy: policy::Policy,
+    /// Lasting speed of the fastest upstream that takes tasks, with or without room.
+    fastest: f64,
 }
 
 #[derive(Debug)]
@@ -57,6 +60,8 @@
     suspect: bool,
     /// Factor by which tasks take longer there where that counts, 1 elsewhere.
     slowness: f64,
+    /// Its lasting speed, if that is known.
+    lasting: Option<f64>,
 }
 
 /// Group of upstreams to search.
@@ -75,6 +80,8 @@
     pub known_number: u64,
     /// Time left in which a task is useful, milliseconds.
     pub time_left: u64,
+    /// Lasting speed of the upstreams at which the tasks are in time.
+    pub speed: speed::SpeedLimit,
 }
 
 impl<'a> Placement<'a> {
@@ -92,12 +99,18 @@
         let usable = open.filter(|session| {
             !session.has_unwanted() && (!session.health.is_on_trial() || session.runs.is_empty())
         });
-        let candidates = usable.map(|session| Candidate {
-            session,
-            room: session.free(now),
-            runs: session.runs.len(),
-            suspect: session.runs.keys().any(|task| suspects.has(task)),
-            slowness: session.slowness(policy, now),
+        let mut fastest = f64::INFINITY;
+        let candidates = usable.map(|session| {
+            let lasting = session.speed.lasting().filter(|_| policy.avoid_slow);
+            fastest = fastest.min(lasting.unwrap_or(0.0));
+            Candidate {
+                session,
+                room: session.free(now),
+                runs: session.runs.len(),
+                suspect: session.runs.keys().any(|task| suspects.has(task)),
+                slowness: session.slowness(policy, now),
+                lasting,
+            }
         });
         let (mut slow, others): (Vec<_>, Vec<_>) = candidates
             .filter(|candidate| candidate.room.cpu > 0)
@@ -108,7 +121,17 @@
         suspected.sort_by_key(|candidate| candidate.room.cpu);
         slow.sort_by_key(|candidate| candidate.room.cpu);
         let placed = Vec::new();
-        Self { sessions, healthy, suspected, slow, running: None, suspects, placed, policy }
+        Self {
+            sessions,
+            healthy,
+            suspected,
+            slow,
+            running: None,
+            suspects,
+            placed,
+            policy,
+            fastest,
+        }
     }
 
     /// Largest number of free cores at one upstream, thousandths.
@@ -167,10 +190,14 @@
             Class::Slow => &self.slow,
         };
         let from = list.partition_point(|candidate| candidate.room.cpu < step.need.cpu);
+        // Where no upstream is fast enough, the task is late at each of them.
+        let slowest =
+            if limit.speed.needed < self.fastest { f64::INFINITY } else { limit.speed.most };
         let fits = |candidate: &Candidate<'_>| {
             let record = &candidate.session.record;
             let labelled = step.label.as_ref().is_none_or(|label| record.labels.contains(label));
             record.service == job.service
+                && candidate.lasting.is_none_or(|lasting| lasting <= slowest)
                 && candidate.session.number <= limit.known_number
                 && (candidate.slowness <= 1.0
                     || step.estimate as f64 * candidate.slowness <= limit.time_left as f64)
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -112,6 +112,8 @@
     pub(crate) findings: suspect::Findings,
     pub(crate) call_timeout: call_timeout::CallTimeout,
     pub(crate) usual_ratio: speed::UsualRatio,
+    /// The bias of declared durations by queue.
+    pub(crate) biases: collections::HashMap<u32, speed::DeclaredBias>,
     pub(crate) out: Output,
 }
 
@@ -141,6 +143,7 @@
             findings: suspect::Findings::default(),
             call_timeout: call_timeout::CallTimeout::default(),
             usual_ratio: speed::UsualRatio::default(),
+            biases: collections::HashMap::new(),
             out: Output::default(),
         }
     }
