Incarnations: restarts behind a cut and at another address; the sum of the times is checked where it is used

Cause: the compile-time check of FORMER_RUN_TIMEOUT made sched and upkeep import one another. Ruled out: dropping the check. Change: it stands in upkeep. Two more tests of restarts: twice behind a cut with a late announcement; at another address, with other room, while the former one drained. No behaviour changes.

--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -11,25 +11,20 @@
     message,
     order::{Call, End},
     session::{Pace, Session},
-    speed, suspect, time, upkeep, upstream,
+    speed, suspect, time, upstream,
 };
 
 /// How long runs that a former scheduler started for an entry may continue after the entry last
 /// informed that scheduler that it awaits the job, microseconds. It covers the time after which the
-/// scheduler drops the job, the next tick and the last lease that it granted: a scheduler grants no
-/// lease to an upstream with a run that nobody wants. The time counts from the handover of each
-/// job, because an entry may leave a scheduler long after the next claim.
+/// scheduler drops the job ([`upkeep::ABANDON_AFTER`]), the next tick and the last lease that it
+/// granted, since it grants none to an upstream with a run that nobody wants; `upkeep` checks the
+/// sum. The time counts from the handover of each job, because an entry may leave a scheduler long
+/// after the next claim.
 pub(crate) const FORMER_RUN_TIMEOUT: u64 = 2_000 * time::MS;
-const _: () = {
-    let lease = MAX_LEASE * time::MS * (1_000 + time::MAX_DRIFT) / 1_000;
-    assert!(FORMER_RUN_TIMEOUT >= upkeep::ABANDON_AFTER + MAX_TICK + lease);
-};
-/// Longest time between two ticks of a scheduler that is not stopped, microseconds.
-const MAX_TICK: u64 = 40 * time::MS;
 /// Longest lease that a scheduler grants, milliseconds. Upstreams may grant far longer ones, but
 /// what a lost scheduler has started goes on until its lease ends, and a client that lost its entry
 /// submits its job again after 1,300 ms.
-const MAX_LEASE: u64 = 950;
+pub(crate) const MAX_LEASE: u64 = 950;
 /// Length of a lease, in per cent of the longest lease that upstreams grant. The rest covers the
 /// network delay to the upstream.
 const LEASE_PERCENT: u64 = 95;
--- a/crates/dispatch/src/upkeep.rs
+++ b/crates/dispatch/src/upkeep.rs
@@ -8,7 +8,7 @@
     job::{Refusal, Verdict},
     order::Order,
     peer, queue,
-    sched::{CallPurpose, Sched},
+    sched::{self, CallPurpose, Sched},
     session::{Session, Stage},
     suspect, time, upstream,
 };
@@ -18,6 +18,12 @@
 /// two query intervals of the entry (300 ms each), and short enough to stop the runs of the job
 /// before a client that lost its entry submits the job again (1,300 ms).
 pub(crate) const ABANDON_AFTER: u64 = 900 * time::MS;
+/// Longest time between two ticks of a scheduler that is not stopped, microseconds.
+const MAX_TICK: u64 = 40 * time::MS;
+const _: () = {
+    let lease = sched::MAX_LEASE * time::MS * (1_000 + time::MAX_DRIFT) / 1_000;
+    assert!(sched::FORMER_RUN_TIMEOUT >= ABANDON_AFTER + MAX_TICK + lease);
+};
 /// Interval at which the scheduler repeats the stop order for an unwanted run, in microseconds.
 const STOP_INTERVAL: u64 = 150 * time::MS;
 /// The scheduler gives up an upstream that has not answered for this long, in microseconds.
--- a/crates/dispatch/tests/incarnations.rs
+++ b/crates/dispatch/tests/incarnations.rs
@@ -12,7 +12,7 @@
     sched::Sched,
     suspect::Suspects,
     time::MS,
-    upstream::{Phase, Record, Table},
+    upstream::{Phase, Record, Room, Table},
 };
 use sample::CLOCK;
 use state::name::Name;
@@ -241,6 +241,49 @@
     assert_eq!(harness.found, [], "the one that answers is known");
 }
 
+/// An upstream restarts twice behind a cut, and the announcement of the incarnation between arrives
+/// last.
+#[test]
+fn twice_behind_cut() {
+    let (mut harness, hold) = Harness::new();
+    let (between, last) = (incarnation(BORN + 500), incarnation(BORN + 900));
+    harness.answer(&hold, Outcome::Lost);
+    let hold = harness.calls_to(&incarnation(BORN)).remove(0);
+    harness.answer(&hold, held(last.started, vec![], vec![]));
+    let probe = harness.calls_to(&last).remove(0);
+    harness.answer(&probe, held(last.started, vec![], vec![]));
+    harness.sched.update_upstream(&record(between.clone()));
+    let probe = harness.calls_to(&between).remove(0);
+    harness.answer(&probe, held(last.started, vec![], vec![]));
+    harness.calls();
+    assert_eq!(harness.gone, [(incarnation(BORN), true), (between, true)]);
+    assert_eq!(harness.sched.sessions.keys().collect::<Vec<_>>(), [&last]);
+}
+
+/// The next incarnation is at another address, with other room and another label, while the former
+/// one drained: it is used as it announces itself, and what ran before is lost at once.
+#[test]
+fn other_address_and_room() {
+    let (mut harness, hold) = Harness::new();
+    let start = harness.submit(1).remove(0);
+    harness.answer(&start, Outcome::Done(CLOCK));
+    harness.answer(&hold, held(BORN, vec![running(0)], vec![]));
+    let leaving = Record { phase: Phase::Leaving, serial: 2, ..record(incarnation(BORN)) };
+    harness.sched.update_upstream(&leaving);
+    let next = incarnation(BORN + 500);
+    let room = Room { cpu: 16_000, ..record(next.clone()).room };
+    let announced = Record { address: "10.0.0.8:80".into(), room, ..record(next.clone()) };
+    harness.sched.update_upstream(&announced);
+    let probe = harness.calls_to(&next).remove(0);
+    assert_eq!(probe.address.as_str(), "10.0.0.8:80");
+    harness.answer(&probe, held(next.started, vec![], vec![]));
+    let hold = harness.calls_to(&next).remove(0);
+    harness.answer(&hold, held(next.started, vec![], vec![]));
+    assert_eq!(starts(&harness.calls()), [(next.clone(), 0)]);
+    assert_eq!(harness.gone, [(incarnation(BORN), true)]);
+    assert_eq!(harness.sched.sessions[&next].record.room, room);
+}
+
 /// An answer proves nothing about an incarnation that announced itself after the call was sent.
 #[test]
 fn answer_before_announcement() {
