--- a/crates/dispatch/src/active.rs
+++ b/crates/dispatch/src/active.rs
@@ -2,7 +2,7 @@
 
 use state::name;
 
-use crate::{incarnation, job, message, share, speed, time, timing};
+use crate::{incarnation, job, message, share, time, timing};
 
 /// State of a task at one scheduler.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -66,8 +66,6 @@
     pub offer: bool,
     /// Breakdown of the time of the task that completed last.
     pub last_breakdown: Option<timing::Breakdown>,
-    /// Completed runs by step.
-    pub(crate) peer_runs: smallvec::SmallVec<[speed::PeerRuns; 1]>,
     /// Tasks of the job by step.
     pub tasks: Vec<Vec<TaskState>>,
     waiting: u32,
@@ -95,7 +93,6 @@
             share: share::Share::default(),
             offer: false,
             last_breakdown: None,
-            peer_runs: smallvec::smallvec![speed::PeerRuns::default(); tasks.len()],
             tasks,
             waiting: 0,
         };
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -31,8 +31,6 @@
     pub id: name::Name,
     /// Service whose upstreams run the job.
     pub service: name::Name,
-    /// Number of the queue that it was submitted to, from the text of its route.
-    pub queue: u32,
     /// Specification of the work of its tasks.
     pub spec: name::Name,
     /// Steps of the job.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -31,7 +31,6 @@
 //! | capacity after a refused task | capacity that shrinks without notice | [`capacity_limit`] |
 //! | which upstreams are ejected, which tasks stopped | upstreams that fail or hang | [`health`] |
 //! | which upstreams are slow | correct upstreams that are several times slower | [`speed`] |
-//! | which upstreams are too slow for a task | upstreams of lasting, different speeds | [`speed`] |
 //! | which task crashes upstreams | tasks that crash each upstream that starts them | [`suspect`] |
 //! | when a call to an upstream times out | calls that are lost | [`call_timeout`] |
 //! | zone scheduler, takeover | losses, partitions, restarts of the whole system | [`leadership`] |
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -5,9 +5,8 @@
 //! on an upstream of 32 or 48 cores.
 //!
 //! Upstreams with recent failures are used after the others, and one that is on trial gets one task
-//! at a time. A task that an upstream of lasting low speed would make late waits for a faster one
-//! as long as that would be in time. Slow upstreams are used last, and only for tasks that are
-//! still useful when they are done there. A task that may crash its upstream goes where the fewest other tasks run, and other
+//! at a time. Slow upstreams are used last, and only for tasks that are still useful when they are
+//! done there. A task that may crash its upstream goes where the fewest other tasks run, and other
 //! tasks are placed at other upstreams as long as there is room.
 //!
 //! The module handles a load of more jobs than there is room for. Each answer of an upstream then
@@ -16,9 +15,9 @@
 
 use std::collections;
 
-use state::{name, policy};
+use state::policy;
 
-use crate::{incarnation, job, session, speed, suspect, upstream};
+use crate::{incarnation, job, session, suspect, upstream};
 
 /// Result of an attempt to place a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,20 +45,6 @@
     suspects: &'a suspect::Suspects,
     placed: Vec<(job::Task, incarnation::Incarnation)>,
     policy: policy::Policy,
-    now: u64,
-    /// Highest lasting speed, that of the slowest upstream with room.
-    most_lasting: f64,
-    /// Lasting speeds of the fastest upstreams that take tasks, with or without room, by service and
-    /// required label; found on first use.
-    fastest: smallvec::SmallVec<[Fastest; 2]>,
-}
-
-/// The fastest upstream of a service, of those with a label if one is required.
-#[derive(Debug)]
-struct Fastest {
-    service: name::Name,
-    label: Option<name::Name>,
-    lasting: f64,
 }
 
 #[derive(Debug)]
@@ -72,8 +57,6 @@
     suspect: bool,
     /// Factor by which tasks take longer there where that counts, 1 elsewhere.
     slowness: f64,
-    /// Its lasting speed, if that is known.
-    lasting: Option<f64>,
 }
 
 /// Group of upstreams to search.
@@ -92,8 +75,6 @@
     pub known_number: u64,
     /// Time left in which a task is useful, milliseconds.
     pub time_left: u64,
-    /// Lasting speed of the upstreams at which the tasks are in time.
-    pub speed: speed::SpeedLimit,
 }
 
 impl<'a> Placement<'a> {
@@ -117,7 +98,6 @@
             runs: session.runs.len(),
             suspect: session.runs.keys().any(|task| suspects.has(task)),
             slowness: session.slowness(policy, now),
-            lasting: session.speed.lasting().filter(|_| policy.avoid_slow),
         });
         let (mut slow, others): (Vec<_>, Vec<_>) = candidates
             .filter(|candidate| candidate.room.cpu > 0)
@@ -127,23 +107,8 @@
         healthy.sort_by_key(|candidate| candidate.room.cpu);
         suspected.sort_by_key(|candidate| candidate.room.cpu);
         slow.sort_by_key(|candidate| candidate.room.cpu);
-        let known = healthy.iter().chain(&suspected).filter_map(|candidate| candidate.lasting);
-        let most_lasting = known.fold(f64::NEG_INFINITY, f64::max);
-        let fastest = smallvec::SmallVec::new();
         let placed = Vec::new();
-        Self {
-            sessions,
-            healthy,
-            suspected,
-            slow,
-            running: None,
-            suspects,
-            placed,
-            policy,
-            most_lasting,
-            fastest,
-            now,
-        }
+        Self { sessions, healthy, suspected, slow, running: None, suspects, placed, policy }
     }
 
     /// Largest number of free cores at one upstream, thousandths.
@@ -155,7 +120,6 @@
     /// Reserves room for a task at an upstream that the entry of its job knows.
     pub fn place(&mut self, job: &job::Job, task: &job::Task, limit: Limit) -> Choice {
         let step = &job.steps[task.step as usize];
-        let limit = self.with_useful_speed(job, step, limit);
         let classes = [Class::Healthy, Class::Suspected, Class::Slow].into_iter();
         let mut found =
             classes.filter_map(|class| Some((class, self.find(class, job, step, task, limit)?)));
@@ -207,7 +171,6 @@
             let record = &candidate.session.record;
             let labelled = step.label.as_ref().is_none_or(|label| record.labels.contains(label));
             record.service == job.service
-                && candidate.lasting.is_none_or(|lasting| lasting <= limit.speed.most)
                 && candidate.session.number <= limit.known_number
                 && (candidate.slowness <= 1.0
                     || step.estimate as f64 * candidate.slowness <= limit.time_left as f64)
@@ -228,43 +191,6 @@
         Some(from + found?)
     }
 
-    /// The limit without its speed where no upstream is fast enough: the task is late at each of
-    /// them.
-    fn with_useful_speed(&mut self, job: &job::Job, step: &job::Step, limit: Limit) -> Limit {
-        let passes_all = limit.speed.most >= self.most_lasting;
-        if passes_all || limit.speed.needed < self.fastest(job, step) {
-            Limit { speed: speed::SpeedLimit::NONE, ..limit }
-        } else {
-            limit
-        }
-    }
-
-    /// Lasting speed of the fastest upstream that takes tasks of a step.
-    fn fastest(&mut self, job: &job::Job, step: &job::Step) -> f64 {
-        let known = self
-            .fastest
-            .iter()
-            .find(|fastest| fastest.service == job.service && fastest.label == step.label);
-        if let Some(known) = known {
-            return known.lasting;
-        }
-        let now = self.now;
-        let takes = |session: &&session::Session| {
-            let record = &session.record;
-            let labelled = step.label.as_ref().is_none_or(|label| record.labels.contains(label));
-            record.service == job.service
-                && labelled
-                && session.is_open(now)
-                && !session.health.is_ejected(now)
-        };
-        let lasting = |session: &session::Session| session.speed.lasting().unwrap_or(0.0);
-        let sessions = self.sessions;
-        let lasting = sessions.values().filter(takes).map(lasting).fold(f64::INFINITY, f64::min);
-        let (service, label) = (job.service.clone(), step.label.clone());
-        self.fastest.push(Fastest { service, label, lasting });
-        lasting
-    }
-
     /// Number of tasks of the step at an upstream, including those just placed there.
     fn count(&self, session: &session::Session, task: &job::Task) -> u32 {
         let here = |(other, id): &&(job::Task, incarnation::Incarnation)| {
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -23,8 +23,6 @@
 /// share of all cores, percent. Below it, the backlog of a lost scheduler is completed late instead
 /// of being refused.
 const OVERLOADED_PERCENT: i64 = 100;
-/// Time that an order, the news of its end and the answer to the client take, microseconds.
-const ORDER_TIME: u64 = 20 * time::MS;
 /// Shortest time after which a refused client may retry, milliseconds: the length of a few tasks.
 const MIN_RETRY_MS: u64 = 200;
 /// Longest time after which a refused client may retry, milliseconds.
@@ -90,14 +88,6 @@
     active.objective_end().saturating_sub(active.job.critical_path() * time::MS)
 }
 
-/// Largest factor of the declared duration of its tasks with which the job is answered in time;
-/// infinite if it declares none.
-pub fn max_factor(active: &active::ActiveJob, now: u64) -> f64 {
-    let left = active.objective_end().saturating_sub(now + ORDER_TIME) / time::MS;
-    let path = active.job.critical_path();
-    if path == 0 { f64::INFINITY } else { left as f64 / path as f64 }
-}
-
 /// Whether the job can no longer be answered in any useful time.
 pub fn is_hopeless(active: &active::ActiveJob, now: u64) -> bool {
     now + active.job.critical_path() * time::MS / 2 >= useful_end(active)
--- a/crates/dispatch/src/routing.rs
+++ b/crates/dispatch/src/routing.rs
@@ -26,12 +26,6 @@
 }
 
 impl Route {
-    /// A number that tells the queue from others.
-    pub fn number(&self) -> u32 {
-        let text = format!("{} {}", self.host, self.prefix);
-        xxhash_rust::xxh3::xxh3_64(text.as_bytes()) as u32
-    }
-
     /// Latency objective for a job, in milliseconds; `critical_path` is the length of its critical
     /// path.
     pub fn objective(&self, critical_path: u64) -> u64 {
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/sched.rs
@@ -107,8 +107,6 @@
     pub(crate) findings: suspect::Findings,
     pub(crate) call_timeout: call_timeout::CallTimeout,
     pub(crate) usual_ratio: speed::UsualRatio,
-    /// The bias of declared durations by queue.
-    pub(crate) biases: collections::HashMap<u32, speed::DeclaredBias>,
     pub(crate) out: Output,
 }
 
@@ -138,7 +136,6 @@
             findings: suspect::Findings::default(),
             call_timeout: call_timeout::CallTimeout::default(),
             usual_ratio: speed::UsualRatio::default(),
-            biases: collections::HashMap::new(),
             out: Output::default(),
         }
     }
--- a/crates/dispatch/src/slow.rs
+++ b/crates/dispatch/src/slow.rs
@@ -1,16 +1,12 @@
 //! How a scheduler measures the speed of its upstreams from their answers.
 
-use crate::{incarnation, job, order::Running, sched::Sched, speed, time, timing};
-
-/// Largest number of queues whose declared durations are compared; further ones teach nothing.
-const MAX_QUEUES: usize = 256;
+use crate::{incarnation, order::Running, sched::Sched, speed, time, timing};
 
 impl Sched {
-    /// Updates the speed of an upstream from a completed run of a task.
+    /// Updates the speed of an upstream from a completed run.
     pub(crate) fn record_speed(
         &mut self,
         id: &incarnation::Incarnation,
-        task: &job::Task,
         parts: &timing::Breakdown,
         estimate: u64,
         now: u64,
@@ -20,16 +16,6 @@
             return;
         }
         let ratio = parts.work as f64 / (estimate * time::MS) as f64;
-        if let Some(active) = self.jobs.get_mut(&task.job) {
-            let queue = active.job.queue;
-            // A job may have been submitted again with other steps.
-            if let Some(peers) = active.peer_runs.get_mut(task.step as usize) {
-                session.speed.learn_from_peers(parts.work, peers);
-            }
-            if self.biases.len() < MAX_QUEUES || self.biases.contains_key(&queue) {
-                session.speed.learn(ratio, self.biases.entry(queue).or_default());
-            }
-        }
         let was_slow = session.speed.is_slow(now);
         session.speed.record(self.usual_ratio.record(ratio), now);
         self.log_slowness(id, was_slow, now);
--- a/crates/dispatch/src/start.rs
+++ b/crates/dispatch/src/start.rs
@@ -10,7 +10,7 @@
     place, queue,
     sched::{CallPurpose, Sched},
     session::{Run, Stage},
-    speed, suspect, time, timing,
+    suspect, time, timing,
 };
 
 /// The scheduler starts a task only if its entry has asked for the job within this time by the
@@ -55,15 +55,7 @@
         for (_, active) in queued {
             let known_number = self.known.get(&active.entry).copied().unwrap_or(0);
             let time_left = queue::useful_until(active, now).saturating_sub(now) / time::MS;
-            let bias = self.biases.get(&active.job.queue).copied().unwrap_or_default();
-            // While much waits, no room is left free.
-            let speed = if congested {
-                speed::SpeedLimit::NONE
-            } else {
-                speed::SpeedLimit::new(queue::max_factor(active, now), bias)
-            };
-            let limit = place::Limit { known_number, time_left, speed };
-            place_job(active, limit, &mut placement);
+            place_job(active, place::Limit { known_number, time_left }, &mut placement);
         }
         for (task, session) in placement.into_placed() {
             self.start(&task, &session, now);
