An order's outcome is never taken from the answer to another order

Cause: link::caller gave the next request on a kept connection whatever response came first, also a second response to the previous request. Ruled out: a new connection an order (a round trip each); a pause alone (bytes may come at any time); names in answers, as the platform's have none. Change: an answer on a reused connection must state an upstream clock that has advanced since the previous answer, and a connection is not reused within 5 ms. What fails the check counts as lost, in surplus_responses_total.

--- a/crates/link/src/caller.rs
+++ b/crates/link/src/caller.rs
@@ -1,4 +1,10 @@
 //! An asynchronous HTTP/1.1 client that reuses connections.
+//!
+//! A server that writes two responses to one request would answer the next request on that
+//! connection with the second one. Two checks prevent this. A connection is not reused until it has
+//! been idle for [`MIN_IDLE`], and any byte that arrives while it is idle closes it. And a response
+//! on a reused connection must state a server clock that has advanced since the previous response
+//! (see [`Connection::accept`]).
 
 use std::{collections, net, sync, time};
 
@@ -7,6 +13,8 @@
 use hyper::{client::conn::http1, header};
 use hyper_util::rt;
 
+use crate::metric;
+
 /// Maximum size of a response body in bytes.
 const MAX_BODY: usize = 4 << 20;
 /// Timeout for connecting within an availability zone. It leaves no time to retransmit either of
@@ -14,8 +22,14 @@
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 /// An idle connection is not reused after this time, because the other side may have closed it.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+/// A connection that was used less than this time ago is not reused. A second response to the last
+/// request arrives within this time, or the server's clock has advanced by more than its resolution
+/// of 1 ms.
+const MIN_IDLE: time::Duration = time::Duration::from_millis(5);
 /// Maximum number of idle connections for one address.
 const MAX_IDLE: usize = 8;
+/// Minimum rate of a server's clock, as a fraction of this instance's clock.
+const MIN_CLOCK_RATE: (u128, u128) = (15, 16);
 
 /// An HTTP request.
 #[derive(Clone, Debug)]
@@ -35,12 +49,14 @@
 }
 
 /// An HTTP response.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Response {
     /// Status code.
     pub status: u16,
     /// Response body.
     pub body: Bytes,
+    /// The connection on which the response arrived.
+    pub connection: Connection,
 }
 
 /// Why a call returned no response.
@@ -59,9 +75,57 @@
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 
+/// The server's clock as stated in a response, milliseconds, and when that response arrived.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    clock: u64,
+    at: time::Instant,
+}
+
+impl Reading {
+    /// Returns the lowest value that the server's clock can have at `at`, milliseconds.
+    fn min_clock(&self, at: time::Instant) -> u64 {
+        let (numerator, denominator) = MIN_CLOCK_RATE;
+        let elapsed = at.saturating_duration_since(self.at).as_millis();
+        self.clock.saturating_add((elapsed * numerator / denominator) as u64)
+    }
+}
+
+/// The connection on which a response arrived. It is closed when it is dropped.
+#[derive(Debug)]
+pub struct Connection {
+    caller: Caller,
+    address: net::SocketAddr,
+    sender: Sender,
+    /// Lowest clock value that the response to the last request can state; 0 on a new connection.
+    min_clock: u64,
+}
+
+impl Connection {
+    /// Checks a response by the server's monotonic clock that it states, milliseconds. Returns
+    /// whether the response can belong to the request: on a reused connection, the clock must have
+    /// advanced since the previous response by the time that passed until the request was sent.
+    ///
+    /// Returns the connection to the pool if the check succeeds. A connection whose last response
+    /// states no clock is closed, because the next response on it could not be checked.
+    pub fn accept(self, clock: Option<u64>) -> bool {
+        let Some(clock) = clock else {
+            return true;
+        };
+        if clock < self.min_clock {
+            metric::count_surplus_response();
+            return false;
+        }
+        let reading = Reading { clock, at: time::Instant::now() };
+        self.caller.put_idle(self.address, IdleConnection { sender: self.sender, reading });
+        true
+    }
+}
+
+#[derive(Debug)]
 struct IdleConnection {
     sender: Sender,
-    last_used: time::Instant,
+    reading: Reading,
 }
 
 /// An HTTP client with a pool of idle connections. Clones share the pool.
@@ -82,7 +146,8 @@
         Self::default()
     }
 
-    /// Sends a request and waits for the whole response.
+    /// Sends a request and waits for the whole response. The connection is reused only after
+    /// [`Connection::accept`].
     ///
     /// # Errors
     ///
@@ -90,52 +155,55 @@
     /// request may have reached the server.
     pub async fn call(&self, request: Request) -> Result<Response, Failure> {
         let deadline = tokio::time::Instant::now() + request.timeout;
-        let mut sender = self.sender(request.address, request.timeout).await?;
         let address = request.address;
+        let mut connection = self.connection(address, request.timeout).await?;
         let exchange = async {
-            let response = sender.send_request(encode(request)).await.map_err(|e| failure(&e))?;
+            let response = connection.sender.send_request(encode(request)).await;
+            let response = response.map_err(|e| failure(&e))?;
             let status = response.status().as_u16();
             let body = Limited::new(response.into_body(), MAX_BODY).collect().await;
             let body = body.ok().ok_or(Failure::Lost)?.to_bytes();
-            Ok(Response { status, body })
+            Ok((status, body))
         };
         // A timeout drops the sender, which closes the connection.
-        let response =
+        let (status, body) =
             tokio::time::timeout_at(deadline, exchange).await.ok().ok_or(Failure::Lost)??;
-        self.put_idle(address, sender);
-        Ok(response)
+        Ok(Response { status, body, connection })
     }
 
-    async fn sender(
+    async fn connection(
         &self,
         address: net::SocketAddr,
         timeout: time::Duration,
-    ) -> Result<Sender, Failure> {
-        while let Some(mut sender) = self.take_idle(address) {
+    ) -> Result<Connection, Failure> {
+        let caller = self.clone();
+        while let Some(IdleConnection { mut sender, reading }) = self.take_idle(address) {
             if sender.ready().await.is_ok() {
-                return Ok(sender);
+                let min_clock = reading.min_clock(time::Instant::now());
+                return Ok(Connection { caller, address, sender, min_clock });
             }
         }
-        connect(address, timeout).await
+        let sender = connect(address, timeout).await?;
+        Ok(Connection { caller, address, sender, min_clock: 0 })
     }
 
-    /// Takes an idle connection that is still open from the pool.
-    fn take_idle(&self, address: net::SocketAddr) -> Option<Sender> {
+    /// Takes the connection from the pool that was used last among those that are still open and
+    /// have been idle for long enough.
+    fn take_idle(&self, address: net::SocketAddr) -> Option<IdleConnection> {
         let mut idle = self.idle.lock().ok()?;
         let list = idle.get_mut(&address)?;
-        while let Some(IdleConnection { sender, last_used }) = list.pop() {
-            if !sender.is_closed() && last_used.elapsed() < IDLE_TIMEOUT {
-                return Some(sender);
-            }
-        }
-        None
+        list.retain(|connection| {
+            !connection.sender.is_closed() && connection.reading.at.elapsed() < IDLE_TIMEOUT
+        });
+        let at = list.iter().rposition(|connection| connection.reading.at.elapsed() >= MIN_IDLE)?;
+        Some(list.remove(at))
     }
 
-    fn put_idle(&self, address: net::SocketAddr, sender: Sender) {
+    fn put_idle(&self, address: net::SocketAddr, connection: IdleConnection) {
         if let Ok(mut idle) = self.idle.lock() {
             let list = idle.entry(address).or_default();
-            if list.len() < MAX_IDLE && !sender.is_closed() {
-                list.push(IdleConnection { sender, last_used: time::Instant::now() });
+            if list.len() < MAX_IDLE && !connection.sender.is_closed() {
+                list.push(connection);
             }
         }
     }
--- a/crates/link/src/metric.rs
+++ b/crates/link/src/metric.rs
@@ -21,6 +21,7 @@
     refused_announcements: Counter<u64>,
     over_ideal: Histogram<f64>,
     calls: Histogram<f64>,
+    surplus_responses: Counter<u64>,
     start_waits: Histogram<f64>,
     first_waits: Histogram<f64>,
     idle_rooms: Histogram<f64>,
@@ -68,6 +69,7 @@
             refused_announcements: meter.u64_counter("announcements_refused").build(),
             over_ideal: meter.f64_histogram("over_ideal_ms").with_boundaries(millis).build(),
             calls: seconds("upstream_call_seconds"),
+            surplus_responses: meter.u64_counter("surplus_responses").build(),
             start_waits: seconds("start_wait_seconds"),
             first_waits: seconds("first_start_wait_seconds"),
             idle_rooms: seconds("idle_room_seconds"),
@@ -151,6 +153,13 @@
     }
 }
 
+/// Counts a response of an upstream that belongs to an earlier request on the same connection.
+pub fn count_surplus_response() {
+    if let Some(metrics) = metrics() {
+        metrics.surplus_responses.add(1, &[]);
+    }
+}
+
 /// Records how long a task waited between the arrival of its job and its own start.
 pub fn record_start_wait(waited: time::Duration) {
     if let Some(metrics) = metrics() {
