A durable member keeps a formation whose entries it may have acknowledged

Callers saw: with serve, in the first seconds of a deployment while messages are lost, an acknowledged settings change could be lost and its version given twice, and instances could stay without a settings group for ever. Cause: a follower without a leader left its formation when it knew of no committed entry, and forgot entries that it had acknowledged. The leader commits first and tells the followers later. Ruled out: streams that stay closed (all messages are delivered in the end); the journals (they recover in every seed). Change: a durable member leaves only if it holds no entry and has not voted, or as the founder in the first term, or once the founder says that it has left. A member without a formation joins at the request of a candidate; one with uncommitted entries joins a formation that has committed some; a majority without a formation forms one after 3 s although another instance reports one. docs/incidents/formation-split.md.

--- a/crates/coord/src/form.rs
+++ b/crates/coord/src/form.rs
@@ -5,7 +5,8 @@
 //! seats are voters from the first entry on; a seat that gave no grant has incarnation 0. Every
 //! majority of every formation of a group is therefore a majority of the same seats, and an
 //! incarnation belongs to one formation at a time, so two formations of one group never both
-//! commit entries.
+//! commit entries. This requires that a durable member leaves a formation only if no leader can
+//! have counted the entries that it acknowledged ([`crate::group`]).
 
 use std::collections;
 
@@ -17,6 +18,9 @@
 const REPORT_TTL: u64 = 800 * time::MS;
 /// How long an instance that sees a majority waits for the remaining seats, in microseconds.
 const MAJORITY_WAIT: u64 = 600 * time::MS;
+/// How long a majority stays without a formation until it forms one although another instance
+/// reports one, in microseconds. The leader of a formation reaches them sooner.
+const ABANDONED_WAIT: u64 = 3_000 * time::MS;
 /// Interval between two rounds of probes, in microseconds.
 const PROBE_INTERVAL: u64 = 100 * time::MS;
 
@@ -120,18 +124,17 @@
         Action::Ask(formation, others)
     }
 
-    /// Whether this instance may form the group now: it has a seat, a majority of the
-    /// seats is present, no instance reports a formation, and no earlier seat is present. If some
-    /// seats are missing, the majority must also have been present for `MAJORITY_WAIT`.
+    /// Whether this instance may form the group now: it has a seat, a majority of the seats is
+    /// present without a formation, and no earlier one of these is. If some seats are missing, the
+    /// majority must also have been present for `MAJORITY_WAIT`, and for `ABANDONED_WAIT` if an
+    /// instance reports a formation.
     fn may_form(&mut self, now: u64) -> bool {
         let is_fresh = |report: &&Report| now < report.at + REPORT_TTL;
-        if self.reports.values().filter(is_fresh).any(|report| report.formation.is_some()) {
-            self.majority_since = None;
-            return false;
-        }
+        let mut fresh = self.reports.values().filter(is_fresh);
+        let is_formed = fresh.any(|report| report.formation.is_some());
         let is_present = |seat: &&name::Name| {
-            **seat == self.me.name
-                || self.reports.get(*seat).is_some_and(|report| is_fresh(&report))
+            let report = self.reports.get(*seat).filter(is_fresh);
+            **seat == self.me.name || report.is_some_and(|report| report.formation.is_none())
         };
         let present: Vec<_> = self.seats.iter().filter(is_present).collect();
         if present.len() < self.quorum() {
@@ -139,9 +142,15 @@
             return false;
         }
         let since = *self.majority_since.get_or_insert(now);
-        let complete = present.len() == self.seats.len();
+        let wait = if is_formed {
+            ABANDONED_WAIT
+        } else if present.len() < self.seats.len() {
+            MAJORITY_WAIT
+        } else {
+            0
+        };
         let is_first = present.first().is_some_and(|name| **name == self.me.name);
-        is_first && (complete || now >= since + MAJORITY_WAIT)
+        is_first && now >= since + wait
     }
 
     fn quorum(&self) -> usize {
--- a/crates/coord/src/group.rs
+++ b/crates/coord/src/group.rs
@@ -105,11 +105,36 @@
 #[derive(Debug)]
 pub(crate) struct Joined {
     pub(crate) formation: Formation,
+    /// Whether this process has founded the formation. It is the only leader of the first term.
+    pub(crate) is_founder: bool,
     pub(crate) raft: Raft,
     pub(crate) applied: u64,
     pub(crate) next_probe: u64,
 }
 
+impl Joined {
+    pub(crate) fn new(formation: Formation, raft: Raft) -> Self {
+        Self { formation, is_founder: false, raft, applied: 0, next_probe: 0 }
+    }
+
+    /// Whether a member that knows of no committed entry may forget this formation.
+    ///
+    /// A durable member must keep what a leader may have counted: the entries that it acknowledged
+    /// may be committed although it was not told so, and its vote may have elected a leader. The
+    /// founder knows better: nobody else commits entries in the first term.
+    pub(crate) fn can_leave(&self, durable: bool) -> bool {
+        let raft = &self.raft;
+        let is_unused = raft.log().last() == 0 && raft.vote().is_none();
+        raft.commit() == 0 && (!durable || is_unused || self.is_founder && self.is_first_term())
+    }
+
+    /// Whether this member has acknowledged entries to nobody but the founder, and has voted for
+    /// nobody else.
+    pub(crate) fn is_first_term(&self) -> bool {
+        self.raft.term() <= raft::FIRST_TERM
+    }
+}
+
 #[derive(Debug)]
 pub(crate) enum Stage {
     Seeking(form::Seeker),
@@ -124,6 +149,8 @@
     pub(crate) machine: M,
     /// Last known incarnation and formation of each other instance.
     pub(crate) peer_states: collections::BTreeMap<name::Name, (u64, Option<Formation>)>,
+    /// Formations that this process has founded and left.
+    pub(crate) abandoned: smallvec::SmallVec<[Formation; 4]>,
     pub(crate) next_probe: u64,
     /// Number of the last change passed to the caller to be stored.
     pub(crate) last_issued: u64,
@@ -147,6 +174,7 @@
             stage: Stage::Seeking(seeker),
             machine,
             peer_states: collections::BTreeMap::new(),
+            abandoned: smallvec::SmallVec::new(),
             next_probe: 0,
             last_issued: 0,
             last_saved: 0,
@@ -171,7 +199,7 @@
         let mut raft = self.new_raft(recovered.stored, now);
         raft.recover_commit(recovered.commit);
         self.stage =
-            Stage::Joined(Box::new(Joined { formation, raft, applied: base, next_probe: 0 }));
+            Stage::Joined(Box::new(Joined { applied: base, ..Joined::new(formation, raft) }));
         self.process_output(now);
         self.out.effects.clear();
         self
@@ -240,8 +268,9 @@
             Stage::Joined(joined) => {
                 joined.raft.tick(now.mono);
                 let leaderless = !joined.raft.has_leader(now.mono);
-                if leaderless && joined.raft.commit() == 0 && !self.config.static_voters {
-                    // This formation never committed an entry; another formation may have done so.
+                let can_leave = joined.can_leave(self.config.durable);
+                if leaderless && can_leave && !self.config.static_voters {
+                    // Another formation may have committed entries.
                     self.leave_formation();
                 } else if leaderless {
                     self.probe_for_leader(now.mono);
@@ -322,13 +351,16 @@
     /// Handles a formation message.
     pub fn on_form(&mut self, from: &name::Member, form: &FormMessage, now: time::Now) {
         let reported = match form {
-            FormMessage::Probe(formation) | FormMessage::Found(formation) => *formation,
+            FormMessage::Probe(formation) | FormMessage::Found(formation) => Some(*formation),
             // Only a member without a formation asks for a grant or gives one.
-            FormMessage::Ask(_) | FormMessage::Grant(_) => None,
+            FormMessage::Ask(_) | FormMessage::Grant(_) => Some(None),
+            FormMessage::Abandoned(_) => None,
         };
-        self.peer_states.insert(from.name.clone(), (from.incarnation, reported));
+        if let Some(formation) = reported {
+            self.peer_states.insert(from.name.clone(), (from.incarnation, formation));
+        }
         match form {
-            FormMessage::Probe(_) => self.on_probe(from, now.mono),
+            FormMessage::Probe(formation) => self.on_probe(from, *formation, now.mono),
             FormMessage::Found(found) => {
                 if let Stage::Seeking(seeker) = &mut self.stage {
                     seeker.on_report(from, *found, now.mono);
@@ -346,6 +378,7 @@
                     self.seek_formation(now);
                 }
             }
+            FormMessage::Abandoned(formation) => self.on_abandoned(from, *formation),
         }
         self.leave_if_unrecoverable(now.mono);
         self.process_output(now.mono);
--- a/crates/coord/src/message.rs
+++ b/crates/coord/src/message.rs
@@ -97,6 +97,8 @@
     Ask(Formation),
     /// The sender, which belongs to no formation, agrees to join this one.
     Grant(Formation),
+    /// Answer to [`Self::Probe`] of a member of this formation: the sender has founded and left it.
+    Abandoned(Formation),
 }
 
 /// Consensus messages within a formed group (Ongaro 2014).
--- a/crates/coord/src/raft.rs
+++ b/crates/coord/src/raft.rs
@@ -26,6 +26,8 @@
 /// Minimum time between two snapshots to the same follower, in microseconds.
 pub(crate) const SNAPSHOT_INTERVAL: u64 = 1_000_000;
 
+/// The term of the member that founds a group.
+pub(crate) const FIRST_TERM: u64 = 1;
 /// Highest valid term. No group ever reaches it, so a message with a higher term is corrupt.
 const MAX_TERM: u64 = 1 << 48;
 
@@ -196,7 +198,8 @@
         now: u64,
         seed: u64,
     ) -> Self {
-        let stored = Stored { term: 1, vote: Some(me.clone()), voters, ..Stored::default() };
+        let stored =
+            Stored { term: FIRST_TERM, vote: Some(me.clone()), voters, ..Stored::default() };
         let mut raft = Self::new(me, timing, durable, stored, now, seed);
         raft.out.saves.push(Save::HardState(raft.term, raft.vote.clone()));
         raft.become_leader(now);
@@ -215,6 +218,11 @@
         self.term
     }
 
+    /// Member that this one voted for in the current term.
+    pub fn vote(&self) -> Option<&name::Member> {
+        self.vote.as_ref()
+    }
+
     /// Commit index.
     pub fn commit(&self) -> u64 {
         self.commit
--- a/crates/coord/src/upkeep.rs
+++ b/crates/coord/src/upkeep.rs
@@ -20,6 +20,8 @@
 /// Maximum time since the last message of a member that takes over a seat, in microseconds: two
 /// heartbeats.
 const RESEAT_MAX_SILENCE: u64 = 500 * time::MS;
+/// Maximum number of formations that a founder remembers to have left.
+const MAX_ABANDONED: usize = 16;
 
 impl<M: Machine> Group<M> {
     pub(crate) fn seek_formation(&mut self, now: time::Now) {
@@ -45,7 +47,8 @@
         self.save(Save::Formed(formation, voters.clone()));
         let Config { me, timing, durable, .. } = &self.config;
         let raft = Raft::bootstrap(me.clone(), *timing, *durable, voters, now, self.seed);
-        self.stage = Stage::Joined(Box::new(Joined { formation, raft, applied: 0, next_probe: 0 }));
+        self.stage =
+            Stage::Joined(Box::new(Joined { is_founder: true, ..Joined::new(formation, raft) }));
     }
 
     /// Starts a group with voters that the caller names. Each of these voters starts the group by
@@ -53,7 +56,7 @@
     pub fn bootstrap(&mut self, formation: Formation, voters: Voters, now: u64) {
         self.save(Save::Formed(formation, voters.clone()));
         let raft = self.new_raft(raft::Stored { voters, ..raft::Stored::default() }, now);
-        self.stage = Stage::Joined(Box::new(Joined { formation, raft, applied: 0, next_probe: 0 }));
+        self.stage = Stage::Joined(Box::new(Joined::new(formation, raft)));
     }
 
     /// Sets the names of all other instances that may belong to the group.
@@ -118,16 +121,28 @@
         }
     }
 
-    /// Joins the formation of a leader that sent a message, if this member belongs to no formation
-    /// or to an older one that no longer has a leader.
+    /// Joins the formation of a member that sent a message, if this member belongs to no formation,
+    /// or to one that has no leader and that it may leave.
+    ///
+    /// A durable member also joins at the request of a candidate: members that hold entries of a
+    /// formation stay in it without a leader, and may need the votes of those that hold none.
     pub(crate) fn join_formation(&mut self, formation: Formation, body: &message::Raft, now: u64) {
-        if !matches!(body, message::Raft::Append { .. } | message::Raft::Snapshot { .. }) {
-            return;
-        }
+        let durable = self.config.durable;
+        let committed = match body {
+            message::Raft::Append { commit, .. } => *commit > 0,
+            message::Raft::Snapshot { .. } => true,
+            message::Raft::Vote { .. } if durable && !self.config.static_voters => false,
+            _ => return,
+        };
         if let Stage::Joined(joined) = &self.stage {
-            let stale = !joined.raft.has_leader(now) && joined.formation < formation;
-            // A later formation never replaces what an earlier one has committed durably.
-            if !stale || (self.config.durable && joined.raft.commit() > 0) {
+            let is_replaced = if durable {
+                // Once a formation has committed an entry, no other one can: a majority of the
+                // seats holds its entries.
+                joined.can_leave(durable) || committed && joined.raft.commit() == 0
+            } else {
+                joined.formation < formation
+            };
+            if joined.raft.has_leader(now) || !is_replaced {
                 return;
             }
             self.leave_formation();
@@ -135,10 +150,17 @@
         let voters = Voters::default();
         self.save(Save::Formed(formation, voters.clone()));
         let raft = self.new_raft(raft::Stored::default(), now);
-        self.stage = Stage::Joined(Box::new(Joined { formation, raft, applied: 0, next_probe: 0 }));
+        self.stage = Stage::Joined(Box::new(Joined::new(formation, raft)));
     }
 
     pub(crate) fn leave_formation(&mut self) {
+        if let Some(joined) = self.joined().filter(|joined| joined.is_founder) {
+            let formation = joined.formation;
+            if self.abandoned.len() == MAX_ABANDONED {
+                self.abandoned.remove(0);
+            }
+            self.abandoned.push(formation);
+        }
         let config = &self.config;
         let seeker = form::Seeker::new(config.me.clone(), config.seats.clone());
         self.stage = Stage::Seeking(seeker);
@@ -174,7 +196,24 @@
         }
     }
 
-    pub(crate) fn on_probe(&mut self, from: &name::Member, now: u64) {
+    /// Leaves a formation that its founder has left. Nobody else could commit entries in the first
+    /// term.
+    pub(crate) fn on_abandoned(&mut self, from: &name::Member, formation: Formation) {
+        let is_abandoned = |joined: &Joined| {
+            joined.formation == formation
+                && formation.by == from.incarnation
+                && joined.raft.commit() == 0
+                && joined.is_first_term()
+        };
+        if self.joined().is_some_and(is_abandoned) {
+            self.leave_formation();
+        }
+    }
+
+    pub(crate) fn on_probe(&mut self, from: &name::Member, formation: Option<Formation>, now: u64) {
+        if let Some(formation) = formation.filter(|formation| self.abandoned.contains(formation)) {
+            self.send_form(&from.name, FormMessage::Abandoned(formation));
+        }
         let found = self.formation();
         match &mut self.stage {
             Stage::Seeking(seeker) => seeker.on_report(from, None, now),
