An instance that is not ready logs what it waits for, and a process that was stopped says so

Callers saw: nothing in the log of an instance that had joined no group 20 s after its start (leader_lost, known red). Cause of the silence: only changes of members and leaders were logged, and the reasons of closed streams were dropped. Evidence: with SIGSTOP at an instance for 22 s from the moment at which its operator listener accepts connections, the harness reports on what the entry recorded: west-2 in no group with term 0 and no line after its start, west-1 and west-3 ready.

--- a/crates/apricotroute/src/control.rs
+++ b/crates/apricotroute/src/control.rs
@@ -20,6 +20,10 @@
 const MAX_BATCH: usize = 512;
 /// Minimum interval between checks for state changes to log.
 const LOG_INTERVAL: time::Duration = time::Duration::from_millis(200);
+/// Interval between log lines of an instance that is not ready.
+const WAIT_LOG_INTERVAL: time::Duration = time::Duration::from_secs(2);
+/// Minimum delay of a tick that is logged: the process was stopped, or got no processor time.
+const MIN_STOP: time::Duration = time::Duration::from_millis(500);
 /// Maximum number of concurrent calls to upstreams.
 pub const MAX_CALLS: usize = 2_048;
 
@@ -203,6 +207,8 @@
     log: slog::Logger,
     logged: Logged,
     checked_at: time::Instant,
+    /// Since when the instance has not been ready, or when this was last logged.
+    waiting_since: time::Instant,
 }
 
 /// State as of the last log lines.
@@ -240,6 +246,7 @@
             log: parts.log,
             logged: Logged::default(),
             checked_at: time::Instant::now(),
+            waiting_since: time::Instant::now(),
         }
     }
 
@@ -261,8 +268,10 @@
                 Err(crossbeam_channel::RecvTimeoutError::Timeout) => {}
                 Err(crossbeam_channel::RecvTimeoutError::Disconnected) => return,
             }
-            if time::Instant::now() >= tick_due {
-                tick_due = time::Instant::now() + TICK;
+            let now = time::Instant::now();
+            if now >= tick_due {
+                self.log_stop(now.duration_since(tick_due));
+                tick_due = now + TICK;
                 self.handle_input(Input::Event(Event::Tick));
                 self.publish();
             }
@@ -367,10 +376,33 @@
         self.pool.run(move || client.stop(stop.address.as_str(), &task_id(&stop.task)));
     }
 
+    /// Logs a tick that is late by `delay`, if it is late by much.
+    fn log_stop(&self, delay: time::Duration) {
+        if delay >= MIN_STOP {
+            let ms = delay.as_millis() as u64;
+            slog::warn!(self.log, "control: Resumed after a stop."; "ms" => ms);
+        }
+    }
+
+    /// Logs at intervals what an instance that is not ready waits for.
+    fn log_waiting(&mut self, ready: bool) {
+        if ready || self.core.is_draining() {
+            self.waiting_since = time::Instant::now();
+        } else if self.waiting_since.elapsed() >= WAIT_LOG_INTERVAL {
+            self.waiting_since = time::Instant::now();
+            let closed = self.outbox.closed_streams().into_iter();
+            let closed: Vec<_> = closed.map(|(to, why)| format!("{to}: {why}")).collect();
+            slog::info!(self.log, "control: Not ready.";
+                "waiting" => self.core.waits_for(self.control.clock.now()),
+                "closed" => closed.join(", "));
+        }
+    }
+
     /// Publishes readiness and logs changes of the state.
     fn publish(&mut self) {
         let ready = self.core.is_ready();
         self.control.view.ready.store(ready, atomic::Ordering::Relaxed);
+        self.log_waiting(ready);
         if self.checked_at.elapsed() < LOG_INTERVAL {
             return;
         }
--- a/crates/apricotroute/tests/harness/mod.rs
+++ b/crates/apricotroute/tests/harness/mod.rs
@@ -83,7 +83,8 @@
         cluster
     }
 
-    fn build(self) -> Cluster {
+    /// Writes the bootstrap files without starting the instances.
+    pub fn build(self) -> Cluster {
         let dir = tempfile::tempdir().unwrap();
         let mut instances = Vec::new();
         let mut peers = Vec::new();
--- a/crates/coord/src/core.rs
+++ b/crates/coord/src/core.rs
@@ -192,6 +192,11 @@
         self.ready && !self.draining
     }
 
+    /// Whether the instance shuts down.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
     /// Ids of the jobs in progress at this instance.
     pub fn in_progress(&self) -> Vec<String> {
         self.jobs.keys().map(ToString::to_string).collect()
--- a/crates/coord/src/form.rs
+++ b/crates/coord/src/form.rs
@@ -84,6 +84,23 @@
         }
     }
 
+    /// Returns what this instance has heard of the seats: those without a formation, those with one,
+    /// and those that are silent.
+    pub fn describe(&self, now: u64) -> String {
+        let mut lists = [Vec::new(), Vec::new(), Vec::new()];
+        for seat in self.seats.iter().filter(|seat| **seat != self.me.name) {
+            let report = self.reports.get(seat).filter(|report| now < report.at + REPORT_TTL);
+            let list = match report {
+                Some(Report { formation: None, .. }) => 0,
+                Some(Report { formation: Some(_), .. }) => 1,
+                None => 2,
+            };
+            lists[list].push(seat.as_str());
+        }
+        let [seeking, formed, silent] = lists.map(|names| names.join(" "));
+        format!("no formation; without one: [{seeking}], with one: [{formed}], silent: [{silent}]")
+    }
+
     /// Returns the next action at `now`; `formation` is the identity that a formation started now
     /// would get.
     pub fn next_action(&mut self, now: u64, formation: Formation) -> Action {
--- a/crates/coord/src/group.rs
+++ b/crates/coord/src/group.rs
@@ -225,6 +225,19 @@
         &self.config.me
     }
 
+    /// Returns what this member waits for until it has a leader; `None` if it has one.
+    pub fn waits_for(&self, now: u64) -> Option<String> {
+        match &self.stage {
+            Stage::Seeking(seeker) => Some(seeker.describe(now)),
+            Stage::Joined(joined) if joined.raft.has_leader(now) => None,
+            Stage::Joined(joined) => {
+                let voters: Vec<_> =
+                    joined.raft.voters().0.iter().map(ToString::to_string).collect();
+                Some(format!("no leader in term {} of [{}]", joined.raft.term(), voters.join(" ")))
+            }
+        }
+    }
+
     /// Whether this member belongs to a formation.
     pub fn is_joined(&self) -> bool {
         self.joined().is_some()
--- a/crates/coord/src/status.rs
+++ b/crates/coord/src/status.rs
@@ -142,6 +142,17 @@
         leader_name(&self.settings)
     }
 
+    /// What an instance that is not ready waits for: a formation or a leader of the settings group
+    /// and of the zone's journal, or the time from which the journal accepts jobs.
+    pub fn waits_for(&self, now: Now) -> String {
+        let settings = self.settings.waits_for(now.mono).map(|what| format!("settings: {what}"));
+        let journal = self.journal.waits_for(now.mono).map(|what| format!("journal: {what}"));
+        let from = self.journal.formation().map_or(0, |formation| formation.at);
+        let clock = (from > now.wall)
+            .then(|| format!("journal: accepts jobs in {} ms by this clock", from - now.wall));
+        settings.into_iter().chain(journal).chain(clock).collect::<Vec<_>>().join("; ")
+    }
+
     fn groups(&self, now: u64) -> Vec<Group> {
         let journal = |zone: &name::Name| format!("journal {zone}");
         let mut groups = vec![
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -38,6 +38,9 @@
 /// A stream is closed if a ping is not answered within this time.
 const PING_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+/// Why a stream ended without an error.
+const CLOSED: &str = "closed";
+
 /// Receives messages from other instances.
 pub trait Inbox: Send + Sync {
     /// Receives one encoded body. Returns whether it could be decoded.
@@ -47,10 +50,30 @@
     fn allows_peer(&self, name: &name::Name) -> bool;
 }
 
+/// State of the stream to one instance: open, or why it is not.
+#[derive(Clone, Debug, Default)]
+struct StreamState(sync::Arc<sync::Mutex<Option<String>>>);
+
+impl StreamState {
+    fn set(&self, error: Option<String>) {
+        *self.0.lock().unwrap_or_else(sync::PoisonError::into_inner) = error;
+    }
+
+    fn get(&self) -> Option<String> {
+        self.0.lock().unwrap_or_else(sync::PoisonError::into_inner).clone()
+    }
+}
+
+#[derive(Debug)]
+struct Stream {
+    queue: mpsc::Sender<Vec<Bytes>>,
+    state: StreamState,
+}
+
 /// The sending ends of the streams to all other instances.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    streams: std::collections::HashMap<name::Name, mpsc::Sender<Vec<Bytes>>>,
+    streams: std::collections::BTreeMap<name::Name, Stream>,
 }
 
 impl Outbox {
@@ -69,12 +92,21 @@
         to: &name::Name,
         address: net::SocketAddr,
     ) -> Self {
-        let (sender, receiver) = mpsc::channel(QUEUE_CAPACITY);
-        runtime.spawn(run_sender(me.clone(), to.clone(), address, receiver));
-        self.streams.insert(to.clone(), sender);
+        let (queue, receiver) = mpsc::channel(QUEUE_CAPACITY);
+        let state = StreamState::default();
+        state.set(Some("not opened yet".to_owned()));
+        let route = Route { me: me.clone(), to: to.clone(), address };
+        runtime.spawn(run_sender(route, receiver, state.clone()));
+        self.streams.insert(to.clone(), Stream { queue, state });
         self
     }
 
+    /// Returns the instances to which no stream is open, each with the reason.
+    pub fn closed_streams(&self) -> Vec<(name::Name, String)> {
+        let closed = |(to, stream): (&name::Name, &Stream)| Some((to.clone(), stream.state.get()?));
+        self.streams.iter().filter_map(closed).collect()
+    }
+
     /// Closes the stream to the instance `to`.
     pub fn drop_peer(&mut self, to: &name::Name) {
         self.streams.remove(to);
@@ -84,18 +116,22 @@
     /// is full. A queued batch is lost if the peer is unreachable for long.
     pub fn send(&self, to: &name::Name, bodies: Vec<Bytes>) -> bool {
         let stream = self.streams.get(to);
-        stream.is_some_and(|stream| stream.try_send(bodies).is_ok())
+        stream.is_some_and(|stream| stream.queue.try_send(bodies).is_ok())
     }
 }
 
-async fn run_sender(
+/// The two ends of a stream.
+struct Route {
     me: name::Name,
     to: name::Name,
     address: net::SocketAddr,
-    mut queue: mpsc::Receiver<Vec<Bytes>>,
-) {
-    let Ok(endpoint) = tonic::transport::Endpoint::from_shared(format!("http://{address}")) else {
-        return;
+}
+
+async fn run_sender(route: Route, mut queue: mpsc::Receiver<Vec<Bytes>>, state: StreamState) {
+    let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{}", route.address));
+    let endpoint = match endpoint {
+        Ok(endpoint) => endpoint,
+        Err(e) => return state.set(Some(e.to_string())),
     };
     let endpoint = endpoint
         .tcp_nodelay(true)
@@ -106,10 +142,14 @@
         let is_quick = failures < QUICK_ATTEMPTS;
         let timeout = if is_quick { QUICK_TIMEOUT } else { SLOW_TIMEOUT };
         let mut pause = if is_quick { QUICK_PAUSE } else { SLOW_PAUSE };
-        if let Ok(channel) = endpoint.clone().connect_timeout(timeout).connect().await {
-            run_stream(channel, &me, &to, &mut queue).await;
-            failures = 0;
-            pause = SLOW_PAUSE;
+        match endpoint.clone().connect_timeout(timeout).connect().await {
+            Ok(channel) => {
+                state.set(None);
+                state.set(Some(run_stream(channel, &route, &mut queue).await));
+                failures = 0;
+                pause = SLOW_PAUSE;
+            }
+            Err(e) => state.set(Some(describe(&e))),
         }
         failures += 1;
         // Batches that were queued while no stream was open are dropped, like messages lost in
@@ -119,34 +159,41 @@
     }
 }
 
-/// Sends queued batches on one stream until it fails.
+/// Formats an error with its causes.
+fn describe(error: &dyn std::error::Error) -> String {
+    let causes = std::iter::successors(Some(error), |error| error.source());
+    causes.map(ToString::to_string).collect::<Vec<_>>().join(": ")
+}
+
+/// Sends queued batches on one stream until it fails; returns the reason.
 async fn run_stream(
     channel: tonic::transport::Channel,
-    me: &name::Name,
-    to: &name::Name,
+    route: &Route,
     queue: &mut mpsc::Receiver<Vec<Bytes>>,
-) {
+) -> String {
     let mut client = peer::peer_client::PeerClient::new(channel)
         .max_encoding_message_size(MAX_MESSAGE)
         .max_decoding_message_size(MAX_MESSAGE);
     let (sender, receiver) = mpsc::channel(16);
-    let (version, from, to) = (proto::VERSION, me.to_string(), to.to_string());
+    let (version, from, to) = (proto::VERSION, route.me.to_string(), route.to.to_string());
     let hello = Some(peer::Hello { version, from, to });
     if sender.send(peer::Envelope { hello, bodies: Vec::new() }).await.is_err() {
-        return;
+        return CLOSED.to_owned();
     }
     let call = client.deliver(wrappers::ReceiverStream::new(receiver));
     tokio::pin!(call);
     loop {
         tokio::select! {
-            _ = &mut call => return,
+            result = &mut call => {
+                return result.map_or_else(|status| describe(&status), |_| CLOSED.to_owned());
+            }
             batch = queue.recv() => {
-                let Some(mut bodies) = batch else { return };
+                let Some(mut bodies) = batch else { return CLOSED.to_owned() };
                 while let Ok(more) = queue.try_recv() {
                     bodies.extend(more);
                 }
                 if sender.send(peer::Envelope { hello: None, bodies }).await.is_err() {
-                    return;
+                    return CLOSED.to_owned();
                 }
             }
         }
