Announcements wait for the first configuration; an order that is not committed in time is logged

Callers saw: a keeper without a configuration took announcements of any service, and kept such upstreams in use for good. Cause: the service was not checked while no configuration was read, and afterwards the upstream counted as known. Evidence: beats::before_configuration fails on the code before: the heartbeat of an unknown service is still accepted 15 s after the configuration was read. Both recorded failures of beats::unlisted_leaves come at will when keepers are stopped: two of three during the change (503, "no leader in term 1"), the asked one for 5 s (no answer, status 0). Ruled out: refusing announcements until then (upstreams announce themselves every 1.5 s, and would be missing after a restart of everything); a fault in the checks that unlisted_leaves makes: with a configuration the service is refused. The tests' client prints why a call had no answer.

--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -2,7 +2,7 @@
 //! and read its state from a [`view`](super::view).
 
 use std::{
-    collections, sync,
+    collections,
     sync::{atomic, mpsc},
     thread, time,
 };
@@ -82,7 +82,7 @@
 
 impl Thread {
     fn new(control: Control, parts: Parts) -> Self {
-        let reader = reader::start(sync::Arc::clone(&control.view), parts.log.clone());
+        let reader = reader::start(control.clone(), parts.log.clone());
         let core = core::Core::new(parts.config, control.clock.now());
         let reporter = control.clone();
         // Retries until the mailbox accepts the report: without it the settings group makes no
--- a/crates/apricotroute/src/node/reader.rs
+++ b/crates/apricotroute/src/node/reader.rs
@@ -4,20 +4,20 @@
 //! On the control thread this would delay heartbeats, and an instance that is silent for 500 ms
 //! counts as lost.
 
-use std::{sync, sync::mpsc, thread, time};
+use std::{sync::mpsc, thread, time};
 
-use dispatch::message::Document;
+use dispatch::{event::Event, message::Document};
 use link::metric;
 
-use super::view;
+use super::handle;
 
 /// Starts the thread, which puts the last of the waiting documents into effect.
-pub fn start(view: sync::Arc<view::View>, log: slog::Logger) -> mpsc::Sender<Document> {
+pub fn start(control: handle::Control, log: slog::Logger) -> mpsc::Sender<Document> {
     let (sender, receiver) = mpsc::channel::<Document>();
     let run = move || {
         while let Ok(first) = receiver.recv() {
             let newest = receiver.try_iter().last().unwrap_or(first);
-            read(&newest, &view, &log);
+            read(&newest, &control, &log);
         }
     };
     if let Err(e) = thread::Builder::new().name("settings".to_owned()).spawn(run) {
@@ -26,12 +26,15 @@
     sender
 }
 
-fn read(document: &Document, view: &view::View, log: &slog::Logger) {
+fn read(document: &Document, control: &handle::Control, log: &slog::Logger) {
     let start = time::Instant::now();
     let text = platform::decode::text(document);
     match text.and_then(|text| platform::decode::routing(&text)) {
         Ok(routing) => {
-            view.set_routing(routing);
+            let services = routing.services.clone();
+            control.view().set_routing(routing);
+            // Without the event, announcements that wait for it are never checked.
+            while !control.send(Event::Services(services.clone())) {}
             let elapsed = start.elapsed();
             metric::record_config_read(elapsed);
             slog::info!(log, "settings: Read."; "version" => document.version,
--- a/crates/apricotroute/tests/beats.rs
+++ b/crates/apricotroute/tests/beats.rs
@@ -10,6 +10,7 @@
         atomic::{AtomicUsize, Ordering},
     },
     thread,
+    time::Duration,
 };
 
 use serde_json::{Value, json};
@@ -21,9 +22,12 @@
 /// Maximum log lines of one kind that a process writes per second.
 const LINE_RATE: usize = 400;
 
+fn new_system(subnet: u8) -> System {
+    System::new(system::Layout { subnet, zones: vec![(KEEPERS, 1)], has_relays: false })
+}
+
 fn system(subnet: u8) -> System {
-    let layout = system::Layout { subnet, zones: vec![(KEEPERS, 1)], has_relays: false };
-    let mut system = System::new(layout);
+    let mut system = new_system(subnet);
     system.add_upstream("i-0", 0, None);
     wait_until("a keeper accepts the configuration", || system.publish(0, &config(3)) == 200);
     system.wait_ready();
@@ -41,6 +45,20 @@
         "Capacity": {"Cpu": system::UPSTREAM_CPU, "MemMb": 1 << 16, "Gpu": 0}})
 }
 
+/// Listens on an address and counts the connections to it.
+fn count_connections() -> (String, Arc<AtomicUsize>) {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let connections = Arc::<AtomicUsize>::default();
+    let counter = Arc::clone(&connections);
+    thread::spawn(move || {
+        for _ in listener.incoming() {
+            counter.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    (address, connections)
+}
+
 /// Sends a heartbeat for an upstream id and returns the status.
 fn send(system: &System, keeper: usize, id: &str, body: &[u8]) -> u16 {
     let url = format!("http://{}/apricotroute/instances/{id}", system.operator(keeper));
@@ -101,15 +119,7 @@
 fn nothing_is_used() {
     // The system never connects to the address in a refused heartbeat.
     let system = system(42);
-    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    let connections = Arc::new(AtomicUsize::new(0));
-    let counter = Arc::clone(&connections);
-    thread::spawn(move || {
-        for _ in listener.incoming() {
-            counter.fetch_add(1, Ordering::Relaxed);
-        }
-    });
+    let (address, connections) = count_connections();
     let mut heartbeat = heartbeat(&system);
     heartbeat["Address"] = address.into();
     let changes = [
@@ -134,6 +144,34 @@
     assert_eq!(connections.load(Ordering::Relaxed), 0);
 }
 
+#[test]
+fn before_configuration() {
+    // A keeper that has no configuration yet cannot check the service of a heartbeat. It uses the
+    // upstream only once a configuration names its service.
+    let mut system = new_system(45);
+    system.add_upstream("i-0", 0, None);
+    let (address, connections) = count_connections();
+    let mut heartbeat = heartbeat(&system);
+    heartbeat["Address"] = address.into();
+    heartbeat["Service"] = "nowhere".into();
+    let send = |system: &System, keeper: usize| {
+        send(system, keeper, "i-other", heartbeat.to_string().as_bytes())
+    };
+    for keeper in 0..KEEPERS {
+        wait_until("the keeper reads the heartbeat", || send(&system, keeper) == 200);
+    }
+    thread::sleep(Duration::from_millis(500));
+    wait_until("a keeper accepts the configuration", || system.publish(0, &config(3)) == 200);
+    system.wait_ready();
+    wait_until("the upstream of the listed service accepts work", || {
+        system.submit(KEEPERS, "00000000000000f0", 1).0 == 200
+    });
+    for keeper in 0..KEEPERS {
+        wait_until("the heartbeat is refused", || matches!(send(&system, keeper), 400..=599));
+    }
+    assert_eq!(connections.load(Ordering::Relaxed), 0);
+}
+
 #[test]
 fn unlisted_leaves() {
     // A keeper still knows an upstream after a configuration has removed its service: it
--- a/crates/apricotroute/tests/system/mod.rs
+++ b/crates/apricotroute/tests/system/mod.rs
@@ -365,25 +365,33 @@
         .into()
 }
 
-/// Sends a request with a body; the status is 0 if no complete answer arrived.
+/// Sends a request with a body; the status is 0 if no complete answer arrived, and the error is
+/// then printed.
 pub fn call(agent: &ureq::Agent, method: &str, url: &str, body: &[u8]) -> (u16, Value) {
     let request = ureq::http::Request::builder().method(method).uri(url);
     let request = request.header("Host", HOST).header("Apricotroute-Deadline-Ms", "3000");
     let Ok(request) = request.body(body) else { return (0, Value::Null) };
-    agent.run(request).map_or((0, Value::Null), parse)
+    let began = Instant::now();
+    let print = |error: &dyn std::fmt::Display| {
+        eprintln!("{method} {url}: no answer after {:?}: {error}", began.elapsed());
+        (0, Value::Null)
+    };
+    match agent.run(request) {
+        Ok(response) => parse(response).unwrap_or_else(|error| print(&error)),
+        Err(error) => print(&error),
+    }
 }
 
 /// Sends a `GET` request; the result is that of [`call`].
 pub fn get(url: &str) -> (u16, Value) {
-    agent().get(url).header("Host", HOST).call().map_or((0, Value::Null), parse)
+    let response = agent().get(url).header("Host", HOST).call();
+    response.and_then(parse).unwrap_or((0, Value::Null))
 }
 
-fn parse(mut response: ureq::http::Response<ureq::Body>) -> (u16, Value) {
+fn parse(mut response: ureq::http::Response<ureq::Body>) -> Result<(u16, Value), ureq::Error> {
     let status = response.status().as_u16();
-    match response.body_mut().read_to_string() {
-        Ok(text) => (status, serde_json::from_str(&text).unwrap_or_default()),
-        Err(_) => (0, Value::Null),
-    }
+    let text = response.body_mut().read_to_string()?;
+    Ok((status, serde_json::from_str(&text).unwrap_or_default()))
 }
 
 /// Waits until `check` returns true, and panics with `description` after 15 s.
--- a/crates/coord/src/raft.rs
+++ b/crates/coord/src/raft.rs
@@ -223,6 +223,11 @@
         self.vote.as_ref()
     }
 
+    /// Index of the last entry that is known to be on disk.
+    pub fn synced(&self) -> u64 {
+        self.synced
+    }
+
     /// Commit index.
     pub fn commit(&self) -> u64 {
         self.commit
--- a/crates/dispatch/src/control_log.rs
+++ b/crates/dispatch/src/control_log.rs
@@ -189,6 +189,8 @@
     pub saves: Vec<(u64, raft::Save)>,
     /// Answers to the operator.
     pub replies: Vec<(Ticket, Reply)>,
+    /// For each order that was given up, what it waited for.
+    pub expired: Vec<String>,
 }
 
 /// A member of the Raft group that replicates the control log.
@@ -402,10 +404,19 @@
         for origin in expired {
             if let Some(order) = self.orders.remove(&origin) {
                 self.out.replies.push((order.ticket, Reply::Unavailable));
+                let progress = self.group.waits_for(now).unwrap_or_else(|| self.progress());
+                self.out.expired.push(progress);
             }
         }
     }
 
+    /// How far the log is replicated, for display.
+    fn progress(&self) -> String {
+        let indexes = |raft: &raft::Raft| (raft.log().last(), raft.synced(), raft.commit());
+        let (last, synced, commit) = self.group.raft().map(indexes).unwrap_or_default();
+        format!("entry {last} is the last one, {synced} on this disk, {commit} committed")
+    }
+
     fn query(&mut self, requester: Requester, now: u64) {
         self.last_number += 1;
         let number = self.last_number;
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -6,7 +6,7 @@
 use state::{name, policy};
 
 use crate::{
-    claim, control_log, evacuation,
+    announcement, claim, control_log, evacuation,
     event::{Event, Known, Note, Output, Reply, Ticket},
     fetch, incarnation,
     job::{Refusal, Verdict},
@@ -32,9 +32,6 @@
 /// may be out of date in any case. The list of a zone of a thousand upstreams takes 150 KB.
 const SAVE_INTERVAL: u64 = 1_000 * MS;
 
-/// Log line for a rejected announcement.
-const ANNOUNCEMENT_REFUSED: &str = "upstream: Announcement refused.";
-
 /// Configuration of one instance.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -79,6 +76,7 @@
     pub(crate) membership: membership::Membership,
     pub(crate) claims: leadership::Claims,
     pub(crate) table: upstream::Table,
+    pub(crate) unchecked: announcement::Unchecked,
     /// The zones whose upstreams this instance knows, including its own zone.
     pub(crate) zones: collections::BTreeMap<name::Name, zone::Zone>,
     /// Entries of other zones that this keeper watches, as of the last tick.
@@ -121,6 +119,7 @@
             membership,
             claims: leadership::Claims::default(),
             table: upstream::Table::default(),
+            unchecked: announcement::Unchecked::default(),
             zones: collections::BTreeMap::new(),
             watched_entries: Vec::new(),
             suspects: suspect::Suspects::default(),
@@ -167,7 +166,9 @@
             Event::Disconnected(ticket) => self.submissions.disconnect(ticket),
             Event::Announce(ticket, record) => self.announce(ticket, &record, now),
             Event::UnknownService(ticket, record) => self.announce_unlisted(ticket, &record, now),
-            Event::RejectedAnnouncement(id, why) => self.note(ANNOUNCEMENT_REFUSED, &id, why),
+            Event::Unchecked(ticket, record) => self.announce_unchecked(ticket, record, now),
+            Event::Services(services) => self.check_announcements(services, now),
+            Event::RejectedAnnouncement(id, why) => self.note_refused(&id, why),
             Event::Withdraw(ticket, id) => self.withdraw(ticket, &id, now),
             Event::Publish(ticket, document) => match &mut self.control_log {
                 Some(control_log) => control_log.publish(ticket, document, now.mono),
@@ -322,64 +323,6 @@
         }
     }
 
-    pub(crate) fn announce(&mut self, ticket: Ticket, record: &upstream::Record, now: Now) {
-        if self.table.is_undated(record) {
-            self.note(ANNOUNCEMENT_REFUSED, &record.id.name, "no start time".to_owned());
-            return self.reply(ticket, Reply::Incomplete);
-        }
-        if let Some(merged) = self.table.merge(record.clone()) {
-            let upstream::Record { id, phase, address, zone, .. } = record;
-            let detail = format!("{phase:?} at {address} in {zone}, incarnation {}", id.started);
-            self.note("upstream: Announced.", &record.id.name, detail);
-            self.send_record(&merged, now);
-        }
-        self.reply(ticket, Reply::Noted);
-    }
-
-    /// Handles an announcement for a service that the active configuration does not name. Accepts
-    /// it if the upstream is already known to belong to that service: a change may have removed the
-    /// service, and the upstream may be leaving. Rejects it otherwise, since the announcement may
-    /// come from another writer. If the service is added later, the next announcement is accepted.
-    pub(crate) fn announce_unlisted(
-        &mut self,
-        ticket: Ticket,
-        record: &upstream::Record,
-        now: Now,
-    ) {
-        if self.table.get(&record.id).is_some_and(|held| held.service == record.service) {
-            return self.announce(ticket, record, now);
-        }
-        self.note(ANNOUNCEMENT_REFUSED, &record.id.name, format!("no service {}", record.service));
-        self.reply(ticket, Reply::Unavailable);
-    }
-
-    pub(crate) fn withdraw(&mut self, ticket: Ticket, id: &incarnation::Incarnation, now: Now) {
-        let withdrawn = self.table.withdrawn(id);
-        if let Some(record) = withdrawn.and_then(|id| self.table.mark_gone(&id, true)) {
-            self.note("upstream: Withdrawn.", &id.name, record.id.to_string());
-            self.send_record(&record, now);
-        } else {
-            self.note("upstream: Ignored a withdrawal.", &id.name, id.to_string());
-        }
-        self.reply(ticket, Reply::Noted);
-    }
-
-    /// Sends the record of an upstream to every instance that may schedule this upstream.
-    pub(crate) fn send_record(&mut self, record: &upstream::Record, now: Now) {
-        self.forward_record(record);
-        let names: Vec<_> = self.membership.names().cloned().collect();
-        for to in names {
-            let interested = self
-                .membership
-                .peer(&to)
-                .and_then(|peer| peer.card.as_ref())
-                .is_some_and(|card| self.receives_records(card, &record.zone));
-            if interested {
-                self.send(&to, Body::Records(vec![record.clone()]), now);
-            }
-        }
-    }
-
     pub(crate) fn drain(&mut self, now: Now) {
         self.draining = true;
         if let Some(control_log) = &mut self.control_log {
@@ -415,6 +358,10 @@
             for (ticket, reply) in out.replies {
                 self.reply(ticket, reply);
             }
+            let me = self.membership.me().name.clone();
+            for detail in out.expired {
+                self.note("settings: Order not committed in time.", &me, detail);
+            }
             self.adopt_log(now);
         }
     }
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -1,5 +1,7 @@
 //! Events that an instance handles, and the effects that it returns.
 
+use std::collections;
+
 use state::name;
 
 use crate::{incarnation, job, message, order, timing, upstream};
@@ -25,6 +27,11 @@
     /// An upstream announces itself for a service that is missing from this instance's active
     /// configuration.
     UnknownService(Ticket, upstream::Record),
+    /// An upstream announces itself before a configuration was read against which its service can
+    /// be checked.
+    Unchecked(Ticket, upstream::Record),
+    /// A configuration was read, which names these services.
+    Services(collections::BTreeSet<name::Name>),
     /// An announcement under this id is rejected, with the reason.
     RejectedAnnouncement(name::Name, String),
     /// An upstream announces that it shuts down.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -59,6 +59,7 @@
 
 pub mod active;
 mod admission;
+mod announcement;
 mod assignment;
 pub mod call_timeout;
 pub mod capacity_limit;
--- a/crates/dispatch/tests/sample/mod.rs
+++ b/crates/dispatch/tests/sample/mod.rs
@@ -8,6 +8,7 @@
 };
 
 /// The clock of the upstreams when a test begins, milliseconds.
+#[allow(dead_code, reason = "not every test uses it")]
 pub const CLOCK: u64 = 500_000;
 
 /// Returns the record of an upstream with room for two tasks.
@@ -37,6 +38,7 @@
 }
 
 /// Returns a job of `count` tasks of 200 ms each.
+#[allow(dead_code, reason = "not every test uses it")]
 pub fn job(id: &str, count: u32) -> Job {
     let need = Room { cpu: 14_000, memory: 64, accelerators: 0 };
     Job {
