A stream between instances ends with its connection

Callers saw: with serve, an instance that is restarted may join no group, or not get the present settings, for as long as another one runs (leader_lost, known red). Cause: the channel of tonic reconnects below a call, and the call at times never ends when a connection is closed just after it was opened. The sender waited for the end of the call only, with no connection left whose pings could fail.

--- a/crates/apricotroute/src/control.rs
+++ b/crates/apricotroute/src/control.rs
@@ -220,6 +220,7 @@
     settings: String,
     ejections: u64,
     expelled: u64,
+    closed: String,
 }
 
 impl Thread {
@@ -390,14 +391,18 @@
             self.waiting_since = time::Instant::now();
         } else if self.waiting_since.elapsed() >= WAIT_LOG_INTERVAL {
             self.waiting_since = time::Instant::now();
-            let closed = self.outbox.closed_streams().into_iter();
-            let closed: Vec<_> = closed.map(|(to, why)| format!("{to}: {why}")).collect();
             slog::info!(self.log, "control: Not ready.";
                 "waiting" => self.core.waits_for(self.control.clock.now()),
-                "closed" => closed.join(", "));
+                "closed" => self.closed_streams());
         }
     }
 
+    /// Returns the instances to which no stream is open, each with the reason.
+    fn closed_streams(&self) -> String {
+        let closed = self.outbox.closed_streams().into_iter();
+        closed.map(|(to, why)| format!("{to}: {why}")).collect::<Vec<_>>().join(", ")
+    }
+
     /// Publishes readiness and logs changes of the state.
     fn publish(&mut self) {
         let ready = self.core.is_ready();
@@ -414,6 +419,7 @@
             settings: self.core.settings_leader(),
             ejections: self.core.fleet().ejections(),
             expelled: self.core.counts().expelled,
+            closed: self.closed_streams(),
         };
         if current == self.logged {
             return;
@@ -432,6 +438,9 @@
         if former.settings != current.settings {
             slog::info!(self.log, "settings: Leader changed."; "leader" => &current.settings);
         }
+        if former.closed != current.closed {
+            slog::info!(self.log, "peer: Closed streams changed."; "closed" => &current.closed);
+        }
         if former.expelled < current.expelled {
             slog::warn!(self.log, "journal: Expelled a silent instance.");
         }
--- a/crates/apricotroute/tests/harness/mod.rs
+++ b/crates/apricotroute/tests/harness/mod.rs
@@ -247,8 +247,9 @@
             let updated = || Self::settings_version(instance).is_some_and(|known| known >= version);
             assert!(
                 eventually(5_000, updated),
-                "{} has not reached settings version {version}",
-                instance.name
+                "{} has not reached settings version {version}: {}",
+                instance.name,
+                self.report()
             );
         }
     }
--- a/crates/coord/tests/formation.rs
+++ b/crates/coord/tests/formation.rs
@@ -59,7 +59,7 @@
     (0..count).for_each(|at| net.restart(at));
     net.run_until_ready(READY_LIMIT);
     // The last changes still have to reach all instances.
-    net.run(2_000);
+    net.run(READY_LIMIT);
     net.check_changes();
 }
 
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -5,13 +5,16 @@
 //! for. HTTP/2 pings detect an unresponsive peer, so that a stream over a broken link is reopened
 //! as soon as the link works again and does not wait for TCP retransmissions on the old connection.
 
-use std::{net, sync, time};
+use std::{sync, task, time};
 
 use bytes::Bytes;
+use hyper::client::conn::http2;
+use hyper_util::rt;
 use proto::peer;
 use state::name;
-use tokio::sync::mpsc;
+use tokio::{net, sync::mpsc};
 use tokio_stream::{StreamExt as _, wrappers};
+use tonic::{body, codegen};
 
 use crate::{error, metric, socket};
 
@@ -90,7 +93,7 @@
         runtime: &tokio::runtime::Runtime,
         me: &name::Name,
         to: &name::Name,
-        address: net::SocketAddr,
+        address: std::net::SocketAddr,
     ) -> Self {
         let (queue, receiver) = mpsc::channel(QUEUE_CAPACITY);
         let state = StreamState::default();
@@ -124,32 +127,23 @@
 struct Route {
     me: name::Name,
     to: name::Name,
-    address: net::SocketAddr,
+    address: std::net::SocketAddr,
 }
 
 async fn run_sender(route: Route, mut queue: mpsc::Receiver<Vec<Bytes>>, state: StreamState) {
-    let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{}", route.address));
-    let endpoint = match endpoint {
-        Ok(endpoint) => endpoint,
-        Err(e) => return state.set(Some(e.to_string())),
-    };
-    let endpoint = endpoint
-        .tcp_nodelay(true)
-        .http2_keep_alive_interval(PING_INTERVAL)
-        .keep_alive_timeout(PING_TIMEOUT);
     let mut failures = 0;
     while !queue.is_closed() {
         let is_quick = failures < QUICK_ATTEMPTS;
         let timeout = if is_quick { QUICK_TIMEOUT } else { SLOW_TIMEOUT };
         let mut pause = if is_quick { QUICK_PAUSE } else { SLOW_PAUSE };
-        match endpoint.clone().connect_timeout(timeout).connect().await {
-            Ok(channel) => {
+        match connect(route.address, timeout).await {
+            Ok((channel, connection)) => {
                 state.set(None);
-                state.set(Some(run_stream(channel, &route, &mut queue).await));
+                state.set(Some(run_stream(channel, connection, &route, &mut queue).await));
                 failures = 0;
                 pause = SLOW_PAUSE;
             }
-            Err(e) => state.set(Some(describe(&e))),
+            Err(why) => state.set(Some(why)),
         }
         failures += 1;
         // Batches that were queued while no stream was open are dropped, like messages lost in
@@ -159,6 +153,45 @@
     }
 }
 
+/// Sends requests on one connection.
+struct Channel(http2::SendRequest<body::Body>);
+
+type Connection = http2::Connection<rt::TokioIo<net::TcpStream>, body::Body, rt::TokioExecutor>;
+
+impl codegen::Service<codegen::http::Request<body::Body>> for Channel {
+    type Response = codegen::http::Response<hyper::body::Incoming>;
+    type Error = hyper::Error;
+    type Future = codegen::BoxFuture<Self::Response, Self::Error>;
+
+    fn poll_ready(&mut self, cx: &mut task::Context<'_>) -> task::Poll<Result<(), Self::Error>> {
+        self.0.poll_ready(cx)
+    }
+
+    fn call(&mut self, req: codegen::http::Request<body::Body>) -> Self::Future {
+        Box::pin(self.0.send_request(req))
+    }
+}
+
+/// Opens a connection. The caller polls it and so learns when it ends.
+///
+/// The channel of `tonic` reconnects by itself. When the other side closes a connection that was
+/// just opened, a call on it at times never ends, although no connection is left.
+async fn connect(
+    address: std::net::SocketAddr,
+    timeout: time::Duration,
+) -> Result<(Channel, Connection), String> {
+    let stream = tokio::time::timeout(timeout, net::TcpStream::connect(address)).await;
+    let stream = stream.map_err(|e| describe(&e))?.map_err(|e| describe(&e))?;
+    stream.set_nodelay(true).map_err(|e| describe(&e))?;
+    let handshake = http2::Builder::new(rt::TokioExecutor::new())
+        .timer(rt::TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .handshake(rt::TokioIo::new(stream));
+    let (sender, connection) = handshake.await.map_err(|e| describe(&e))?;
+    Ok((Channel(sender), connection))
+}
+
 /// Formats an error with its causes.
 fn describe(error: &dyn std::error::Error) -> String {
     let causes = std::iter::successors(Some(error), |error| error.source());
@@ -167,11 +200,17 @@
 
 /// Sends queued batches on one stream until it fails; returns the reason.
 async fn run_stream(
-    channel: tonic::transport::Channel,
+    channel: Channel,
+    connection: Connection,
     route: &Route,
     queue: &mut mpsc::Receiver<Vec<Bytes>>,
 ) -> String {
-    let mut client = peer::peer_client::PeerClient::new(channel)
+    let origin = codegen::http::Uri::builder().scheme("http").authority(route.address.to_string());
+    let origin = match origin.path_and_query("/").build() {
+        Ok(origin) => origin,
+        Err(e) => return describe(&e),
+    };
+    let mut client = peer::peer_client::PeerClient::with_origin(channel, origin)
         .max_encoding_message_size(MAX_MESSAGE)
         .max_decoding_message_size(MAX_MESSAGE);
     let (sender, receiver) = mpsc::channel(16);
@@ -181,29 +220,34 @@
         return CLOSED.to_owned();
     }
     let call = client.deliver(wrappers::ReceiverStream::new(receiver));
-    tokio::pin!(call);
-    loop {
-        tokio::select! {
-            result = &mut call => {
-                return result.map_or_else(|status| describe(&status), |_| CLOSED.to_owned());
-            }
-            batch = queue.recv() => {
-                let Some(mut bodies) = batch else { return CLOSED.to_owned() };
-                while let Ok(more) = queue.try_recv() {
-                    bodies.extend(more);
-                }
-                if sender.send(peer::Envelope { hello: None, bodies }).await.is_err() {
-                    return CLOSED.to_owned();
-                }
-            }
+    tokio::select! {
+        biased;
+        result = call => result.map_or_else(|status| describe(&status), |_| CLOSED.to_owned()),
+        result = connection => result.map_or_else(|e| describe(&e), |()| CLOSED.to_owned()),
+        () = forward_batches(queue, &sender) => CLOSED.to_owned(),
+    }
+}
+
+/// Passes queued batches on to a stream until either end is closed.
+async fn forward_batches(
+    queue: &mut mpsc::Receiver<Vec<Bytes>>,
+    sender: &mpsc::Sender<peer::Envelope>,
+) {
+    while let Ok(permit) = sender.reserve().await {
+        let Some(mut bodies) = queue.recv().await else {
+            return;
+        };
+        while let Ok(more) = queue.try_recv() {
+            bodies.extend(more);
         }
+        permit.send(peer::Envelope { hello: None, bodies });
     }
 }
 
 /// A gRPC server that accepts the streams of other instances.
 #[derive(Debug)]
 pub struct Server {
-    address: net::SocketAddr,
+    address: std::net::SocketAddr,
 }
 
 impl Server {
@@ -222,7 +266,7 @@
     /// ```
     pub fn open(
         runtime: &tokio::runtime::Runtime,
-        address: net::SocketAddr,
+        address: std::net::SocketAddr,
         me: &name::Name,
         inbox: sync::Arc<dyn Inbox>,
     ) -> Result<Self, error::Error> {
@@ -245,7 +289,7 @@
     }
 
     /// Returns the local address of the listener.
-    pub fn address(&self) -> net::SocketAddr {
+    pub fn address(&self) -> std::net::SocketAddr {
         self.address
     }
 }
--- a/crates/link/tests/streams.rs
+++ b/crates/link/tests/streams.rs
@@ -1,6 +1,6 @@
 //! An outbox tells which of its streams are closed, and why.
 
-use std::{sync, thread, time};
+use std::{collections, net, sync, thread, time};
 
 use bytes::Bytes;
 use link::peer;
@@ -57,3 +57,36 @@
     let nobody = connect(&names[0], &names[1], "127.0.0.1:9".parse().unwrap());
     wait(&nobody, Some("refused"));
 }
+
+#[test]
+fn closed_at_once() {
+    // Nobody stands behind this address: each connection is closed as soon as it is accepted. A
+    // stream over a connection that was closed at a bad moment stayed open for good.
+    const STREAMS: usize = 200;
+    const TEST_TIME: time::Duration = time::Duration::from_secs(12);
+    // An unanswered ping closes a stream after 4 s.
+    const MAX_OPEN: time::Duration = time::Duration::from_secs(6);
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || listener.incoming().for_each(drop));
+    let me = Name::new("west-1");
+    let names: Vec<_> = (0..STREAMS).map(|at| Name::new(&format!("west-{at}"))).collect();
+    let outbox = names
+        .iter()
+        .fold(peer::Outbox::new(), |outbox, to| outbox.with_peer(&runtime, &me, to, address));
+    let start = time::Instant::now();
+    let mut last_closed = vec![start; STREAMS];
+    while start.elapsed() < TEST_TIME {
+        let closed: collections::BTreeSet<_> =
+            outbox.closed_streams().into_iter().map(|(name, _)| name).collect();
+        for (to, last_closed) in names.iter().zip(&mut last_closed) {
+            outbox.send(to, vec![Bytes::from_static(b"message")]);
+            if closed.contains(to) {
+                *last_closed = time::Instant::now();
+            }
+            assert!(last_closed.elapsed() < MAX_OPEN, "the stream to {to} is open");
+        }
+        thread::sleep(time::Duration::from_millis(2));
+    }
+}
