--- a/crates/link/src/caller.rs
+++ b/crates/link/src/caller.rs
@@ -1,10 +1,9 @@
 //! An asynchronous HTTP/1.1 client that reuses connections.
 //!
-//! A server that writes two responses to one request would answer the next request on that
-//! connection with the second one. Two checks prevent this. A connection is not reused until it has
-//! been idle for [`MIN_IDLE`], and any byte that arrives while it is idle closes it. And a response
-//! on a reused connection must state a server clock that has advanced since the previous response
-//! (see [`Connection::accept`]).
+//! If a server writes two responses to one request, the second one could be read as the response to
+//! the next request on that connection. A byte that arrives while the connection is idle closes it,
+//! and a response on a reused connection must state a server clock that has advanced since the
+//! previous response (see [`Connection::accept`]).
 
 use std::{collections, net, sync, time};
 
@@ -22,9 +21,9 @@
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 /// An idle connection is not reused after this time, because the other side may have closed it.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-/// A connection that was used less than this time ago is not reused. A second response to the last
-/// request arrives within this time, or the server's clock has advanced by more than its resolution
-/// of 1 ms.
+/// A connection that was used less than this time ago is not reused. After this time, the server's
+/// clock has advanced by more than its resolution of 1 ms, so that a copy of the last response is
+/// recognized.
 const MIN_IDLE: time::Duration = time::Duration::from_millis(5);
 /// Maximum number of idle connections for one address.
 const MAX_IDLE: usize = 8;
