--- a/crates/dispatch/src/announcement.rs
+++ b/crates/dispatch/src/announcement.rs
@@ -15,6 +15,7 @@
 
 /// Log line for a rejected announcement.
 const REFUSED: &str = "upstream: Announcement refused.";
+
 impl Core {
     pub(crate) fn announce(&mut self, ticket: Ticket, record: &Record, now: Now) {
         if self.table.is_undated(record) {
