Read once more: one way to connect, one bound for the slowest clock, one refusal of each kind

Cause: link::peer opened its connections as link::caller did, line for line; the longest time of a lease by the slowest clock was worked out in three places of dispatch; waiting announcements were refused by copies of the checks of others; Logged derived comparisons that nothing calls, and every configuration read walked all peers to send them no record. Ruled out: parting the tests that repeat their set-up (long_leases, incarnations, room): they share no logic. Change: socket::connect, time::on_slowest, note_unlisted and refuse_undated; no walk without records. Behaviour is meant to stay as it is; no test is touched.

--- a/crates/apricotroute/src/changes.rs
+++ b/crates/apricotroute/src/changes.rs
@@ -3,7 +3,7 @@
 use coord::core;
 
 /// State as of the last log lines.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Debug, Default)]
 pub struct Logged {
     ready: bool,
     members: String,
--- a/crates/dispatch/src/announcement.rs
+++ b/crates/dispatch/src/announcement.rs
@@ -18,8 +18,7 @@
 
 impl Core {
     pub(crate) fn announce(&mut self, ticket: Ticket, record: &Record, now: Now) {
-        if self.table.is_undated(record) {
-            self.note_refused(&record.id.name, "no start time".to_owned());
+        if self.refuse_undated(record) {
             return self.reply(ticket, Reply::Incomplete);
         }
         if let Some(merged) = self.merge_announced(record) {
@@ -36,7 +35,7 @@
         if self.is_known(record) {
             return self.announce(ticket, record, now);
         }
-        self.note_refused(&record.id.name, format!("no service {}", record.service));
+        self.note_unlisted(record);
         self.reply(ticket, Reply::Unavailable);
     }
 
@@ -63,14 +62,14 @@
         let mut merged = Vec::new();
         for record in self.unchecked.take(services) {
             if self.unchecked.is_listed(&record.service) != Some(true) {
-                self.note_refused(&record.id.name, format!("no service {}", record.service));
-            } else if self.table.is_undated(&record) {
-                self.note_refused(&record.id.name, "no start time".to_owned());
-            } else {
+                self.note_unlisted(&record);
+            } else if !self.refuse_undated(&record) {
                 merged.extend(self.merge_announced(&record));
             }
         }
-        self.send_records(&merged, now);
+        if !merged.is_empty() {
+            self.send_records(&merged, now);
+        }
     }
 
     pub(crate) fn withdraw(&mut self, ticket: Ticket, id: &Incarnation, now: Now) {
@@ -89,6 +88,20 @@
         self.note(REFUSED, id, why);
     }
 
+    fn note_unlisted(&mut self, record: &Record) {
+        self.note_refused(&record.id.name, format!("no service {}", record.service));
+    }
+
+    /// Whether an announcement lacks the start time that others of its service state; logs it if it
+    /// does.
+    fn refuse_undated(&mut self, record: &Record) -> bool {
+        let is_undated = self.table.is_undated(record);
+        if is_undated {
+            self.note_refused(&record.id.name, "no start time".to_owned());
+        }
+        is_undated
+    }
+
     /// Whether the table holds the upstream of an announcement under the same service.
     fn is_known(&self, record: &Record) -> bool {
         self.table.get(&record.id).is_some_and(|held| held.service == record.service)
--- a/crates/dispatch/src/restart.rs
+++ b/crates/dispatch/src/restart.rs
@@ -56,7 +56,7 @@
         }
         // The end of a lease on the clock of the former incarnation means nothing on that of the
         // next one, which grants its longest lease instead.
-        let until = now + self.longest_lease * time::MS * (1_000 + time::MAX_DRIFT) / 1_000;
+        let until = now + time::on_slowest(self.longest_lease * time::MS);
         if let Some(session) = self.sessions.get_mut(next) {
             session.inherit(unlisted, fence, until, now);
             self.idle_sessions.insert(next.clone());
--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -263,7 +263,7 @@
         let clock = self.clock?;
         let until = clock.remote + now.saturating_sub(clock.local) / time::MS + lease;
         let left = until.saturating_sub(clock.remote) * time::MS;
-        let end = clock.local + left + left * time::MAX_DRIFT / 1_000;
+        let end = clock.local + time::on_slowest(left);
         self.lease_end = self.lease_end.max(end);
         Some(until)
     }
--- a/crates/dispatch/src/upkeep.rs
+++ b/crates/dispatch/src/upkeep.rs
@@ -21,7 +21,7 @@
 /// Longest time between two ticks of a scheduler that is not stopped, microseconds.
 const MAX_TICK: u64 = 40 * time::MS;
 const _: () = {
-    let lease = sched::MAX_LEASE * time::MS * (1_000 + time::MAX_DRIFT) / 1_000;
+    let lease = time::on_slowest(sched::MAX_LEASE * time::MS);
     assert!(sched::FORMER_RUN_TIMEOUT >= ABANDON_AFTER + MAX_TICK + lease);
 };
 /// Interval at which the scheduler repeats the stop order for an unwanted run, in microseconds.
--- a/crates/link/src/caller.rs
+++ b/crates/link/src/caller.rs
@@ -12,7 +12,7 @@
 use hyper::{client::conn::http1, header};
 use hyper_util::rt;
 
-use crate::metric;
+use crate::{metric, socket};
 
 /// Maximum size of a response body in bytes.
 const MAX_BODY: usize = 4 << 20;
@@ -209,10 +209,8 @@
 }
 
 async fn connect(address: net::SocketAddr, timeout: time::Duration) -> Result<Sender, Failure> {
-    let stream = tokio::net::TcpStream::connect(address);
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT.min(timeout), stream).await;
-    let stream = stream.ok().and_then(Result::ok).ok_or(Failure::Unsent)?;
-    stream.set_nodelay(true).ok().ok_or(Failure::Unsent)?;
+    let stream = socket::connect(address, CONNECT_TIMEOUT.min(timeout)).await;
+    let stream = stream.ok().ok_or(Failure::Unsent)?;
     let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
     let (sender, connection) = handshake.ok().ok_or(Failure::Unsent)?;
     tokio::spawn(async move {
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -180,9 +180,7 @@
     address: std::net::SocketAddr,
     timeout: time::Duration,
 ) -> Result<(Channel, Connection), String> {
-    let stream = tokio::time::timeout(timeout, net::TcpStream::connect(address)).await;
-    let stream = stream.map_err(|e| describe(&e))?.map_err(|e| describe(&e))?;
-    stream.set_nodelay(true).map_err(|e| describe(&e))?;
+    let stream = socket::connect(address, timeout).await.map_err(|e| describe(&e))?;
     let handshake = http2::Builder::new(rt::TokioExecutor::new())
         .timer(rt::TokioTimer::new())
         .keep_alive_interval(PING_INTERVAL)
--- a/crates/link/src/socket.rs
+++ b/crates/link/src/socket.rs
@@ -1,6 +1,6 @@
-//! Listening TCP sockets.
+//! TCP sockets: listening ones, and connections to other processes.
 
-use std::{io, net};
+use std::{io, net, time};
 
 /// Maximum number of connections that wait to be accepted. The system drops further connections,
 /// and their clients retry after 1 s. The default of 128 was exceeded in most runs with 400
@@ -26,3 +26,17 @@
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
+
+/// Connects to `address` within `timeout`. Data is sent without waiting for more of it.
+///
+/// # Errors
+///
+/// Returns an error if the address does not accept the connection in time.
+pub(crate) async fn connect(
+    address: net::SocketAddr,
+    timeout: time::Duration,
+) -> io::Result<tokio::net::TcpStream> {
+    let stream = tokio::time::timeout(timeout, tokio::net::TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
