Layers of the dispatch crate, and the capacity of an instance as part of its identity

The crate had 53 files side by side. They now lie in four folders, of which each imports only from those before it; the public paths are the same. A test holds the order of the layers (it was seen to find an import of a later layer).

Each instance's card carries what it can bear; so far only the processor's share is filled in and nothing reads it. Ruled out: a message of its own, which would arrive later than the first claim.

--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -166,7 +166,10 @@
         node::Role::Keeper => member::Role::Keeper,
     };
     let name = peer_name(node);
-    let me = member::Card { name: name.clone(), zone: node.zone.clone(), role, incarnation };
+    let cpu = u32::try_from(node.millicores).unwrap_or(u32::MAX);
+    let capacity = member::Capacity { cpu, ..member::Capacity::default() };
+    let zone = node.zone.clone();
+    let me = member::Card { name: name.clone(), zone, role, incarnation, capacity };
     let seeds = node.seed_peers();
     let store = match &node.folder {
         Some(folder) => Some(open_store(node, folder, seeds.contains(&name), log)?),
--- a/crates/apricotroute/tests/floors.rs
+++ b/crates/apricotroute/tests/floors.rs
@@ -142,6 +142,31 @@
     }
 }
 
+/// Layers of the dispatch crate, each of which imports only from those before it.
+const LAYERS: [&str; 4] = ["messages", "tables", "decisions", "machines"];
+
+/// An import of a later layer, if there is one: the importing module and the imported one.
+fn find_upward(imports: &Imports) -> Option<(String, String)> {
+    let layer = |name: &str| {
+        let folder = name.split("::").next().unwrap_or("");
+        LAYERS.iter().position(|layer| *layer == folder)
+    };
+    imports.iter().find_map(|(name, used)| {
+        let own = layer(name).unwrap_or_else(|| panic!("{name} is in no layer"));
+        let up = used.iter().find(|other| layer(other) > Some(own))?;
+        Some((name.clone(), up.clone()))
+    })
+}
+
+#[test]
+fn layers_of_dispatch() {
+    let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("../dispatch/src");
+    assert_eq!(find_upward(&imports(&source)), None);
+    let pair = |name: &str, other: &str| (name.to_owned(), BTreeSet::from([other.to_owned()]));
+    let upward = Imports::from([pair("tables::peer", "machines::core")]);
+    assert!(find_upward(&upward).is_some(), "an import of a later layer is found");
+}
+
 #[test]
 fn circles_are_found() {
     // Checks that the helpers of the test above find imports in all forms, and cycles.
--- a/crates/dispatch/src/assignment.rs
+++ b/crates/dispatch/src/decisions/assignment.rs
@@ -2,7 +2,10 @@
 
 use state::name;
 
-use crate::{claim, share, time, view::View};
+use crate::{
+    decisions::view::View,
+    messages::{claim, share, time},
+};
 
 /// Largest number of former schedulers' sets of upstreams in a handover; a single [`UNKNOWN_SET`]
 /// replaces more of them.
--- a/crates/dispatch/src/leadership.rs
+++ b/crates/dispatch/src/decisions/leadership.rs
@@ -9,8 +9,11 @@
 use state::name;
 
 use crate::{
-    claim::{Claim, FENCE_STEP, OWNER_BITS},
-    evacuation, member, membership, time,
+    messages::{
+        claim::{Claim, FENCE_STEP, OWNER_BITS},
+        evacuation, member, time,
+    },
+    tables::membership,
 };
 
 /// An instance that starts waits this long for news of an existing scheduler, microseconds.
--- /dev/null
+++ b/crates/dispatch/src/decisions/mod.rs
@@ -0,0 +1,11 @@
+//! Decisions, one in each file. They read tables and change nothing but their own state.
+//!
+//! - [`leadership`]: which instance schedules a zone.
+//! - [`view`] and `assignment`: which scheduler gets a task.
+//! - [`queue`] and [`place`]: which job goes first, and which upstream gets its tasks.
+
+pub(crate) mod assignment;
+pub mod leadership;
+pub mod place;
+pub mod queue;
+pub mod view;
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/decisions/place.rs
@@ -17,7 +17,10 @@
 
 use state::policy;
 
-use crate::{incarnation, job, session, suspect, upstream};
+use crate::{
+    messages::{incarnation, job, suspect, upstream},
+    tables::session,
+};
 
 /// Result of an attempt to place a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/decisions/queue.rs
@@ -12,7 +12,10 @@
 //! - A job that cannot be answered in any useful time is refused at any load, as long as none of
 //!   its tasks has started.
 
-use crate::{active, job, message, time};
+use crate::{
+    messages::{job, message, time},
+    tables::active,
+};
 
 /// An answer after this many times the objective is worth nothing.
 const USEFUL_OBJECTIVES: u64 = 3;
--- a/crates/dispatch/src/view.rs
+++ b/crates/dispatch/src/decisions/view.rs
@@ -3,7 +3,11 @@
 
 use state::name;
 
-use crate::{claim, evacuation, leadership, membership};
+use crate::{
+    decisions::leadership,
+    messages::{claim, evacuation},
+    tables::membership,
+};
 
 /// The state that an entry uses to decide about its clients' jobs.
 #[derive(Clone, Copy, Debug)]
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,9 @@
 //! An instance is a [`Core`]. It takes events ([`event::Event`]) with their time ([`time::Now`])
 //! and returns effects ([`event::Output`]).
 //!
+//! The modules are in four layers, each of which uses only the layers before it: messages, tables of
+//! what an instance knows, decisions, and state machines.
+//!
 //! - [`membership`], [`peer`], [`watch_list`], [`redial`] and [`leadership`]: which instances are
 //!   alive, which of them exchange heartbeats, when streams are reconnected, and which instance
 //!   schedules a zone.
@@ -43,6 +46,7 @@
 //!     zone: "west".into(),
 //!     role: member::Role::Entry,
 //!     incarnation: 1_800_000_000_000,
+//!     capacity: member::Capacity { cpu: 1_000, ..member::Capacity::default() },
 //! };
 //! let policy = state::policy::Policy::default();
 //! let (seeds, zones, cores) = (Vec::new(), Vec::new(), 1_000);
@@ -57,57 +61,22 @@
 //! assert!(core.is_scheduler(), "it is the only instance");
 //! ```
 
-pub mod active;
-mod admission;
-mod announcement;
-mod assignment;
-pub mod call_timeout;
-pub mod capacity_limit;
-pub mod claim;
-pub mod compression;
-pub mod control_log;
-pub mod core;
-pub mod directory;
-pub mod evacuation;
-pub mod event;
-pub mod fetch;
-mod handback;
-pub mod health;
-pub mod incarnation;
-pub mod job;
-pub mod leadership;
-pub mod member;
-pub mod membership;
-pub mod message;
-pub mod order;
-mod outcome;
-pub mod peer;
-mod peers;
-pub mod place;
-mod propagation;
-pub mod queue;
-pub mod redial;
-mod relay;
-mod restart;
-pub mod routing;
-pub mod sched;
-mod scheduling;
-pub mod session;
-pub mod share;
-mod slow;
-pub mod speed;
-mod start;
-pub mod status;
-pub mod submissions;
-pub mod suspect;
-pub mod time;
-pub mod timing;
-mod unchecked;
-mod upkeep;
-pub mod upstream;
-pub mod view;
-pub mod watch_list;
-mod zone;
-mod zones;
+mod decisions;
+mod machines;
+mod messages;
+mod tables;
 
-pub use core::Core;
+pub use decisions::{leadership, place, queue, view};
+pub use machines::{
+    control_log,
+    core::{self, Core},
+    sched, status, submissions,
+};
+pub use messages::{
+    claim, compression, evacuation, event, incarnation, job, member, message, order, share,
+    suspect, time, timing, upstream,
+};
+pub use tables::{
+    active, call_timeout, capacity_limit, directory, fetch, health, membership, peer, redial,
+    routing, session, speed, watch_list,
+};
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/machines/admission.rs
@@ -3,14 +3,18 @@
 use state::name;
 
 use crate::{
-    active::{ActiveJob, Phase},
-    job::{Job, Refusal, Verdict},
-    message::{self, Decision},
-    order::End,
-    queue,
-    sched::{FORMER_RUN_TIMEOUT, Sched},
-    session::Session,
-    time, upstream,
+    decisions::queue,
+    machines::sched::{FORMER_RUN_TIMEOUT, Sched},
+    messages::{
+        job::{Job, Refusal, Verdict},
+        message::{self, Decision},
+        order::End,
+        time, upstream,
+    },
+    tables::{
+        active::{ActiveJob, Phase},
+        session::Session,
+    },
 };
 
 /// A new scheduler refuses no job for lack of room until its upstreams have answered, or this time
--- a/crates/dispatch/src/announcement.rs
+++ b/crates/dispatch/src/machines/announcement.rs
@@ -5,12 +5,14 @@
 use state::name;
 
 use crate::{
-    core::Core,
-    event::{Reply, Ticket},
-    incarnation::Incarnation,
-    message::Body,
-    time::Now,
-    upstream::Record,
+    machines::core::Core,
+    messages::{
+        event::{Reply, Ticket},
+        incarnation::Incarnation,
+        message::Body,
+        time::Now,
+        upstream::Record,
+    },
 };
 
 /// Log line for a rejected announcement.
--- a/crates/dispatch/src/control_log.rs
+++ b/crates/dispatch/src/machines/control_log.rs
@@ -6,7 +6,7 @@
 use coord::{entry, group, message as agree, raft};
 use state::name;
 
-use crate::{
+use crate::messages::{
     compression, evacuation,
     event::{Reply, Ticket},
     message::{Body, Document},
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/machines/core.rs
@@ -6,20 +6,25 @@
 use state::{name, policy};
 
 use crate::{
-    claim, control_log, evacuation,
-    event::{Event, Known, Note, Output, Reply, Ticket},
-    fetch, incarnation,
-    job::{Refusal, Verdict},
-    leadership, member, membership,
-    message::{Body, Document},
-    order, sched, submissions, suspect,
-    time::{MS, Now},
-    unchecked, upstream, view, zone,
+    decisions::{leadership, view},
+    machines::{control_log, sched, submissions, zone},
+    messages::{
+        claim, evacuation,
+        event::{Event, Known, Note, Output, Reply, Ticket},
+        incarnation,
+        job::{Refusal, Verdict},
+        member,
+        message::{Body, Document},
+        order, suspect,
+        time::{MS, Now},
+        upstream,
+    },
+    tables::{fetch, membership, unchecked},
 };
 
 /// An instance that handled no event for this long, in microseconds, counts as suspended: its
 /// knowledge of the other instances is too old to act on. A client that lost its entry submits its
-/// job again after 1,300 ms, and noticing that loss takes [`crate::peer::SILENCE_TIMEOUT`].
+/// job again after 1,300 ms, and noticing that loss takes [`crate::tables::peer::SILENCE_TIMEOUT`].
 const STALL_LIMIT: u64 = 600 * MS;
 
 /// When the wall clock advances this much more than the monotonic clock, in microseconds, the
--- a/crates/dispatch/src/handback.rs
+++ b/crates/dispatch/src/machines/handback.rs
@@ -4,11 +4,9 @@
 use state::name;
 
 use crate::{
-    active::{self, ActiveJob},
-    job::Verdict,
-    message,
-    sched::Sched,
-    share,
+    machines::sched::Sched,
+    messages::{job::Verdict, message, share},
+    tables::active::{self, ActiveJob},
 };
 
 impl Sched {
--- /dev/null
+++ b/crates/dispatch/src/machines/mod.rs
@@ -0,0 +1,26 @@
+//! State machines, which turn events into effects by these decisions.
+//!
+//! - [`core`]: one instance. `announcement`, `peers`, `propagation` and `scheduling` handle its
+//!   events, and [`status`] reports on it.
+//! - [`sched`]: the scheduler of one zone. `admission`, `start`, `outcome`, `handback`, `restart`,
+//!   `slow` and `upkeep` handle its events.
+//! - [`submissions`]: the jobs of an entry's clients.
+//! - [`control_log`]: the replicated configuration.
+
+mod admission;
+mod announcement;
+pub mod control_log;
+pub mod core;
+mod handback;
+mod outcome;
+mod peers;
+mod propagation;
+mod restart;
+pub mod sched;
+mod scheduling;
+mod slow;
+mod start;
+pub mod status;
+pub mod submissions;
+mod upkeep;
+pub(crate) mod zone;
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/machines/outcome.rs
@@ -6,13 +6,17 @@
 use state::name;
 
 use crate::{
-    active::{ActiveJob, Phase},
-    event, incarnation,
-    job::{Task, Verdict},
-    order::{End, Ended, Outcome, Reason, Running},
-    sched::{CallPurpose, Sched},
-    session::{Run, Stage},
-    time, timing, upstream,
+    machines::sched::{CallPurpose, Sched},
+    messages::{
+        event, incarnation,
+        job::{Task, Verdict},
+        order::{End, Ended, Outcome, Reason, Running},
+        time, timing, upstream,
+    },
+    tables::{
+        active::{ActiveJob, Phase},
+        session::{Run, Stage},
+    },
 };
 
 /// A task without progress for this long counts as hung, microseconds. The progress of a task of
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/machines/peers.rs
@@ -3,13 +3,15 @@
 use state::name;
 
 use crate::{
-    core::Core,
-    event::Output,
-    fetch, job, member,
-    message::{Adopted, AdoptedZone, Body, Handover, HeartbeatAck, Ping},
-    sched,
-    time::Now,
-    upstream, zone,
+    machines::{core::Core, sched, zone},
+    messages::{
+        event::Output,
+        job, member,
+        message::{Adopted, AdoptedZone, Body, Handover, HeartbeatAck, Ping},
+        time::Now,
+        upstream,
+    },
+    tables::fetch,
 };
 
 impl Core {
--- a/crates/dispatch/src/propagation.rs
+++ b/crates/dispatch/src/machines/propagation.rs
@@ -4,12 +4,15 @@
 use state::name;
 
 use crate::{
-    core::Core,
-    evacuation,
-    event::{Output, Reply, Ticket},
-    fetch, member,
-    message::{Body, Document, Part, PartRequest},
-    time::{MS, Now},
+    machines::core::Core,
+    messages::{
+        evacuation,
+        event::{Output, Reply, Ticket},
+        member,
+        message::{Body, Document, Part, PartRequest},
+        time::{MS, Now},
+    },
+    tables::fetch,
 };
 
 /// An instance answers no requests by its configuration once it has known a newer version for this
--- a/crates/dispatch/src/restart.rs
+++ b/crates/dispatch/src/machines/restart.rs
@@ -12,11 +12,13 @@
 use std::collections;
 
 use crate::{
-    active::Phase,
-    incarnation::Incarnation,
-    sched::Sched,
-    time,
-    upstream::{self, Record},
+    machines::sched::Sched,
+    messages::{
+        incarnation::Incarnation,
+        time,
+        upstream::{self, Record},
+    },
+    tables::active::Phase,
 };
 
 impl Sched {
--- a/crates/dispatch/src/sched.rs
+++ b/crates/dispatch/src/machines/sched.rs
@@ -5,13 +5,19 @@
 use state::{name, policy};
 
 use crate::{
-    active::{ActiveJob, Phase},
-    call_timeout, event, incarnation,
-    job::{Task, Verdict},
-    message,
-    order::{Call, End},
-    session::{Pace, Session},
-    speed, suspect, time, upstream,
+    messages::{
+        event, incarnation,
+        job::{Task, Verdict},
+        message,
+        order::{Call, End},
+        suspect, time, upstream,
+    },
+    tables::{
+        active::{ActiveJob, Phase},
+        call_timeout,
+        session::{Pace, Session},
+        speed,
+    },
 };
 
 /// How long runs that a former scheduler started for an entry may continue after the entry last
--- a/crates/dispatch/src/scheduling.rs
+++ b/crates/dispatch/src/machines/scheduling.rs
@@ -6,14 +6,17 @@
 use state::name;
 
 use crate::{
-    claim,
-    core::Core,
-    event::Output,
-    incarnation, leadership, member,
-    message::Body,
-    sched, suspect,
-    time::{MS, Now},
-    upstream,
+    decisions::leadership,
+    machines::{core::Core, sched},
+    messages::{
+        claim,
+        event::Output,
+        incarnation, member,
+        message::Body,
+        suspect,
+        time::{MS, Now},
+        upstream,
+    },
 };
 
 /// How long a scheduler whose token is refused waits for the message with the claim above its own,
--- a/crates/dispatch/src/slow.rs
+++ b/crates/dispatch/src/machines/slow.rs
@@ -1,6 +1,10 @@
 //! How a scheduler measures the speed of its upstreams from their answers.
 
-use crate::{incarnation, order::Running, sched::Sched, speed, time, timing};
+use crate::{
+    machines::sched::Sched,
+    messages::{incarnation, order::Running, time, timing},
+    tables::speed,
+};
 
 impl Sched {
     /// Updates the speed of an upstream from a completed run.
--- a/crates/dispatch/src/start.rs
+++ b/crates/dispatch/src/machines/start.rs
@@ -3,14 +3,18 @@
 use state::name;
 
 use crate::{
-    active::{ActiveJob, Phase},
-    event, incarnation,
-    job::{self, Task},
-    order::Order,
-    place, queue,
-    sched::{CallPurpose, Sched},
-    session::{Run, Stage},
-    suspect, time, timing,
+    decisions::{place, queue},
+    machines::sched::{CallPurpose, Sched},
+    messages::{
+        event, incarnation,
+        job::{self, Task},
+        order::Order,
+        suspect, time, timing,
+    },
+    tables::{
+        active::{ActiveJob, Phase},
+        session::{Run, Stage},
+    },
 };
 
 /// The scheduler starts a task only if its entry has asked for the job within this time by the
--- a/crates/dispatch/src/status.rs
+++ b/crates/dispatch/src/machines/status.rs
@@ -2,7 +2,11 @@
 
 use state::name;
 
-use crate::{core::Core, message, sched, session::Session, time, zone};
+use crate::{
+    machines::{core::Core, sched, zone},
+    messages::{message, time},
+    tables::session::Session,
+};
 
 /// Status of an instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/dispatch/src/submissions.rs
+++ b/crates/dispatch/src/machines/submissions.rs
@@ -17,12 +17,15 @@
 use state::{name, policy};
 
 use crate::{
-    assignment, claim,
-    event::{Measure, Note, Ticket},
-    job::{Job, Refusal, Verdict},
-    message::{Awaited, Body, Decision, Handover, Load, ReturnedTasks},
-    sched, share, time,
-    view::View,
+    decisions::{assignment, view::View},
+    machines::sched,
+    messages::{
+        claim,
+        event::{Measure, Note, Ticket},
+        job::{Job, Refusal, Verdict},
+        message::{Awaited, Body, Decision, Handover, Load, ReturnedTasks},
+        share, time,
+    },
 };
 
 /// Interval at which the entry informs a scheduler that it still awaits its jobs, microseconds: a
--- a/crates/dispatch/src/upkeep.rs
+++ b/crates/dispatch/src/machines/upkeep.rs
@@ -4,13 +4,18 @@
 use state::name;
 
 use crate::{
-    active::ActiveJob,
-    job::{Refusal, Verdict},
-    order::Order,
-    peer, queue,
-    sched::{self, CallPurpose, Sched},
-    session::{Session, Stage},
-    suspect, time, upstream,
+    decisions::queue,
+    machines::sched::{self, CallPurpose, Sched},
+    messages::{
+        job::{Refusal, Verdict},
+        order::Order,
+        suspect, time, upstream,
+    },
+    tables::{
+        active::ActiveJob,
+        peer,
+        session::{Session, Stage},
+    },
 };
 
 /// The scheduler drops a job when the last query of its entry was sent this long ago, in
--- a/crates/dispatch/src/zone.rs
+++ b/crates/dispatch/src/machines/zone.rs
@@ -2,7 +2,11 @@
 
 use std::collections;
 
-use crate::{directory, incarnation, message, sched, upstream};
+use crate::{
+    machines::sched,
+    messages::{incarnation, message, upstream},
+    tables::directory,
+};
 
 /// State of one zone: a keeper keeps it for all zones, an entry for its own zone.
 #[derive(Debug, Default)]
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/messages/event.rs
@@ -4,7 +4,7 @@
 
 use state::name;
 
-use crate::{incarnation, job, message, order, timing, upstream};
+use crate::messages::{incarnation, job, message, order, timing, upstream};
 
 /// Identifier of a request that awaits a reply.
 pub type Ticket = u64;
--- a/crates/dispatch/src/incarnation.rs
+++ b/crates/dispatch/src/messages/incarnation.rs
@@ -17,7 +17,7 @@
 ///
 /// The order of start times does not tell which incarnation is the newer one, because the wall
 /// clock of an upstream may be set back: an incarnation has ended once another one answers a call
-/// that was sent after the former was announced ([`crate::sched`]).
+/// that was sent after the former was announced ([`crate::machines::sched`]).
 ///
 /// The text form, which is also the serialized one, is the name alone for an upstream that states
 /// no start time.
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/messages/job.rs
@@ -2,7 +2,7 @@
 
 use state::name;
 
-use crate::upstream;
+use crate::messages::upstream;
 
 /// Step numbers; up to two are stored without an allocation.
 pub type Steps = smallvec::SmallVec<[u32; 2]>;
--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/messages/member.rs
@@ -14,6 +14,21 @@
     Entry,
 }
 
+/// What an instance can bear, from its settings. A field of 0 is unknown.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct Capacity {
+    /// CPU allowance, in thousandths of a core.
+    pub cpu: u32,
+    /// Memory, in megabytes.
+    pub memory: u32,
+    /// Maximum number of open files, and thus of connections.
+    pub descriptors: u32,
+    /// Bandwidth of its network link, in megabits a second.
+    pub link: u32,
+}
+
 /// Identity of one incarnation of an instance, as the instance reports it.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Card {
@@ -25,6 +40,8 @@
     pub role: Role,
     /// Incarnation: the wall clock when the process started, in milliseconds.
     pub incarnation: u64,
+    /// What it can bear.
+    pub capacity: Capacity,
 }
 
 impl Card {
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/messages/message.rs
@@ -2,7 +2,7 @@
 
 use state::name;
 
-use crate::{claim, evacuation, job, member, share, suspect, upstream};
+use crate::messages::{claim, evacuation, job, member, share, suspect, upstream};
 
 /// One message between two instances.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -103,7 +103,7 @@
     pub echo: bool,
     /// The receiver's last heartbeat that the sender received.
     pub ack: Option<HeartbeatAck>,
-    /// Digest of the upstreams of the sender's zone that it knows ([`crate::directory`]).
+    /// Digest of the upstreams of the sender's zone that it knows ([`crate::tables::directory`]).
     pub upstreams: u64,
     /// Whether it carries news that should not be delayed.
     pub urgent: bool,
@@ -225,7 +225,7 @@
 pub struct Document {
     /// Its version, assigned by the operator.
     pub version: u64,
-    /// Its text, compressed by [`crate::compression`]; this crate does not parse it.
+    /// Its text, compressed by [`crate::messages::compression`]; this crate does not parse it.
     pub body: bytes::Bytes,
 }
 
--- a/crates/dispatch/src/order.rs
+++ b/crates/dispatch/src/messages/order.rs
@@ -2,7 +2,7 @@
 
 use state::name;
 
-use crate::{incarnation, job};
+use crate::messages::{incarnation, job};
 
 /// An order to an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/dispatch/src/suspect.rs
+++ b/crates/dispatch/src/messages/suspect.rs
@@ -3,7 +3,7 @@
 //! This handles a task that crashes every upstream incarnation on which it starts, together with
 //! all the runs beside it. Nothing shows which of the tasks on a lost upstream was at fault, so all
 //! of them are suspects until they complete. The scheduler keeps suspects apart from one another
-//! and runs them where the least work would be lost ([`crate::place`]), so that a second loss
+//! and runs them where the least work would be lost ([`crate::decisions::place`]), so that a second loss
 //! identifies the task at fault; the scheduler then gives it up.
 //!
 //! An upstream that returns as a new incarnation proves the loss. One that stays silent until its
@@ -14,7 +14,7 @@
 
 use state::name;
 
-use crate::{incarnation, job, time};
+use crate::messages::{incarnation, job, time};
 
 /// Weight of a proved loss of an incarnation.
 const PROVED_WEIGHT: u32 = 3;
--- a/crates/dispatch/src/timing.rs
+++ b/crates/dispatch/src/messages/timing.rs
@@ -6,7 +6,7 @@
 
 use std::fmt;
 
-use crate::time;
+use crate::messages::time;
 
 /// The text before the parts of a task in a log line.
 const PREFIX: &str = "last task: ";
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/messages/upstream.rs
@@ -5,7 +5,7 @@
 
 use state::name;
 
-use crate::incarnation;
+use crate::messages::incarnation;
 
 /// Whether an upstream takes new work.
 #[derive(
--- a/crates/dispatch/src/active.rs
+++ b/crates/dispatch/src/tables/active.rs
@@ -2,7 +2,7 @@
 
 use state::name;
 
-use crate::{incarnation, job, message, share, time, timing};
+use crate::messages::{incarnation, job, message, share, time, timing};
 
 /// State of a task at one scheduler.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/dispatch/src/call_timeout.rs
+++ b/crates/dispatch/src/tables/call_timeout.rs
@@ -5,7 +5,7 @@
 //! tasks of 60 ms then loses a start, or the report of an end, and its objective leaves 90 ms to
 //! recover from all of that.
 
-use crate::time;
+use crate::messages::time;
 
 /// Longest timeout of an order, milliseconds: twenty round trips between zones. Until it has
 /// passed, the scheduler sends the upstream no other order.
--- a/crates/dispatch/src/capacity_limit.rs
+++ b/crates/dispatch/src/tables/capacity_limit.rs
@@ -6,7 +6,7 @@
 //! refusal each time (`room::refused_again_and_again`: 6 refusals in a second with the estimate, 33
 //! without).
 
-use crate::time;
+use crate::messages::time;
 
 /// Time for which the first refusal limits the capacity, microseconds: the unknown task may end.
 const INITIAL_PERIOD: u64 = 30 * time::MS;
--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/tables/directory.rs
@@ -7,7 +7,7 @@
 
 use std::collections;
 
-use crate::incarnation;
+use crate::messages::incarnation;
 
 /// Number of digests of former sets that a directory keeps; they take 16 KB in all. After a restart
 /// of the whole system, the instances of a zone with a thousand upstreams learn of all of them
--- a/crates/dispatch/src/fetch.rs
+++ b/crates/dispatch/src/tables/fetch.rs
@@ -8,7 +8,7 @@
 
 use state::name;
 
-use crate::{
+use crate::messages::{
     message::{Document, Part, PartRequest},
     time,
 };
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/tables/health.rs
@@ -1,6 +1,6 @@
 //! Health of an upstream, judged by the results of its runs and never by its own reports.
 
-use crate::time;
+use crate::messages::time;
 
 /// Number of most recent runs that count.
 const WINDOW: u32 = 8;
--- a/crates/dispatch/src/membership.rs
+++ b/crates/dispatch/src/tables/membership.rs
@@ -9,9 +9,11 @@
 use state::name;
 
 use crate::{
-    claim, member, message,
-    peer::{FORGET_AFTER, Peer, SILENCE_TIMEOUT},
-    redial, time, watch_list,
+    messages::{claim, member, message, time},
+    tables::{
+        peer::{FORGET_AFTER, Peer, SILENCE_TIMEOUT},
+        redial, watch_list,
+    },
 };
 
 /// Interval between two heartbeats to the same instance, microseconds. Three intervals fit into
--- a/crates/dispatch/src/peer.rs
+++ b/crates/dispatch/src/tables/peer.rs
@@ -2,7 +2,10 @@
 
 use state::name;
 
-use crate::{member, message, redial, time};
+use crate::{
+    messages::{member, message, time},
+    tables::redial,
+};
 
 /// An instance counts as lost after it was silent for this long, in microseconds. It has to be well
 /// below the time after which a client submits a job again (1,300 ms), less the lease duration.
--- a/crates/dispatch/src/redial.rs
+++ b/crates/dispatch/src/tables/redial.rs
@@ -6,7 +6,7 @@
 //! small. Each one that is answered soon allows more, unless answers recently came after a delay on
 //! streams that were not reconnected: dead streams do not recover by themselves.
 
-use crate::time;
+use crate::messages::time;
 
 /// A stream without an answer is reconnected after this time, in microseconds.
 const RETRY_AFTER: u64 = 700 * time::MS;
--- a/crates/dispatch/src/relay.rs
+++ b/crates/dispatch/src/tables/relay.rs
@@ -3,10 +3,12 @@
 use state::name;
 
 use crate::{
-    member,
-    membership::{HEARTBEAT_INTERVAL, Membership, name_hash},
-    peer::Peer,
-    peer::SILENCE_TIMEOUT,
+    messages::member,
+    tables::{
+        membership::{HEARTBEAT_INTERVAL, Membership, name_hash},
+        peer::Peer,
+        peer::SILENCE_TIMEOUT,
+    },
 };
 
 /// Messages to an instance that does not echo heartbeats are relayed after this time, in
--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/tables/session.rs
@@ -11,9 +11,12 @@
 use state::{name, policy};
 
 use crate::{
-    call_timeout, capacity_limit, claim, job,
-    order::{Call, Order, Running},
-    time, timing, upstream,
+    messages::{
+        claim, job,
+        order::{Call, Order, Running},
+        time, timing, upstream,
+    },
+    tables::{call_timeout, capacity_limit},
 };
 
 /// How long an upstream with runs may delay its answer while it waits for a run to end,
@@ -105,9 +108,9 @@
     /// The runs that may be in progress there.
     pub runs: collections::BTreeMap<job::Task, Run>,
     /// Its recent successes and failures.
-    pub health: crate::health::Health,
+    pub health: crate::tables::health::Health,
     /// How fast it runs tasks.
-    pub speed: crate::speed::Speed,
+    pub speed: crate::tables::speed::Speed,
     pub(crate) capacity_limit: capacity_limit::CapacityLimit,
     /// Tasks whose runs counted as ended when the leases expired while the upstream was silent.
     pub(crate) lapsed: Vec<job::Task>,
@@ -142,8 +145,8 @@
             lapsed: Vec::new(),
             record,
             runs: collections::BTreeMap::new(),
-            health: crate::health::Health::default(),
-            speed: crate::speed::Speed::default(),
+            health: crate::tables::health::Health::default(),
+            speed: crate::tables::speed::Speed::default(),
             number: 0,
             first_call: 0,
             fence,
--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/tables/speed.rs
@@ -7,7 +7,7 @@
 //! one run says little unless it is slower by far. Ratios are averaged as logarithms, because a run
 //! that takes twice as long as declared is as likely as one that takes half as long.
 
-use crate::time;
+use crate::messages::time;
 
 /// Weight of the newest run of one upstream.
 const RUN_WEIGHT: f64 = 0.5;
--- a/crates/dispatch/src/unchecked.rs
+++ b/crates/dispatch/src/tables/unchecked.rs
@@ -4,7 +4,7 @@
 
 use state::name;
 
-use crate::{incarnation::Incarnation, upstream::Record};
+use crate::messages::{incarnation::Incarnation, upstream::Record};
 
 /// Maximum number of upstreams that wait for the first configuration.
 const MAX_UNCHECKED: usize = 4_096;
--- a/crates/dispatch/src/watch_list.rs
+++ b/crates/dispatch/src/tables/watch_list.rs
@@ -11,7 +11,7 @@
 
 use state::name;
 
-use crate::{member, time};
+use crate::messages::{member, time};
 
 /// Up to this number of other instances, every instance watches its zone and all keepers;
 /// heartbeats then take under 1% of a core for each instance.
--- a/crates/dispatch/src/zones.rs
+++ b/crates/dispatch/src/tables/zones.rs
@@ -2,7 +2,10 @@
 
 use state::name;
 
-use crate::{member, membership::Membership, peer::Peer, watch_list};
+use crate::{
+    messages::member,
+    tables::{membership::Membership, peer::Peer, watch_list},
+};
 
 impl Membership {
     /// The other instances that are alive and not shutting down.
--- a/crates/dispatch/tests/announcements.rs
+++ b/crates/dispatch/tests/announcements.rs
@@ -9,7 +9,7 @@
     core::{Config, Core, Disk},
     event::{Event, Output, Reply, Ticket},
     incarnation::Incarnation,
-    member::{Card, Role},
+    member::{Capacity, Card, Role},
     time::Now,
     upstream::Record,
 };
@@ -24,7 +24,13 @@
 fn keeper() -> Core {
     let name = Name::new("10.0.0.1:7301");
     let config = Config {
-        me: Card { name: name.clone(), zone: "west".into(), role: Role::Keeper, incarnation: 1 },
+        me: Card {
+            name: name.clone(),
+            zone: "west".into(),
+            role: Role::Keeper,
+            incarnation: 1,
+            capacity: Capacity::default(),
+        },
         seeds: vec![name],
         longest_lease: 1_000,
         seed: 1,
--- a/crates/dispatch/tests/claims.rs
+++ b/crates/dispatch/tests/claims.rs
@@ -3,7 +3,7 @@
 use dispatch::{
     claim::Claim,
     leadership::{Candidate, Claims},
-    member::{Card, Role},
+    member::{Capacity, Card, Role},
     membership::Membership,
     time::{MS, Now},
 };
@@ -21,8 +21,13 @@
 /// Returns the same as `claim_time` for an entry that has been running for `age` milliseconds when
 /// its zone loses the other instances.
 fn claim_time_at_age(age: u64, candidate: Candidate, received_at: Option<u64>) -> u64 {
-    let card =
-        |name: &str, role| Card { name: name.into(), zone: "west".into(), role, incarnation: 7 };
+    let card = |name: &str, role| Card {
+        name: name.into(),
+        zone: "west".into(),
+        role,
+        incarnation: 7,
+        capacity: Capacity::default(),
+    };
     let membership = Membership::new(card("10.0.0.2:7", Role::Entry), &[], 0);
     let mut claims = Claims::default();
     let keeper =
--- a/crates/dispatch/tests/membership.rs
+++ b/crates/dispatch/tests/membership.rs
@@ -1,7 +1,7 @@
 //! The peers from which an instance expects heartbeats, and the peers that it forgets.
 
 use dispatch::{
-    member::{Card, Role},
+    member::{Capacity, Card, Role},
     membership::Membership,
     time::MS,
 };
@@ -18,6 +18,7 @@
         zone: "west".into(),
         role,
         incarnation: 7,
+        capacity: Capacity::default(),
     }
 }
 
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -11,7 +11,7 @@
     Core,
     event::{Event, Known, Reply},
     job::{Job, Task, Verdict},
-    member::{Card, Role},
+    member::{Capacity, Card, Role},
     message::Body,
     order::{Answer, Call, Outcome},
     time::Now,
@@ -296,7 +296,8 @@
             for at in 0..keepers + entries {
                 let role = if at < keepers { Role::Keeper } else { Role::Entry };
                 let name = Name::new(&format!("10.{zone}.0.{}:7", at + 1));
-                let card = Card { name, zone: zone_name(zone), role, incarnation: 0 };
+                let capacity = Capacity::default();
+                let card = Card { name, zone: zone_name(zone), role, incarnation: 0, capacity };
                 let disk = (role == Role::Keeper).then(|| (Mirror::default(), 1));
                 let instance = Instance {
                     card,
