An end that refuses a stream between instances says so, and the protocol has a new version

Cause: messages are encoded by position and have changed (an instance's card carries its capacity, claims will carry parts), while the version stayed at 1. An instance of an older build then opened its streams, none of its messages could be decoded, and only a counter showed it.

Ruled out: reading old bodies, which needs messages with named fields.

Change: the version is 2; each end logs once for each instance and reason why a stream or a message is refused, the opening end when it reconnects.

Test: link streams::reasons, extended: the refusing end reports three reasons. Two builds side by side were not run.

--- a/crates/apricotroute/src/control.rs
+++ b/crates/apricotroute/src/control.rs
@@ -12,7 +12,7 @@
 use link::{metric, peer, pool, span, task, trace};
 use state::{name, tree};
 
-use crate::{changes, clock, store};
+use crate::{changes, clock, refusals, store};
 
 /// Maximum number of inputs that wait for the control thread.
 const QUEUE_CAPACITY: usize = 65_536;
@@ -180,6 +180,10 @@
     fn allows_peer(&self, name: &name::Name) -> bool {
         self.peers.contains(name)
     }
+
+    fn report_refusal(&self, from: &name::Name, why: &str) {
+        self.refusals.report(from, why);
+    }
 }
 
 /// Forwards messages from other instances to the control thread.
@@ -189,6 +193,8 @@
     pub control: Control,
     /// Names of the other instances.
     pub peers: collections::BTreeSet<name::Name>,
+    /// Log of refused streams and bodies.
+    pub refusals: refusals::Refusals,
 }
 
 struct Thread {
--- a/crates/apricotroute/src/instance.rs
+++ b/crates/apricotroute/src/instance.rs
@@ -7,7 +7,7 @@
 use link::{http, metric, peer, pool, span};
 use state::boot;
 
-use crate::{client, clock, control, error, operator, status, store};
+use crate::{client, clock, control, error, operator, refusals, status, store};
 
 /// Threads of the runtime that runs the listeners and streams.
 const RUNTIME_THREADS: usize = 2;
@@ -120,7 +120,8 @@
     let store = open_store(boot, incarnation, log)?;
     let (control, channel) = control::Control::new(clock::Clock::new());
     let peers = boot.peers.iter().map(|peer| peer.instance.clone()).collect();
-    let inbox = sync::Arc::new(control::Inbox { control: control.clone(), peers });
+    let refusals = refusals::Refusals::new(log.clone());
+    let inbox = sync::Arc::new(control::Inbox { control: control.clone(), peers, refusals });
     peer::Server::open(runtime, boot.peer, &boot.instance, inbox)
         .change_context_lazy(|| error::Error::new("start", &boot.instance))?;
     let mut outbox = peer::Outbox::new();
--- a/crates/apricotroute/src/node/handle.rs
+++ b/crates/apricotroute/src/node/handle.rs
@@ -11,7 +11,7 @@
 use state::name;
 
 use super::{mailbox, view::View};
-use crate::clock;
+use crate::{clock, refusals};
 
 /// An input of the control thread.
 pub(super) enum Input {
@@ -143,12 +143,13 @@
 #[derive(Debug)]
 pub struct Inbox {
     control: Control,
+    refusals: refusals::Refusals,
 }
 
 impl Inbox {
     /// Creates an inbox that forwards messages to `control`.
-    pub fn new(control: Control) -> Self {
-        Self { control }
+    pub fn new(control: Control, log: slog::Logger) -> Self {
+        Self { control, refusals: refusals::Refusals::new(log) }
     }
 }
 
@@ -166,4 +167,8 @@
     fn allows_peer(&self, _name: &name::Name) -> bool {
         true
     }
+
+    fn report_refusal(&self, from: &name::Name, why: &str) {
+        self.refusals.report(from, why);
+    }
 }
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -77,8 +77,8 @@
             .name("traffic".to_owned())
             .spawn({
                 let (runtime, control) = (sync::Arc::clone(&runtime), control.clone());
-                let me = peer_name(settings);
-                move || traffic::run(&runtime, work, &control, &me)
+                let (me, log) = (peer_name(settings), log.clone());
+                move || traffic::run(&runtime, work, &control, (&me, &log))
             })
             .change_context_lazy(context("start traffic of"))?;
         slog::info!(log, "node: Started."; "role" => ?settings.role, "peer" => %settings.peer,
@@ -123,7 +123,7 @@
 ) -> error::Result<Vec<http::Listener>> {
     let context = || error::Error::new("start", &node.instance);
     let backend = sync::Arc::new(handle::Backend::new(control.clone(), log.clone()));
-    let inbox = sync::Arc::new(handle::Inbox::new(control.clone()));
+    let inbox = sync::Arc::new(handle::Inbox::new(control.clone(), log.clone()));
     let peer = node.peer_listen.unwrap_or(node.peer);
     peer::Server::open(runtime, peer, &peer_name(node), inbox).change_context_lazy(context)?;
     let mut listeners = Vec::new();
--- a/crates/apricotroute/src/node/traffic.rs
+++ b/crates/apricotroute/src/node/traffic.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 
 use super::handle;
+use crate::refusals;
 
 /// Work for the traffic thread.
 #[derive(Debug)]
@@ -41,13 +42,14 @@
     runtime: &sync::Arc<tokio::runtime::Runtime>,
     mut work: Receiver,
     control: &handle::Control,
-    me: &name::Name,
+    (me, log): (&name::Name, &slog::Logger),
 ) {
     let mut streams = Streams {
         runtime: sync::Arc::clone(runtime),
         me: me.clone(),
         outbox: peer::Outbox::new(),
         connected: collections::BTreeSet::new(),
+        refusals: refusals::Refusals::new(log.clone()),
     };
     let caller = caller::Caller::new();
     runtime.block_on(async {
@@ -108,6 +110,7 @@
     me: name::Name,
     outbox: peer::Outbox,
     connected: collections::BTreeSet<name::Name>,
+    refusals: refusals::Refusals,
 }
 
 impl Streams {
@@ -120,6 +123,9 @@
                 let _sent = self.outbox.send(&to, bodies);
             }
             Work::Reconnect(to) => {
+                if let Some(why) = self.outbox.closed_reason(&to) {
+                    self.refusals.report(&to, &why);
+                }
                 self.disconnect(&to);
                 self.connect(&to);
             }
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -51,6 +51,10 @@
 
     /// Returns whether the instance `name` may open a stream to this instance.
     fn allows_peer(&self, name: &name::Name) -> bool;
+
+    /// Reports that a stream of the instance `from` was refused, or that one of its bodies could
+    /// not be decoded, with the reason.
+    fn report_refusal(&self, from: &name::Name, why: &str);
 }
 
 /// State of the stream to one instance: open, or why it is not.
@@ -110,6 +114,12 @@
         self.streams.iter().filter_map(closed).collect()
     }
 
+    /// Returns why no stream is open to the instance `to`; `None` if one is open, or wanted by
+    /// nobody.
+    pub fn closed_reason(&self, to: &name::Name) -> Option<String> {
+        self.streams.get(to)?.state.get()
+    }
+
     /// Closes the stream to the instance `to`.
     pub fn drop_peer(&mut self, to: &name::Name) {
         self.streams.remove(to);
@@ -300,6 +310,14 @@
 impl Service {
     fn check_hello(&self, hello: Option<peer::Hello>) -> Result<name::Name, tonic::Status> {
         let hello = hello.ok_or_else(|| tonic::Status::invalid_argument("no hello"))?;
+        let from = name::Name::new(&hello.from);
+        self.check_ends(&hello, &from).inspect_err(|status| {
+            self.inbox.report_refusal(&from, status.message());
+        })?;
+        Ok(from)
+    }
+
+    fn check_ends(&self, hello: &peer::Hello, from: &name::Name) -> Result<(), tonic::Status> {
         if hello.version != proto::VERSION {
             metric::count_message("refused_version", 0);
             let why = format!("protocol version {}, not {}", hello.version, proto::VERSION);
@@ -310,13 +328,12 @@
             let why = format!("this is {}, not {}", self.me, hello.to);
             return Err(tonic::Status::failed_precondition(why));
         }
-        let from = name::Name::new(&hello.from);
-        if !self.inbox.allows_peer(&from) {
+        if !self.inbox.allows_peer(from) {
             metric::count_message("refused_sender", 0);
             let why = format!("instance {from} is not known here");
             return Err(tonic::Status::permission_denied(why));
         }
-        Ok(from)
+        Ok(())
     }
 }
 
@@ -330,10 +347,14 @@
         let first = stream.message().await?.unwrap_or_default();
         let from = self.check_hello(first.hello)?;
         let mut bodies = first.bodies;
+        let mut refused = false;
         loop {
             for body in bodies {
                 if !self.inbox.deliver(&from, body) {
                     metric::count_message("refused_body", 0);
+                    if !std::mem::replace(&mut refused, true) {
+                        self.inbox.report_refusal(&from, "a body cannot be decoded");
+                    }
                 }
             }
             let Some(next) = stream.message().await? else {
--- a/crates/link/tests/redial.rs
+++ b/crates/link/tests/redial.rs
@@ -29,6 +29,10 @@
     fn allows_peer(&self, _: &Name) -> bool {
         true
     }
+
+    fn report_refusal(&self, from: &Name, why: &str) {
+        panic!("{from}: {why}");
+    }
 }
 
 #[test]
--- a/crates/link/tests/streams.rs
+++ b/crates/link/tests/streams.rs
@@ -6,16 +6,22 @@
 use link::peer;
 use state::name::Name;
 
-struct Inbox;
+/// Accepts streams of `west-1` and no body of one byte, and collects what is refused.
+#[derive(Default)]
+struct Inbox(sync::Mutex<collections::BTreeSet<String>>);
 
 impl peer::Inbox for Inbox {
-    fn deliver(&self, _: &Name, _: Bytes) -> bool {
-        true
+    fn deliver(&self, _: &Name, body: Bytes) -> bool {
+        body.len() != 1
     }
 
     fn allows_peer(&self, name: &Name) -> bool {
         name.as_str() == "west-1"
     }
+
+    fn report_refusal(&self, from: &Name, why: &str) {
+        self.0.lock().unwrap().insert(format!("{from}: {why}"));
+    }
 }
 
 /// Waits until the only stream of an outbox is closed for a reason that contains `text`, or is open
@@ -40,15 +46,18 @@
 fn reasons() {
     let runtime = tokio::runtime::Runtime::new().unwrap();
     let names = ["west-1", "west-2", "west-3"].map(Name::new);
+    let inbox = sync::Arc::new(Inbox::default());
     let open = |to: &Name| {
-        let address = "127.0.0.1:0".parse().unwrap();
-        peer::Server::open(&runtime, address, to, sync::Arc::new(Inbox)).unwrap().address()
+        let (address, inbox) = ("127.0.0.1:0".parse().unwrap(), sync::Arc::clone(&inbox));
+        peer::Server::open(&runtime, address, to, inbox).unwrap().address()
     };
     let connect = |from: &Name, to: &Name, address| {
         peer::Outbox::new().with_peer(&runtime, from, to, address)
     };
     let address = open(&names[1]);
-    wait(&connect(&names[0], &names[1], address), None);
+    let outbox = connect(&names[0], &names[1], address);
+    wait(&outbox, None);
+    outbox.send(&names[1], vec![Bytes::from_static(b"?")]);
     let other = connect(&names[0], &names[2], address);
     wait(&other, Some("this is west-2, not west-3"));
     let unknown = connect(&names[2], &names[1], address);
@@ -56,6 +65,17 @@
     // No process listens on this port.
     let nobody = connect(&names[0], &names[1], "127.0.0.1:9".parse().unwrap());
     wait(&nobody, Some("refused"));
+    // The end that refuses reports it, too.
+    let expected = [
+        "west-1: a body cannot be decoded",
+        "west-1: this is west-2, not west-3",
+        "west-3: instance west-3 is not known here",
+    ];
+    let start = time::Instant::now();
+    while *inbox.0.lock().unwrap() != expected.map(str::to_owned).into() {
+        assert!(start.elapsed() < time::Duration::from_secs(10), "{:?}", inbox.0.lock());
+        thread::sleep(time::Duration::from_millis(1));
+    }
 }
 
 #[test]
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -24,5 +24,6 @@
 
 pub use error::Error;
 
-/// Version of the protocol between instances.
-pub const VERSION: u32 = 1;
+/// Version of the protocol between instances. Bodies are encoded by position, so that it rises with
+/// each change of a message: instances of different versions refuse each other's streams.
+pub const VERSION: u32 = 2;
