A group's deliveries in a module of their own

What a member passes on (messages, changes to store, committed commands) is a module now; the state that a peer reports is recorded where its message is handled. Behaviour is the same; all tests of the crate pass.

--- a/crates/coord/src/group.rs
+++ b/crates/coord/src/group.rs
@@ -331,29 +331,27 @@
 
     /// Handles a formation message.
     pub fn on_form(&mut self, from: &name::Member, form: &FormMessage, now: time::Now) {
-        let reported = match form {
-            FormMessage::Probe(formation) | FormMessage::Found(formation) => Some(*formation),
-            // Only a member without a formation asks for a grant or gives one.
-            FormMessage::Ask(_) | FormMessage::Grant(_) => Some(None),
-            FormMessage::Abandoned(_) => None,
-        };
-        if let Some(formation) = reported {
-            self.peer_states.insert(from.name.clone(), (from.incarnation, formation));
-        }
         match form {
-            FormMessage::Probe(formation) => self.on_probe(from, *formation, now.mono),
+            FormMessage::Probe(formation) => {
+                self.set_peer_state(from, *formation);
+                self.on_probe(from, *formation, now.mono);
+            }
             FormMessage::Found(found) => {
+                self.set_peer_state(from, *found);
                 if let Stage::Seeking(seeker) = &mut self.stage {
                     seeker.on_report(from, *found, now.mono);
                 }
             }
+            // Only a member without a formation asks for a grant or gives one.
             FormMessage::Ask(formation) => {
+                self.set_peer_state(from, None);
                 if let Stage::Seeking(seeker) = &mut self.stage {
                     seeker.on_report(from, None, now.mono);
                     self.send_form(&from.name, FormMessage::Grant(*formation));
                 }
             }
             FormMessage::Grant(formation) => {
+                self.set_peer_state(from, None);
                 if let Stage::Seeking(seeker) = &mut self.stage {
                     seeker.on_grant(from, *formation, now.mono);
                     self.seek_formation(now);
@@ -386,7 +384,7 @@
             return false;
         }
         joined.raft.step(&from, body, now);
-        self.peer_states.insert(from.name, (from.incarnation, Some(route.formation)));
+        self.set_peer_state(&from, Some(route.formation));
         self.process_output(now);
         true
     }
@@ -415,6 +413,10 @@
         true
     }
 
+    fn set_peer_state(&mut self, from: &name::Member, formation: Option<Formation>) {
+        self.peer_states.insert(from.name.clone(), (from.incarnation, formation));
+    }
+
     pub(crate) fn joined(&self) -> Option<&Joined> {
         match &self.stage {
             Stage::Joined(joined) => Some(joined),
@@ -426,97 +428,4 @@
         let config = &self.config;
         Raft::new(config.me.clone(), config.timing, config.durable, stored, now, self.seed)
     }
-
-    pub(crate) fn send_form(&mut self, to: &name::Name, form: FormMessage) {
-        let body = message::Body::Form(self.config.group.clone(), self.config.me.incarnation, form);
-        self.out.sends.push((to.clone(), body));
-    }
-
-    pub(crate) fn save(&mut self, save: Save) {
-        if self.config.durable {
-            self.last_issued += 1;
-            self.out.saves.push((self.last_issued, save));
-        }
-    }
-
-    /// Applies the entries that the engine committed, and passes on its messages and changes.
-    pub(crate) fn process_output(&mut self, now: u64) {
-        let Stage::Joined(joined) = &mut self.stage else {
-            return;
-        };
-        let mut out = joined.raft.take_output();
-        let formation = joined.formation;
-        if let Some(state) = out.restored.take() {
-            self.machine.restore(&state);
-            joined.applied = joined.raft.log().base();
-            self.out.restored = true;
-        }
-        for entry in out.committed.drain(..) {
-            if let Payload::Command(command) = &entry.payload {
-                self.out.effects.extend(self.machine.apply(command));
-            }
-            joined.applied = entry.index;
-        }
-        for save in out.saves.drain(..) {
-            if let Save::Entry(entry) = &save
-                && self.config.durable
-            {
-                self.unsynced.push_back((self.last_issued + 1, entry.index, entry.term));
-            }
-            self.save(save);
-        }
-        for (to, body) in out.sends.drain(..) {
-            self.send_raft(formation, &to, body);
-        }
-        self.send_snapshots(&out.behind, now);
-        self.compact();
-    }
-
-    fn send_raft(&mut self, formation: Formation, to: &name::Member, body: message::Raft) {
-        let route = Route { formation, from: self.config.me.incarnation, to: to.incarnation };
-        let can_send = raft::can_precede_sync(&body) || self.last_saved >= self.last_issued;
-        let body = message::Body::Raft(self.config.group.clone(), route, body);
-        if can_send {
-            self.out.sends.push((to.name.clone(), body));
-        } else {
-            self.pending_sends.push_back((self.last_issued, to.name.clone(), body));
-        }
-    }
-
-    fn send_snapshots(&mut self, behind: &[name::Member], now: u64) {
-        if behind.is_empty() {
-            return;
-        }
-        let state = self.machine.snapshot();
-        let Stage::Joined(joined) = &mut self.stage else {
-            return;
-        };
-        for member in behind {
-            joined.raft.send_snapshot(member, state.clone(), now);
-        }
-        let formation = joined.formation;
-        for (to, body) in joined.raft.take_output().sends {
-            self.send_raft(formation, &to, body);
-        }
-    }
-
-    fn compact(&mut self) {
-        let Stage::Joined(joined) = &mut self.stage else {
-            return;
-        };
-        let raft = &mut joined.raft;
-        if joined.applied < raft.log().base() + self.config.compact_every {
-            return;
-        }
-        if self.config.durable {
-            let index = joined.applied;
-            let term = raft.log().term(index).unwrap_or_default();
-            let voters = raft.voters_at(index);
-            let state = self.machine.snapshot();
-            raft.compact(self.config.kept_entries);
-            self.save(Save::Snapshot { index, term, voters, state });
-        } else {
-            raft.compact(self.config.kept_entries);
-        }
-    }
 }
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -115,6 +115,7 @@
 pub mod config;
 mod copies;
 pub mod core;
+mod delivery;
 mod duty;
 mod election;
 pub mod entry;
