--- a/crates/dispatch/src/decisions/assignment.rs
+++ b/crates/dispatch/src/decisions/assignment.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     decisions::view::View,
-    messages::{claim, share, time},
+    messages::{claim, message::FormerSet, parts, share, time},
 };
 
 /// Largest number of former schedulers' sets of upstreams in a handover; a single [`UNKNOWN_SET`]
@@ -15,7 +15,7 @@
 const ATTEMPTS_PER_SCHEDULER: u32 = 1 << 16;
 /// A digest that matches no set: the next scheduler waits until no run of the former ones can be
 /// left.
-const UNKNOWN_SET: u64 = u64::MAX;
+const UNKNOWN_SET: FormerSet = FormerSet { digest: u64::MAX, parts: parts::Parts::ALL };
 
 /// Tasks of a job that one scheduler has at a time.
 #[derive(Debug)]
@@ -37,16 +37,32 @@
     pub(crate) disowned: bool,
     /// Digest of the upstreams that the scheduler reported last.
     pub(crate) last_digest: u64,
-    /// Digests that the schedulers which had the tasks before reported last.
-    pub(crate) former_digests: smallvec::SmallVec<[u64; 2]>,
+    /// The upstreams that the schedulers which had the tasks before reported last.
+    pub(crate) former_sets: smallvec::SmallVec<[FormerSet; 2]>,
+    /// Whether schedulers of some parts of a zone only may have found runs of the tasks.
+    pub(crate) split: bool,
     /// When the scheduler was lost; `None` while it is alive and its claim is current.
     pub(crate) lost_since: Option<u64>,
     /// Zone where some of the tasks may run; no scheduler of another zone may have them.
     pub(crate) pinned_zone: Option<name::Name>,
-    /// Zones that had no room for these tasks.
-    pub(crate) full_zones: smallvec::SmallVec<[name::Name; 4]>,
+    /// Schedulers that had no room for these tasks: zone and holder.
+    pub(crate) full_seats: smallvec::SmallVec<[Seat; 4]>,
 }
 
+/// Times by which an entry handles its assignments, microseconds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limits {
+    /// Interval at which the entry informs a scheduler that it awaits the tasks.
+    pub(crate) interval: u64,
+    /// Time after the loss of a scheduler when no run of the tasks is left there.
+    pub(crate) expiry: u64,
+    /// The same where schedulers of some parts of the zone only may have found runs.
+    pub(crate) split_expiry: u64,
+}
+
+/// A zone and an instance that schedules it or parts of it.
+pub(crate) type Seat = (name::Name, name::Name);
+
 /// Action that is due for an assignment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Due {
@@ -70,10 +86,11 @@
             used_attempts: 0,
             disowned: false,
             last_digest: 0,
-            former_digests: smallvec::SmallVec::new(),
+            former_sets: smallvec::SmallVec::new(),
+            split: false,
             lost_since: None,
             pinned_zone: None,
-            full_zones: smallvec::SmallVec::new(),
+            full_seats: smallvec::SmallVec::new(),
         }
     }
 
@@ -82,10 +99,8 @@
         self.claim.as_ref().is_some_and(|claim| claim.holder == *holder)
     }
 
-    /// Updates the assignment for the present time and returns the action that is due. The entry
-    /// asks the scheduler about the tasks every `interval` microseconds. When `expiry` microseconds
-    /// have passed since it lost the scheduler, no run of the tasks is left there.
-    pub(crate) fn tick(&mut self, view: View<'_>, interval: u64, expiry: u64) -> Due {
+    /// Updates the assignment for the present time and returns the action that is due.
+    pub(crate) fn tick(&mut self, view: View<'_>, limits: Limits) -> Due {
         let now = view.now;
         if let Some(digest) = self.claim.as_ref().and_then(|claim| view.reported_digest(claim)) {
             self.last_digest = digest;
@@ -93,6 +108,7 @@
         if std::mem::take(&mut self.disowned) {
             self.reclaim();
         }
+        let expiry = if self.split { limits.split_expiry } else { limits.expiry };
         if self.lost_since.is_some_and(|lost| now >= lost + expiry) {
             self.reclaim();
             self.pinned_zone = None;
@@ -100,13 +116,19 @@
         let Some(claim) = &self.claim else { return Due::HandOver };
         if view.is_current(claim) {
             self.lost_since = None;
-            let due = now >= self.last_asked + interval;
+            let due = now >= self.last_asked + limits.interval;
             self.last_asked = if due { now } else { self.last_asked };
             return if due { Due::Refresh } else { Due::Nothing };
         }
         self.lost_since.get_or_insert(now);
-        let next = view.claims.of(&claim.zone);
-        if next.is_some_and(|next| next != claim && view.membership.is_holder_alive(next, now)) {
+        self.split |= view.is_split(&claim.zone);
+        // The holders of other parts do not schedule the upstreams where the tasks may run.
+        let is_next = |next: &&claim::Claim| {
+            next.parts.overlaps(claim.parts)
+                && *next != claim
+                && view.membership.is_holder_alive(next, now)
+        };
+        if view.claims.of_zone(&claim.zone).any(|next| is_next(&next)) {
             self.reclaim();
             return Due::HandOver;
         }
@@ -116,21 +138,35 @@
     /// Takes the tasks back from their scheduler; some runs may still be in progress.
     fn reclaim(&mut self) {
         self.resumed = true;
-        if self.claim.take().is_some() {
-            self.add_former(self.last_digest);
+        if let Some(claim) = self.claim.take() {
+            self.add_former(FormerSet { digest: self.last_digest, parts: claim.parts });
             self.skip_attempts();
         }
     }
 
+    /// Whether this scheduler had no room for the tasks. One scheduler of a whole zone speaks for the
+    /// next one, too.
+    pub(crate) fn was_full(&self, claim: &claim::Claim) -> bool {
+        let is_meant = |(zone, holder): &Seat| {
+            *zone == claim.zone && (claim.parts.is_all() || *holder == claim.holder)
+        };
+        self.full_seats.iter().any(is_meant)
+    }
+
+    /// Whether the holder of a claim schedules all parts where the tasks may run.
+    pub(crate) fn is_covered(&self, claim: &claim::Claim) -> bool {
+        self.former_sets.iter().all(|set| claim.parts.covers(set.parts))
+    }
+
     /// Records the set of upstreams of a scheduler that had some of the tasks before.
-    fn add_former(&mut self, set: u64) {
-        if self.former_digests.contains(&set) {
+    fn add_former(&mut self, set: FormerSet) {
+        if self.former_sets.contains(&set) {
             return;
         }
-        if self.former_digests.len() < MAX_FORMER_SETS {
-            self.former_digests.push(set);
+        if self.former_sets.len() < MAX_FORMER_SETS {
+            self.former_sets.push(set);
         } else {
-            self.former_digests = smallvec::smallvec![UNKNOWN_SET];
+            self.former_sets = smallvec::smallvec![UNKNOWN_SET];
         }
     }
 
@@ -142,7 +178,7 @@
     /// Records that the scheduler returned all tasks and that none of them runs there.
     pub(crate) fn mark_returned(&mut self) {
         if let Some(claim) = self.claim.take() {
-            self.full_zones.push(claim.zone);
+            self.full_seats.push((claim.zone, claim.holder));
         }
         self.pinned_zone = None;
         self.handed_over = self.resumed;
@@ -150,10 +186,11 @@
 
     /// Creates a separate assignment for tasks of this one that their scheduler returned.
     pub(crate) fn split(&self, number: u64, tasks: share::Tasks, now: u64) -> Self {
-        let mut full_zones = self.full_zones.clone();
-        full_zones.extend(self.claim.as_ref().map(|claim| claim.zone.clone()));
+        let mut full_seats = self.full_seats.clone();
+        let seat = |claim: &claim::Claim| (claim.zone.clone(), claim.holder.clone());
+        full_seats.extend(self.claim.as_ref().map(seat));
         let used_attempts = self.used_attempts;
-        Self { used_attempts, full_zones, ..Self::new(number, share::Share::new(tasks), now) }
+        Self { used_attempts, full_seats, ..Self::new(number, share::Share::new(tasks), now) }
     }
 
     /// Merges the tasks of an assignment that goes to the same scheduler.
@@ -161,8 +198,9 @@
         self.share.add(&other.share);
         self.resumed |= other.resumed;
         self.used_attempts = self.used_attempts.max(other.used_attempts);
-        self.full_zones = other.full_zones;
-        for set in other.former_digests {
+        self.split |= other.split;
+        self.full_seats = other.full_seats;
+        for set in other.former_sets {
             self.add_former(set);
         }
     }
--- /dev/null
+++ b/crates/dispatch/src/decisions/candidates.rs
@@ -0,0 +1,85 @@
+//! Which instance of a zone claims which of its vacant parts, and when.
+//!
+//! One instance claims all parts where it bears the whole zone. Otherwise the first ones by rank
+//! claim a share each, as many as are needed.
+
+use crate::messages::{member, parts::Parts, time};
+
+/// An instance waits this long for each candidate that comes before it, microseconds: two
+/// heartbeats.
+pub const RANK_DELAY: u64 = 300 * time::MS;
+/// CPU time that a scheduler takes for each upstream, thousandths of a core: keepers that schedule
+/// 108 busy ones (870 starts a second) take 97 to 125 in all.
+pub const CPU_PER_UPSTREAM: u64 = 1;
+/// Share of its CPU time that an entry has for scheduling, percent: it also serves its own clients.
+pub const ENTRY_CPU_PERCENT: u64 = 50;
+/// Share of its CPU time that a keeper has for scheduling, percent.
+const KEEPER_CPU_PERCENT: u64 = 95;
+
+/// A live instance that may claim parts of its zone.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// The instance.
+    pub card: &'a member::Card,
+    /// Whether it schedules parts of the zone already.
+    pub holds: bool,
+}
+
+/// Parts of a zone that no instance schedules.
+#[derive(Clone, Copy, Debug)]
+pub struct Vacancy {
+    /// These parts.
+    pub parts: Parts,
+    /// Number of upstreams of the whole zone.
+    pub upstreams: u64,
+    /// How long they have been without a scheduler, microseconds.
+    pub age: u64,
+}
+
+impl Vacancy {
+    /// Number of upstreams in the vacant parts.
+    fn load(&self) -> u64 {
+        (self.upstreams * u64::from(self.parts.len())).div_ceil(u64::from(Parts::ALL.len()))
+    }
+
+    /// The vacant parts that it is the turn of `me` to claim; `others` are the other live instances
+    /// of the zone.
+    ///
+    /// Each part goes to one of the first candidates, in turn, and then to the other ones by rank.
+    /// Those that schedule parts already come last. When one of the first candidates has claimed
+    /// its share, the remaining parts fall to the same candidates as before.
+    pub fn due<'a>(&self, me: Candidate<'a>, others: impl Iterator<Item = Candidate<'a>>) -> Parts {
+        let mut order: Vec<_> = others.chain([me]).collect();
+        order.sort_by_key(|candidate| (candidate.holds, candidate.card.rank()));
+        let is_me = |candidate: &Candidate<'_>| candidate.card.name == me.card.name;
+        let own = order.iter().position(is_me).unwrap_or(order.len());
+        let count = holder_count(&order, self.load());
+        let is_due = |at: usize| {
+            let first = at % count;
+            let before = if own < first { own + 1 } else { own };
+            own == first || self.age >= before as u64 * RANK_DELAY
+        };
+        self.parts.iter().enumerate().filter(|(at, _)| is_due(*at)).map(|(_, part)| part).collect()
+    }
+}
+
+/// The smallest number of the first candidates that bear `upstreams` in equal shares; all of them
+/// if these are too few.
+fn holder_count(order: &[Candidate<'_>], upstreams: u64) -> usize {
+    let bears = |count: &usize| {
+        let share = upstreams.div_ceil(*count as u64);
+        order[..*count].iter().all(|candidate| bears(candidate.card, share))
+    };
+    (1..order.len()).find(bears).unwrap_or(order.len())
+}
+
+/// Whether an instance has the CPU time to schedule `upstreams`. An unknown capacity counts as
+/// enough.
+pub fn bears(card: &member::Card, upstreams: u64) -> bool {
+    let percent = match card.role {
+        member::Role::Keeper => KEEPER_CPU_PERCENT,
+        member::Role::Entry => ENTRY_CPU_PERCENT,
+    };
+    let cpu = u64::from(card.capacity.cpu);
+    cpu == 0 || upstreams * CPU_PER_UPSTREAM <= cpu * percent / 100
+}
--- a/crates/dispatch/src/decisions/leadership.rs
+++ b/crates/dispatch/src/decisions/leadership.rs
@@ -4,14 +4,17 @@
 //! each upstream accepts orders with the highest fencing token only, and the token of a later claim
 //! is higher. A zone that a network partition splits therefore goes on in each of its parts.
 
-use std::collections;
+use std::{cmp, collections};
 
 use state::name;
 
 use crate::{
+    decisions::candidates::{self, RANK_DELAY, Vacancy},
     messages::{
         claim::{Claim, FENCE_STEP, OWNER_BITS},
-        evacuation, member, time,
+        evacuation, member,
+        parts::Parts,
+        time,
     },
     tables::membership,
 };
@@ -34,9 +37,6 @@
 /// a restart of the whole system such an entry met the keeper of its zone 330 ms after it had
 /// received that keeper's claim.
 const LOW_CAPACITY_GRACE: u64 = 1_000 * time::MS;
-/// An instance waits this long for each candidate that ranks before it, microseconds: two
-/// heartbeats.
-const RANK_DELAY: u64 = 300 * time::MS;
 /// An instance that receives heartbeats from no other instance of its zone, although there are
 /// some, waits this much longer before it claims, microseconds: the others may well have a
 /// scheduler.
@@ -67,79 +67,160 @@
     pub equipped: bool,
     /// Whether scheduling the zone would take more CPU time than it has.
     pub low_capacity: bool,
+    /// Number of upstreams of the zone that it knows.
+    pub upstreams: u64,
 }
 
 /// Times that an instance records to decide when to claim a zone.
 #[derive(Clone, Copy, Debug, Default)]
 struct Candidacy {
-    /// Time since which this instance has received no heartbeats of a scheduler of the zone.
-    vacant_since: Option<u64>,
-    /// Time since which the scheduler of the zone is an instance that is not a keeper of it.
+    /// Time since which this instance has received no heartbeats of a scheduler of some parts of
+    /// the zone, and these parts.
+    vacant_since: Option<(u64, Parts)>,
+    /// Time since which a scheduler of the zone is an instance that is not a keeper of it.
     foreign_since: Option<u64>,
     /// Time until which this instance does not claim the zone.
     blocked_until: u64,
-    /// When this instance received the highest claim.
-    claim_received: Option<u64>,
 }
 
-/// The highest claim to each zone that an instance has received.
+/// A claim and when this instance received it, microseconds.
+#[derive(Clone, Debug)]
+struct Held {
+    claim: Claim,
+    received: u64,
+}
+
+/// The claims that an instance has received and that hold for a part of a zone: for each part the
+/// claim with the highest epoch does.
 #[derive(Clone, Debug, Default)]
 pub struct Claims {
-    highest: collections::BTreeMap<name::Name, Claim>,
+    /// The claims to each zone, those with higher epochs first.
+    zones: collections::BTreeMap<name::Name, smallvec::SmallVec<[Held; 1]>>,
     candidacies: collections::BTreeMap<name::Name, Candidacy>,
+    /// Number of claims that were refused because they cannot hold.
+    refused: u64,
 }
 
 impl Claims {
-    /// Merges a claim; returns true if it is the highest for its zone now.
+    /// Merges a claim; returns true if it is new and holds for a part of its zone now. The result
+    /// does not depend on the order in which claims are merged.
     pub fn merge(&mut self, claim: &Claim, now: u64) -> bool {
-        let key = |claim: &Claim| (claim.epoch, claim.holder.clone());
-        let held = self.highest.get(&claim.zone);
-        if held.is_some_and(|held| key(held) >= key(claim)) {
+        if claim.parts.is_empty() {
+            return false;
+        }
+        let held = self.zones.entry(claim.zone.clone()).or_default();
+        if held.iter().any(|held| held.claim == *claim) {
             return false;
         }
-        self.highest.insert(claim.zone.clone(), claim.clone());
-        self.candidacy(&claim.zone).claim_received = Some(now);
-        true
+        held.push(Held { claim: claim.clone(), received: now });
+        let key = |held: &Held| {
+            let Claim { epoch, incarnation, parts, .. } = held.claim;
+            cmp::Reverse((epoch, held.claim.holder.clone(), incarnation, parts))
+        };
+        held.sort_by_cached_key(key);
+        let mut higher = Parts::NONE;
+        held.retain(|held| {
+            let effective = !higher.covers(held.claim.parts);
+            higher = higher.plus(held.claim.parts);
+            effective
+        });
+        held.iter().any(|held| held.claim == *claim)
     }
 
-    /// The highest claim to a zone.
-    pub fn of(&self, zone: &name::Name) -> Option<&Claim> {
-        self.highest.get(zone)
+    /// Counts a claim that was refused because it cannot hold, and returns the number of all.
+    pub fn count_refused(&mut self) -> u64 {
+        self.refused += 1;
+        self.refused
     }
 
-    /// The highest claims to all zones.
+    /// The claims to a zone, each with the parts for which it holds.
+    fn effective(&self, zone: &name::Name) -> impl Iterator<Item = (&Held, Parts)> {
+        let held = self.zones.get(zone).map_or(&[][..], smallvec::SmallVec::as_slice);
+        held.iter().scan(Parts::NONE, |higher, held| {
+            let parts = held.claim.parts.minus(*higher);
+            *higher = higher.plus(held.claim.parts);
+            Some((held, parts))
+        })
+    }
+
+    /// The claims that hold for a part of a zone, those with higher epochs first.
+    pub fn of_zone(&self, zone: &name::Name) -> impl Iterator<Item = &Claim> {
+        self.zones.get(zone).into_iter().flatten().map(|held| &held.claim)
+    }
+
+    /// The claim that holds for a part of a zone.
+    pub fn of_part(&self, zone: &name::Name, part: Parts) -> Option<&Claim> {
+        self.of_zone(zone).find(|claim| claim.parts.overlaps(part))
+    }
+
+    /// The claims to all zones.
     pub fn iter(&self) -> impl Iterator<Item = &Claim> {
-        self.highest.values()
+        self.zones.values().flatten().map(|held| &held.claim)
     }
 
-    /// Claims of the schedulers that an instance of `zone` exchanges heartbeats with: that of its
-    /// own zone, and that of the next zone, which takes the jobs that its own zone has no room for.
-    /// With the schedulers of all zones, the number of heartbeats would grow with the product of
-    /// zones and instances. If its own zone is evacuated the instance needs the room of all other
-    /// zones.
+    /// Whether a claim holds for all its parts.
+    pub fn is_current(&self, claim: &Claim) -> bool {
+        self.effective(&claim.zone)
+            .any(|(held, parts)| held.claim == *claim && parts == claim.parts)
+    }
+
+    /// Whether an instance holds a part of a zone.
+    pub fn has_holder(&self, zone: &name::Name, name: &name::Name) -> bool {
+        self.of_zone(zone).any(|claim| claim.holder == *name)
+    }
+
+    /// The parts of a zone for which the claims of this incarnation of an instance hold.
+    pub fn parts_of(&self, me: &member::Card, zone: &name::Name) -> Parts {
+        let is_own = |claim: &Claim| claim.holder == me.name && claim.incarnation == me.incarnation;
+        let own = self.effective(zone).filter(|(held, _)| is_own(&held.claim));
+        own.map(|(_, parts)| parts).collect()
+    }
+
+    /// Claims of the schedulers that an instance of `zone` exchanges heartbeats with: those of its
+    /// own zone, and those of the next zone, which takes the jobs that its own zone has no room
+    /// for. With the schedulers of all zones, the number of heartbeats would grow with the product
+    /// of zones and instances. If its own zone is evacuated the instance needs the room of all
+    /// other zones.
     pub fn watched<'a>(
         &'a self,
         zone: &'a name::Name,
         evacuations: &'a evacuation::Evacuations,
     ) -> impl Iterator<Item = &'a Claim> {
-        let after = self.highest.range::<str, _>((
+        let after = self.zones.range::<str, _>((
             std::ops::Bound::Excluded(zone.as_str()),
             std::ops::Bound::Unbounded,
         ));
-        let next = after.map(|(_, claim)| claim).chain(self.highest.values());
-        let is_next = move |claim: &&Claim| claim.zone != *zone && !evacuations.has(&claim.zone);
-        let count = if evacuations.has(zone) { self.highest.len() } else { 1 };
+        let next = after.chain(&self.zones);
+        let is_next = move |(name, held): &(&'a name::Name, &smallvec::SmallVec<[Held; 1]>)| {
+            *name != zone && !evacuations.has(name) && !held.is_empty()
+        };
+        let count = if evacuations.has(zone) { self.zones.len() } else { 1 };
         let next = next.filter(is_next).take(count);
-        self.of(zone).into_iter().chain(next)
+        let next = next.flat_map(|(_, held)| held).map(|held| &held.claim);
+        self.of_zone(zone).chain(next)
     }
 
-    /// Whether the holder of the highest claim to `zone` is alive and not draining.
+    /// The parts of a zone whose holders are alive and not draining.
+    pub fn led_parts(
+        &self,
+        zone: &name::Name,
+        membership: &membership::Membership,
+        now: u64,
+    ) -> Parts {
+        let led = |(held, parts): (&Held, Parts)| {
+            if membership.is_holder_alive(&held.claim, now) { parts } else { Parts::NONE }
+        };
+        self.effective(zone).map(led).collect()
+    }
+
+    /// Whether each part of a zone has a holder that is alive and not draining.
     pub fn is_led(&self, zone: &name::Name, membership: &membership::Membership, now: u64) -> bool {
-        self.of(zone).is_some_and(|claim| membership.is_holder_alive(claim, now))
+        self.led_parts(zone, membership, now).is_all()
     }
 
-    /// Claims this instance's own zone if no instance of the zone receives heartbeats of a
-    /// scheduler and every candidate that ranks before this one has had its time to claim.
+    /// Claims the parts of this instance's own zone for which no instance of the zone receives
+    /// heartbeats of a scheduler and every candidate that comes before this one has had its time
+    /// to claim.
     pub fn campaign(
         &mut self,
         membership: &membership::Membership,
@@ -149,32 +230,80 @@
         let me = membership.me();
         let zone = &me.zone;
         if self.is_reclaim_due(membership, now.mono) {
-            return Some(self.issue_claim(me, zone, now));
+            return Some(self.issue_claim(me, zone, Parts::ALL, now));
         }
-        // Other instances still report this instance's own claim, but it does not schedule the zone
-        // any more.
-        let abandoned = !candidate.schedules && self.is_holder(me, zone);
-        let led = self.is_led(zone, membership, now.mono) || membership.zone_peer_is_led(now.mono);
-        let led = led && !abandoned;
         let entry = me.role == member::Role::Entry;
         let unfit = entry && (!candidate.equipped || candidate.low_capacity);
         let earliest = membership.start() + if unfit { UNFIT_WAIT } else { STARTUP_WAIT };
         let grace = if entry && candidate.low_capacity { LOW_CAPACITY_GRACE } else { CLAIM_GRACE };
+        let vacant = self.vacant_parts(membership, candidate, grace, now.mono);
         let candidacy = self.candidacy(zone);
-        let early = now.mono < earliest.max(candidacy.blocked_until);
-        if led || early || candidacy.is_recent(grace, now.mono) && !abandoned {
+        if vacant.is_empty() || now.mono < earliest.max(candidacy.blocked_until) {
             candidacy.vacant_since = None;
             return None;
         }
-        let vacant = *candidacy.vacant_since.get_or_insert(now.mono);
+        let since = match candidacy.vacant_since {
+            Some((since, parts)) if parts.covers(vacant) => since,
+            _ => now.mono,
+        };
+        candidacy.vacant_since = Some((since, vacant));
         let isolated = if membership.is_cut_off(now.mono) { ISOLATED_DELAY } else { 0 };
         // A keeper of another zone has more CPU time to spare, so it may claim first.
         let capacity_delay = if entry && candidate.low_capacity { RANK_DELAY } else { 0 };
-        if now.mono < vacant + rank_delay(membership, now.mono) + isolated + capacity_delay {
+        let age = now.mono.checked_sub(since + isolated + capacity_delay)?;
+        let vacancy = Vacancy { parts: vacant, upstreams: candidate.upstreams, age };
+        let due = self.due_parts(&vacancy, membership, candidate.schedules, now.mono);
+        if due.is_empty() {
             return None;
         }
-        candidacy.vacant_since = None;
-        Some(self.issue_claim(me, zone, now))
+        self.candidacy(zone).vacant_since = None;
+        // A keeper that bears the zone takes all of it at once, since it would reclaim the parts
+        // of entries a little later.
+        let alone = !entry && candidates::bears(me, candidate.upstreams);
+        let held = if alone { Parts::ALL } else { self.parts_of(me, zone) };
+        Some(self.issue_claim(me, zone, held.plus(due), now))
+    }
+
+    /// The parts of this instance's zone that have no scheduler as far as it knows.
+    fn vacant_parts(
+        &self,
+        membership: &membership::Membership,
+        candidate: Candidate,
+        grace: u64,
+        now: u64,
+    ) -> Parts {
+        let me = membership.me();
+        // Other instances still report this instance's own claims, but it does not schedule the
+        // zone any more.
+        let is_abandoned = |held: &Held| !candidate.schedules && held.claim.holder == me.name;
+        let mut led = membership.zone_peers_led(now);
+        for (held, parts) in self.effective(&me.zone) {
+            let recent = now < held.received + grace;
+            if is_abandoned(held) {
+                led = led.minus(parts);
+            } else if recent || membership.is_holder_alive(&held.claim, now) {
+                led = led.plus(parts);
+            }
+        }
+        Parts::ALL.minus(led)
+    }
+
+    /// The vacant parts that it is this instance's turn to claim.
+    fn due_parts(
+        &self,
+        vacancy: &Vacancy,
+        membership: &membership::Membership,
+        schedules: bool,
+        now: u64,
+    ) -> Parts {
+        let me = membership.me();
+        let others = membership.zone_peers(now).map(|card| {
+            let is_holder =
+                |claim: &Claim| claim.holder == card.name && membership.is_holder_alive(claim, now);
+            let holds = self.of_zone(&me.zone).any(is_holder);
+            candidates::Candidate { card, holds }
+        });
+        vacancy.due(candidates::Candidate { card: me, holds: schedules }, others)
     }
 
     /// Claims another zone for this keeper if no instance is left there that could schedule it as
@@ -191,30 +320,30 @@
         now: time::Now,
     ) -> Option<Claim> {
         let me = membership.me();
-        let led = self.is_led(zone, membership, now.mono) && !self.is_holder(me, zone);
+        let led = self.is_led(zone, membership, now.mono) && !self.has_holder(zone, &me.name);
         let early = now.mono < membership.start() + ADOPTION_WAIT;
         let orphan = !schedules && !led && !early && membership.is_orphan(zone, now.mono);
+        let recent = self.zones.get(zone).into_iter().flatten();
+        let recent = recent.map(|held| held.received).max();
+        let is_recent = recent.is_some_and(|received| now.mono < received + CLAIM_GRACE);
         let candidacy = self.candidacy(zone);
-        if !orphan
-            || now.mono < candidacy.blocked_until
-            || candidacy.is_recent(CLAIM_GRACE, now.mono)
-        {
+        if !orphan || now.mono < candidacy.blocked_until || is_recent {
             candidacy.vacant_since = None;
             return None;
         }
-        let vacant = *candidacy.vacant_since.get_or_insert(now.mono);
+        let (vacant, _) = *candidacy.vacant_since.get_or_insert((now.mono, Parts::ALL));
         if now.mono < vacant + membership.keepers_before(zone, now.mono) as u64 * RANK_DELAY {
             return None;
         }
         candidacy.vacant_since = None;
-        Some(self.issue_claim(me, zone, now))
+        Some(self.issue_claim(me, zone, Parts::ALL, now))
     }
 
     /// Whether this instance is a keeper, ranks first in its zone, and an entry or a keeper of
-    /// another zone has scheduled the zone for at least [`RECLAIM_DELAY`].
+    /// another zone has scheduled parts of the zone for at least [`RECLAIM_DELAY`].
     fn is_reclaim_due(&mut self, membership: &membership::Membership, now: u64) -> bool {
         let me = membership.me();
-        let foreign = self.of(&me.zone).is_some_and(|claim| {
+        let foreign = self.of_zone(&me.zone).any(|claim| {
             let card = membership.peer(&claim.holder).and_then(|peer| peer.card.as_ref());
             membership.is_direct(&claim.holder, now)
                 && membership.is_holder_alive(claim, now)
@@ -239,27 +368,36 @@
     /// would outrank the scheduler's claim, and no instance would schedule the zone.
     pub fn stand_down(&mut self, me: &member::Card, zone: &name::Name, now: u64) {
         self.candidacy(zone).blocked_until = now + STAND_DOWN_TIME;
-        if self.is_holder(me, zone) {
-            self.highest.remove(zone);
+        if let Some(held) = self.zones.get_mut(zone) {
+            held.retain(|held| held.claim.holder != me.name);
         }
     }
 
-    /// Whether the highest claim to a zone is that of `me`.
-    fn is_holder(&self, me: &member::Card, zone: &name::Name) -> bool {
-        self.of(zone).is_some_and(|claim| claim.holder == me.name)
-    }
-
     fn candidacy(&mut self, zone: &name::Name) -> &mut Candidacy {
         self.candidacies.entry(zone.clone()).or_default()
     }
 
-    /// Claims a zone above an unknown scheduler that has a higher fencing token.
-    pub fn outbid(&mut self, me: &member::Card, zone: &name::Name, now: time::Now) -> Claim {
-        self.issue_claim(me, zone, time::Now::new(now.mono, now.wall + EPOCH_JUMP))
+    /// Claims parts of a zone above an unknown scheduler that has a higher fencing token.
+    pub fn outbid(
+        &mut self,
+        me: &member::Card,
+        zone: &name::Name,
+        parts: Parts,
+        now: time::Now,
+    ) -> Claim {
+        self.issue_claim(me, zone, parts, time::Now::new(now.mono, now.wall + EPOCH_JUMP))
     }
 
-    fn issue_claim(&mut self, me: &member::Card, zone: &name::Name, now: time::Now) -> Claim {
-        let former = self.of(zone).map_or(0, |claim| (claim.epoch >> OWNER_BITS) + 1);
+    /// Claims parts of a zone above all known claims to it.
+    pub(crate) fn issue_claim(
+        &mut self,
+        me: &member::Card,
+        zone: &name::Name,
+        parts: Parts,
+        now: time::Now,
+    ) -> Claim {
+        let highest = self.of_zone(zone).map(|claim| claim.epoch).max();
+        let former = highest.map_or(0, |epoch| (epoch >> OWNER_BITS) + 1);
         let owner = xxhash_rust::xxh3::xxh3_64(me.name.as_str().as_bytes()) % FENCE_STEP;
         let epoch = now.wall.max(former) << OWNER_BITS | owner;
         let claim = Claim {
@@ -267,19 +405,13 @@
             epoch,
             holder: me.name.clone(),
             incarnation: me.incarnation,
+            parts,
         };
         self.merge(&claim, now.mono);
         claim
     }
 }
 
-impl Candidacy {
-    /// Whether this instance received the highest claim less than `grace` ago.
-    fn is_recent(&self, grace: u64, now: u64) -> bool {
-        self.claim_received.is_some_and(|received| now < received + grace)
-    }
-}
-
 /// How long this instance waits for the instances of its zone that rank before it to claim first,
 /// microseconds.
 pub fn rank_delay(membership: &membership::Membership, now: u64) -> u64 {
--- a/crates/dispatch/src/decisions/mod.rs
+++ b/crates/dispatch/src/decisions/mod.rs
@@ -1,10 +1,11 @@
 //! Decisions, one in each file. They read tables and change nothing but their own state.
 //!
-//! - [`leadership`]: which instance schedules a zone.
+//! - [`leadership`] and [`candidates`]: which instances schedule a zone.
 //! - [`view`] and `assignment`: which scheduler gets a task.
 //! - [`queue`] and [`place`]: which job goes first, and which upstream gets its tasks.
 
 pub(crate) mod assignment;
+pub mod candidates;
 pub mod leadership;
 pub mod place;
 pub mod queue;
--- a/crates/dispatch/src/decisions/view.rs
+++ b/crates/dispatch/src/decisions/view.rs
@@ -62,8 +62,12 @@
         self.claims.iter().any(able)
     }
 
+    /// Whether several instances schedule the parts of a zone.
+    pub(crate) fn is_split(&self, zone: &name::Name) -> bool {
+        self.claims.of_zone(zone).any(|claim| !claim.parts.is_all())
+    }
+
     pub(crate) fn is_current(&self, claim: &claim::Claim) -> bool {
-        let same = self.claims.of(&claim.zone).is_some_and(|held| held == claim);
-        same && self.membership.is_holder_alive(claim, self.now)
+        self.claims.is_current(claim) && self.membership.is_holder_alive(claim, self.now)
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,9 +8,9 @@
 //! The modules are in four layers, each of which uses only the layers before it: messages, tables of
 //! what an instance knows, decisions, and state machines.
 //!
-//! - [`membership`], [`peer`], [`watch_list`], [`redial`] and [`leadership`]: which instances are
-//!   alive, which of them exchange heartbeats, when streams are reconnected, and which instance
-//!   schedules a zone.
+//! - [`membership`], [`peer`], [`watch_list`], [`redial`], [`leadership`] and [`candidates`]: which
+//!   instances are alive, which of them exchange heartbeats, when streams are reconnected, and
+//!   which instances schedule a zone, in [`parts`] where one cannot bear it.
 //! - [`incarnation`], [`upstream`], [`directory`] and [`session`]: the identity of an upstream, the
 //!   table of upstreams, which instance knows which of them, and the state of one upstream at its
 //!   owner.
@@ -66,14 +66,14 @@
 mod messages;
 mod tables;
 
-pub use decisions::{leadership, place, queue, view};
+pub use decisions::{candidates, leadership, place, queue, view};
 pub use machines::{
     control_log,
     core::{self, Core},
     sched, status, submissions,
 };
 pub use messages::{
-    claim, compression, evacuation, event, incarnation, job, member, message, order, share,
+    claim, compression, evacuation, event, incarnation, job, member, message, order, parts, share,
     suspect, time, timing, upstream,
 };
 pub use tables::{
--- a/crates/dispatch/src/machines/admission.rs
+++ b/crates/dispatch/src/machines/admission.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     decisions::queue,
-    machines::sched::{FORMER_RUN_TIMEOUT, Sched},
+    machines::sched::Sched,
     messages::{
         job::{Job, Refusal, Verdict},
         message::{self, Decision},
@@ -54,7 +54,8 @@
         if self.jobs.get(&id).is_some_and(|active| active.number > handover.number) {
             return;
         }
-        let over = (now + FORMER_RUN_TIMEOUT).saturating_sub(handover.release_age * time::MS);
+        let wait = self.former_wait(handover.split);
+        let over = (now + wait).saturating_sub(handover.release_age * time::MS);
         if !handover.former.is_empty() {
             self.uncovered_jobs.insert(id.clone());
         }
@@ -141,6 +142,7 @@
         let mut found = Vec::new();
         for (name, session) in &mut self.sessions {
             for (task, run) in session.runs.iter_mut().filter(|(task, _)| task.job == *id) {
+                run.orphan = false;
                 // A run that was already ordered to stop will end, and its task then waits again.
                 if run.unwanted == Some(0) {
                     run.unwanted = None;
--- a/crates/dispatch/src/machines/outcome.rs
+++ b/crates/dispatch/src/machines/outcome.rs
@@ -36,7 +36,7 @@
 /// client retries 1,300 ms after the loss, perhaps in another zone, and no run may be left by then.
 /// This value fits into what remains after 950 ms, the latest time at which the scheduler finds
 /// a run of the former one.
-const ORPHAN_GRACE: u64 = 200 * time::MS;
+pub(crate) const ORPHAN_GRACE: u64 = 200 * time::MS;
 
 impl Sched {
     /// Records how long the answer to a call took, microseconds. The caller passes the outcome to
@@ -313,6 +313,7 @@
                         estimate: 0,
                         progress: (now, row.percent),
                         unwanted: None,
+                        orphan: !self.parts.is_all() && need.is_none(),
                     };
                     session.runs.insert(row.task.clone(), run);
                     self.adopt_run(id, &row.task, row.attempt, now);
--- a/crates/dispatch/src/machines/peers.rs
+++ b/crates/dispatch/src/machines/peers.rs
@@ -5,6 +5,7 @@
 use crate::{
     machines::{core::Core, sched, zone},
     messages::{
+        claim,
         event::Output,
         job, member,
         message::{Adopted, AdoptedZone, Body, Handover, HeartbeatAck, Ping},
@@ -48,7 +49,7 @@
         let next = self.membership.is_small()
             || !led
             || self.is_scheduler()
-            || self.submissions.is_short(zone);
+            || self.submissions.is_short(self.claims.of_zone(zone));
         let watched = self
             .claims
             .watched(zone, &self.evacuations)
@@ -85,7 +86,7 @@
             upstreams: self.digest(),
             urgent: false,
             draining: self.draining,
-            led: self.claims.is_led(zone, &self.membership, now.mono),
+            led: self.claims.led_parts(zone, &self.membership, now.mono),
             claims: self.claims.iter().cloned().collect(),
             version: self.document.version,
             evacuations: self.evacuations.clone(),
@@ -122,7 +123,7 @@
                         from,
                         incarnation,
                     );
-                    self.yield_to_higher();
+                    self.yield_to_higher(now);
                 }
                 let lost = self.membership.merge_members(cards, gone, now.mono);
                 self.out.extend(lost.into_iter().map(Output::Disconnect));
@@ -186,7 +187,7 @@
         }
     }
 
-    fn sched_of(&mut self, zone: &name::Name) -> Option<&mut sched::Sched> {
+    pub(crate) fn sched_of(&mut self, zone: &name::Name) -> Option<&mut sched::Sched> {
         self.zones.get_mut(zone)?.sched.as_mut()
     }
 
@@ -205,6 +206,11 @@
         else {
             return self.send(from, Body::Unknown(job.id, handover.number), now);
         };
+        // An entry that does not know of parts that this scheduler has would not tell the next one
+        // that its tasks may run there.
+        if !handover.parts.covers(sched.parts) {
+            return self.send(from, Body::Unknown(job.id, handover.number), now);
+        }
         if self.suspects.is_given_up(&job.id) {
             return sched.refuse_given_up(&job.id, from, handover, now.mono);
         }
@@ -234,17 +240,18 @@
             return;
         }
         for claim in &ping.claims {
-            if self.claims.merge(claim, now.mono) {
+            if self.is_credible(claim, &from) && self.claims.merge(claim, now.mono) {
                 self.note("zone: Claimed.", &claim.holder, claim.zone.to_string());
                 self.greet_holder(&claim.holder, now);
             }
         }
         self.adopt_evacuations(&ping.evacuations, now);
         if let Some(load) = ping.load {
-            self.submissions.record_load(&ping.card.zone, load, now.mono);
+            self.submissions.record_load(&ping.card.zone, &from, load, now.mono);
         }
         for adopted_zone in &ping.adopted {
-            self.submissions.record_load(&adopted_zone.zone, adopted_zone.load, now.mono);
+            let AdoptedZone { zone, load, .. } = adopted_zone;
+            self.submissions.record_load(zone, &from, *load, now.mono);
         }
         let ack = ping.ack.clone();
         let (version, members, records) = (ping.version, ping.members, ping.records);
@@ -284,7 +291,24 @@
             let records = self.table.present(&zone).cloned().collect();
             self.send(&from, Body::Listing(zone, records), now);
         }
-        self.yield_to_higher();
+        self.yield_to_higher(now);
+    }
+
+    /// Whether a claim that another instance reports may hold: it names a part, and its holder is an
+    /// instance of the zone or a keeper, as far as this instance knows.
+    fn is_credible(&mut self, claim: &claim::Claim, from: &name::Name) -> bool {
+        let peer = self.membership.peer(&claim.holder);
+        let card = peer.and_then(|peer| peer.card.as_ref());
+        let may_hold =
+            card.is_none_or(|card| card.zone == claim.zone || card.role == member::Role::Keeper);
+        if may_hold && !claim.parts.is_empty() {
+            return true;
+        }
+        if self.claims.count_refused() == 1 {
+            let detail = format!("{} by {}", claim.zone, claim.holder);
+            self.note("zone: A claim was refused, it cannot hold.", from, detail);
+        }
+        false
     }
 
     /// Sends a heartbeat to a scheduler that this instance knows only by its claim: after a restart
@@ -379,8 +403,7 @@
 
     /// Whether an instance receives news of the upstreams of a zone.
     pub(crate) fn receives_records(&self, card: &member::Card, zone: &name::Name) -> bool {
-        let scheduler = self.claims.of(zone).is_some_and(|claim| claim.holder == card.name);
-        scheduler || self.membership.receives_records(card, zone)
+        self.claims.has_holder(zone, &card.name) || self.membership.receives_records(card, zone)
     }
 
     pub(crate) fn send(&mut self, to: &name::Name, body: Body, now: Now) {
--- a/crates/dispatch/src/machines/sched.rs
+++ b/crates/dispatch/src/machines/sched.rs
@@ -10,7 +10,7 @@
         job::{Task, Verdict},
         message,
         order::{Call, End},
-        suspect, time, upstream,
+        parts, suspect, time, upstream,
     },
     tables::{
         active::{ActiveJob, Phase},
@@ -27,6 +27,12 @@
 /// sum. The time counts from the handover of each job, because an entry may leave a scheduler long
 /// after the next claim.
 pub(crate) const FORMER_RUN_TIMEOUT: u64 = 2_000 * time::MS;
+/// [`FORMER_RUN_TIMEOUT`] where several schedulers have the parts of a zone, microseconds. The
+/// holder of another part may find such a run as long as it lasts. A holder of some parts grants no
+/// lease to an upstream with a run of an unknown job. One that claims the whole zone without
+/// knowing of the parts may grant leases until it stops the run: that adds [`outcome::ORPHAN_GRACE`],
+/// a tick and another lease; `upkeep` checks the sum.
+pub(crate) const SPLIT_RUN_TIMEOUT: u64 = 3_150 * time::MS;
 /// Longest lease that a scheduler grants, milliseconds. Upstreams may grant far longer ones, but
 /// what a lost scheduler has started goes on until its lease ends, and a client that lost its entry
 /// submits its job again after 1,300 ms.
@@ -78,10 +84,12 @@
     Stop,
 }
 
-/// The scheduler of one zone.
+/// The scheduler of one zone, or of parts of it.
 #[derive(Debug)]
 pub struct Sched {
-    /// Upstreams of the zone.
+    /// The parts of the zone that it schedules.
+    pub(crate) parts: parts::Parts,
+    /// Upstreams of these parts.
     pub sessions: collections::BTreeMap<incarnation::Incarnation, Session>,
     pub(crate) jobs: collections::BTreeMap<name::Name, ActiveJob>,
     /// Calls without an outcome by number: upstream, time of sending and purpose.
@@ -121,6 +129,7 @@
     /// most `longest_lease` milliseconds.
     pub fn new(epoch: u64, longest_lease: u64, now: u64) -> Self {
         Self {
+            parts: parts::Parts::ALL,
             sessions: collections::BTreeMap::new(),
             jobs: collections::BTreeMap::new(),
             pending_calls: collections::HashMap::new(),
@@ -152,6 +161,12 @@
         Self { policy, ..self }
     }
 
+    /// Limits it to parts of the zone.
+    #[must_use]
+    pub fn with_parts(self, parts: parts::Parts) -> Self {
+        Self { parts, ..self }
+    }
+
     /// Separates its call numbers from those of the other schedulers of this instance.
     #[must_use]
     pub fn with_slot(self, slot: u64) -> Self {
@@ -206,8 +221,11 @@
         load
     }
 
-    /// Applies a new record of an upstream of the zone.
+    /// Applies a new record of an upstream of the zone; those of other parts have no effect.
     pub fn update_upstream(&mut self, record: &upstream::Record) {
+        if !self.parts.covers(parts::Parts::of(&record.id)) {
+            return;
+        }
         let known = self.sessions.get_mut(&record.id);
         match (known, record.phase) {
             (Some(session), _)
@@ -247,11 +265,12 @@
         }
     }
 
-    /// Removes from each job the digests of those sets of upstreams that this scheduler knows.
-    pub fn clear_covered(&mut self, is_covered: impl Fn(u64) -> bool) {
+    /// Removes from each job those sets of upstreams that this scheduler knows and schedules.
+    pub fn clear_covered(&mut self, is_known: impl Fn(u64) -> bool) {
         for id in std::mem::take(&mut self.uncovered_jobs) {
             let Some(active) = self.jobs.get_mut(&id) else { continue };
-            active.uncovered.retain(|digest| !is_covered(*digest));
+            let parts = self.parts;
+            active.uncovered.retain(|set| !(parts.covers(set.parts) && is_known(set.digest)));
             if active.uncovered.is_empty() {
                 self.dirty = true;
             } else {
@@ -330,14 +349,21 @@
             session.take_over(epoch, now);
         }
         self.idle_sessions.extend(self.sessions.keys().cloned());
+        let wait = self.former_wait(false);
         for active in self.jobs.values_mut() {
             active.job.resumed = true;
             active.started = true;
-            active.runs_end = active.runs_end.max(now + FORMER_RUN_TIMEOUT);
+            active.runs_end = active.runs_end.max(now + wait);
         }
         self.dirty = true;
     }
 
+    /// How long runs of former schedulers may continue after the entry last asked one of them,
+    /// microseconds. `split` says that schedulers of some parts of the zone may have found them.
+    pub(crate) fn former_wait(&self, split: bool) -> u64 {
+        if split || !self.parts.is_all() { SPLIT_RUN_TIMEOUT } else { FORMER_RUN_TIMEOUT }
+    }
+
     /// Handles a new incarnation of the upstream at its address: no run of the former one is left.
     pub(crate) fn handle_replaced(&mut self, id: &incarnation::Incarnation) {
         self.note("upstream: Replaced by a new incarnation.", &id.name, "");
--- a/crates/dispatch/src/machines/scheduling.rs
+++ b/crates/dispatch/src/machines/scheduling.rs
@@ -6,13 +6,14 @@
 use state::name;
 
 use crate::{
-    decisions::leadership,
+    decisions::{candidates, leadership},
     machines::{core::Core, sched},
     messages::{
         claim,
         event::Output,
         incarnation, member,
         message::Body,
+        parts::PART_COUNT,
         suspect,
         time::{MS, Now},
         upstream,
@@ -25,14 +26,6 @@
 /// two schedulers that each claimed above the other would stop the zone.
 const CLAIM_WAIT: u64 = 250 * MS;
 
-/// CPU time that a scheduler takes for each upstream, thousandths of a core: keepers that
-/// schedule 108 busy ones (870 starts a second) take 97 to 125 in all.
-const CPU_PER_UPSTREAM: u64 = 1;
-
-/// Share of its CPU time that an instance has for scheduling, percent: an entry also serves
-/// its own clients.
-const CPU_PERCENT: u64 = 50;
-
 impl Core {
     /// Whether this instance schedules its zone.
     pub fn is_scheduler(&self) -> bool {
@@ -63,8 +56,9 @@
         let home = self.membership.me().zone.clone();
         let candidate = leadership::Candidate {
             schedules: self.is_scheduler(),
-            equipped: self.document.version > 0 && self.knows_upstreams(),
+            equipped: self.document.version > 0 && self.home_upstreams() > 0,
             low_capacity: self.has_low_capacity(),
+            upstreams: self.home_upstreams(),
         };
         if let Some(claim) = self.claims.campaign(&self.membership, candidate, now) {
             self.lead(&claim, now);
@@ -81,31 +75,37 @@
         }
     }
 
-    /// Whether this instance knows an upstream of its zone.
-    fn knows_upstreams(&self) -> bool {
-        self.zones.get(&self.membership.me().zone).is_some_and(|zone| !zone.directory.is_empty())
+    /// Number of upstreams of its zone that this instance knows.
+    fn home_upstreams(&self) -> u64 {
+        let zone = self.zones.get(&self.membership.me().zone);
+        zone.map_or(0, |zone| zone.directory.len() as u64)
     }
 
     /// Whether scheduling its zone would take more CPU time than this instance has for it.
     pub(crate) fn has_low_capacity(&self) -> bool {
-        let zone = self.zones.get(&self.membership.me().zone);
-        let upstreams = zone.map_or(0, |zone| zone.directory.len() as u64);
-        upstreams * CPU_PER_UPSTREAM > self.cores * CPU_PERCENT / 100
+        let needed = self.home_upstreams() * candidates::CPU_PER_UPSTREAM;
+        needed > self.cores * candidates::ENTRY_CPU_PERCENT / 100
     }
 
-    /// Stops scheduling where another instance has the higher claim.
-    pub(crate) fn yield_to_higher(&mut self) {
+    /// Stops scheduling where another instance has the higher claim. A scheduler that loses some of
+    /// its parts starts anew with the others: its tasks may run at upstreams that it has lost.
+    pub(crate) fn yield_to_higher(&mut self, now: Now) {
         for zone in self.scheduled_zones() {
-            let me = self.membership.me();
-            let holder = self.claims.of(&zone);
-            if holder
-                .is_some_and(|claim| claim.holder == me.name && claim.incarnation == me.incarnation)
-            {
+            let me = self.membership.me().clone();
+            let Some(parts) = self.sched_of(&zone).map(|sched| sched.parts) else { continue };
+            let held = self.claims.parts_of(&me, &zone);
+            let lost = parts.minus(held);
+            if lost.is_empty() {
                 continue;
             }
+            let holder = self.claims.of_part(&zone, lost);
             let holder = holder.map_or_else(|| me.name.clone(), |claim| claim.holder.clone());
             self.resign(&zone);
             self.note("zone: Yielded to a higher claim.", &holder, zone.to_string());
+            if !held.is_empty() {
+                let claim = self.claims.issue_claim(&me, &zone, held, now);
+                self.lead(&claim, now);
+            }
         }
     }
 
@@ -116,14 +116,19 @@
     }
 
     pub(crate) fn lead(&mut self, claim: &claim::Claim, now: Now) {
+        self.resign(&claim.zone);
         let mut sched = sched::Sched::new(claim.epoch, self.longest_lease, now.mono)
+            .with_parts(claim.parts)
             .with_slot(self.scheduled_zones().len() as u64)
             .with_policy(self.policy);
         // This instance's entry knows at once every upstream that its scheduler knows.
         sched.record_known(&claim.holder, u64::MAX - 1);
         let zone = self.zones.entry(claim.zone.clone()).or_default();
         zone.lead(sched, self.table.of_zone(&claim.zone));
-        let detail = format!("{}, epoch {}", claim.zone, claim.epoch);
+        let mut detail = format!("{}, epoch {}", claim.zone, claim.epoch);
+        if !claim.parts.is_all() {
+            detail = format!("{detail}, {} of {PART_COUNT} parts", claim.parts.len());
+        }
         self.note("zone: Scheduling.", &claim.holder, detail);
         // The heartbeats go out at once, so that entries submit their jobs again.
         self.send_heartbeats_to_all(now);
@@ -261,7 +266,8 @@
         if now.mono < first + CLAIM_WAIT + leadership::rank_delay(&self.membership, now.mono) {
             return;
         }
-        let claim = self.claims.outbid(&me, name, now);
+        let Some(parts) = self.sched_of(name).map(|sched| sched.parts) else { return };
+        let claim = self.claims.outbid(&me, name, parts, now);
         let Some(zone) = self.zones.get_mut(name) else { return };
         zone.token_refusals = None;
         if let Some(sched) = &mut zone.sched {
--- a/crates/dispatch/src/machines/start.rs
+++ b/crates/dispatch/src/machines/start.rs
@@ -96,6 +96,7 @@
             estimate,
             progress,
             unwanted: None,
+            orphan: false,
         };
         session.runs.insert(task.clone(), run);
         self.number += 1;
--- a/crates/dispatch/src/machines/submissions.rs
+++ b/crates/dispatch/src/machines/submissions.rs
@@ -26,6 +26,7 @@
         message::{Awaited, Body, Decision, Handover, Load, ReturnedTasks},
         share, time,
     },
+    tables::loads,
 };
 
 /// Interval at which the entry informs a scheduler that it still awaits its jobs, microseconds: a
@@ -35,14 +36,13 @@
 /// microseconds: the time in which a zone replaces its scheduler (heartbeats missed for 500 ms, and
 /// one or two election turns of 300 ms).
 const NO_SCHEDULER_TIMEOUT: u64 = 1_400 * time::MS;
-/// After this time a lost scheduler has dropped the job and its leases have expired, microseconds;
-/// from then on another zone may take the job.
-const FORMER_TIMEOUT: u64 = sched::FORMER_RUN_TIMEOUT;
-/// How long the entry waits before it asks a zone again that had no room, microseconds. This is
-/// less than the duration of the shortest tasks (60 ms); while all zones are full, each entry asks
-/// each of them 20 times a second.
-const FULL_RETENTION: u64 = 50 * time::MS;
-
+/// Times by which the entry handles its assignments: after a lost scheduler has dropped the job and
+/// its leases have expired, another zone may take the job.
+const LIMITS: assignment::Limits = assignment::Limits {
+    interval: AWAIT_INTERVAL,
+    expiry: sched::FORMER_RUN_TIMEOUT,
+    split_expiry: sched::SPLIT_RUN_TIMEOUT,
+};
 /// A scheduler is late if its last message is this much older than that of another scheduler,
 /// microseconds: the heartbeats of both are 150 ms apart. An entry that is late itself receives the
 /// messages of all of them late.
@@ -86,8 +86,7 @@
 pub struct Submissions {
     open: collections::BTreeMap<name::Name, OpenJob>,
     tickets: collections::HashMap<Ticket, name::Name>,
-    /// The last known load of each zone, and the time of the message that reported it.
-    loads: collections::BTreeMap<name::Name, (Load, u64)>,
+    loads: loads::Loads,
     /// Time since which no scheduler that could take tasks is available.
     leaderless: Option<u64>,
     /// Number of the last handover.
@@ -122,15 +121,15 @@
         self.open.len()
     }
 
-    /// Records the load of a zone.
-    pub fn record_load(&mut self, zone: &name::Name, load: Load, now: u64) {
-        self.loads.insert(zone.clone(), (load, now));
+    /// Records the load that a scheduler of a zone reports for its upstreams.
+    pub fn record_load(&mut self, zone: &name::Name, holder: &name::Name, load: Load, now: u64) {
+        self.loads.record(zone, holder, load, now);
     }
 
-    /// Whether less than a quarter of a zone is free by its last known load: between two heartbeats
-    /// of its scheduler, tasks may take that much.
-    pub fn is_short(&self, zone: &name::Name) -> bool {
-        self.loads.get(zone).is_some_and(|(load, _)| load.free * 4 <= load.total)
+    /// Whether less than a quarter of a zone is free by the last known loads of the holders of these
+    /// claims to it: between two heartbeats of a scheduler, tasks may take that much.
+    pub fn is_short<'a>(&self, claims: impl Iterator<Item = &'a claim::Claim>) -> bool {
+        self.loads.sum(claims).is_some_and(|load| load.free * 4 <= load.total)
     }
 
     /// The schedulers that hold jobs of this entry's clients.
@@ -241,7 +240,7 @@
         };
         let Some(part) = open.parts.iter_mut().find(is_meant) else { return };
         if let Some(claim) = &part.claim {
-            self.loads.insert(claim.zone.clone(), (returned.load, view.now));
+            self.loads.record(&claim.zone, &claim.holder, returned.load, view.now);
         }
         let count = open.job.steps.first().map_or(0, |step| step.count);
         let mut kept = part.share.clone();
@@ -278,7 +277,7 @@
                 continue;
             }
             for part in &mut open.parts {
-                match part.tick(view, AWAIT_INTERVAL, FORMER_TIMEOUT) {
+                match part.tick(view, LIMITS) {
                     assignment::Due::Nothing => {}
                     assignment::Due::Refresh => {
                         if let Some(claim) = &part.claim {
@@ -350,6 +349,7 @@
         let at = open.join(at, &choice.claim);
         let maybe_started = open.maybe_started || open.parts.len() > 1;
         let part = &mut open.parts[at];
+        part.split |= view.is_split(&choice.claim.zone);
         let digest = view.reported_digest(&choice.claim).unwrap_or(0);
         let handover = Handover {
             number: next,
@@ -358,7 +358,9 @@
             maybe_started,
             used_attempts: part.used_attempts,
             upstreams: digest,
-            former: part.former_digests.clone(),
+            parts: choice.claim.parts,
+            split: part.split,
+            former: part.former_sets.clone(),
             release_age: part.since_asked(view.now),
         };
         part.number = next;
@@ -402,10 +404,9 @@
     ) {
         let need = job.max_cpu() as i64 * i64::from(count);
         let mut free = 0;
-        if let Some((load, reported_at)) = self.loads.get_mut(&claim.zone) {
-            load.free -= need;
+        if let Some((load, reported_at)) = self.loads.deduct(&claim, need) {
             free = load.free;
-            self.out.measures.push(Measure::LoadAge(job.entry_clock.saturating_sub(*reported_at)));
+            self.out.measures.push(Measure::LoadAge(job.entry_clock.saturating_sub(reported_at)));
         }
         let detail = format!(
             "{count} tasks to {} in {}, epoch {}, {free}m of its free cores left by its last word, \
@@ -436,16 +437,17 @@
         view: View<'_>,
     ) -> Option<ChosenScheduler> {
         let home = &view.membership.me().zone;
-        let reached = |claim: &&claim::Claim| view.membership.is_holder_alive(claim, view.now);
+        let reached = |claim: &&claim::Claim| view.is_current(claim);
         if let Some(zone) = &part.pinned_zone {
-            let claim = view.claims.of(zone).filter(reached)?.clone();
+            let order = |claim: &&claim::Claim| (part.is_covered(claim), self.loads.free(claim));
+            let claim = view.claims.of_zone(zone).filter(reached).max_by_key(order)?.clone();
             return Some(ChosenScheduler { claim, offer: false });
         }
         let able: smallvec::SmallVec<[&claim::Claim; 8]> =
             view.claims.iter().filter(reached).filter(|claim| view.is_open(&claim.zone)).collect();
         let min_cpu = open.job.min_cpu() as i64;
         let is_hopeful = |claim: &&&claim::Claim| {
-            !part.full_zones.contains(&claim.zone) && !self.is_full(&claim.zone, min_cpu, view.now)
+            !part.was_full(claim) && !self.loads.is_full(claim, min_cpu, view.now)
         };
         let freshest =
             able.iter().filter_map(|claim| view.last_heartbeat_at(claim)).max().unwrap_or(0);
@@ -453,7 +455,7 @@
             view.last_heartbeat_at(claim).is_some_and(|at| freshest >= at + LATE_AFTER)
         };
         let order =
-            |claim: &&&claim::Claim| (!late(claim), claim.zone == *home, self.free(&claim.zone));
+            |claim: &&&claim::Claim| (!late(claim), claim.zone == *home, self.loads.free(claim));
         let led = able.iter().any(|claim| claim.zone == *home && !late(claim));
         let homeless = !led && view.is_open(home);
         let several = able.len() > 1 || !led;
@@ -465,31 +467,17 @@
         }
         let need = open.job.max_cpu() as i64 * i64::from(part.share.len(open.job.count()));
         let queue = |claim: &&&claim::Claim| {
-            let free = self.free(&claim.zone);
+            let free = self.loads.free(claim);
             (!late(claim), free.min(need), claim.zone == *home, free)
         };
         let claim = (*able.iter().max_by_key(queue)?).clone();
         let fresh = !open.maybe_started && !part.resumed && view.now < open.arrived + HOME_WAIT;
-        if homeless && fresh && self.free(&claim.zone) < need {
+        if homeless && fresh && self.loads.free(&claim) < need {
             return None;
         }
         Some(ChosenScheduler { claim, offer: false })
     }
 
-    /// The free cores of a zone by its last known load, less those that its waiting tasks need, in
-    /// thousandths.
-    fn free(&self, zone: &name::Name) -> i64 {
-        self.loads.get(zone).map_or(0, |(load, _)| load.free)
-    }
-
-    /// Whether a zone reported within [`FULL_RETENTION`] that it had no room for a task that needs
-    /// `min_cpu`.
-    fn is_full(&self, zone: &name::Name, min_cpu: i64, now: u64) -> bool {
-        self.loads
-            .get(zone)
-            .is_some_and(|(load, at)| load.free < min_cpu && now < at + FULL_RETENTION)
-    }
-
     fn next_number(&mut self, now: u64) -> u64 {
         self.number = now.max(self.number + 1);
         self.number
--- a/crates/dispatch/src/machines/upkeep.rs
+++ b/crates/dispatch/src/machines/upkeep.rs
@@ -5,7 +5,10 @@
 
 use crate::{
     decisions::queue,
-    machines::sched::{self, CallPurpose, Sched},
+    machines::{
+        outcome,
+        sched::{self, CallPurpose, Sched},
+    },
     messages::{
         job::{Refusal, Verdict},
         order::Order,
@@ -27,7 +30,9 @@
 const MAX_TICK: u64 = 40 * time::MS;
 const _: () = {
     let lease = time::on_slowest(sched::MAX_LEASE * time::MS);
-    assert!(sched::FORMER_RUN_TIMEOUT >= ABANDON_AFTER + MAX_TICK + lease);
+    let former = ABANDON_AFTER + MAX_TICK + lease;
+    assert!(sched::FORMER_RUN_TIMEOUT >= former);
+    assert!(sched::SPLIT_RUN_TIMEOUT >= former + outcome::ORPHAN_GRACE + MAX_TICK + lease);
 };
 /// Interval at which the scheduler repeats the stop order for an unwanted run, in microseconds.
 const STOP_INTERVAL: u64 = 150 * time::MS;
--- a/crates/dispatch/src/messages/message.rs
+++ b/crates/dispatch/src/messages/message.rs
@@ -2,7 +2,7 @@
 
 use state::name;
 
-use crate::messages::{claim, evacuation, job, member, share, suspect, upstream};
+use crate::messages::{claim, evacuation, job, member, parts, share, suspect, upstream};
 
 /// One message between two instances.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -109,8 +109,8 @@
     pub urgent: bool,
     /// Whether the sender is shutting down.
     pub draining: bool,
-    /// Whether the sender receives heartbeats of its zone's scheduler.
-    pub led: bool,
+    /// Parts of the sender's zone from whose schedulers it receives heartbeats.
+    pub led: parts::Parts,
     /// Claims of the zones' schedulers, as far as the sender knows.
     pub claims: Vec<claim::Claim>,
     /// Version of the sender's active configuration; 0 without one.
@@ -178,14 +178,26 @@
     pub used_attempts: u32,
     /// Digest of its zone's upstreams that the receiver last reported.
     pub upstreams: u64,
-    /// Last reported digests of the schedulers that had these tasks before: the tasks run only at
-    /// upstreams of these sets.
-    pub former: smallvec::SmallVec<[u64; 2]>,
+    /// Parts of the zone that the receiver schedules, as far as the sender knows.
+    pub parts: parts::Parts,
+    /// Whether schedulers of some parts of a zone only may have found runs of these tasks.
+    pub split: bool,
+    /// The upstreams of the schedulers that had these tasks before: the tasks run only there.
+    pub former: smallvec::SmallVec<[FormerSet; 2]>,
     /// Time since the entry last informed one of these schedulers that it awaits the tasks, in
     /// milliseconds.
     pub release_age: u64,
 }
 
+/// The upstreams of a scheduler that had tasks before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct FormerSet {
+    /// Digest of the upstreams of its zone that it last reported.
+    pub digest: u64,
+    /// The parts of the zone that it scheduled.
+    pub parts: parts::Parts,
+}
+
 /// The outcome of the tasks of a job that a scheduler had.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Decision {
--- a/crates/dispatch/src/messages/mod.rs
+++ b/crates/dispatch/src/messages/mod.rs
@@ -1,7 +1,7 @@
 //! Messages and events: what instances exchange, what an instance is told, and what it returns.
 //!
 //! - [`message`] holds the messages between instances, [`event`] the input and output of one.
-//! - [`member`], [`claim`], [`upstream`], [`incarnation`], [`job`], [`share`] and [`order`] are the
+//! - [`member`], [`claim`], [`parts`], [`upstream`], [`incarnation`], [`job`], [`share`] and [`order`] are the
 //!   things that messages speak of.
 
 pub mod claim;
@@ -13,6 +13,7 @@
 pub mod member;
 pub mod message;
 pub mod order;
+pub mod parts;
 pub mod share;
 pub mod suspect;
 pub mod time;
--- a/crates/dispatch/src/tables/active.rs
+++ b/crates/dispatch/src/tables/active.rs
@@ -52,8 +52,8 @@
     pub entry_clock: u64,
     /// Time from which no run that former schedulers started can be left, even an unknown one.
     pub runs_end: u64,
-    /// Digests of former schedulers' sets of upstreams that are not fully known here.
-    pub uncovered: smallvec::SmallVec<[u64; 2]>,
+    /// Upstreams of former schedulers that are not all known and scheduled here.
+    pub uncovered: smallvec::SmallVec<[message::FormerSet; 2]>,
     /// Whether a task of the job may have been started, here or elsewhere.
     pub started: bool,
     /// Highest number that earlier schedulers may have used for runs of its tasks.
--- a/crates/dispatch/src/tables/mod.rs
+++ b/crates/dispatch/src/tables/mod.rs
@@ -3,7 +3,8 @@
 //! - [`membership`], [`peer`], [`watch_list`] and [`redial`]: the other instances.
 //! - [`directory`], [`session`], [`health`], [`speed`], [`capacity_limit`] and [`call_timeout`]: the
 //!   upstreams.
-//! - [`active`] and [`routing`]: the jobs that a scheduler has, and where requests go.
+//! - [`active`], `loads` and [`routing`]: the jobs that a scheduler has, the room of the zones, and
+//!   where requests go.
 
 pub mod active;
 pub mod call_timeout;
@@ -11,6 +12,7 @@
 pub mod directory;
 pub mod fetch;
 pub mod health;
+pub(crate) mod loads;
 pub mod membership;
 pub mod peer;
 pub mod redial;
--- a/crates/dispatch/src/tables/session.rs
+++ b/crates/dispatch/src/tables/session.rs
@@ -82,6 +82,9 @@
     /// Set if the run is no longer wanted: the time of the last order to stop it, 0 before the
     /// first.
     pub unwanted: Option<u64>,
+    /// Whether it belongs to an unknown job, and its owner has some parts of the zone only: another
+    /// scheduler may have the job.
+    pub orphan: bool,
 }
 
 /// The clock of an upstream and the local clock at the same moment.
@@ -271,12 +274,12 @@
         Some(until)
     }
 
-    /// Whether a run there is no longer wanted. A lease holds for all runs of an upstream, so the
+    /// Whether a run there is no longer wanted, or an orphan. A lease holds for all runs of an upstream, so the
     /// owner grants none until that run has ended: it ends with the last lease at the latest, and so
     /// within the time after which another scheduler may start its task, even if it is never
     /// stopped.
     pub fn has_unwanted(&self) -> bool {
-        self.runs.values().any(|run| run.unwanted.is_some())
+        self.runs.values().any(|run| run.unwanted.is_some() || run.orphan)
     }
 
     /// Whether all granted leases have expired, even on the slowest clock.
--- a/crates/dispatch/src/tables/zones.rs
+++ b/crates/dispatch/src/tables/zones.rs
@@ -3,8 +3,8 @@
 use state::name;
 
 use crate::{
-    messages::member,
-    tables::{membership::Membership, peer::Peer, watch_list},
+    messages::{member, parts},
+    tables::{membership::Membership, watch_list},
 };
 
 impl Membership {
@@ -37,10 +37,11 @@
         }
     }
 
-    /// Whether another instance of this zone receives heartbeats of the zone's scheduler.
-    pub fn zone_peer_is_led(&self, now: u64) -> bool {
-        let led = |peer: &Peer| peer.ping.as_ref().is_some_and(|ping| ping.led);
-        self.zone_peers(now).any(|card| self.peers.get(&card.name).is_some_and(led))
+    /// The parts of this zone from whose schedulers another instance of the zone receives
+    /// heartbeats.
+    pub fn zone_peers_led(&self, now: u64) -> parts::Parts {
+        let ping = |card: &member::Card| self.peers.get(&card.name)?.ping.as_ref();
+        self.zone_peers(now).filter_map(ping).map(|ping| ping.led).collect()
     }
 
     /// Whether a keeper of a zone is alive and not shutting down.
@@ -96,6 +97,6 @@
         let pings = direct.filter_map(|name| self.peers.get(name)?.ping.as_ref());
         !self.has_keeper(zone, now)
             && self.reaches(zone, now)
-            && pings.into_iter().all(|ping| ping.low_capacity && !ping.led)
+            && pings.into_iter().all(|ping| ping.low_capacity && !ping.led.is_all())
     }
 }
--- a/crates/dispatch/tests/claims.rs
+++ b/crates/dispatch/tests/claims.rs
@@ -5,6 +5,7 @@
     leadership::{Candidate, Claims},
     member::{Capacity, Card, Role},
     membership::Membership,
+    parts::Parts,
     time::{MS, Now},
 };
 
@@ -31,7 +32,7 @@
     let membership = Membership::new(card("10.0.0.2:7", Role::Entry), &[], 0);
     let mut claims = Claims::default();
     let keeper =
-        Claim { zone: "west".into(), epoch: 9, holder: "10.0.0.1:7".into(), incarnation: 7 };
+        Claim { zone: "west".into(), epoch: 9, holder: "10.0.0.1:7".into(), incarnation: 7, parts: Parts::ALL };
     for ms in (0..10_000).step_by(20) {
         let now = Now::new((age + ms) * MS, WALL_CLOCK_MS + age + ms);
         if received_at == Some(ms) {
@@ -44,7 +45,7 @@
     panic!("the entry never claims its zone");
 }
 
-const STRONG: Candidate = Candidate { schedules: false, equipped: true, low_capacity: false };
+const STRONG: Candidate = Candidate { schedules: false, equipped: true, low_capacity: false, upstreams: 0 };
 
 /// Entries must not claim a zone that its restarted keeper has just claimed. After a power loss all
 /// instances restarted within 150 ms, and the keepers claimed their zones. Entries that had not yet
