--- a/crates/dispatch/tests/claims.rs
+++ b/crates/dispatch/tests/claims.rs
@@ -31,8 +31,13 @@
     };
     let membership = Membership::new(card("10.0.0.2:7", Role::Entry), &[], 0);
     let mut claims = Claims::default();
-    let keeper =
-        Claim { zone: "west".into(), epoch: 9, holder: "10.0.0.1:7".into(), incarnation: 7, parts: Parts::ALL };
+    let keeper = Claim {
+        zone: "west".into(),
+        epoch: 9,
+        holder: "10.0.0.1:7".into(),
+        incarnation: 7,
+        parts: Parts::ALL,
+    };
     for ms in (0..10_000).step_by(20) {
         let now = Now::new((age + ms) * MS, WALL_CLOCK_MS + age + ms);
         if received_at == Some(ms) {
@@ -45,7 +50,8 @@
     panic!("the entry never claims its zone");
 }
 
-const STRONG: Candidate = Candidate { schedules: false, equipped: true, low_capacity: false, upstreams: 0 };
+const STRONG: Candidate =
+    Candidate { schedules: false, equipped: true, low_capacity: false, upstreams: 0 };
 
 /// Entries must not claim a zone that its restarted keeper has just claimed. After a power loss all
 /// instances restarted within 150 ms, and the keepers claimed their zones. Entries that had not yet
--- a/crates/dispatch/tests/world/fault.rs
+++ b/crates/dispatch/tests/world/fault.rs
@@ -29,9 +29,10 @@
             first,
             known: instance.known.clone(),
         });
-        let (me, policy) = (instance.card.clone(), self.policy);
-        let factor = if me.role == Role::Keeper { 5 } else { 1 };
+        let factor = if instance.card.role == Role::Keeper { 5 } else { 1 };
         let cores = self.cores * factor;
+        instance.card.capacity.cpu = if self.states_capacity { cores as u32 } else { 0 };
+        let (me, policy) = (instance.card.clone(), self.policy);
         let zones = Vec::new();
         let config = core::Config {
             me,
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -212,6 +212,8 @@
     /// The processor capacity of entries that start from now on, thousandths of a core; keepers
     /// have 5 times as much.
     pub cores: u64,
+    /// Whether instances that start from now on state their processor capacity.
+    pub states_capacity: bool,
     /// The scheduling policy of instances that start from now on.
     pub policy: Policy,
     /// The job of each open client request, by ticket.
@@ -283,6 +285,7 @@
             last_jittered: BTreeMap::new(),
             stalled: BTreeSet::new(),
             cores: 1_000,
+            states_capacity: false,
             policy: Policy::default(),
             tickets: BTreeMap::new(),
             queue: BinaryHeap::new(),
