--- a/crates/dispatch/src/decisions/assignment.rs
+++ b/crates/dispatch/src/decisions/assignment.rs
@@ -15,7 +15,8 @@
 const ATTEMPTS_PER_SCHEDULER: u32 = 1 << 16;
 /// A digest that matches no set: the next scheduler waits until no run of the former ones can be
 /// left.
-const UNKNOWN_SET: FormerSet = FormerSet { digest: u64::MAX, parts: parts::Parts::ALL };
+const UNKNOWN_SET: FormerSet =
+    FormerSet { digest: u64::MAX, parts: parts::Parts::ALL, epoch: u64::MAX };
 
 /// Tasks of a job that one scheduler has at a time.
 #[derive(Debug)]
@@ -139,7 +140,11 @@
     fn reclaim(&mut self) {
         self.resumed = true;
         if let Some(claim) = self.claim.take() {
-            self.add_former(FormerSet { digest: self.last_digest, parts: claim.parts });
+            self.add_former(FormerSet {
+                digest: self.last_digest,
+                parts: claim.parts,
+                epoch: claim.epoch,
+            });
             self.skip_attempts();
         }
     }
--- a/crates/dispatch/src/decisions/leadership.rs
+++ b/crates/dispatch/src/decisions/leadership.rs
@@ -37,6 +37,9 @@
 /// a restart of the whole system such an entry met the keeper of its zone 330 ms after it had
 /// received that keeper's claim.
 const LOW_CAPACITY_GRACE: u64 = 1_000 * time::MS;
+/// An entry that has too little CPU time for its zone waits this long for the answers of keepers of
+/// other zones, microseconds.
+const ANSWER_DELAY: u64 = 60 * time::MS;
 /// An instance that receives heartbeats from no other instance of its zone, although there are
 /// some, waits this much longer before it claims, microseconds: the others may well have a
 /// scheduler.
@@ -248,8 +251,14 @@
         };
         candidacy.vacant_since = Some((since, vacant));
         let isolated = if membership.is_cut_off(now.mono) { ISOLATED_DELAY } else { 0 };
-        // A keeper of another zone has more CPU time to spare, so it may claim first.
-        let capacity_delay = if entry && candidate.low_capacity { RANK_DELAY } else { 0 };
+        // A keeper of another zone has more CPU time to spare, so it may claim first. The first
+        // instances of a zone ask for heartbeats of such keepers, if there are any.
+        let hopes = membership.sees_keeper(now.mono) || !membership.is_front();
+        let capacity_delay = match entry && candidate.low_capacity {
+            true if hopes => RANK_DELAY,
+            true => ANSWER_DELAY,
+            false => 0,
+        };
         let age = now.mono.checked_sub(since + isolated + capacity_delay)?;
         let vacancy = Vacancy { parts: vacant, upstreams: candidate.upstreams, age };
         let due = self.due_parts(&vacancy, membership, candidate.schedules, now.mono);
--- a/crates/dispatch/src/machines/core.rs
+++ b/crates/dispatch/src/machines/core.rs
@@ -15,7 +15,7 @@
         job::{Refusal, Verdict},
         member,
         message::{Body, Document},
-        order, suspect,
+        order, parts, suspect,
         time::{MS, Now},
         upstream,
     },
@@ -95,6 +95,8 @@
     pub(crate) named_zones: Vec<name::Name>,
     pub(crate) draining: bool,
     pub(crate) leads: bool,
+    /// Parts of its zone that had a live scheduler at the last tick.
+    pub(crate) led: parts::Parts,
     /// Versions newer than the active configuration, and when this instance learned of each.
     pub(crate) newer_versions: collections::BTreeMap<u64, u64>,
     pub(crate) fetch: fetch::Fetch,
@@ -135,6 +137,7 @@
             named_zones: zones,
             draining: false,
             leads: false,
+            led: parts::Parts::NONE,
             newer_versions: collections::BTreeMap::new(),
             fetch: fetch::Fetch::default(),
             last_save: (0, now.mono),
@@ -300,6 +303,7 @@
         for sched in self.zones.values_mut().filter_map(|zone| zone.sched.as_mut()) {
             sched.tick(|entry| membership.clock(entry, now.mono), now.mono);
         }
+        self.seek_runs(now);
         let (view, submissions) = self.view(now);
         submissions.tick(view);
         let keepers: Vec<_> = self.membership.keepers().cloned().collect();
--- a/crates/dispatch/src/machines/mod.rs
+++ b/crates/dispatch/src/machines/mod.rs
@@ -15,6 +15,7 @@
 mod outcome;
 mod peers;
 mod propagation;
+mod rescue;
 mod restart;
 pub mod sched;
 mod scheduling;
--- a/crates/dispatch/src/machines/peers.rs
+++ b/crates/dispatch/src/machines/peers.rs
@@ -1,5 +1,7 @@
 //! Communication with other instances: heartbeats and their handling, and the other messages.
 
+use std::collections;
+
 use state::name;
 
 use crate::{
@@ -22,6 +24,7 @@
         let zone = self.membership.me().zone.clone();
         let led = self.claims.is_led(&zone, &self.membership, now.mono);
         self.membership.update_window(self.is_scheduler(), led, now.mono);
+        self.report_vacancy(now);
         let partners = self.partners(led);
         let due = self.membership.due(|name| partners.contains(name), now.mono);
         if due.is_empty() {
@@ -41,6 +44,27 @@
         }
     }
 
+    /// Sends heartbeats at once when a scheduler of the zone falls silent: to the first instances of
+    /// the zone, which wait for one another's word before one claims it, and to the schedulers of
+    /// the other zones, which answer if they could schedule this zone, too.
+    fn report_vacancy(&mut self, now: Now) {
+        let zone = self.membership.me().zone.clone();
+        let led = self.claims.led_parts(&zone, &self.membership, now.mono);
+        let former = std::mem::replace(&mut self.led, led);
+        if led.covers(former) || !self.membership.is_front() {
+            return;
+        }
+        let peers = self.membership.zone_peers(now.mono);
+        let peers = peers.filter(|card| self.membership.is_watched(card));
+        let peers = peers.map(|card| card.name.clone());
+        let others = self.claims.iter().filter(|claim| claim.zone != zone);
+        let others = others.map(|claim| claim.holder.clone());
+        let names: collections::BTreeSet<_> = peers.chain(others).collect();
+        for to in names {
+            self.send_heartbeat(&to, now);
+        }
+    }
+
     /// The instances that this one works with: the scheduler of its zone, the schedulers that have
     /// jobs of its clients, the scheduler of the next zone if it might need room there, and the
     /// entries of the zones that it may have to schedule.
@@ -172,6 +196,12 @@
                 let (view, submissions) = self.view(now);
                 submissions.handle_returned(from, &id, &returned, view);
             }
+            Body::Seek(zone, sought) => self.on_seek(from, &zone, sought, now),
+            Body::Clear(zone, parts, clear) => {
+                if let Some(sched) = self.sched_of(&zone) {
+                    sched.record_clear(parts, &clear);
+                }
+            }
             Body::Lost(losses) => self.record_losses(&losses, now),
             Body::Relay(origin, to, body) if to == self.membership.me().name => {
                 if !matches!(*body, Body::Relay(..)) {
@@ -207,8 +237,9 @@
             return self.send(from, Body::Unknown(job.id, handover.number), now);
         };
         // An entry that does not know of parts that this scheduler has would not tell the next one
-        // that its tasks may run there.
-        if !handover.parts.covers(sched.parts) {
+        // that its tasks may run there. One that means a former claim may have left it since.
+        let older = !sched.parts.is_all() && handover.epoch < sched.epoch;
+        if older || !handover.parts.covers(sched.parts) {
             return self.send(from, Body::Unknown(job.id, handover.number), now);
         }
         if self.suspects.is_given_up(&job.id) {
@@ -255,6 +286,8 @@
         }
         let ack = ping.ack.clone();
         let (version, members, records) = (ping.version, ping.members, ping.records);
+        let elsewhere = ping.card.zone != self.membership.me().zone;
+        let (urgent, led) = (ping.urgent, ping.led);
         let former = self.membership.last_heartbeat(&from).map(|ack| (ack.upstreams, ack.adopted));
         if self.membership.record_heartbeat(ping, direct, now.mono) {
             self.note("peer: First heartbeat received.", &from, String::new());
@@ -275,6 +308,10 @@
         if is_scheduler && former.is_some() && former != latest {
             self.send_heartbeat(&from, now);
         }
+        let vacant = urgent && !led.is_all() && elsewhere;
+        if vacant && self.membership.me().role == member::Role::Keeper {
+            self.send_heartbeat(&from, now);
+        }
         self.record_version(version, now);
         let zone = self.membership.me().zone.clone();
         let sync_needed =
--- a/crates/dispatch/src/machines/submissions.rs
+++ b/crates/dispatch/src/machines/submissions.rs
@@ -359,6 +359,7 @@
             used_attempts: part.used_attempts,
             upstreams: digest,
             parts: choice.claim.parts,
+            epoch: choice.claim.epoch,
             split: part.split,
             former: part.former_sets.clone(),
             release_age: part.since_asked(view.now),
--- a/crates/dispatch/src/messages/message.rs
+++ b/crates/dispatch/src/messages/message.rs
@@ -40,6 +40,12 @@
     Verdict(name::Name, Box<Decision>),
     /// The scheduler will not start these tasks of a job unless the entry submits them again.
     Spare(name::Name, ReturnedTasks),
+    /// Asks the scheduler of other parts of this zone whether tasks of these jobs may still run
+    /// there, at upstreams of these sets.
+    Seek(name::Name, Vec<Sought>),
+    /// No task of these jobs runs at the upstreams of these sets that are in these parts, and none
+    /// that a former scheduler ordered will.
+    Clear(name::Name, parts::Parts, Vec<Sought>),
     /// Lost upstreams, and the tasks that may have been running there.
     Lost(Vec<suspect::Loss>),
     /// A message that a third instance relays, as the sender does not reach its receiver: sender,
@@ -85,6 +91,7 @@
             Self::Await(..) | Self::Unknown(..) => "await",
             Self::Verdict(..) => "verdict",
             Self::Spare(..) => "spare",
+            Self::Seek(..) | Self::Clear(..) => "seek",
             Self::Lost(_) => "lost",
             Self::Relay(..) => "relay",
         }
@@ -180,6 +187,8 @@
     pub upstreams: u64,
     /// Parts of the zone that the receiver schedules, as far as the sender knows.
     pub parts: parts::Parts,
+    /// Epoch of the receiver's claim that the sender knows.
+    pub epoch: u64,
     /// Whether schedulers of some parts of a zone only may have found runs of these tasks.
     pub split: bool,
     /// The upstreams of the schedulers that had these tasks before: the tasks run only there.
@@ -194,10 +203,15 @@
 pub struct FormerSet {
     /// Digest of the upstreams of its zone that it last reported.
     pub digest: u64,
-    /// The parts of the zone that it scheduled.
+    /// The parts of the zone that it scheduled, without those where no run of the tasks is left.
     pub parts: parts::Parts,
+    /// Epoch of its claim.
+    pub epoch: u64,
 }
 
+/// A job, and the upstreams where a former scheduler may have started its tasks.
+pub type Sought = (name::Name, FormerSet);
+
 /// The outcome of the tasks of a job that a scheduler had.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Decision {
--- a/crates/dispatch/src/tables/membership.rs
+++ b/crates/dispatch/src/tables/membership.rs
@@ -398,11 +398,17 @@
         self.watch_list.receives_records(card, zone)
     }
 
+    /// Whether this instance is among the first of its zone, which take the zone over.
+    pub fn is_front(&self) -> bool {
+        self.watch_list.is_first(&self.me, self.watch_list.front(&self.me.zone))
+    }
+
     /// Watches more instances of the zone while the zone has no known scheduler. `leads` says that
     /// this instance schedules it.
     pub fn update_window(&mut self, leads: bool, led: bool, now: u64) {
-        let knows = leads || self.me.role == member::Role::Keeper;
-        self.window.set(knows, led, self.start + SILENCE_TIMEOUT, now);
+        let knows = leads || self.me.role == member::Role::Keeper || self.is_front();
+        let front = self.watch_list.front(&self.me.zone);
+        self.window.set(knows, led, front, self.start + SILENCE_TIMEOUT, now);
     }
 
     /// Whether this instance wants heartbeats from another one; `used` says that it works with that
--- a/crates/dispatch/src/tables/watch_list.rs
+++ b/crates/dispatch/src/tables/watch_list.rs
@@ -28,6 +28,10 @@
 const WIDEN_STEP: usize = 3;
 /// Time by which heartbeats of the added instances have arrived, in microseconds.
 const WIDEN_INTERVAL: u64 = 300 * time::MS;
+/// Number of entries that must be among the first [`FRONT`] instances of a zone. In a zone with more
+/// keepers, the first [`MAX_WINDOW`] instances do what the first [`FRONT`] do elsewhere, so that
+/// entries know the upstreams, and one another, when all keepers are lost.
+const FRONT_ENTRIES: usize = 2;
 /// Maximum number of instances of its zone that an entry watches: if all hundred instances of a
 /// zone watched one another, a zone without a scheduler would not get one.
 const MAX_WINDOW: usize = 14;
@@ -37,6 +41,8 @@
 pub struct WatchList {
     small: bool,
     first: collections::BTreeMap<name::Name, Vec<name::Name>>,
+    /// Zones with too many keepers among their first instances.
+    wide: collections::BTreeSet<name::Name>,
 }
 
 impl WatchList {
@@ -48,12 +54,18 @@
             count += 1;
             zones.entry(card.zone.clone()).or_default().push(card);
         }
-        let first = |mut zone: Vec<&member::Card>| {
+        let mut list = Self { small: count <= SMALL_SYSTEM + 1, ..Self::default() };
+        for (name, mut zone) in zones {
             zone.sort_by_key(|card| card.rank());
-            zone.into_iter().take(MAX_WINDOW).map(|card| card.name.clone()).collect()
-        };
-        let first = zones.into_iter().map(|(name, zone)| (name, first(zone))).collect();
-        Self { small: count <= SMALL_SYSTEM + 1, first }
+            let is_entry = |card: &&&member::Card| card.role == member::Role::Entry;
+            let entries = zone.iter().take(FRONT).filter(is_entry).count();
+            if entries < FRONT_ENTRIES && zone.len() > FRONT {
+                list.wide.insert(name.clone());
+            }
+            let first = zone.into_iter().take(MAX_WINDOW).map(|card| card.name.clone());
+            list.first.insert(name, first.collect());
+        }
+        list
     }
 
     /// Whether every instance watches its zone and all keepers.
@@ -67,6 +79,12 @@
         &first[..count.min(first.len())]
     }
 
+    /// Number of the first instances of a zone by rank that receive the news of its upstreams, and
+    /// that an entry watches while the zone has no scheduler.
+    pub fn front(&self, zone: &name::Name) -> usize {
+        if self.wide.contains(zone) { MAX_WINDOW } else { FRONT }
+    }
+
     /// Whether an instance is among the first `count` of its zone by rank.
     pub fn is_first(&self, card: &member::Card, count: usize) -> bool {
         self.first(&card.zone, count).contains(&card.name)
@@ -92,7 +110,7 @@
 
     /// Whether an instance receives the upstream records of a zone without scheduling that zone.
     pub fn receives_records(&self, card: &member::Card, zone: &name::Name) -> bool {
-        let first = card.zone == *zone && (self.small || self.is_first(card, FRONT));
+        let first = card.zone == *zone && (self.small || self.is_first(card, self.front(zone)));
         first || card.role == member::Role::Keeper
     }
 }
@@ -117,18 +135,18 @@
     }
 
     /// Updates the window: it widens while the zone has no scheduler, counted from `earliest` at
-    /// the earliest. An instance that `knows` the zone, as a keeper or its scheduler, always
-    /// watches [`FRONT`] instances.
-    pub fn set(&mut self, knows: bool, led: bool, earliest: u64, now: u64) {
+    /// the earliest, from `front` instances on. An instance that `knows` the zone, as a keeper, as its scheduler or as
+    /// one of these first instances, always watches them.
+    pub fn set(&mut self, knows: bool, led: bool, front: usize, earliest: u64, now: u64) {
         if knows || led {
-            self.size = if knows { FRONT } else { HUBS };
+            self.size = if knows { front } else { HUBS };
             self.vacant = None;
             return;
         }
         let vacant = *self.vacant.get_or_insert(now.max(earliest));
         self.size = match now.checked_sub(vacant) {
             Some(elapsed) => {
-                (FRONT + WIDEN_STEP * (elapsed / WIDEN_INTERVAL) as usize).min(MAX_WINDOW)
+                (front + WIDEN_STEP * (elapsed / WIDEN_INTERVAL) as usize).min(MAX_WINDOW)
             }
             None => HUBS,
         };
--- a/crates/dispatch/src/tables/zones.rs
+++ b/crates/dispatch/src/tables/zones.rs
@@ -44,6 +44,11 @@
         self.zone_peers(now).filter_map(ping).map(|ping| ping.led).collect()
     }
 
+    /// Whether a keeper of any zone is alive and not shutting down, as far as heartbeats arrive.
+    pub fn sees_keeper(&self, now: u64) -> bool {
+        self.available(now).any(|card| card.role == member::Role::Keeper)
+    }
+
     /// Whether a keeper of a zone is alive and not shutting down.
     fn has_keeper(&self, zone: &name::Name, now: u64) -> bool {
         let mut available = self.available(now);
--- a/crates/dispatch/tests/random_faults.rs
+++ b/crates/dispatch/tests/random_faults.rs
@@ -454,7 +454,18 @@
 /// Runs a seed with entries that are too weak to schedule their zones, so that keepers of other
 /// zones schedule these.
 fn run_weak(seed: u64) {
+    run_weak_world(World::with_keepers(seed, ZONES, 1, WEAK_ENTRIES, UPSTREAMS), seed, weak_fault);
+}
+
+/// Runs a seed with such entries that state their capacity, so that two or three of them share a
+/// zone whose keepers are lost.
+fn run_parted(seed: u64) {
     let mut world = World::with_keepers(seed, ZONES, 1, WEAK_ENTRIES, UPSTREAMS);
+    world.states_capacity = true;
+    run_weak_world(world, seed, parting_fault);
+}
+
+fn run_weak_world(mut world: World, seed: u64, fault: fn(&mut World) -> FaultEnd) {
     world.cores = UPSTREAMS as u64;
     for at in 0..world.instances.len() {
         world.kill(at);
@@ -464,13 +475,7 @@
     run_plan(
         world,
         seed,
-        &Plan {
-            size: WEAK_ENTRIES + 1,
-            fault: weak_fault,
-            kinds,
-            duration_factor: 2,
-            recover: |_| {},
-        },
+        &Plan { size: WEAK_ENTRIES + 1, fault, kinds, duration_factor: 2, recover: |_| {} },
     );
 }
 
@@ -491,6 +496,24 @@
     }
 }
 
+/// Starts the loss of all keepers, or another random fault.
+fn parting_fault(world: &mut World) -> FaultEnd {
+    if world.rng.random_range(0..3) > 0 {
+        return start_fault(world);
+    }
+    let keepers = || (0..ZONES).map(|zone| zone * (WEAK_ENTRIES + 1));
+    keepers().for_each(|at| world.kill(at));
+    Box::new(move |world| keepers().for_each(|at| world.start(at)))
+}
+
+#[test]
+fn parted_seeds() {
+    let first = env_number("FIRST_SEED", 1);
+    for seed in first..first + env_number("SEEDS", 12) {
+        run_parted(seed);
+    }
+}
+
 #[test]
 fn weak_seeds() {
     let first = env_number("FIRST_SEED", 1);
