--- a/crates/dispatch/src/machines/peers.rs
+++ b/crates/dispatch/src/machines/peers.rs
@@ -23,7 +23,8 @@
     pub(crate) fn send_heartbeats(&mut self, now: Now) {
         let zone = self.membership.me().zone.clone();
         let led = self.claims.is_led(&zone, &self.membership, now.mono);
-        self.membership.update_window(self.is_scheduler(), led, now.mono);
+        let shares = self.membership.is_front() && self.has_low_capacity();
+        self.membership.update_window(self.is_scheduler() || shares, led, now.mono);
         self.report_vacancy(now);
         let partners = self.partners(led);
         let due = self.membership.due(|name| partners.contains(name), now.mono);
--- a/crates/dispatch/src/tables/membership.rs
+++ b/crates/dispatch/src/tables/membership.rs
@@ -404,9 +404,9 @@
     }
 
     /// Watches more instances of the zone while the zone has no known scheduler. `leads` says that
-    /// this instance schedules it.
+    /// this instance schedules it, or may have to share it with the other first ones.
     pub fn update_window(&mut self, leads: bool, led: bool, now: u64) {
-        let knows = leads || self.me.role == member::Role::Keeper || self.is_front();
+        let knows = leads || self.me.role == member::Role::Keeper;
         let front = self.watch_list.front(&self.me.zone);
         self.window.set(knows, led, front, self.start + SILENCE_TIMEOUT, now);
     }
