--- a/crates/dispatch/src/machines/peers.rs
+++ b/crates/dispatch/src/machines/peers.rs
@@ -1,10 +1,13 @@
 //! Communication with other instances: heartbeats and their handling, and the other messages.
 
+use std::collections;
+
 use state::name;
 
 use crate::{
     machines::{core::Core, sched, zone},
     messages::{
+        claim,
         event::Output,
         job, member,
         message::{Adopted, AdoptedZone, Body, Handover, HeartbeatAck, Ping},
@@ -20,7 +23,9 @@
     pub(crate) fn send_heartbeats(&mut self, now: Now) {
         let zone = self.membership.me().zone.clone();
         let led = self.claims.is_led(&zone, &self.membership, now.mono);
-        self.membership.update_window(self.is_scheduler(), led, now.mono);
+        let shares = self.membership.is_front() && self.has_low_capacity();
+        self.membership.update_window(self.is_scheduler() || shares, led, now.mono);
+        self.report_vacancy(now);
         let partners = self.partners(led);
         let due = self.membership.due(|name| partners.contains(name), now.mono);
         if due.is_empty() {
@@ -40,6 +45,27 @@
         }
     }
 
+    /// Sends heartbeats at once when a scheduler of the zone falls silent: to the first instances of
+    /// the zone, which wait for one another's word before one claims it, and to the schedulers of
+    /// the other zones, which answer if they could schedule this zone, too.
+    fn report_vacancy(&mut self, now: Now) {
+        let zone = self.membership.me().zone.clone();
+        let led = self.claims.led_parts(&zone, &self.membership, now.mono);
+        let former = std::mem::replace(&mut self.led, led);
+        if led.covers(former) || !self.membership.is_front() {
+            return;
+        }
+        let peers = self.membership.zone_peers(now.mono);
+        let peers = peers.filter(|card| self.membership.is_watched(card));
+        let peers = peers.map(|card| card.name.clone());
+        let others = self.claims.iter().filter(|claim| claim.zone != zone);
+        let others = others.map(|claim| claim.holder.clone());
+        let names: collections::BTreeSet<_> = peers.chain(others).collect();
+        for to in names {
+            self.send_heartbeat(&to, now);
+        }
+    }
+
     /// The instances that this one works with: the scheduler of its zone, the schedulers that have
     /// jobs of its clients, the scheduler of the next zone if it might need room there, and the
     /// entries of the zones that it may have to schedule.
@@ -48,7 +74,7 @@
         let next = self.membership.is_small()
             || !led
             || self.is_scheduler()
-            || self.submissions.is_short(zone);
+            || self.submissions.is_short(self.claims.of_zone(zone));
         let watched = self
             .claims
             .watched(zone, &self.evacuations)
@@ -85,7 +111,7 @@
             upstreams: self.digest(),
             urgent: false,
             draining: self.draining,
-            led: self.claims.is_led(zone, &self.membership, now.mono),
+            led: self.claims.led_parts(zone, &self.membership, now.mono),
             claims: self.claims.iter().cloned().collect(),
             version: self.document.version,
             evacuations: self.evacuations.clone(),
@@ -122,7 +148,7 @@
                         from,
                         incarnation,
                     );
-                    self.yield_to_higher();
+                    self.yield_to_higher(now);
                 }
                 let lost = self.membership.merge_members(cards, gone, now.mono);
                 self.out.extend(lost.into_iter().map(Output::Disconnect));
@@ -171,6 +197,12 @@
                 let (view, submissions) = self.view(now);
                 submissions.handle_returned(from, &id, &returned, view);
             }
+            Body::Seek(zone, sought) => self.on_seek(from, &zone, sought, now),
+            Body::Clear(zone, parts, clear) => {
+                if let Some(sched) = self.sched_of(&zone) {
+                    sched.record_clear(parts, &clear);
+                }
+            }
             Body::Lost(losses) => self.record_losses(&losses, now),
             Body::Relay(origin, to, body) if to == self.membership.me().name => {
                 if !matches!(*body, Body::Relay(..)) {
@@ -186,7 +218,7 @@
         }
     }
 
-    fn sched_of(&mut self, zone: &name::Name) -> Option<&mut sched::Sched> {
+    pub(crate) fn sched_of(&mut self, zone: &name::Name) -> Option<&mut sched::Sched> {
         self.zones.get_mut(zone)?.sched.as_mut()
     }
 
@@ -205,6 +237,12 @@
         else {
             return self.send(from, Body::Unknown(job.id, handover.number), now);
         };
+        // An entry that does not know of parts that this scheduler has would not tell the next one
+        // that its tasks may run there. One that means a former claim may have left it since.
+        let older = !sched.parts.is_all() && handover.epoch < sched.epoch;
+        if older || !handover.parts.covers(sched.parts) {
+            return self.send(from, Body::Unknown(job.id, handover.number), now);
+        }
         if self.suspects.is_given_up(&job.id) {
             return sched.refuse_given_up(&job.id, from, handover, now.mono);
         }
@@ -234,20 +272,23 @@
             return;
         }
         for claim in &ping.claims {
-            if self.claims.merge(claim, now.mono) {
+            if self.is_credible(claim, &from) && self.claims.merge(claim, now.mono) {
                 self.note("zone: Claimed.", &claim.holder, claim.zone.to_string());
                 self.greet_holder(&claim.holder, now);
             }
         }
         self.adopt_evacuations(&ping.evacuations, now);
         if let Some(load) = ping.load {
-            self.submissions.record_load(&ping.card.zone, load, now.mono);
+            self.submissions.record_load(&ping.card.zone, &from, load, now.mono);
         }
         for adopted_zone in &ping.adopted {
-            self.submissions.record_load(&adopted_zone.zone, adopted_zone.load, now.mono);
+            let AdoptedZone { zone, load, .. } = adopted_zone;
+            self.submissions.record_load(zone, &from, *load, now.mono);
         }
         let ack = ping.ack.clone();
         let (version, members, records) = (ping.version, ping.members, ping.records);
+        let elsewhere = ping.card.zone != self.membership.me().zone;
+        let (urgent, led) = (ping.urgent, ping.led);
         let former = self.membership.last_heartbeat(&from).map(|ack| (ack.upstreams, ack.adopted));
         if self.membership.record_heartbeat(ping, direct, now.mono) {
             self.note("peer: First heartbeat received.", &from, String::new());
@@ -268,6 +309,10 @@
         if is_scheduler && former.is_some() && former != latest {
             self.send_heartbeat(&from, now);
         }
+        let vacant = urgent && !led.is_all() && elsewhere;
+        if vacant && self.membership.me().role == member::Role::Keeper {
+            self.send_heartbeat(&from, now);
+        }
         self.record_version(version, now);
         let zone = self.membership.me().zone.clone();
         let sync_needed =
@@ -284,7 +329,24 @@
             let records = self.table.present(&zone).cloned().collect();
             self.send(&from, Body::Listing(zone, records), now);
         }
-        self.yield_to_higher();
+        self.yield_to_higher(now);
+    }
+
+    /// Whether a claim that another instance reports may hold: it names a part, and its holder is an
+    /// instance of the zone or a keeper, as far as this instance knows.
+    fn is_credible(&mut self, claim: &claim::Claim, from: &name::Name) -> bool {
+        let peer = self.membership.peer(&claim.holder);
+        let card = peer.and_then(|peer| peer.card.as_ref());
+        let may_hold =
+            card.is_none_or(|card| card.zone == claim.zone || card.role == member::Role::Keeper);
+        if may_hold && !claim.parts.is_empty() {
+            return true;
+        }
+        if self.claims.count_refused() == 1 {
+            let detail = format!("{} by {}", claim.zone, claim.holder);
+            self.note("zone: A claim was refused, it cannot hold.", from, detail);
+        }
+        false
     }
 
     /// Sends a heartbeat to a scheduler that this instance knows only by its claim: after a restart
@@ -379,8 +441,7 @@
 
     /// Whether an instance receives news of the upstreams of a zone.
     pub(crate) fn receives_records(&self, card: &member::Card, zone: &name::Name) -> bool {
-        let scheduler = self.claims.of(zone).is_some_and(|claim| claim.holder == card.name);
-        scheduler || self.membership.receives_records(card, zone)
+        self.claims.has_holder(zone, &card.name) || self.membership.receives_records(card, zone)
     }
 
     pub(crate) fn send(&mut self, to: &name::Name, body: Body, now: Now) {
