Rank of unequal instances by what they can bear

Cause: instances of one role were taken as equal. Rank was role and name, so that after the loss of a zone's keepers an entry of 0.09 of a core scheduled the zone while two of 0.3 stood idle.

Ruled out: the CPU share alone (few descriptors or a narrow link would come first), measured load in its place (differs between instances, moves hubs about), the unknown as the least of the role (needs the whole list at each comparison).

Change: `memory_mb`, `descriptors` and `link_mbps` of the bootstrap file join `cpu_share` in an instance's card. Rank is role, then the CPU time that the scarcest of these lets the instance use, in steps of a factor of two, then the name; unknown counts as the least. Equal and unknown sizes keep the order of names. The digest of the list covers capacities; of two sizes for one incarnation all instances keep the lesser, so that lists become the same and stay so. The functions of the list moved from `membership` to `roster`. Metrics `allowed_*`, the sizes in `node: Started.`, faults of the new keys in `check`.

--- a/crates/apricotroute/src/node/measure.rs
+++ b/crates/apricotroute/src/node/measure.rs
@@ -11,6 +11,10 @@
 
 const GAUGES: &[Gauge] = &[
     ("ready", |status| f64::from(u8::from(status.ready))),
+    ("allowed_cores", |status| f64::from(status.capacity.cpu) / 1e3),
+    ("allowed_memory_bytes", |status| f64::from(status.capacity.memory) * 1e6),
+    ("allowed_descriptors", |status| f64::from(status.capacity.descriptors)),
+    ("allowed_link_bits_per_second", |status| f64::from(status.capacity.link) * 1e6),
     ("open_jobs", |status| status.open as f64),
     ("scheduling", |status| status.scheduling as f64),
     ("scheduled_jobs", |status| status.jobs as f64),
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -82,7 +82,9 @@
             })
             .change_context_lazy(context("start traffic of"))?;
         slog::info!(log, "node: Started."; "role" => ?settings.role, "peer" => %settings.peer,
-            "seeds" => ?settings.seeds, "first" => settings.first_start);
+            "seeds" => ?settings.seeds, "first" => settings.first_start,
+            "cpu_share" => settings.millicores as f64 / 1e3, "memory_mb" => settings.memory,
+            "descriptors" => settings.descriptors, "link_mbps" => settings.link);
         let (settings, log) = (settings.clone(), log.clone());
         Ok(Self { settings, runtime, control, _listeners: listeners, log })
     }
@@ -115,6 +117,16 @@
     state::Name::new(&node.peer.to_string())
 }
 
+/// What the settings say that the instance can bear.
+fn capacity(node: &node::Node) -> member::Capacity {
+    member::Capacity {
+        cpu: u32::try_from(node.millicores).unwrap_or(u32::MAX),
+        memory: node.memory.unwrap_or(0),
+        descriptors: node.descriptors.unwrap_or(0),
+        link: node.link.unwrap_or(0),
+    }
+}
+
 fn open_listeners(
     node: &node::Node,
     runtime: &tokio::runtime::Runtime,
@@ -166,9 +178,7 @@
         node::Role::Keeper => member::Role::Keeper,
     };
     let name = peer_name(node);
-    let cpu = u32::try_from(node.millicores).unwrap_or(u32::MAX);
-    let capacity = member::Capacity { cpu, ..member::Capacity::default() };
-    let zone = node.zone.clone();
+    let (zone, capacity) = (node.zone.clone(), capacity(node));
     let me = member::Card { name: name.clone(), zone, role, incarnation, capacity };
     let seeds = node.seed_peers();
     let store = match &node.folder {
--- a/crates/apricotroute/tests/command_line.rs
+++ b/crates/apricotroute/tests/command_line.rs
@@ -64,7 +64,8 @@
 fn node_file_faults() {
     let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("node.json");
-    fs::write(&file, "{\n\"role\": \"entry\",\n\"seeds\": [7],\n\"colour\": 1\n}").unwrap();
+    let text = "{\n\"role\": \"entry\",\n\"seeds\": [7],\n\"colour\": 1,\n\"memory_mb\": 0\n}";
+    fs::write(&file, text).unwrap();
     let (code, _, err) = run(&["check", file.to_str().unwrap()]);
     assert_eq!(code, Some(2));
     for error in [
@@ -75,6 +76,7 @@
         "$.peer_address (line 1): missing",
         "$.seeds[0] (line 3): expected IP:PORT",
         "$.colour (line 4): unknown key",
+        "$.memory_mb (line 5): expected a whole number from 1 to 16777216",
     ] {
         assert!(err.contains(error), "{error} in {err}");
     }
--- a/crates/dispatch/src/machines/peers.rs
+++ b/crates/dispatch/src/machines/peers.rs
@@ -124,6 +124,10 @@
                     );
                     self.yield_to_higher();
                 }
+                if self.membership.lower_capacity(&cards, now.mono) {
+                    let capacity = format!("{:?}", self.membership.me().capacity);
+                    self.note("node: Another process of its name states less.", from, capacity);
+                }
                 let lost = self.membership.merge_members(cards, gone, now.mono);
                 self.out.extend(lost.into_iter().map(Output::Disconnect));
             }
--- a/crates/dispatch/src/machines/status.rs
+++ b/crates/dispatch/src/machines/status.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     machines::{core::Core, sched, zone},
-    messages::{message, time},
+    messages::{member, message, time},
     tables::session::Session,
 };
 
@@ -13,6 +13,8 @@
 pub struct Status {
     /// Whether it is ready to take requests of clients.
     pub ready: bool,
+    /// What it can bear, as the other instances know it.
+    pub capacity: member::Capacity,
     /// Number of open jobs, for which clients wait at this instance.
     pub open: usize,
     /// Number of zones that it schedules; the fields from here to `silent` are 0 if there are none.
@@ -84,6 +86,7 @@
     pub fn status(&self, now: time::Now) -> Status {
         let mut status = Status {
             ready: self.is_ready(now),
+            capacity: self.membership.me().capacity,
             open: self.open(),
             version: self.document.version,
             evacuated: self.evacuations.zones.len(),
--- a/crates/dispatch/src/tables/mod.rs
+++ b/crates/dispatch/src/tables/mod.rs
@@ -15,6 +15,7 @@
 pub mod peer;
 pub mod redial;
 mod relay;
+mod roster;
 pub mod routing;
 pub mod session;
 pub mod speed;
--- a/crates/state/src/node.rs
+++ b/crates/state/src/node.rs
@@ -15,6 +15,12 @@
 const DEFAULT_GRACE_MS: u64 = 6_000;
 /// Millicores of one core. An instance has one core unless its settings say otherwise.
 const MILLICORES: u64 = 1_000;
+/// Most memory that an instance may state, in megabytes: 16 TiB.
+const MAX_MEMORY: u64 = 1 << 24;
+/// Most open files that it may state: the largest limit of the kernel for a process.
+const MAX_DESCRIPTORS: u64 = 1 << 30;
+/// Fastest link that it may state, in megabits a second: a terabit.
+const MAX_LINK: f64 = 1e6;
 /// Default for the longest lease that upstreams grant, in milliseconds.
 const DEFAULT_LEASE_MS: u64 = 1_000;
 
@@ -63,6 +69,12 @@
     pub grace_ms: u64,
     /// CPU allowance of the instance, in millicores.
     pub millicores: u64,
+    /// Memory of the instance, in megabytes.
+    pub memory: Option<u32>,
+    /// Maximum number of files, and thus connections, that it may have open.
+    pub descriptors: Option<u32>,
+    /// Bandwidth of its network link in megabits a second, rounded up.
+    pub link: Option<u32>,
     /// Enabled scheduling features.
     pub policy: policy::Policy,
     /// Log level and format.
@@ -132,6 +144,9 @@
         let grace = map.remove("grace_ms").and_then(|value| self.unsigned(&value));
         let offset = map.remove("clock_offset_ms").and_then(|value| self.signed(&value));
         let cores = map.remove("cpu_share").and_then(|value| self.millicores(&value));
+        let memory = map.remove("memory_mb").and_then(|v| self.amount(&v, MAX_MEMORY));
+        let descriptors = map.remove("descriptors").and_then(|v| self.amount(&v, MAX_DESCRIPTORS));
+        let link = map.remove("link_mbps").and_then(|value| self.link(&value));
         let policy = map
             .remove("decisions")
             .map_or_else(policy::Policy::default, |value| self.policy(&value));
@@ -154,6 +169,9 @@
             lease_ms: lease.unwrap_or(DEFAULT_LEASE_MS),
             grace_ms: grace.unwrap_or(DEFAULT_GRACE_MS),
             millicores: cores.unwrap_or(MILLICORES),
+            memory,
+            descriptors,
+            link,
             policy,
             log,
             clock_offset: offset.unwrap_or(0),
@@ -169,6 +187,28 @@
         cores.map(|cores| (cores * MILLICORES as f64) as u64)
     }
 
+    /// Reads a whole number from 1 to `most`.
+    fn amount(&mut self, value: &Located<'_>, most: u64) -> Option<u32> {
+        let number = value.value().as_u64().filter(|number| (1..=most).contains(number));
+        let number = number.and_then(|number| u32::try_from(number).ok());
+        if number.is_none() {
+            let reason = format!("expected a whole number from 1 to {most}");
+            self.faults.push(value.fault(reason));
+        }
+        number
+    }
+
+    /// Reads a bandwidth, which may be a fraction, and returns it in whole megabits a second, at
+    /// least 1.
+    fn link(&mut self, value: &Located<'_>) -> Option<u32> {
+        let speed = value.value().as_f64().filter(|speed| *speed > 0.0 && *speed <= MAX_LINK);
+        if speed.is_none() {
+            let reason = format!("expected megabits a second, above 0 and up to {MAX_LINK}");
+            self.faults.push(value.fault(reason));
+        }
+        speed.map(|speed| speed.ceil() as u32)
+    }
+
     fn address_if<'a>(
         &mut self,
         root: &Located<'a>,
