--- a/crates/apricotroute/src/node/handle.rs
+++ b/crates/apricotroute/src/node/handle.rs
@@ -71,6 +71,13 @@
     }
 }
 
+impl peer::Observer for Control {
+    fn opened(&self, to: &name::Name) {
+        // Without this event the instance hears this one with its next heartbeat.
+        let _sent = self.send(Event::Opened(to.clone()));
+    }
+}
+
 /// Passes the events of the listeners to the control thread.
 #[derive(Debug)]
 pub struct Backend {
--- a/crates/apricotroute/src/node/traffic.rs
+++ b/crates/apricotroute/src/node/traffic.rs
@@ -46,7 +46,7 @@
     let mut streams = Streams {
         runtime: sync::Arc::clone(runtime),
         me: me.clone(),
-        outbox: peer::Outbox::new(),
+        outbox: peer::Outbox::new().with_observer(sync::Arc::new(control.clone())),
         connected: collections::BTreeSet::new(),
     };
     let caller = caller::Caller::new();
--- a/crates/dispatch/src/decisions/leadership.rs
+++ b/crates/dispatch/src/decisions/leadership.rs
@@ -9,6 +9,7 @@
 use state::name;
 
 use crate::{
+    decisions::startup,
     messages::{
         claim::{Claim, FENCE_STEP, OWNER_BITS},
         evacuation, member, time,
@@ -18,7 +19,8 @@
 
 /// An instance that starts waits this long for news of an existing scheduler, microseconds.
 /// Instances answer first heartbeats at once: that takes some 30 ms, and 130 ms where a stream has
-/// to be opened twice. After a loss of the whole system no instance serves clients in this time.
+/// to be opened twice. After a loss of the whole system no instance serves clients in this time,
+/// unless enough others are found that know no scheduler ([`startup`]).
 const STARTUP_WAIT: u64 = 150 * time::MS;
 /// An entry that starts without a configuration, or without knowing an upstream, could not serve
 /// any client, and has not met an instance that could inform it. An entry that has too little
@@ -158,7 +160,9 @@
         let led = led && !abandoned;
         let entry = me.role == member::Role::Entry;
         let unfit = entry && (!candidate.equipped || candidate.low_capacity);
-        let earliest = membership.start() + if unfit { UNFIT_WAIT } else { STARTUP_WAIT };
+        let informed = !unfit && startup::is_vacant(membership, self.of(zone));
+        let wait = if informed { 0 } else { STARTUP_WAIT };
+        let earliest = membership.start() + if unfit { UNFIT_WAIT } else { wait };
         let grace = if entry && candidate.low_capacity { LOW_CAPACITY_GRACE } else { CLAIM_GRACE };
         let candidacy = self.candidacy(zone);
         let early = now.mono < earliest.max(candidacy.blocked_until);
--- a/crates/dispatch/src/machines/core.rs
+++ b/crates/dispatch/src/machines/core.rs
@@ -159,6 +159,7 @@
         match event {
             Event::Tick => self.tick(now),
             Event::Peer(from, body) => self.on_peer(&from, body, true, now),
+            Event::Opened(to) => self.greet_opened(&to, now),
             Event::Saved(number) => {
                 if let Some(control_log) = &mut self.control_log {
                     control_log.on_saved(number, now.mono);
--- a/crates/dispatch/src/machines/peers.rs
+++ b/crates/dispatch/src/machines/peers.rs
@@ -83,7 +83,8 @@
             echo: false,
             ack: None,
             upstreams: self.digest(),
-            urgent: false,
+            // The receiver informs an instance without a configuration at once.
+            urgent: self.document.version == 0,
             draining: self.draining,
             led: self.claims.is_led(zone, &self.membership, now.mono),
             claims: self.claims.iter().cloned().collect(),
@@ -298,6 +299,16 @@
         }
     }
 
+    /// Sends a heartbeat to an instance to which the stream has just opened, unless heartbeats go
+    /// to and fro between the two already. What was sent while the stream was not open is lost:
+    /// after a loss of all power an instance would wait for the next heartbeat, 150 ms, before it
+    /// could ask for the configuration.
+    pub(crate) fn greet_opened(&mut self, to: &name::Name, now: Now) {
+        if !self.membership.is_direct(to, now.mono) && self.membership.peer(to).is_some() {
+            self.send_heartbeat(to, now);
+        }
+    }
+
     /// Merges records of upstreams.
     pub(crate) fn on_records(&mut self, records: Vec<upstream::Record>) {
         for record in records {
--- a/crates/dispatch/src/messages/event.rs
+++ b/crates/dispatch/src/messages/event.rs
@@ -16,6 +16,8 @@
     Tick,
     /// A message arrived from another instance.
     Peer(name::Name, message::Body),
+    /// The stream to another instance is open.
+    Opened(name::Name),
     /// Writes up to this number are on disk.
     Saved(u64),
     /// A client submits a job.
--- a/crates/dispatch/tests/world/fault.rs
+++ b/crates/dispatch/tests/world/fault.rs
@@ -10,7 +10,7 @@
 use rand::RngExt as _;
 use state::name::Name;
 
-use super::{Action, RETRY_DELAY, WALL_CLOCK_MS, World, upstream::MS, zone_name};
+use super::{Action, RECONNECT_DELAY, RETRY_DELAY, WALL_CLOCK_MS, World, upstream::MS, zone_name};
 
 impl World {
     /// Starts an instance, or restarts it without its former in-memory state.
@@ -44,6 +44,12 @@
             disk,
         };
         instance.core = Some(Core::new(config, now));
+        let name = instance.card.name.clone();
+        let streams: Vec<_> = self.streams.iter().filter(|(_, to)| *to == at).collect();
+        for from in streams.into_iter().map(|(from, _)| *from).collect::<Vec<_>>() {
+            let to = (from, self.instances[from].generation);
+            self.push(self.now + RECONNECT_DELAY, Action::Opened { to, name: name.clone() });
+        }
     }
 
     /// Kills the process of an instance. The clients of its open requests retry later.
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -40,6 +40,9 @@
 const RETRY_DELAY: u64 = 1_300 * MS;
 /// The delay between the start of a crashing task and the crash of its upstream, microseconds.
 const CRASH_DELAY: u64 = 20 * MS;
+/// The delay before a stream to an instance that has restarted opens again, microseconds: half of
+/// the time between two attempts to connect.
+const RECONNECT_DELAY: u64 = 30 * MS;
 /// The delay before a crashed upstream restarts, microseconds.
 const RESTART_DELAY: u64 = 2_500 * MS;
 
@@ -49,6 +52,7 @@
     Tick,
     Deliver { to: usize, from: usize, stream: u64, body: Body },
     LinkTurn { to: usize },
+    Opened { to: (usize, u64), name: Name },
     Arrive { call: Call, from: (usize, u64) },
     Answer { to: (usize, u64), number: u64, fence: u64, outcome: Outcome },
     Expire { to: (usize, u64), number: u64, fence: u64 },
@@ -352,6 +356,7 @@
             Action::Answer { to, .. } | Action::Expire { to, .. } | Action::Saved { to, .. } => {
                 Some(to.0)
             }
+            Action::Opened { to, .. } => Some(to.0),
             _ => None,
         };
         if let Some(to) = target
@@ -410,6 +415,11 @@
                     self.announce(at, Phase::Serving);
                 }
             }
+            Action::Opened { to, name } => {
+                if self.instances[to.0].generation == to.1 {
+                    self.handle(to.0, Event::Opened(name));
+                }
+            }
             Action::Saved { to, number } => {
                 if self.instances[to.0].generation == to.1 {
                     self.handle(to.0, Event::Saved(number));
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -53,6 +53,12 @@
     fn allows_peer(&self, name: &name::Name) -> bool;
 }
 
+/// Learns of streams that have opened.
+pub trait Observer: std::fmt::Debug + Send + Sync {
+    /// The stream to the instance `to` is open: what is sent from now on reaches that instance.
+    fn opened(&self, to: &name::Name);
+}
+
 /// State of the stream to one instance: open, or why it is not.
 #[derive(Clone, Debug, Default)]
 struct StreamState(sync::Arc<sync::Mutex<Option<String>>>);
@@ -77,6 +83,7 @@
 #[derive(Debug, Default)]
 pub struct Outbox {
     streams: std::collections::BTreeMap<name::Name, Stream>,
+    observer: Option<sync::Arc<dyn Observer>>,
 }
 
 impl Outbox {
@@ -85,6 +92,12 @@
         Self::default()
     }
 
+    /// Reports each stream that opens to `observer`. This applies to streams that are added later.
+    #[must_use]
+    pub fn with_observer(self, observer: sync::Arc<dyn Observer>) -> Self {
+        Self { observer: Some(observer), ..self }
+    }
+
     /// Adds a stream from the instance `me` to the instance `to`. It is reopened whenever it fails,
     /// until the peer is dropped.
     #[must_use]
@@ -98,7 +111,8 @@
         let (queue, receiver) = mpsc::channel(QUEUE_CAPACITY);
         let state = StreamState::default();
         state.set(Some("not opened yet".to_owned()));
-        let route = Route { me: me.clone(), to: to.clone(), address };
+        let observer = self.observer.clone();
+        let route = Route { me: me.clone(), to: to.clone(), address, observer };
         runtime.spawn(run_sender(route, receiver, state.clone()));
         self.streams.insert(to.clone(), Stream { queue, state });
         self
@@ -128,6 +142,7 @@
     me: name::Name,
     to: name::Name,
     address: std::net::SocketAddr,
+    observer: Option<sync::Arc<dyn Observer>>,
 }
 
 async fn run_sender(route: Route, mut queue: mpsc::Receiver<Vec<Bytes>>, state: StreamState) {
@@ -139,6 +154,9 @@
         match connect(route.address, timeout).await {
             Ok((channel, connection)) => {
                 state.set(None);
+                if let Some(observer) = &route.observer {
+                    observer.opened(&route.to);
+                }
                 state.set(Some(run_stream(channel, connection, &route, &mut queue).await));
                 failures = 0;
                 pause = SLOW_PAUSE;
