--- a/crates/link/tests/streams.rs
+++ b/crates/link/tests/streams.rs
@@ -58,6 +58,32 @@
     wait(&nobody, Some("refused"));
 }
 
+#[derive(Debug)]
+struct Opened(sync::mpsc::Sender<Name>);
+
+impl peer::Observer for Opened {
+    fn opened(&self, to: &Name) {
+        let _received = self.0.send(to.clone());
+    }
+}
+
+#[test]
+fn observed() {
+    // The stream to an instance that starts late is reported once it is open, and not before.
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let names = ["west-1", "west-2"].map(Name::new);
+    let free = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = free.local_addr().unwrap();
+    drop(free);
+    let (sender, opened) = sync::mpsc::channel();
+    let _outbox = peer::Outbox::new()
+        .with_observer(sync::Arc::new(Opened(sender)))
+        .with_peer(&runtime, &names[0], &names[1], address);
+    assert!(opened.recv_timeout(time::Duration::from_millis(300)).is_err());
+    let _server = peer::Server::open(&runtime, address, &names[1], sync::Arc::new(Inbox)).unwrap();
+    assert_eq!(opened.recv_timeout(time::Duration::from_secs(10)).as_ref(), Ok(&names[1]));
+}
+
 #[test]
 fn closed_at_once() {
     // Nobody stands behind this address: each connection is closed as soon as it is accepted. A
