--- a/crates/dispatch/src/decisions/mod.rs
+++ b/crates/dispatch/src/decisions/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions, one in each file. They read tables and change nothing but their own state.
 //!
-//! - [`leadership`] and [`candidates`]: which instances schedule a zone.
+//! - [`leadership`] and [`candidates`]: which instances schedule a zone; `startup`: how soon an
+//!   instance that starts may.
 //! - [`view`] and `assignment`: which scheduler gets a task.
 //! - [`queue`] and [`place`]: which job goes first, and which upstream gets its tasks.
 
@@ -9,4 +10,5 @@
 pub mod leadership;
 pub mod place;
 pub mod queue;
+pub(crate) mod startup;
 pub mod view;
