Carry what a run uses from an upstream's list to the scheduler

A row of an upstream's list of runs may state the processor that the run used during the last half second. The row was decoded and the entry dropped. It is now part of order::Running.

--- a/crates/dispatch/src/messages/order.rs
+++ b/crates/dispatch/src/messages/order.rs
@@ -79,6 +79,9 @@
     pub attempt: u32,
     /// Progress, percent.
     pub percent: u32,
+    /// Processor that the run used during the last half second, thousandths of a core; `None` if
+    /// the upstream does not state it.
+    pub usage: Option<u64>,
 }
 
 /// One entry in an upstream's list of runs that have ended.
--- a/crates/dispatch/tests/incarnations.rs
+++ b/crates/dispatch/tests/incarnations.rs
@@ -34,7 +34,7 @@
 }
 
 fn running(index: u32) -> Running {
-    Running { task: task(index), attempt: 1, percent: 10 }
+    Running { task: task(index), attempt: 1, percent: 10, usage: None }
 }
 
 fn held(started: u64, running: Vec<Running>, ended: Vec<Ended>) -> Outcome {
--- a/crates/dispatch/tests/owner.rs
+++ b/crates/dispatch/tests/owner.rs
@@ -30,7 +30,7 @@
 }
 
 fn running(job: &str, index: u32) -> Running {
-    Running { task: task(job, index), attempt: 1, percent: 10 }
+    Running { task: task(job, index), attempt: 1, percent: 10, usage: None }
 }
 
 fn ended(number: u64, job: &str, index: u32, end: End) -> Ended {
--- a/crates/dispatch/tests/stopped.rs
+++ b/crates/dispatch/tests/stopped.rs
@@ -28,7 +28,7 @@
 }
 
 fn running(attempt: u32, percent: u32) -> Vec<Running> {
-    vec![Running { task: task(), attempt, percent }]
+    vec![Running { task: task(), attempt, percent, usage: None }]
 }
 
 fn ended(attempt: u32, end: End) -> Vec<Ended> {
--- a/crates/dispatch/tests/world/upstream.rs
+++ b/crates/dispatch/tests/world/upstream.rs
@@ -256,7 +256,8 @@
     pub fn list_tasks(&self, now: u64) -> Outcome {
         let row = |(task, run): (&Task, &Run)| {
             let done = if self.hangs { 0.0 } else { run.progress(now) };
-            Running { task: task.clone(), attempt: run.attempt, percent: (done * 100.0) as u32 }
+            let percent = (done * 100.0) as u32;
+            Running { task: task.clone(), attempt: run.attempt, percent, usage: None }
         };
         let running = self.runs.iter().map(row).collect();
         let started = (self.started > 0).then_some(self.started);
