--- a/crates/apricotroute/tests/soak.rs
+++ b/crates/apricotroute/tests/soak.rs
@@ -60,6 +60,11 @@
     soak(98, plan::SAME_ID_SEED, 8_000);
 }
 
+#[test]
+fn unequal() {
+    soak(97, plan::UNEQUAL_SEED, 8_000);
+}
+
 #[test]
 fn regressions() {
     for (seed, ms) in REGRESSIONS {
--- a/crates/apricotroute/tests/soak/plan.rs
+++ b/crates/apricotroute/tests/soak/plan.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use serde_json::{Value, json};
 
 /// A fault or operator action to apply to the system. Numbers of type `usize` are indices of
 /// instances, upstreams or zones.
@@ -118,6 +119,8 @@
 const FULL_SEED: u64 = 1_000;
 /// From this seed on, upstreams state their start times and keep their ids when they restart.
 pub const SAME_ID_SEED: u64 = 3_000;
+/// From this seed on, entries are of unequal sizes, and all keepers are lost twice.
+pub const UNEQUAL_SEED: u64 = 4_000;
 /// Number of random values that select a fault, for a seed below [`FULL_SEED`].
 const EARLY_CHOICES: u32 = 26;
 /// Number of random values that select a fault, for all other seeds.
@@ -138,9 +141,23 @@
         plan.push((Duration::from_millis(at), fault));
         at += rng.random_range(0..2 * mean_gap);
     }
+    if seed >= UNEQUAL_SEED {
+        for part in 1..3 {
+            let down = Duration::from_millis(rng.random_range(1_000..2_500));
+            plan.push((duration / 3 * part, Fault::KillKeepers(down)));
+        }
+        plan.sort_by_key(|(at, _)| *at);
+    }
     plan
 }
 
+/// Keys of the bootstrap files of the entries of one seed, taken in turn. Of the unequal ones, the
+/// first bears the upstreams of its zone and the second one does not.
+pub fn sizes(seed: u64) -> Vec<Value> {
+    let sizes = [json!({"cpu_share": 0.3}), json!({"cpu_share": 0.004})];
+    if seed >= UNEQUAL_SEED { sizes.to_vec() } else { Vec::new() }
+}
+
 fn fault(rng: &mut SmallRng, size: Size, choices: u32, wiped: &mut u32) -> Fault {
     let instance = rng.random_range(0..size.zones * size.instances());
     let other = rng.random_range(0..size.zones * size.instances());
--- a/crates/apricotroute/tests/soak/play.rs
+++ b/crates/apricotroute/tests/soak/play.rs
@@ -93,7 +93,8 @@
 impl Runner {
     fn new(subnet: u8, seed: u64, size: Size) -> Self {
         let zones = vec![(size.keepers, size.entries); size.zones];
-        let system = System::new(system::Layout { subnet, zones, has_relays: true });
+        let layout = system::Layout { subnet, zones, has_relays: true };
+        let system = System::with_sizes(layout, plan::sizes(seed));
         let operators = system.keepers().map(|at| system.operator(at)).collect();
         let launches = system.instances.iter().map(|instance| Some(instance.launches)).collect();
         Self {
--- a/crates/apricotroute/tests/system/mod.rs
+++ b/crates/apricotroute/tests/system/mod.rs
@@ -59,6 +59,8 @@
     pub upstreams: Vec<platform::standin::Standin>,
     pub faults: sync::Arc<relay::Faults>,
     layout: Layout,
+    /// Keys of the bootstrap files of the entries, taken in turn.
+    sizes: Vec<Value>,
     block: AddressBlock,
 }
 
@@ -87,6 +89,12 @@
 impl System {
     /// Starts all instances.
     pub fn new(layout: Layout) -> Self {
+        Self::with_sizes(layout, Vec::new())
+    }
+
+    /// Starts all instances; the bootstrap files of the entries have the keys of one of `sizes`,
+    /// taken in turn.
+    pub fn with_sizes(layout: Layout, sizes: Vec<Value>) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
             .enable_all()
@@ -106,7 +114,8 @@
         let folder = tempfile::tempdir().unwrap();
         let faults = sync::Arc::default();
         let (upstreams, block) = (Vec::new(), AddressBlock::reserve(layout.subnet));
-        let mut system = Self { folder, instances, runtime, upstreams, faults, layout, block };
+        let mut system =
+            Self { folder, instances, runtime, upstreams, faults, layout, sizes, block };
         for at in 0..system.instances.len() {
             system.write_boot_file(at, true, &json!({}));
             if system.layout.has_relays {
@@ -225,7 +234,10 @@
             settings["client_address"] = json!(self.client(at));
             settings["ready_address"] = json!(self.address(at, READY_PORT));
         }
+        let is_entry = !self.instances[at].is_keeper;
+        let size = self.sizes.get(at % self.sizes.len().max(1)).filter(|_| is_entry);
         let map = settings.as_object_mut().unwrap();
+        map.extend(size.and_then(Value::as_object).cloned().unwrap_or_default());
         map.extend(extra.as_object().cloned().unwrap_or_default());
         fs::write(self.boot_file(at), settings.to_string()).unwrap();
     }
