--- a/crates/dispatch/src/decisions/startup.rs
+++ b/crates/dispatch/src/decisions/startup.rs
@@ -26,6 +26,6 @@
     };
     let knows = |claims: &[claim::Claim]| claims.iter().any(|claim| claim.zone == *zone);
     held.is_none()
-        && pings().all(|ping| !ping.led || ping.card.zone != *zone)
+        && pings().all(|ping| ping.led.is_empty() || ping.card.zone != *zone)
         && pings().filter(|ping| !knows(&ping.claims)).take(WITNESSES).count() == WITNESSES
 }
--- a/crates/dispatch/tests/world/fault.rs
+++ b/crates/dispatch/tests/world/fault.rs
@@ -31,7 +31,9 @@
         });
         let factor = if instance.card.role == Role::Keeper { 5 } else { 1 };
         let cores = self.cores * factor;
-        instance.card.capacity.cpu = if self.states_capacity { cores as u32 } else { 0 };
+        if self.states_capacity {
+            instance.card.capacity.cpu = cores as u32;
+        }
         let (me, policy) = (instance.card.clone(), self.policy);
         let zones = Vec::new();
         let config = core::Config {
--- a/crates/link/tests/streams.rs
+++ b/crates/link/tests/streams.rs
@@ -99,7 +99,7 @@
     let _outbox = peer::Outbox::new()
         .with_observer(sync::Arc::new(Opened(sender)))
         .with_peer(&runtime, &names[0], &names[1], address);
-    assert!(opened.recv_timeout(time::Duration::from_millis(300)).is_err());
+    opened.recv_timeout(time::Duration::from_millis(300)).unwrap_err();
     let _server =
         peer::Server::open(&runtime, address, &names[1], sync::Arc::new(Inbox::default())).unwrap();
     assert_eq!(opened.recv_timeout(time::Duration::from_secs(10)).as_ref(), Ok(&names[1]));
