--- a/crates/dispatch/src/decisions/candidates.rs
+++ b/crates/dispatch/src/decisions/candidates.rs
@@ -13,6 +13,9 @@
 pub const CPU_PER_UPSTREAM: u64 = 1;
 /// Share of its CPU time that an entry has for scheduling, percent: it also serves its own clients.
 pub const ENTRY_CPU_PERCENT: u64 = 50;
+/// Share of its CPU time that an entry takes where it shares a zone with others, percent: it takes
+/// over while jobs have been waiting, and the clients of its zone reconnect.
+const SHARING_CPU_PERCENT: u64 = 25;
 /// Share of its CPU time that a keeper has for scheduling, percent.
 const KEEPER_CPU_PERCENT: u64 = 95;
 
@@ -53,7 +56,8 @@
         order.sort_by_key(|candidate| (candidate.holds, candidate.card.rank()));
         let is_me = |candidate: &Candidate<'_>| candidate.card.name == me.card.name;
         let own = order.iter().position(is_me).unwrap_or(order.len());
-        let count = holder_count(&order, self.load());
+        let alone = self.parts.is_all() && bears(order[0].card, self.upstreams);
+        let count = if alone { 1 } else { holder_count(&order, self.load()) };
         let is_due = |at: usize| {
             let first = at % count;
             let before = if own < first { own + 1 } else { own };
@@ -66,19 +70,28 @@
 /// The smallest number of the first candidates that bear `upstreams` in equal shares; all of them
 /// if these are too few.
 fn holder_count(order: &[Candidate<'_>], upstreams: u64) -> usize {
-    let bears = |count: &usize| {
+    let share_fits = |count: &usize| {
         let share = upstreams.div_ceil(*count as u64);
-        order[..*count].iter().all(|candidate| bears(candidate.card, share))
+        order[..*count].iter().all(|candidate| bears_share(candidate.card, share))
     };
-    (1..order.len()).find(bears).unwrap_or(order.len())
+    (1..order.len()).find(share_fits).unwrap_or(order.len())
 }
 
-/// Whether an instance has the CPU time to schedule `upstreams`. An unknown capacity counts as
-/// enough.
+/// Whether an instance has the CPU time to schedule the `upstreams` of a zone alone. An unknown
+/// capacity counts as enough.
 pub fn bears(card: &member::Card, upstreams: u64) -> bool {
+    fits(card, upstreams, ENTRY_CPU_PERCENT)
+}
+
+/// Whether an instance has the CPU time to schedule `upstreams` of a zone that it shares.
+fn bears_share(card: &member::Card, upstreams: u64) -> bool {
+    fits(card, upstreams, SHARING_CPU_PERCENT)
+}
+
+fn fits(card: &member::Card, upstreams: u64, entry_percent: u64) -> bool {
     let percent = match card.role {
         member::Role::Keeper => KEEPER_CPU_PERCENT,
-        member::Role::Entry => ENTRY_CPU_PERCENT,
+        member::Role::Entry => entry_percent,
     };
     let cpu = u64::from(card.capacity.cpu);
     cpu == 0 || upstreams * CPU_PER_UPSTREAM <= cpu * percent / 100
