--- a/crates/dispatch/src/decisions/candidates.rs
+++ b/crates/dispatch/src/decisions/candidates.rs
@@ -24,6 +24,8 @@
 pub struct Candidate<'a> {
     /// The instance.
     pub card: &'a member::Card,
+    /// Whether it receives the news of the zone's upstreams; the others get no share at first.
+    pub informed: bool,
     /// Whether it schedules parts of the zone already.
     pub holds: bool,
 }
@@ -53,7 +55,8 @@
     /// its share, the remaining parts fall to the same candidates as before.
     pub fn due<'a>(&self, me: Candidate<'a>, others: impl Iterator<Item = Candidate<'a>>) -> Parts {
         let mut order: Vec<_> = others.chain([me]).collect();
-        order.sort_by_key(|candidate| (candidate.holds, candidate.card.rank()));
+        order
+            .sort_by_key(|candidate| (!candidate.informed, candidate.holds, candidate.card.rank()));
         let is_me = |candidate: &Candidate<'_>| candidate.card.name == me.card.name;
         let own = order.iter().position(is_me).unwrap_or(order.len());
         let alone = self.parts.is_all() && bears(order[0].card, self.upstreams);
@@ -67,14 +70,15 @@
     }
 }
 
-/// The smallest number of the first candidates that bear `upstreams` in equal shares; all of them
-/// if these are too few.
+/// The smallest number of the first candidates that bear `upstreams` in equal shares; all informed
+/// ones if these are too few.
 fn holder_count(order: &[Candidate<'_>], upstreams: u64) -> usize {
     let share_fits = |count: &usize| {
         let share = upstreams.div_ceil(*count as u64);
         order[..*count].iter().all(|candidate| bears_share(candidate.card, share))
     };
-    (1..order.len()).find(share_fits).unwrap_or(order.len())
+    let most = order.iter().filter(|candidate| candidate.informed).count().max(1);
+    (1..most).find(share_fits).unwrap_or(most)
 }
 
 /// Whether an instance has the CPU time to schedule the `upstreams` of a zone alone. An unknown
--- a/crates/dispatch/src/decisions/leadership.rs
+++ b/crates/dispatch/src/decisions/leadership.rs
@@ -310,9 +310,11 @@
             let is_holder =
                 |claim: &Claim| claim.holder == card.name && membership.is_holder_alive(claim, now);
             let holds = self.of_zone(&me.zone).any(is_holder);
-            candidates::Candidate { card, holds }
+            let informed = membership.receives_records(card, &me.zone);
+            candidates::Candidate { card, informed, holds }
         });
-        vacancy.due(candidates::Candidate { card: me, holds: schedules }, others)
+        let informed = membership.receives_records(me, &me.zone);
+        vacancy.due(candidates::Candidate { card: me, informed, holds: schedules }, others)
     }
 
     /// Claims another zone for this keeper if no instance is left there that could schedule it as
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -82,9 +82,9 @@
 fn shares(cards: &[Card], upstreams: u64, age: u64) -> Vec<u32> {
     let share = |me: &Card| {
         let others = cards.iter().filter(|card| card.name != me.name);
-        let others = others.map(|card| Candidate { card, holds: false });
+        let others = others.map(|card| Candidate { card, informed: true, holds: false });
         let vacancy = Vacancy { parts: Parts::ALL, upstreams, age };
-        vacancy.due(Candidate { card: me, holds: false }, others).len()
+        vacancy.due(Candidate { card: me, informed: true, holds: false }, others).len()
     };
     cards.iter().map(share).collect()
 }
