--- a/crates/link/tests/streams.rs
+++ b/crates/link/tests/streams.rs
@@ -79,7 +79,8 @@
     let _outbox = peer::Outbox::new()
         .with_observer(sync::Arc::new(Opened(sender)))
         .with_peer(&runtime, &names[0], &names[1], address);
-    assert!(opened.recv_timeout(time::Duration::from_millis(300)).is_err());
+    let early = opened.recv_timeout(time::Duration::from_millis(300));
+    assert_eq!(early, Err(sync::mpsc::RecvTimeoutError::Timeout));
     let _server = peer::Server::open(&runtime, address, &names[1], sync::Arc::new(Inbox)).unwrap();
     assert_eq!(opened.recv_timeout(time::Duration::from_secs(10)).as_ref(), Ok(&names[1]));
 }
