Hung runs are found when they count as hung, not a whole wait later

A run without progress counts as hung after 280 ms, which was noticed with the next answer only. Holds of an upstream with runs wait 200 ms, so that most hung runs were found after 400. A hold that is sent beside a run without progress for 100 ms or more now waits until that run would count as hung. The rule itself is unchanged: nothing is stopped that was not stopped before.

Ruled out: to find hung runs, or contended upstreams, by what runs use.

--- a/crates/dispatch/src/machines/outcome.rs
+++ b/crates/dispatch/src/machines/outcome.rs
@@ -15,13 +15,10 @@
     },
     tables::{
         active::{ActiveJob, Phase},
-        session::{Run, Stage},
+        session::{HANG_TIMEOUT, Run, Stage},
     },
 };
 
-/// A task without progress for this long counts as hung, microseconds. The progress of a task of
-/// 3,600 ms, the longest known one, changes by one percent every 36 ms.
-const HANG_TIMEOUT: u64 = 280 * time::MS;
 /// The scheduler starts nothing at an upstream for this long after it refused a start for a
 /// temporary reason, microseconds.
 const REFUSAL_PAUSE: u64 = 30 * time::MS;
@@ -298,7 +295,7 @@
                         && now >= run.progress.0 + HANG_TIMEOUT
                         && run.unwanted.is_none()
                     {
-                        hung.push(row.task.clone());
+                        hung.push(row);
                     }
                 }
                 Some(_) => {}
@@ -319,8 +316,8 @@
                 }
             }
         }
-        for task in hung {
-            self.stop_hung_task(id, &task, now);
+        for row in hung {
+            self.stop_hung_run(id, row, now);
         }
         self.watch_speed(id, running, clock, now);
     }
@@ -342,15 +339,20 @@
         }
     }
 
-    fn stop_hung_task(&mut self, id: &incarnation::Incarnation, task: &Task, now: u64) {
-        self.note("upstream: Stopping a task without progress.", &id.name, &task.job.to_string());
-        if self.policy.eject
-            && let Some(session) = self.sessions.get_mut(id)
-            && session.health.record_failure(now)
-        {
+    fn stop_hung_run(&mut self, id: &incarnation::Incarnation, row: &Running, now: u64) {
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        let Some(run) = session.runs.get(&row.task) else { return };
+        let stalled = now.saturating_sub(run.progress.0) / time::MS;
+        let mut detail = format!("{}, at {}% for {stalled} ms", row.task.job, row.percent);
+        if let Some(usage) = row.usage {
+            detail = format!("{detail}, {usage}m of {}m cores in use", run.need.cpu);
+        }
+        let ejected = self.policy.eject && session.health.record_failure(now);
+        self.note("upstream: Stopping a task without progress.", &id.name, &detail);
+        if ejected {
             self.note("upstream: Ejected after runs without progress.", &id.name, "");
         }
-        self.mark_unwanted(id, task);
+        self.mark_unwanted(id, &row.task);
     }
 
     fn process_start(
--- a/crates/dispatch/src/machines/sched.rs
+++ b/crates/dispatch/src/machines/sched.rs
@@ -297,7 +297,8 @@
             .values()
             .filter(|session| session.is_pending() && !session.is_responsive());
         let mut probes = MAX_PROBES.saturating_sub(pending.count());
-        let pace = Pace { sessions: self.sessions.len(), call_timeout: self.call_timeout };
+        let (call_timeout, stop_hung) = (self.call_timeout, self.policy.stop_hung);
+        let pace = Pace { sessions: self.sessions.len(), call_timeout, stop_hung };
         for id in std::mem::take(&mut self.idle_sessions) {
             let Some(session) = self.sessions.get_mut(&id) else { continue };
             if !session.is_responsive() && session.is_due(now) {
--- a/crates/dispatch/src/tables/session.rs
+++ b/crates/dispatch/src/tables/session.rs
@@ -37,6 +37,12 @@
 /// of a run is lost, the next one reports that end. Idle upstreams are asked as often, since the
 /// pending hold is the one that reports the end of the next task there.
 const LOSSY_WAIT: u64 = 60;
+/// A run without progress for this long counts as hung, microseconds. The progress of a task of
+/// 3,600 ms, the longest known one, changes by one percent every 36 ms.
+pub const HANG_TIMEOUT: u64 = 280 * time::MS;
+/// A run without progress for this long may be hung, microseconds: the upstream is asked again when
+/// the run would count as hung, so that this is not noticed a whole wait later.
+const STALL_TIME: u64 = 100 * time::MS;
 /// Delay before the next call to an upstream that did not answer, or that obeys another owner,
 /// microseconds.
 const RETRY_DELAY: u64 = 60 * time::MS;
@@ -98,6 +104,8 @@
     pub sessions: usize,
     /// The call timeout, and whether calls are being lost.
     pub call_timeout: call_timeout::CallTimeout,
+    /// Whether hung runs are stopped.
+    pub stop_hung: bool,
 }
 
 /// An upstream and its state as known to its owner.
@@ -229,6 +237,8 @@
             (true, false) if lossy => scaled(LOSSY_WAIT, MAX_BUSY_WAIT),
             (true, false) => scaled(BUSY_WAIT, MAX_BUSY_WAIT),
         };
+        let hang = if pace.stop_hung { self.next_hang(now) } else { None };
+        let wait = hang.map_or(wait, |left| wait.min(left));
         // The upstream may have received a hold that it did not answer. While it is silent the
         // owner renews no lease, so that its runs are known to be over once the last lease has
         // expired.
@@ -244,6 +254,16 @@
         Some(self.call(number, order, wait + call_timeout::MAX_TIMEOUT))
     }
 
+    /// Time until the first of the runs without progress counts as hung, milliseconds; `None` if all
+    /// runs progress.
+    fn next_hang(&self, now: u64) -> Option<u64> {
+        let wanted = |run: &&Run| run.stage == Stage::Running && run.unwanted.is_none();
+        let stalled =
+            self.runs.values().filter(wanted).map(|run| now.saturating_sub(run.progress.0));
+        let longest = stalled.filter(|time| (STALL_TIME..HANG_TIMEOUT).contains(time)).max()?;
+        Some((HANG_TIMEOUT - longest).div_ceil(time::MS))
+    }
+
     /// Whether a hold is pending.
     pub fn is_pending(&self) -> bool {
         self.hold.is_some()
