--- a/crates/dispatch/src/decisions/mod.rs
+++ b/crates/dispatch/src/decisions/mod.rs
@@ -4,9 +4,11 @@
 //!   instance that starts may.
 //! - [`view`] and `assignment`: which scheduler gets a task.
 //! - [`queue`] and [`place`]: which job goes first, and which upstream gets its tasks.
+//! - [`forecast`]: when a job ends, by the lasting speeds of upstreams.
 
 pub(crate) mod assignment;
 pub mod candidates;
+pub mod forecast;
 pub mod leadership;
 pub mod place;
 pub mod queue;
--- a/crates/dispatch/src/tables/mod.rs
+++ b/crates/dispatch/src/tables/mod.rs
@@ -1,8 +1,8 @@
 //! Tables of what an instance knows: about other instances, upstreams, jobs and routes.
 //!
 //! - [`membership`], [`peer`], [`watch_list`] and [`redial`]: the other instances.
-//! - [`directory`], [`session`], [`health`], [`speed`], [`capacity_limit`] and [`call_timeout`]: the
-//!   upstreams.
+//! - [`directory`], [`session`], [`health`], [`speed`], [`lasting`], [`capacity_limit`] and
+//!   [`call_timeout`]: the upstreams.
 //! - [`active`], `loads` and [`routing`]: the jobs that a scheduler has, the room of the zones, and
 //!   where requests go.
 
@@ -12,6 +12,7 @@
 pub mod directory;
 pub mod fetch;
 pub mod health;
+pub mod lasting;
 pub(crate) mod loads;
 pub mod membership;
 pub mod peer;
