--- a/crates/dispatch/src/machines/peers.rs
+++ b/crates/dispatch/src/machines/peers.rs
@@ -25,7 +25,9 @@
         let led = self.claims.is_led(&zone, &self.membership, now.mono);
         let shares = self.membership.is_front() && self.has_low_capacity();
         self.membership.update_window(self.is_scheduler() || shares, led, now.mono);
-        self.report_vacancy(now);
+        if self.has_low_capacity() {
+            self.report_vacancy(now);
+        }
         let partners = self.partners(led);
         let due = self.membership.due(|name| partners.contains(name), now.mono);
         if due.is_empty() {
@@ -288,7 +290,7 @@
         let ack = ping.ack.clone();
         let (version, members, records) = (ping.version, ping.members, ping.records);
         let elsewhere = ping.card.zone != self.membership.me().zone;
-        let (urgent, led) = (ping.urgent, ping.led);
+        let (urgent, low_capacity, led) = (ping.urgent, ping.low_capacity, ping.led);
         let former = self.membership.last_heartbeat(&from).map(|ack| (ack.upstreams, ack.adopted));
         if self.membership.record_heartbeat(ping, direct, now.mono) {
             self.note("peer: First heartbeat received.", &from, String::new());
@@ -309,7 +311,7 @@
         if is_scheduler && former.is_some() && former != latest {
             self.send_heartbeat(&from, now);
         }
-        let vacant = urgent && !led.is_all() && elsewhere;
+        let vacant = urgent && low_capacity && !led.is_all() && elsewhere;
         if vacant && self.membership.me().role == member::Role::Keeper {
             self.send_heartbeat(&from, now);
         }
