Mends from the reviews of the parts: a found run's lease, joined tasks, what is announced and logged

A holder of parts counted a run that it had found as ended with its first lost call, as it grants no lease to an upstream with a run of an unknown job, and told the others that nothing is left there: the task ran twice.

Further: joined tasks keep the later time of the last query; a claim above a higher token is announced at once; upstreams that others gave up leave the directory with the scheduler; a hold beside a run of an unknown job is short, so that its lease can be renewed; only keepers claim at their start without a wait; a declared duration of any size teaches a bounded ratio, and an upstream stays far slower until it is clearly not; no task waits for an upstream that is slow at the moment.

--- a/crates/apricotroute/src/refusals.rs
+++ b/crates/apricotroute/src/refusals.rs
@@ -4,7 +4,7 @@
 
 use state::name;
 
-/// Maximum number of different reasons that are logged. The metrics count all refusals.
+/// Maximum number of different reasons that are logged.
 const MAX_LOGGED: usize = 1_024;
 
 /// Logs each reason once for each instance: a refused stream is opened again and again.
@@ -26,6 +26,9 @@
         let mut logged = self.logged.lock().unwrap_or_else(sync::PoisonError::into_inner);
         if logged.len() < MAX_LOGGED && logged.insert((peer.clone(), why.to_owned())) {
             slog::warn!(self.log, "peer: Stream failed."; "peer" => %peer, "why" => why);
+            if logged.len() == MAX_LOGGED {
+                slog::warn!(self.log, "peer: No further reasons are logged.");
+            }
         }
     }
 }
--- a/crates/apricotroute/tests/capacity.rs
+++ b/crates/apricotroute/tests/capacity.rs
@@ -20,6 +20,19 @@
     system.start(at);
 }
 
+/// Whether an entry has received heartbeats of the other ones since its last start.
+fn knows_entries(system: &System, at: usize) -> bool {
+    let log = system.log(at);
+    let life = log.rsplit("node: Started.").next().unwrap_or("");
+    let met: Vec<_> =
+        life.lines().filter(|line| line.contains("peer: First heartbeat received.")).collect();
+    let knows = |other| {
+        let name = format!("127.64.1.{}:", other + 1);
+        met.iter().any(|line| line.contains(&name))
+    };
+    ENTRIES.filter(|other| *other != at).all(knows)
+}
+
 #[test]
 fn largest_takes_over() {
     let mut system =
@@ -41,9 +54,15 @@
         assert_eq!(system.metric(LARGE, name, &[]), Some(value), "{name}");
     }
     assert!(system.log(LARGE).contains("\"descriptors\":10250"), "{}", system.log(LARGE));
+    // An entry that has met no other one takes the zone over, too.
+    for at in ENTRIES {
+        wait_until("the entries know one another", || knows_entries(&system, at));
+    }
     system.kill(0);
     wait_until("the largest entry takes over", || system.log(LARGE).contains("zone: Scheduling"));
-    assert!(!system.log(1).contains("zone: Scheduling"));
+    for at in ENTRIES.filter(|at| *at != LARGE) {
+        assert!(!system.log(at).contains("zone: Scheduling"), "{at}");
+    }
 }
 
 #[test]
--- a/crates/dispatch/src/decisions/assignment.rs
+++ b/crates/dispatch/src/decisions/assignment.rs
@@ -204,6 +204,7 @@
         self.share.add(&other.share);
         self.resumed |= other.resumed;
         self.used_attempts = self.used_attempts.max(other.used_attempts);
+        self.last_asked = self.last_asked.max(other.last_asked);
         self.split |= other.split;
         self.full_seats = other.full_seats;
         for set in other.former_sets {
--- a/crates/dispatch/src/decisions/forecast.rs
+++ b/crates/dispatch/src/decisions/forecast.rs
@@ -135,6 +135,8 @@
             record.service == *service
                 && labelled
                 && session.lasting.pace().is_none()
+                && !session.speed.is_slow(now)
+                && !session.has_unwanted()
                 && session.is_open(now)
                 && !session.health.is_ejected(now)
         };
--- a/crates/dispatch/src/decisions/leadership.rs
+++ b/crates/dispatch/src/decisions/leadership.rs
@@ -241,7 +241,7 @@
         }
         let entry = me.role == member::Role::Entry;
         let unfit = entry && (!candidate.equipped || candidate.low_capacity);
-        let informed = !unfit && startup::is_vacant(membership, self.of_zone(zone).next());
+        let informed = !entry && startup::is_vacant(membership, self.of_zone(zone).next());
         let wait = if informed { 0 } else { STARTUP_WAIT };
         let earliest = membership.start() + if unfit { UNFIT_WAIT } else { wait };
         let grace = if entry && candidate.low_capacity { LOW_CAPACITY_GRACE } else { CLAIM_GRACE };
--- a/crates/dispatch/src/machines/outcome.rs
+++ b/crates/dispatch/src/machines/outcome.rs
@@ -6,7 +6,7 @@
 use state::name;
 
 use crate::{
-    machines::sched::{CallPurpose, Sched},
+    machines::sched::{CallPurpose, MAX_LEASE, Sched},
     messages::{
         event, incarnation,
         job::{Task, Verdict},
@@ -314,6 +314,7 @@
                         orphan: !self.parts.is_all() && need.is_none(),
                     };
                     session.runs.insert(row.task.clone(), run);
+                    session.expect_lease(MAX_LEASE, now);
                     self.adopt_run(id, &row.task, row.attempt, now);
                 }
             }
--- a/crates/dispatch/src/machines/rescue.rs
+++ b/crates/dispatch/src/machines/rescue.rs
@@ -1,11 +1,12 @@
-//! Jobs of a lost scheduler whose tasks may run at the upstreams of several schedulers: each asks the
-//! others whether runs are left there.
+//! Jobs of a lost scheduler whose tasks may run at the upstreams of several schedulers: each asks
+//! the others whether runs are left there.
 
 use state::name;
 
 use crate::{
     machines::{core::Core, sched::Sched},
     messages::{
+        job,
         message::{Body, FormerSet, Sought},
         parts::Parts,
         time::Now,
@@ -28,7 +29,7 @@
     /// and none can begin: it has taken over all of them with a higher fencing token, and does not
     /// have the job itself. The caller checks that it knows all upstreams of the set.
     fn is_clear(&self, id: &name::Name, set: &FormerSet) -> bool {
-        let runs = |task: &crate::messages::job::Task| task.job == *id;
+        let runs = |task: &job::Task| task.job == *id;
         let mut sessions = self.sessions.values();
         let free = sessions.all(|session| session.is_owned() && !session.runs.keys().any(runs));
         free && set.epoch < self.epoch && !self.jobs.contains_key(id)
@@ -78,7 +79,7 @@
         let is_clear = |(id, set): &Sought| {
             held.directory.find(set.digest).is_some() && sched.is_clear(id, set)
         };
-        let clear: Vec<_> = sought.into_iter().filter(is_clear).collect();
+        let clear: Vec<_> = sought.into_iter().take(MAX_SOUGHT).filter(is_clear).collect();
         let parts = sched.parts;
         if !clear.is_empty() {
             self.send(from, Body::Clear(zone.clone(), parts, clear), now);
--- a/crates/dispatch/src/machines/scheduling.rs
+++ b/crates/dispatch/src/machines/scheduling.rs
@@ -278,5 +278,8 @@
             &me.name,
             format!("epoch {}", claim.epoch),
         );
+        // Jobs that entries hand over under the former claim are refused.
+        self.send_heartbeats_to_all(now);
+        self.send_heartbeats_to_zone(name, now);
     }
 }
--- a/crates/dispatch/src/machines/zone.rs
+++ b/crates/dispatch/src/machines/zone.rs
@@ -56,8 +56,12 @@
         self.token_refusals = None;
     }
 
-    /// Stops scheduling the zone.
+    /// Stops scheduling the zone. The next scheduler here would not own the upstreams that other
+    /// instances gave up, and must not count the sets with them as known.
     pub(crate) fn resign(&mut self) {
+        for id in std::mem::take(&mut self.lingering) {
+            self.directory.remove(&id, false);
+        }
         self.token_refusals = None;
         self.sched = None;
     }
--- a/crates/dispatch/src/tables/lasting.rs
+++ b/crates/dispatch/src/tables/lasting.rs
@@ -32,6 +32,11 @@
 const CONFIDENCE: f32 = 3.0;
 /// An upstream is far slower if its runs take this many times as long as at the middle one.
 const FAR_SLOWER: f32 = 1.5;
+/// It remains so until they take less than this many times as long. Without the difference, a speed
+/// near the bound would change the result with every other run.
+const STILL_SLOWER: f32 = 1.25;
+/// Largest ratio that a single run may count for: declared durations may be wrong by any factor.
+const MAX_RATIO: f32 = 1_000.0;
 /// Variance below which the speed of an upstream counts among those that the middle is taken from.
 const KNOWN_VARIANCE: f32 = 0.03;
 /// Least number of known upstreams that have a middle.
@@ -60,7 +65,8 @@
     /// Creates the sample of a run that took `work` microseconds and was declared as `estimate`
     /// milliseconds; both are more than 0.
     pub fn new(step: u32, upstream: incarnation::Incarnation, work: u64, estimate: u64) -> Self {
-        let ratio = (work as f32 / (estimate * time::MS) as f32).ln();
+        let declared = estimate as f32 * time::MS as f32;
+        let ratio = (work as f32 / declared).clamp(1.0 / MAX_RATIO, MAX_RATIO).ln();
         let error = (MEASURING_ERROR / work as f32).powi(2);
         Self { step, upstream, ratio, error }
     }
@@ -95,11 +101,13 @@
         (is_recent && self.variance <= KNOWN_VARIANCE).then_some(self.log)
     }
 
-    /// Compares it with the middle one, if there is one, and returns whether the result has changed.
+    /// Compares it with the middle one, if there is one, and returns whether the result has
+    /// changed.
     pub fn compare(&mut self, middle: Option<f32>, now: u64) -> bool {
         let least = self.log - CONFIDENCE * self.variance.sqrt();
+        let bound = if self.far_slower { STILL_SLOWER } else { FAR_SLOWER };
         let far_slower = now < self.updated + RETENTION
-            && middle.is_some_and(|middle| least - middle > FAR_SLOWER.ln());
+            && middle.is_some_and(|middle| least - middle > bound.ln());
         std::mem::replace(&mut self.far_slower, far_slower) != far_slower
     }
 
--- a/crates/dispatch/src/tables/session.rs
+++ b/crates/dispatch/src/tables/session.rs
@@ -22,6 +22,9 @@
 /// How long an upstream with runs may delay its answer while it waits for a run to end,
 /// milliseconds. From two successive answers the owner detects a task that makes no progress.
 const BUSY_WAIT: u64 = 200;
+/// Wait of a hold at an upstream with a run of an unknown job, milliseconds. Its lease, which the
+/// former scheduler granted, may end within some 200 ms.
+const ORPHAN_WAIT: u64 = 40;
 /// How long an idle upstream may delay its answer, milliseconds.
 const IDLE_WAIT: u64 = 450;
 /// The number of upstreams up to which these waits apply: 400 busy ones give 2,000 answers a
@@ -240,6 +243,8 @@
             (false, _) => 0,
             (true, true) if lossy => scaled(LOSSY_WAIT, MAX_IDLE_WAIT),
             (true, true) => scaled(IDLE_WAIT, MAX_IDLE_WAIT),
+            // The next hold renews the lease if an entry has handed over the jobs of all runs.
+            (true, false) if self.runs.values().any(|run| run.orphan) => ORPHAN_WAIT,
             (true, false) if lossy => scaled(LOSSY_WAIT, MAX_BUSY_WAIT),
             (true, false) => scaled(BUSY_WAIT, MAX_BUSY_WAIT),
         };
@@ -297,10 +302,17 @@
         Some(until)
     }
 
-    /// Whether a run there is no longer wanted, or an orphan. A lease holds for all runs of an upstream, so the
-    /// owner grants none until that run has ended: it ends with the last lease at the latest, and so
-    /// within the time after which another scheduler may start its task, even if it is never
-    /// stopped.
+    /// Records that another scheduler may have granted a lease of this length, milliseconds, until
+    /// now. Where the owner grants none itself, the lease would otherwise count as over when the
+    /// first call is lost.
+    pub fn expect_lease(&mut self, lease: u64, now: u64) {
+        self.lease_end = self.lease_end.max(now + time::on_slowest(lease * time::MS));
+    }
+
+    /// Whether a run there is no longer wanted, or an orphan. A lease holds for all runs of an
+    /// upstream, so the owner grants none until that run has ended: it ends with the last lease at
+    /// the latest, and so within the time after which another scheduler may start its task, even if
+    /// it is never stopped.
     pub fn has_unwanted(&self) -> bool {
         self.runs.values().any(|run| run.unwanted.is_some() || run.orphan)
     }
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -239,6 +239,28 @@
     }
 }
 
+/// A holder of parts loses the link to an upstream after it has found a run there of a job that
+/// another holder has. The run ends before its task starts again.
+#[test]
+fn found_then_cut() {
+    for seed in 0..8 {
+        let mut world = weak_world(seed);
+        for _ in 0..100 {
+            let id = world.submit(0, 1, 2_000, 5_000);
+            world.requests.get_mut(&id).unwrap().job.patience = 14_000;
+            world.run(2);
+        }
+        world.run(300);
+        world.kill(0);
+        world.run(500 + 40 * seed);
+        for up in 0..UPSTREAMS {
+            world.block_calls(up, 1 + up % ENTRIES, true);
+        }
+        world.run(4_000);
+        assert_eq!(world.faults, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 /// Claims that cannot hold are refused, and nothing is learned from them.
 #[test]
 fn refused_claims() {
