--- a/crates/dispatch/src/decisions/assignment.rs
+++ b/crates/dispatch/src/decisions/assignment.rs
@@ -150,8 +150,8 @@
         }
     }
 
-    /// Whether this scheduler had no room for the tasks. One scheduler of a whole zone speaks for the
-    /// next one, too.
+    /// Whether this scheduler had no room for the tasks. One scheduler of a whole zone speaks for
+    /// the next one, too.
     pub(crate) fn was_full(&self, claim: &claim::Claim) -> bool {
         let is_meant = |(zone, holder): &Seat| {
             *zone == claim.zone && (claim.parts.is_all() || *holder == claim.holder)
--- a/crates/dispatch/src/decisions/place.rs
+++ b/crates/dispatch/src/decisions/place.rs
@@ -65,7 +65,8 @@
     suspect: bool,
     /// Factor by which tasks take longer there where that counts, 1 elsewhere.
     slowness: f64,
-    /// The factor of the declared durations that tasks take there, if it is far slower for good.
+    /// The factor of the declared durations that tasks take there, if it is consistently far
+    /// slower.
     pace: Option<f64>,
 }
 
@@ -85,8 +86,8 @@
     pub known_number: u64,
     /// Time left in which a task is useful, milliseconds.
     pub time_left: u64,
-    /// Time left until the end of the job's objective, milliseconds, if a task may wait for a faster
-    /// upstream.
+    /// Time left until the end of the job's objective, milliseconds, if a task may wait for a
+    /// faster upstream.
     pub left: Option<u64>,
 }
 
@@ -137,8 +138,8 @@
         }
     }
 
-    /// Keeps tasks from upstreams that are far slower than others for good, where these would make
-    /// their jobs late.
+    /// Keeps tasks from upstreams that are consistently far slower than others, where these would
+    /// make their jobs late.
     #[must_use]
     pub fn with_paces(self, paces: &'a forecast::Paces) -> Self {
         Self { paces: Some(paces), ..self }
@@ -227,7 +228,8 @@
         Some(from + found?)
     }
 
-    /// Largest factor of its declared duration that a task may take; infinite if it may run anywhere.
+    /// Largest factor of its declared duration that a task may take; infinite if it may run
+    /// anywhere.
     fn bound(&mut self, job: &job::Job, task: &job::Task, limit: Limit) -> f64 {
         let bound =
             |(paces, left): (&forecast::Paces, u64)| paces.bound(job, task.step as usize, left);
--- a/crates/dispatch/src/decisions/startup.rs
+++ b/crates/dispatch/src/decisions/startup.rs
@@ -5,9 +5,9 @@
 //! scheduler leaves the capacity of a whole zone idle.
 //!
 //! An instance that runs reports all claims that it knows in each heartbeat. Several instances that
-//! know no claim to a zone have therefore started as recently as this one, and there is no scheduler
-//! to wait for. If there is one nevertheless, the later claim takes the zone over, as after any
-//! other loss: upstreams accept the orders of the higher fencing token only.
+//! know no claim to a zone have therefore started as recently as this one, and there is no
+//! scheduler to wait for. If there is one nevertheless, the later claim takes the zone over, as
+//! after any other loss: upstreams accept the orders of the higher fencing token only.
 
 use crate::{messages::claim, tables::membership};
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,8 +5,8 @@
 //! An instance is a [`Core`]. It takes events ([`event::Event`]) with their time ([`time::Now`])
 //! and returns effects ([`event::Output`]).
 //!
-//! The modules are in four layers, each of which uses only the layers before it: messages, tables of
-//! what an instance knows, decisions, and state machines.
+//! The modules are in four layers, each of which uses only the layers before it: messages, tables
+//! of what an instance knows, decisions, and state machines.
 //!
 //! - [`membership`], [`peer`], [`watch_list`], [`redial`], [`leadership`] and [`candidates`]: which
 //!   instances are alive, which of them exchange heartbeats, when streams are reconnected, and
--- a/crates/dispatch/src/machines/lasting.rs
+++ b/crates/dispatch/src/machines/lasting.rs
@@ -7,8 +7,8 @@
 };
 
 impl Sched {
-    /// Adds a completed run of a task to the lasting speeds, with the other runs of its step once the
-    /// last of these has ended.
+    /// Adds a completed run of a task to the lasting speeds, with the other runs of its step once
+    /// the last of these has ended.
     pub(crate) fn learn_speed(
         &mut self,
         id: &incarnation::Incarnation,
@@ -34,12 +34,12 @@
         }
     }
 
-    /// Finds the upstreams that are far slower than the middle one of their service for good.
+    /// Finds the upstreams that are far slower than the middle one of their service.
     pub(crate) fn compare_speeds(&mut self, now: u64) {
         for change in self.paces.compare(&mut self.sessions, now) {
             let (text, detail) = match change.pace {
                 Some(pace) => (
-                    "upstream: Far slower than others for good.",
+                    "upstream: Consistently slower than others.",
                     format!(
                         "{pace:.2} times the declared durations, the middle one {:.2}",
                         change.middle
--- a/crates/dispatch/src/machines/peers.rs
+++ b/crates/dispatch/src/machines/peers.rs
@@ -47,9 +47,9 @@
         }
     }
 
-    /// Sends heartbeats at once when a scheduler of the zone falls silent: to the first instances of
-    /// the zone, which wait for one another's word before one claims it, and to the schedulers of
-    /// the other zones, which answer if they could schedule this zone, too.
+    /// Sends heartbeats at once when a scheduler of the zone falls silent: to the first instances
+    /// of the zone, which wait for one another's word before one claims it, and to the schedulers
+    /// of the other zones, which answer if they could schedule this zone, too.
     fn report_vacancy(&mut self, now: Now) {
         let zone = self.membership.me().zone.clone();
         let led = self.claims.led_parts(&zone, &self.membership, now.mono);
@@ -339,8 +339,8 @@
         self.yield_to_higher(now);
     }
 
-    /// Whether a claim that another instance reports may hold: it names a part, and its holder is an
-    /// instance of the zone or a keeper, as far as this instance knows.
+    /// Whether a claim that another instance reports may hold: it names a part, and its holder is
+    /// an instance of the zone or a keeper, as far as this instance knows.
     fn is_credible(&mut self, claim: &claim::Claim, from: &name::Name) -> bool {
         let peer = self.membership.peer(&claim.holder);
         let card = peer.and_then(|peer| peer.card.as_ref());
--- a/crates/dispatch/src/machines/sched.rs
+++ b/crates/dispatch/src/machines/sched.rs
@@ -31,8 +31,8 @@
 /// [`FORMER_RUN_TIMEOUT`] where several schedulers have the parts of a zone, microseconds. The
 /// holder of another part may find such a run as long as it lasts. A holder of some parts grants no
 /// lease to an upstream with a run of an unknown job. One that claims the whole zone without
-/// knowing of the parts may grant leases until it stops the run: that adds [`outcome::ORPHAN_GRACE`],
-/// a tick and another lease; `upkeep` checks the sum.
+/// knowing of the parts may grant leases until it stops the run: that adds
+/// [`outcome::ORPHAN_GRACE`], a tick and another lease; `upkeep` checks the sum.
 pub(crate) const SPLIT_RUN_TIMEOUT: u64 = 3_150 * time::MS;
 /// Longest lease that a scheduler grants, milliseconds. Upstreams may grant far longer ones, but
 /// what a lost scheduler has started goes on until its lease ends, and a client that lost its entry
--- a/crates/dispatch/src/machines/status.rs
+++ b/crates/dispatch/src/machines/status.rs
@@ -37,7 +37,7 @@
     pub ejected: usize,
     /// Number of these upstreams that do not answer.
     pub silent: usize,
-    /// Number of these upstreams that are far slower than others for good.
+    /// Number of these upstreams that are consistently far slower than others.
     pub slower: usize,
     /// Version of the active configuration.
     pub version: u64,
--- a/crates/dispatch/src/machines/submissions.rs
+++ b/crates/dispatch/src/machines/submissions.rs
@@ -126,8 +126,8 @@
         self.loads.record(zone, holder, load, now);
     }
 
-    /// Whether less than a quarter of a zone is free by the last known loads of the holders of these
-    /// claims to it: between two heartbeats of a scheduler, tasks may take that much.
+    /// Whether less than a quarter of a zone is free by the last known loads of the holders of
+    /// these claims to it: between two heartbeats of a scheduler, tasks may take that much.
     pub fn is_short<'a>(&self, claims: impl Iterator<Item = &'a claim::Claim>) -> bool {
         self.loads.sum(claims).is_some_and(|load| load.free * 4 <= load.total)
     }
--- a/crates/dispatch/src/messages/mod.rs
+++ b/crates/dispatch/src/messages/mod.rs
@@ -1,8 +1,8 @@
 //! Messages and events: what instances exchange, what an instance is told, and what it returns.
 //!
 //! - [`message`] holds the messages between instances, [`event`] the input and output of one.
-//! - [`member`], [`claim`], [`parts`], [`upstream`], [`incarnation`], [`job`], [`share`] and [`order`] are the
-//!   things that messages speak of.
+//! - [`member`], [`claim`], [`parts`], [`upstream`], [`incarnation`], [`job`], [`share`] and
+//!   [`order`] are the things that messages speak of.
 
 pub mod claim;
 pub mod compression;
--- a/crates/dispatch/src/messages/suspect.rs
+++ b/crates/dispatch/src/messages/suspect.rs
@@ -3,8 +3,8 @@
 //! This handles a task that crashes every upstream incarnation on which it starts, together with
 //! all the runs beside it. Nothing shows which of the tasks on a lost upstream was at fault, so all
 //! of them are suspects until they complete. The scheduler keeps suspects apart from one another
-//! and runs them where the least work would be lost ([`crate::decisions::place`]), so that a second loss
-//! identifies the task at fault; the scheduler then gives it up.
+//! and runs them where the least work would be lost ([`crate::decisions::place`]), so that a second
+//! loss identifies the task at fault; the scheduler then gives it up.
 //!
 //! An upstream that returns as a new incarnation proves the loss. One that stays silent until its
 //! leases have expired may only be unreachable: that counts for less, and no longer counts once it
--- a/crates/dispatch/src/tables/lasting.rs
+++ b/crates/dispatch/src/tables/lasting.rs
@@ -1,4 +1,4 @@
-//! Lasting speeds: how long runs take at one upstream relative to the others, for good.
+//! Lasting speeds: how long runs take at one upstream relative to the others, over many runs.
 //!
 //! This handles upstreams whose speeds differ by less than that of a slow one
 //! ([`speed`](crate::tables::speed)), but always: a task that has just enough time at most of them
--- a/crates/dispatch/src/tables/loads.rs
+++ b/crates/dispatch/src/tables/loads.rs
@@ -1,5 +1,5 @@
-//! Loads of zones as an entry knows them: what the schedulers last reported, less what the entry has
-//! handed over since.
+//! Loads of zones as an entry knows them: what the schedulers last reported, less what the entry
+//! has handed over since.
 
 use std::collections;
 
@@ -38,8 +38,8 @@
         reports.push(Report { holder: holder.clone(), load, at: now });
     }
 
-    /// The last known load of the upstreams of a claim. The scheduler of a whole zone takes over the
-    /// load that the one before it reported.
+    /// The last known load of the upstreams of a claim. The scheduler of a whole zone takes over
+    /// the load that the one before it reported.
     fn get(&self, claim: &Claim) -> Option<&Report> {
         let is_meant = |report: &&Report| claim.parts.is_all() || report.holder == claim.holder;
         self.zones.get(&claim.zone)?.iter().rev().find(is_meant)
--- a/crates/dispatch/src/tables/session.rs
+++ b/crates/dispatch/src/tables/session.rs
@@ -125,7 +125,7 @@
     pub health: crate::tables::health::Health,
     /// How fast it runs tasks.
     pub speed: crate::tables::speed::Speed,
-    /// How fast it runs tasks for good.
+    /// How fast it runs tasks, over many runs.
     pub lasting: crate::tables::lasting::Lasting,
     pub(crate) capacity_limit: capacity_limit::CapacityLimit,
     /// Tasks whose runs counted as ended when the leases expired while the upstream was silent.
@@ -265,8 +265,8 @@
         Some(self.call(number, order, wait + call_timeout::MAX_TIMEOUT))
     }
 
-    /// Time until the first of the runs without progress counts as hung, milliseconds; `None` if all
-    /// runs progress.
+    /// Time until the first of the runs without progress counts as hung, milliseconds; `None` if
+    /// all runs progress.
     fn next_hang(&self, now: u64) -> Option<u64> {
         let wanted = |run: &&Run| run.stage == Stage::Running && run.unwanted.is_none();
         let stalled =
--- a/crates/dispatch/src/tables/watch_list.rs
+++ b/crates/dispatch/src/tables/watch_list.rs
@@ -28,9 +28,9 @@
 const WIDEN_STEP: usize = 3;
 /// Time by which heartbeats of the added instances have arrived, in microseconds.
 const WIDEN_INTERVAL: u64 = 300 * time::MS;
-/// Number of entries that must be among the first [`FRONT`] instances of a zone. In a zone with more
-/// keepers, the first [`MAX_WINDOW`] instances do what the first [`FRONT`] do elsewhere, so that
-/// entries know the upstreams, and one another, when all keepers are lost.
+/// Number of entries that must be among the first [`FRONT`] instances of a zone. In a zone with
+/// more keepers, the first [`MAX_WINDOW`] instances do what the first [`FRONT`] do elsewhere, so
+/// that entries know the upstreams, and one another, when all keepers are lost.
 const FRONT_ENTRIES: usize = 2;
 /// Maximum number of instances of its zone that an entry watches: if all hundred instances of a
 /// zone watched one another, a zone without a scheduler would not get one.
@@ -135,8 +135,8 @@
     }
 
     /// Updates the window: it widens while the zone has no scheduler, counted from `earliest` at
-    /// the earliest, from `front` instances on. An instance that `knows` the zone, as a keeper, as its scheduler or as
-    /// one of these first instances, always watches them.
+    /// the earliest, from `front` instances on. An instance that `knows` the zone, as a keeper, as
+    /// its scheduler or as one of these first instances, always watches them.
     pub fn set(&mut self, knows: bool, led: bool, front: usize, earliest: u64, now: u64) {
         if knows || led {
             self.size = if knows { front } else { HUBS };
--- a/crates/dispatch/tests/announcements.rs
+++ b/crates/dispatch/tests/announcements.rs
@@ -1,5 +1,5 @@
-//! Announcements that arrive before a keeper has read a configuration: their upstreams are used once
-//! a configuration names their service, and never otherwise.
+//! Announcements that arrive before a keeper has read a configuration: their upstreams are used
+//! once a configuration names their service, and never otherwise.
 
 mod sample;
 
--- a/crates/dispatch/tests/claims.rs
+++ b/crates/dispatch/tests/claims.rs
@@ -123,10 +123,10 @@
     assert!((400..460).contains(&claim_time(STRONG, Some(100))));
 }
 
-/// A weak entry gives the keepers of other zones two heartbeats to claim its zone first, or the time
-/// of an answer if it receives heartbeats of none. If it has just started, it gives its own keeper
-/// 1 s, because it may receive a configuration and upstreams from a keeper of another zone before
-/// its own keeper is back.
+/// A weak entry gives the keepers of other zones two heartbeats to claim its zone first, or the
+/// time of an answer if it receives heartbeats of none. If it has just started, it gives its own
+/// keeper 1 s, because it may receive a configuration and upstreams from a keeper of another zone
+/// before its own keeper is back.
 #[test]
 fn weak_entry() {
     let weak = Candidate { low_capacity: true, ..STRONG };
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -40,7 +40,7 @@
 }
 
 /// The log line about an upstream that is far slower than others for good.
-const FAR_SLOWER: &str = "upstream: Far slower than others for good.";
+const FAR_SLOWER: &str = "upstream: Consistently slower than others.";
 
 /// Short jobs with many tasks that a customer waits for, long jobs, and many small jobs.
 const KINDS: [Kind; 3] = [
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -171,7 +171,8 @@
     }
 }
 
-/// One of the entries that share a zone is lost. Another one takes its parts; the others keep theirs.
+/// One of the entries that share a zone is lost. Another one takes its parts; the others keep
+/// theirs.
 #[test]
 fn holder_lost() {
     for seed in 0..8 {
--- a/crates/dispatch/tests/speeds.rs
+++ b/crates/dispatch/tests/speeds.rs
@@ -19,8 +19,8 @@
 /// The time of all placements.
 const NOW: u64 = 1_000_000;
 
-/// The upstreams of a zone: some that are busy, with a label and of a size, each with the percentage
-/// of the declared durations that its tasks take.
+/// The upstreams of a zone: some that are busy, with a label and of a size, each with the
+/// percentage of the declared durations that its tasks take.
 fn zone(kinds: &[(u64, &str, u64)]) -> BTreeMap<Incarnation, Session> {
     let mut sessions = BTreeMap::new();
     for (at, (percent, label, cpu)) in kinds.iter().enumerate() {
