--- a/crates/dispatch/tests/adopted.rs
+++ b/crates/dispatch/tests/adopted.rs
@@ -51,7 +51,7 @@
 /// gave up starts before it read their answers. The four other keepers used a sixth of their CPU
 /// time.
 #[test]
-fn zone_without_keeper() {
+fn keeper_lost() {
     for seed in 0..8 {
         let mut world = started_world(seed);
         assert_eq!(world.schedulers(0), [keeper(0)], "seed {seed}");
