A keeper never shares its zone with entries

Ruled out: a smaller cost for each upstream, which would also let weak entries take whole zones. Change: a keeper bears its zone, as before parts.

Test: parts::number_of_holders, one more case.

--- a/crates/dispatch/src/decisions/candidates.rs
+++ b/crates/dispatch/src/decisions/candidates.rs
@@ -16,8 +16,6 @@
 /// Share of its CPU time that an entry takes where it shares a zone with others, percent: it takes
 /// over while jobs have been waiting, and the clients of its zone reconnect.
 const SHARING_CPU_PERCENT: u64 = 25;
-/// Share of its CPU time that a keeper has for scheduling, percent.
-const KEEPER_CPU_PERCENT: u64 = 95;
 
 /// A live instance that may claim parts of its zone.
 #[derive(Clone, Copy, Debug)]
@@ -82,7 +80,8 @@
 }
 
 /// Whether an instance has the CPU time to schedule the `upstreams` of a zone alone. An unknown
-/// capacity counts as enough.
+/// capacity counts as enough, and a keeper, which has no clients, bears more than any share of its
+/// zone that is left to entries.
 pub fn bears(card: &member::Card, upstreams: u64) -> bool {
     fits(card, upstreams, ENTRY_CPU_PERCENT)
 }
@@ -93,10 +92,8 @@
 }
 
 fn fits(card: &member::Card, upstreams: u64, entry_percent: u64) -> bool {
-    let percent = match card.role {
-        member::Role::Keeper => KEEPER_CPU_PERCENT,
-        member::Role::Entry => entry_percent,
-    };
     let cpu = u64::from(card.capacity.cpu);
-    cpu == 0 || upstreams * CPU_PER_UPSTREAM <= cpu * percent / 100
+    card.role == member::Role::Keeper
+        || cpu == 0
+        || upstreams * CPU_PER_UPSTREAM <= cpu * entry_percent / 100
 }
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -102,6 +102,7 @@
     let mut mixed = weak;
     mixed.push(card("10.0.0.9:7", Role::Keeper, 400));
     assert_eq!(shares(&mixed, 350, 0), [0, 0, 0, 0, 32], "a keeper bears more");
+    assert_eq!(shares(&mixed, 1_000, 0), [0, 0, 0, 0, 32], "no entry has a better share");
 }
 
 /// Starts a zone with one keeper and entries that each bear a third of it.
