--- a/review/standins/src/executor.rs
+++ b/review/standins/src/executor.rs
@@ -270,7 +270,8 @@
                 lapsed.then_some("lapsed")
             }
         };
-        let over = state.running.iter().filter_map(|(task, run)| Some((task.clone(), result(run)?)));
+        let over =
+            state.running.iter().filter_map(|(task, run)| Some((task.clone(), result(run)?)));
         for (task, how) in over.collect::<Vec<_>>() {
             let Some(run) = state.running.remove(&task) else { continue };
             state.last_end += 1;
