--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -117,20 +117,20 @@
     pub body: String,
 }
 
+/// Returns the status and the body of the answer to a request.
+pub type Handler = Arc<dyn Fn(&Request) -> (u16, String) + Send + Sync>;
+
 /// Answers the requests that come to `listener`, for as long as the process runs.
-pub fn serve(listener: TcpListener, handler: Arc<dyn Fn(&Request) -> (u16, String) + Send + Sync>) {
+pub fn serve(listener: TcpListener, handler: Handler) {
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let handler = Arc::clone(&handler);
-            thread::spawn(move || drop(serve_connection(stream, handler.as_ref())));
+            thread::spawn(move || drop(serve_connection(stream, &handler)));
         }
     });
 }
 
-fn serve_connection(
-    stream: TcpStream,
-    handler: &(dyn Fn(&Request) -> (u16, String) + Send + Sync),
-) -> io::Result<()> {
+fn serve_connection(stream: TcpStream, handler: &Handler) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -11,7 +11,7 @@
 mod record;
 mod system;
 
-use std::{env, path::PathBuf, process::ExitCode};
+use std::{env, panic, path::PathBuf, process::ExitCode};
 
 fn argument(at: usize) -> Option<String> {
     env::args().nth(at)
@@ -34,7 +34,12 @@
             return ExitCode::from(2);
         }
     };
-    let broken = case(&program, trouble, &record);
+    let played = panic::catch_unwind(|| case(&program, trouble, &record));
+    let Ok(broken) = played else {
+        record.add("the case could not run");
+        record.write(&record_file());
+        return ExitCode::from(2);
+    };
     record.add(if broken { "the rule is BROKEN" } else { "the rule held" });
     record.write(&record_file());
     ExitCode::from(u8::from(broken))
