review: a job that fits elsewhere is answered as failed

Cause: a scheduler refuses a job as too large when no executor of its own zone could hold one of its tasks, and the entry passes that on as the end of the job without asking another zone.

--- a/review/standins-2/src/evacuated.rs
+++ b/review/standins-2/src/evacuated.rs
@@ -37,7 +37,7 @@
 const WATCH: Duration = Duration::from_secs(4);
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> io::Result<Outcome> {
-    let system = System::start(Arc::clone(record), 1, 2)?;
+    let system = System::start(Arc::clone(record), &[32_000])?;
     let done = Arc::new(AtomicBool::new(false));
     let clients = start_clients(&system, &done);
     thread::sleep(Duration::from_secs(1));
--- a/review/standins-2/src/executor.rs
+++ b/review/standins-2/src/executor.rs
@@ -21,7 +21,6 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub executor: String,
-    pub attempt: u64,
     pub began: Instant,
     pub ended: Option<(Instant, &'static str)>,
 }
@@ -29,6 +28,7 @@
 #[derive(Debug)]
 struct Active {
     attempt: u64,
+    cpu: u64,
     done_at: Instant,
     length: Duration,
     at: usize,
@@ -43,6 +43,7 @@
     ended: Vec<(u64, String, u64, &'static str)>,
     count: u64,
     sequence: u64,
+    leaving: bool,
     runs: Vec<Run>,
 }
 
@@ -53,12 +54,15 @@
     pub zone: String,
     /// Address that it announces.
     pub address: SocketAddr,
-    /// Number of tasks that it has room for.
-    pub slots: u64,
+    /// Its processor, in thousandths of a core.
+    pub cpu: u64,
 }
 
-/// Processor of each task, in thousandths of a core.
+/// Processor of each task, in thousandths of a core, unless its specification says otherwise.
 pub const TASK_CPU: u64 = 14_000;
+/// How long an executor serves on after a keeper has acknowledged that it drains: `DrainMs`, and a
+/// little longer.
+const DRAIN: Duration = Duration::from_millis(2_100);
 
 #[derive(Debug)]
 pub struct Executor {
@@ -106,6 +110,21 @@
         self.lock().runs.clone()
     }
 
+    /// Empties the executor, withdraws it and ends it.
+    pub fn leave(&self, keeper: SocketAddr) -> io::Result<()> {
+        self.lock().leaving = true;
+        let id = &self.identity.id;
+        let path = format!("/apricotroute/instances/{id}");
+        let timeout = Duration::from_secs(1);
+        let answer = wire::call(keeper, "PUT", &path, &[], &self.heartbeat(), timeout)?;
+        self.record.line(&format!("{id} says that it drains, and gets {}", answer.status()));
+        thread::sleep(DRAIN);
+        let answer = wire::call(keeper, "DELETE", &path, &[], "", timeout)?;
+        self.record.line(&format!("{id} withdraws, gets {}, and ends", answer.status()));
+        self.cut.set(true);
+        Ok(())
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap()
     }
@@ -135,22 +154,25 @@
         self.changed.notify_all();
     }
 
+    /// Returns the body of the next heartbeat.
+    fn heartbeat(&self) -> String {
+        let mut state = self.lock();
+        state.sequence += 1;
+        let (sequence, clock) = (state.sequence, self.clock());
+        let Identity { zone, address, cpu, .. } = &self.identity;
+        let (phase, left) =
+            if state.leaving { ("draining", ",\"RemainingMs\":2000") } else { ("ready", "") };
+        format!(
+            "{{\"Service\":\"board\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\
+             \"Version\":\"v1\",\"Slots\":8,\"State\":\"{phase}\",\"ColdLeftMs\":0,\
+             \"Capacity\":{{\"Cpu\":{cpu},\"MemMb\":65536,\"Gpu\":0}},\
+             \"Labels\":[\"a\",\"r1-1\"],\"ClockMs\":{clock},\"Sequence\":{sequence}{left}}}"
+        )
+    }
+
     fn report(&self, keepers: &[SocketAddr]) {
         loop {
-            let sequence = {
-                let mut state = self.lock();
-                state.sequence += 1;
-                state.sequence
-            };
-            let Identity { id, zone, address, slots } = &self.identity;
-            let cpu = slots * TASK_CPU;
-            let body = format!(
-                "{{\"Service\":\"board\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\
-                 \"Version\":\"v1\",\"Slots\":8,\"State\":\"ready\",\"ColdLeftMs\":0,\
-                 \"Capacity\":{{\"Cpu\":{cpu},\"MemMb\":65536,\"Gpu\":0}},\
-                 \"Labels\":[\"a\",\"r1-1\"],\"ClockMs\":{},\"Sequence\":{sequence}}}",
-                self.clock()
-            );
+            let (id, body) = (&self.identity.id, self.heartbeat());
             let path = format!("/apricotroute/instances/{id}");
             for keeper in keepers {
                 if self.cut.is_on() {
@@ -228,18 +250,23 @@
         if is_old || state.active.contains_key(&task) {
             return self.refusal("old");
         }
-        if state.active.len() as u64 >= self.identity.slots {
+        // The specification is the length of the work in milliseconds, and for each step after a
+        // space the processor of its tasks.
+        let mut words = wire::member(body, "Spec").unwrap_or_default().split(' ');
+        let length = words.next().and_then(|word| word.parse().ok()).unwrap_or(100);
+        let step = task.split('.').nth(2).and_then(|step| step.parse().ok()).unwrap_or(0);
+        let cpu = words.nth(step).and_then(|word| word.parse().ok()).unwrap_or(TASK_CPU);
+        let taken: u64 = state.active.values().map(|run| run.cpu).sum();
+        if taken + cpu > self.identity.cpu {
             return self.refusal("room");
         }
-        // The specification is the length of the work in milliseconds.
-        let spec = wire::member(body, "Spec").and_then(|spec| spec.parse().ok()).unwrap_or(100);
         let (began, at) = (Instant::now(), state.runs.len());
-        let length = Duration::from_millis(spec);
+        let length = Duration::from_millis(length);
         state.last.insert(task.clone(), attempt);
-        state.active.insert(task.clone(), Active { attempt, done_at: began + length, length, at });
+        state.active.insert(task.clone(), Active { attempt, cpu, done_at: began + length, length, at });
         let executor = self.identity.id.clone();
         self.record.line(&format!("{executor} run {attempt} of {task} begins"));
-        state.runs.push(Run { executor, attempt, began, ended: None });
+        state.runs.push(Run { executor, began, ended: None });
         (200, self.plain())
     }
 
@@ -282,7 +309,7 @@
         let row = |(task, run): (&String, &Active)| {
             let left = run.done_at.saturating_duration_since(now).as_secs_f64();
             let percent = 100.0 - 100.0 * left / run.length.as_secs_f64().max(1e-3);
-            format!("[\"{task}\",{},\"\",{},{TASK_CPU}]", run.attempt, percent as u64)
+            format!("[\"{task}\",{},\"\",{},{}]", run.attempt, percent as u64, run.cpu)
         };
         let running: Vec<_> = state.active.iter().map(row).collect();
         let row = |(number, task, attempt, how): &(u64, String, u64, &str)| {
--- a/review/standins-2/src/system.rs
+++ b/review/standins-2/src/system.rs
@@ -48,9 +48,9 @@
 }
 
 impl System {
-    /// Starts a system with `per_zone` executors in each zone, which have room for `slots` tasks each,
-    /// and waits until it serves.
-    pub fn start(record: Arc<Record>, per_zone: usize, slots: u64) -> io::Result<Self> {
+    /// Starts a system with executors of these sizes in each zone, in thousandths of a core, and
+    /// waits until it serves.
+    pub fn start(record: Arc<Record>, sizes: &[u64]) -> io::Result<Self> {
         let folder = PathBuf::from(env::var("CASE_FOLDER").map_err(io::Error::other)?);
         let reserve = |block: u8| {
             TcpListener::bind((Ipv4Addr::new(127, block, 7, 250), 7100)).ok().map(|l| (block, l))
@@ -78,14 +78,14 @@
         let keepers: Vec<_> =
             (0..ZONES.len()).map(|zone| system.address(zone, 0, OPERATOR_PORT)).collect();
         for (zone, name) in ZONES.iter().enumerate() {
-            for which in 0..per_zone {
+            for (which, cpu) in sizes.iter().copied().enumerate() {
                 let cut = Arc::new(Cut::default());
                 let seat = 3 + which;
                 let listen = system.address(zone, seat, EXECUTOR_PORT);
                 let address = system.address(zone, seat, PROXY_PORT);
                 proxy::start(address, listen, Arc::clone(&cut))?;
                 let id = format!("i-{name}-{which}");
-                let identity = Identity { id, zone: (*name).to_owned(), address, slots };
+                let identity = Identity { id, zone: (*name).to_owned(), address, cpu };
                 let (cut_off, record) = (Arc::clone(&cut), Arc::clone(&system.record));
                 let mut order = keepers.clone();
                 order.rotate_left(zone);
