--- a/review/standins-2/src/evacuated.rs
+++ b/review/standins-2/src/evacuated.rs
@@ -50,7 +50,7 @@
     }
     thread::sleep(Duration::from_millis(200));
     order(record, "DELETE", &[system.keeper(FROZEN), others[0], others[1]])?;
-    thread::sleep(Duration::from_millis(500));
+    thread::sleep(Duration::from_millis(1_500));
     let acknowledged = order(record, "POST", &others)?;
     thread::sleep((frozen_at + FREEZE).saturating_duration_since(Instant::now()));
     if trouble {
