review: case 6 is the job whose executors are cut off

Cause: a task counts as one that crashes upstreams after three of them were silent past its lease, without proof that any of them has crashed, and its job then ends with the verdict of a task that has used up its attempts.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,6 +3,7 @@
 
 mod evacuated;
 mod executor;
+mod failed;
 mod large;
 mod proxy;
 mod record;
@@ -27,6 +28,7 @@
     record.line(&format!("case {name}, disruption {}", if trouble { "on" } else { "off" }));
     let outcome = match name.as_str() {
         "evacuated" => evacuated::run(&record, trouble),
+        "failed" => failed::run(&record, trouble),
         "large" => large::run(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
