Each answered order and each read that is not confirmed leaves a line

What operators saw: an acknowledged configuration left no line at the keeper that acknowledged it, so that no log could have said which version was confirmed when, and by whom. Which version requests are routed by was in one log line only.

Change, without any change of logic: lines for orders that are acknowledged or refused, with the version and the one held; for orders and reads that are not confirmed in time, with what the keeper waited for; the gauge routed_version beside settings_version.

Tests: configuration::answers_logged, platform_path::measures.

--- a/crates/apricotroute/src/node/measure.rs
+++ b/crates/apricotroute/src/node/measure.rs
@@ -39,6 +39,10 @@
     ("redials", |status| status.redials as f64),
 ];
 
+/// Name of the gauge of the configuration version by which requests are routed. It is behind
+/// `settings_version` while a configuration is being decoded.
+const ROUTED_VERSION: &str = "routed_version";
+
 /// Serves the metrics of this process over HTTP.
 pub struct MetricsHandler;
 
@@ -52,6 +56,10 @@
             let _gauge = metrics
                 .watch(name, move || vec![(*name, Vec::new(), read(&control.view().status()))]);
         }
+        let control = control.clone();
+        let routed = move || control.view().routing().version as f64;
+        let _gauge =
+            metrics.watch(ROUTED_VERSION, move || vec![(ROUTED_VERSION, Vec::new(), routed())]);
         Ok(Self)
     }
 }
--- a/crates/apricotroute/tests/platform_path.rs
+++ b/crates/apricotroute/tests/platform_path.rs
@@ -272,6 +272,7 @@
     wait_until("the gauges of the entry are up to date", || {
         value(KEEPERS, "settings_version") == Some(3.0)
     });
+    assert_eq!(value(KEEPERS, "routed_version"), Some(3.0));
     let leading = |at: &usize| value(*at, "settings_leading") == Some(1.0);
     wait_until("one keeper leads", || (0..KEEPERS).filter(leading).count() == 1);
     assert!((0..KEEPERS).all(|at| value(at, "disk_sync_seconds_count") > Some(0.0)));
--- a/crates/dispatch/src/machines/control_log.rs
+++ b/crates/dispatch/src/machines/control_log.rs
@@ -40,6 +40,16 @@
     Evacuate(evacuation::Order),
 }
 
+impl Change {
+    /// What the change asks for, for display.
+    fn describe(&self) -> String {
+        match self {
+            Self::Publish(document) => format!("version {}", document.version),
+            Self::Evacuate(order) => format!("zone {}, evacuated: {}", order.zone, order.evacuated),
+        }
+    }
+}
+
 #[derive(serde::Serialize, serde::Deserialize)]
 struct Command {
     change: Change,
@@ -189,8 +199,8 @@
     pub saves: Vec<(u64, raft::Save)>,
     /// Answers to the operator.
     pub replies: Vec<(Ticket, Reply)>,
-    /// For each order that was given up, what it waited for.
-    pub expired: Vec<String>,
+    /// Log lines about orders: the text and the detail.
+    pub notes: Vec<(&'static str, String)>,
 }
 
 /// A member of the Raft group that replicates the control log.
@@ -260,6 +270,8 @@
                         continue;
                     }
                 };
+                let text = answer_text(&reply);
+                self.out.notes.push((text, order.change.describe()));
                 self.out.replies.push((order.ticket, reply));
             }
         }
@@ -301,6 +313,8 @@
     pub fn publish(&mut self, ticket: Ticket, document: Document, now: u64) {
         if let Some(same) = self.group.machine().precheck(&document) {
             let reply = if same { Reply::Noted } else { Reply::Conflict };
+            let detail = format!("version {}, held {}", document.version, self.document().version);
+            self.out.notes.push((answer_text(&reply), detail));
             self.out.replies.push((ticket, reply));
             return;
         }
@@ -380,6 +394,8 @@
             if let Some(Query { requester: Requester::Local(ticket), .. }) =
                 self.queries.remove(&number)
             {
+                let progress = self.group.waits_for(now.mono).unwrap_or_else(|| self.progress());
+                self.out.notes.push(("settings: Read not confirmed in time.", progress));
                 self.out.replies.push((ticket, Reply::Unavailable));
             }
         }
@@ -405,7 +421,8 @@
             if let Some(order) = self.orders.remove(&origin) {
                 self.out.replies.push((order.ticket, Reply::Unavailable));
                 let progress = self.group.waits_for(now).unwrap_or_else(|| self.progress());
-                self.out.expired.push(progress);
+                let detail = format!("{}: {progress}", order.change.describe());
+                self.out.notes.push(("settings: Order not committed in time.", detail));
             }
         }
     }
@@ -467,6 +484,14 @@
     }
 }
 
+/// The log line for the answer to an order.
+fn answer_text(reply: &Reply) -> &'static str {
+    match reply {
+        Reply::Noted => "settings: Order acknowledged.",
+        _ => "settings: Order refused, another configuration has this version.",
+    }
+}
+
 /// Whether two compressed texts are the same. Another version of this program may compress the same
 /// text to other bytes.
 fn is_same(one: &bytes::Bytes, other: &bytes::Bytes) -> bool {
--- a/crates/dispatch/src/machines/core.rs
+++ b/crates/dispatch/src/machines/core.rs
@@ -369,8 +369,8 @@
                 self.reply(ticket, reply);
             }
             let me = self.membership.me().name.clone();
-            for detail in out.expired {
-                self.note("settings: Order not committed in time.", &me, detail);
+            for (text, detail) in out.notes {
+                self.note(text, &me, detail);
             }
             self.adopt_log(now);
         }
--- a/crates/dispatch/tests/configuration.rs
+++ b/crates/dispatch/tests/configuration.rs
@@ -74,6 +74,17 @@
     }
 }
 
+#[test]
+fn answers_logged() {
+    let mut world = started_world(2);
+    assert_eq!(publish(&mut world, 0, 5, "one"), Some(Reply::Noted));
+    assert_eq!(publish(&mut world, 2, 4, "older"), Some(Reply::Noted));
+    assert_eq!(publish(&mut world, 4, 5, "other"), Some(Reply::Conflict));
+    let count = |text| world.log_counts.get(text).copied().unwrap_or(0);
+    assert_eq!(count("settings: Order acknowledged."), 2);
+    assert_eq!(count("settings: Order refused, another configuration has this version."), 1);
+}
+
 #[test]
 fn minority_cannot_tell() {
     let mut world = started_world(3);
