A keeper acknowledges only entries that match the present leader's log

What operators saw: nothing yet; an acknowledged order may be on one disk only, and gone with it.

Cause: when the disk had finished an entry, the keeper acknowledged its index to whoever led by then, whether or not that leader's log holds the entry. A keeper with entries of a former term on a slow disk, which had refused the new leader's message, so counted for entries it never received.

Evidence: acknowledgements::former_entries failed on the code before: an entry on the leader's disk only was committed (committed [1, 4], expected [1]).

Change: the highest index that matches the log of the leader of the present term is kept, starts anew with each term, and limits what is acknowledged when a write ends.

Tests: a simulation of keepers with named voters and of their disks (stalled, without power, lost), with random courses that end with all power and one disk lost.

--- a/crates/coord/src/election.rs
+++ b/crates/coord/src/election.rs
@@ -102,9 +102,7 @@
         self.leader = None;
         let term = self.term + 1;
         if !pre {
-            self.term = term;
-            self.vote = Some(self.me.clone());
-            self.save_hard_state();
+            self.set_term(term, Some(self.me.clone()));
         }
         let votes = collections::BTreeSet::from([self.me.clone()]);
         self.role = Role::Candidate { pre, votes };
@@ -135,10 +133,15 @@
     }
 
     pub(crate) fn enter_term(&mut self, term: u64, now: u64) {
+        self.set_term(term, None);
+        self.become_follower(None, now);
+    }
+
+    fn set_term(&mut self, term: u64, vote: Option<name::Member>) {
         self.term = term;
-        self.vote = None;
+        self.vote = vote;
+        self.matched = 0;
         self.save_hard_state();
-        self.become_follower(None, now);
     }
 
     pub(crate) fn become_follower(&mut self, leader: Option<name::Member>, now: u64) {
--- a/crates/coord/src/raft.rs
+++ b/crates/coord/src/raft.rs
@@ -144,6 +144,9 @@
     pub(crate) commit: u64,
     /// Index of the last entry known to be on disk.
     pub(crate) synced: u64,
+    /// Highest index at which this member's log is known to match that of the leader of the
+    /// current term.
+    pub(crate) matched: u64,
     pub(crate) role: Role,
     pub(crate) leader: Option<name::Member>,
     pub(crate) leader_contact: u64,
@@ -174,6 +177,7 @@
             vote: stored.vote,
             commit: stored.log.base(),
             synced: stored.log.last(),
+            matched: 0,
             log: stored.log,
             voters: stored.voters.clone(),
             base_voters: stored.voters,
@@ -363,7 +367,7 @@
         if self.is_leader() {
             self.advance_commit(now);
         } else if let Some(leader) = self.leader.clone() {
-            self.acknowledge(&leader, index, 0, now);
+            self.acknowledge(&leader, self.matched, 0, now);
         }
     }
 
--- a/crates/coord/src/replicate.rs
+++ b/crates/coord/src/replicate.rs
@@ -58,6 +58,7 @@
         if changed {
             self.refresh_voters();
         }
+        self.matched = self.matched.max(last);
         self.commit_to(commit.min(last));
         self.acknowledge(from, last, sent, now);
     }
@@ -94,9 +95,12 @@
             self.out.restored = Some(state.clone());
             self.out.saves.push(Save::Snapshot { index, term, voters, state });
         }
+        self.matched = self.matched.max(index);
         self.acknowledge(from, index, sent, now);
     }
 
+    /// Acknowledges the entries up to `index`, which match the leader's log, as far as they are
+    /// stored.
     pub(crate) fn acknowledge(&mut self, to: &name::Member, index: u64, sent: u64, now: u64) {
         let index = if self.durable { index.min(self.synced) } else { index };
         self.acknowledge_as(to, true, index, sent, now);
--- /dev/null
+++ b/crates/coord/tests/acknowledgements.rs
@@ -0,0 +1,102 @@
+//! What a keeper acknowledges is on its disk and matches the log of the present leader.
+
+mod keepers;
+
+use keepers::Keepers;
+use rand::{RngExt as _, SeedableRng as _, rngs};
+
+/// Returns the two keepers other than `at`, of three.
+fn others(at: usize) -> [usize; 2] {
+    [(at + 1) % 3, (at + 2) % 3]
+}
+
+/// Guards against a keeper that acknowledges entries of a former term to a leader whose log does
+/// not hold them.
+#[test]
+fn former_entries() {
+    let mut keepers = Keepers::new(3, 3, 1);
+    let former = keepers.leader().unwrap();
+    keepers.propose(former, 1);
+    keepers.run(500);
+    // The leader appends two entries that reach neither another keeper nor its own disk.
+    keepers.set_isolated(former, true);
+    keepers.all[former].stalled = true;
+    keepers.propose(former, 2);
+    keepers.propose(former, 3);
+    keepers.run(3_000);
+    let leader = keepers.leader().unwrap();
+    let third = others(former).into_iter().find(|at| *at != leader).unwrap();
+    // The former leader refuses the present leader's messages, and its answers are lost.
+    keepers.set_cut(leader, former, false);
+    keepers.all[third].stalled = true;
+    keepers.propose(leader, 4);
+    keepers.run(300);
+    keepers.set_cut(leader, former, true);
+    keepers.set_cut(former, leader, false);
+    keepers.all[former].stalled = false;
+    keepers.settle();
+    assert_eq!(keepers.committed, [1], "no other disk holds the last entry");
+    keepers.lose_all(leader, 0);
+    keepers.recover(5);
+}
+
+/// Loses one disk, and the power of all keepers, at a random moment of a random course of messages
+/// and writes.
+fn play(seed: u64) {
+    let mut rng = rngs::SmallRng::seed_from_u64(seed);
+    let count = [3, 4, 5][rng.random_range(0..3)];
+    let founders = if count == 4 { 3 } else { count };
+    let mut keepers = Keepers::new(count, founders, seed);
+    let mut number = 0;
+    for _ in 0..rng.random_range(1..400) {
+        let (at, other) = (rng.random_range(0..count), rng.random_range(0..count));
+        match rng.random_range(0..100) {
+            0..25 => keepers.tick(),
+            25..60 => {
+                for _ in 0..rng.random_range(1..20) {
+                    if !keepers.in_transit.is_empty() {
+                        // Mostly in order, as on a stream.
+                        let late = rng.random_range(0..keepers.in_transit.len());
+                        keepers.deliver(if rng.random_bool(0.9) { 0 } else { late });
+                    }
+                }
+            }
+            60..66 if !keepers.in_transit.is_empty() => {
+                let index = rng.random_range(0..keepers.in_transit.len());
+                keepers.in_transit.remove(index);
+            }
+            66..69 if !keepers.in_transit.is_empty() => {
+                let copy =
+                    keepers.in_transit[rng.random_range(0..keepers.in_transit.len())].clone();
+                keepers.in_transit.push(copy);
+            }
+            69..79 => keepers.sync(at, rng.random_range(1..4)),
+            79..81 => keepers.all[at].stalled = rng.random_bool(0.5),
+            81..83 => keepers.set_cut(at, other, rng.random_bool(0.6)),
+            83..84 => keepers.set_isolated(at, rng.random_bool(0.6)),
+            84..85 => keepers.heal(),
+            85..86 => keepers.lose_power(at, rng.random_range(0..4)),
+            86..88 => keepers.start(at),
+            88..97 => {
+                number += 1;
+                keepers.propose(at, number);
+            }
+            97..100 => keepers.run(rng.random_range(1..900)),
+            _ => {}
+        }
+    }
+    let lost = rng.random_range(0..count);
+    let kept = rng.random_range(0..3);
+    keepers.lose_all(lost, kept);
+    keepers.recover(number + 1);
+}
+
+#[test]
+fn all_without_power() {
+    let number = |name| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    let first = number("FAULT_SEED").unwrap_or(1);
+    for seed in first..first + number("FAULT_CASES").unwrap_or(200) {
+        println!("seed {seed}");
+        play(seed);
+    }
+}
