--- a/crates/coord/src/delivery.rs
+++ b/crates/coord/src/delivery.rs
@@ -42,10 +42,13 @@
             joined.applied = entry.index;
         }
         for save in out.saves.drain(..) {
-            if let Save::Entry(entry) = &save
-                && self.config.durable
-            {
-                self.unsynced.push_back((self.last_issued + 1, entry.index, entry.term));
+            let stored = match &save {
+                Save::Entry(entry) => Some((entry.index, entry.term)),
+                Save::Snapshot { index, term, .. } => Some((*index, *term)),
+                _ => None,
+            };
+            if let Some((index, term)) = stored.filter(|_| self.config.durable) {
+                self.unsynced.push_back((self.last_issued + 1, index, term));
             }
             self.save(save);
         }
--- a/crates/coord/src/group.rs
+++ b/crates/coord/src/group.rs
@@ -124,7 +124,7 @@
     pub(crate) last_issued: u64,
     /// Number of the last change known to be on disk.
     pub(crate) last_saved: u64,
-    /// Entries not yet known to be on disk: number of the change, index and term.
+    /// Entries and snapshots not yet known to be on disk: number of the change, index and term.
     pub(crate) unsynced: collections::VecDeque<(u64, u64, u64)>,
     /// Messages that wait until the change with this number is on disk.
     pub(crate) pending_sends: collections::VecDeque<(u64, name::Name, message::Body)>,
--- a/crates/coord/src/replicate.rs
+++ b/crates/coord/src/replicate.rs
@@ -86,11 +86,12 @@
     ) {
         let (index, term) = last;
         if index > self.commit {
+            // The snapshot counts once it is on disk, as entries do.
+            self.synced = self.synced.min(self.commit);
             self.log = log::Log::new(index, term);
             self.base_voters = voters.clone();
             self.voters = voters.clone();
             self.commit = index;
-            self.synced = index;
             self.out.committed.clear();
             self.out.restored = Some(state.clone());
             self.out.saves.push(Save::Snapshot { index, term, voters, state });
--- a/crates/coord/tests/acknowledgements.rs
+++ b/crates/coord/tests/acknowledgements.rs
@@ -40,6 +40,33 @@
     keepers.recover(5);
 }
 
+/// Guards against a keeper that takes a seat with a snapshot that is not on its disk.
+#[test]
+fn unsaved_snapshot() {
+    let mut keepers = Keepers::new(3, 3, 3);
+    let leader = keepers.leader().unwrap();
+    let [lagging, lost] = others(leader);
+    // Only two disks hold the entries, one of which is lost.
+    keepers.all[lagging].stalled = true;
+    for number in 1..=12 {
+        keepers.propose(leader, number);
+        keepers.run(40);
+    }
+    keepers.lose_disk(lost);
+    keepers.start(lost);
+    keepers.all[lost].stalled = true;
+    keepers.run(2_000);
+    if !keepers.has_seat(lost) {
+        keepers.all[lost].stalled = false;
+        keepers.run(4_000);
+        assert!(keepers.has_seat(lost), "the disk holds everything");
+    }
+    let count = keepers.committed.len();
+    assert_eq!(count, 12);
+    keepers.lose_all(leader, 0);
+    keepers.recover(13);
+}
+
 /// Loses one disk, and the power of all keepers, at a random moment of a random course of messages
 /// and writes.
 fn play(seed: u64) {
