--- a/crates/coord/src/replicate.rs
+++ b/crates/coord/src/replicate.rs
@@ -58,6 +58,7 @@
         if changed {
             self.refresh_voters();
         }
+        self.matched = self.matched.max(last);
         self.commit_to(commit.min(last));
         self.acknowledge(from, last, sent, now);
     }
@@ -85,18 +86,22 @@
     ) {
         let (index, term) = last;
         if index > self.commit {
+            // The snapshot counts once it is on disk, as entries do.
+            self.synced = self.synced.min(self.commit);
             self.log = log::Log::new(index, term);
             self.base_voters = voters.clone();
             self.voters = voters.clone();
             self.commit = index;
-            self.synced = index;
             self.out.committed.clear();
             self.out.restored = Some(state.clone());
             self.out.saves.push(Save::Snapshot { index, term, voters, state });
         }
+        self.matched = self.matched.max(index);
         self.acknowledge(from, index, sent, now);
     }
 
+    /// Acknowledges the entries up to `index`, which match the leader's log, as far as they are
+    /// stored.
     pub(crate) fn acknowledge(&mut self, to: &name::Member, index: u64, sent: u64, now: u64) {
         let index = if self.durable { index.min(self.synced) } else { index };
         self.acknowledge_as(to, true, index, sent, now);
