store: a failed write is tried again until it succeeds

Callers saw: after the disk of one keeper had been full for 5 s, the loss of another keeper's disk stopped the configuration for good: reads got 503 and no change was acknowledged.

Cause: the store thread ended after its first failed write and the process went on without it. The keeper kept its seat and answered heartbeats, but all its votes and acknowledgements waited for a save that never came.

Change: - A failed write is tried again every 100 ms, together with the writes that have arrived in the meantime; nothing is confirmed until then. Every compaction takes a generation that no other attempt has had.

A leader whose own disk fails keeps leading: the two other voters commit without its acknowledgement, and a successor would have no more voters than it has. The test changes the configuration while a voter cannot write.

--- a/crates/apricotroute/src/control.rs
+++ b/crates/apricotroute/src/control.rs
@@ -349,9 +349,7 @@
         if !self.saves.is_empty() {
             let saves = std::mem::take(&mut self.saves);
             if let Some(store) = &self.store {
-                // Sending fails once the store thread has ended after a failed write. Nothing is
-                // confirmed from then on, because the voter must not confirm changes that may
-                // be missing on the disk.
+                // The store thread runs as long as the process does.
                 drop(store.send(store::Write::Saves(saves)));
             }
         }
--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -205,9 +205,7 @@
 
     fn store(&self, write: store::Write) {
         if let Some(store) = &self.store {
-            // Sending fails once the store thread has ended after a failed write. Nothing is
-            // confirmed from then on, because the voter must not confirm changes that may be
-            // missing on the disk.
+            // The store thread runs as long as the process does.
             drop(store.send(write));
         }
     }
--- a/crates/apricotroute/src/store.rs
+++ b/crates/apricotroute/src/store.rs
@@ -1,5 +1,8 @@
 //! The thread that owns the data folder. It writes the saves of the settings group, so that a slow
 //! disk never blocks the control thread.
+//!
+//! A failed write is tried again until it succeeds, together with the writes that have arrived in
+//! the meantime. Until then nothing is confirmed, so that the other voters commit without this one.
 
 use std::{path, thread, time};
 
@@ -11,6 +14,9 @@
 
 use crate::error;
 
+/// Interval between two attempts to write to a folder that cannot be written to.
+const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
 /// Changes to store, each with the number that confirms it.
 pub type Saves = Vec<(u64, raft::Save)>;
 
@@ -76,31 +82,13 @@
 
     /// Starts the store thread; it calls `confirm` with the last number of each stored batch.
     pub fn run(
-        mut self,
+        self,
         log: slog::Logger,
         confirm: impl Fn(u64) + Send + 'static,
     ) -> crossbeam_channel::Sender<Write> {
         let (sender, receiver) = crossbeam_channel::unbounded::<Write>();
-        let run = move || {
-            while let Ok(first) = receiver.recv() {
-                let (batch, known) = merge(std::iter::once(first).chain(receiver.try_iter()));
-                if let Some(last) = batch.last().map(|(number, _)| *number) {
-                    let start = time::Instant::now();
-                    let stored = self.store(batch);
-                    metric::record_disk_sync(start.elapsed());
-                    if let Err(e) = stored {
-                        // After a failed write the contents of the file are unknown, so this
-                        // thread must never confirm anything again.
-                        slog::crit!(log, "store: Writing failed, this voter stops."; "error" => %e);
-                        return;
-                    }
-                    confirm(last);
-                }
-                if let Some(known) = known {
-                    self.save_known(&known, &log);
-                }
-            }
-        };
+        let writer = Writer { store: self, batch: Batch::default(), failing: None, log };
+        let run = move || writer.run(&receiver, confirm);
         if let Err(e) = thread::Builder::new().name("store".to_owned()).spawn(run) {
             // Without the thread the channel is closed, so nothing is ever confirmed.
             eprintln!("store: cannot start the thread: {e}");
@@ -108,38 +96,139 @@
         sender
     }
 
-    /// Saves the known instances and upstreams. Without them a restart only takes longer.
-    fn save_known(&self, known: &Known, log: &slog::Logger) {
-        let hints = postcard::to_stdvec(known).unwrap_or_default();
-        if let Err(e) = self.folder.set_hints(&hints) {
-            slog::warn!(log, "store: The known instances and upstreams cannot be saved.";
-                "error" => %e);
+    /// Writes the records of a batch.
+    fn write(&mut self, batch: &Batch) -> Result<(), state::Error> {
+        if batch.compacts
+            && let Some((snapshot, records)) = self.mirror.compacted()
+        {
+            return self.folder.compact(&snapshot, records.iter().map(Vec::as_slice));
         }
+        self.folder.append(batch.records.iter().map(Vec::as_slice))
     }
+}
+
+/// Writes that have not been stored yet.
+#[derive(Debug, Default)]
+struct Batch {
+    records: Vec<Vec<u8>>,
+    /// Whether the mirror, which contains all records, is written instead of the records.
+    compacts: bool,
+    /// Number that confirms the last save.
+    last: Option<u64>,
+    known: Option<Known>,
+}
 
-    fn store(&mut self, batch: Saves) -> Result<(), state::Error> {
-        let is_snapshot = |save: &raft::Save| matches!(save, raft::Save::Snapshot { .. });
-        let has_snapshot = batch.iter().any(|(_, save)| is_snapshot(save));
-        let encode = |(_, save): &(u64, raft::Save)| postcard::to_stdvec(save).unwrap_or_default();
-        let records: Vec<_> = batch.iter().map(encode).collect();
-        for (_, save) in batch {
-            self.mirror.apply(save);
+impl Batch {
+    /// Adds a write and applies its saves to the mirror.
+    fn add(&mut self, write: Write, mirror: &mut Mirror) {
+        match write {
+            Write::Saves(saves) => {
+                for (number, save) in saves {
+                    self.last = Some(number);
+                    self.add_save(save, mirror);
+                }
+            }
+            Write::Known(known) => self.known = Some(known),
         }
-        if has_snapshot && let Some((snapshot, records)) = self.mirror.compacted() {
-            return self.folder.compact(&snapshot, records.iter().map(Vec::as_slice));
+    }
+
+    fn add_save(&mut self, save: raft::Save, mirror: &mut Mirror) {
+        let record = postcard::to_stdvec(&save).unwrap_or_default();
+        let is_snapshot = matches!(save, raft::Save::Snapshot { .. });
+        let is_restart = matches!(save, raft::Save::Formed(..) | raft::Save::Reset);
+        mirror.apply(save);
+        if is_restart {
+            // The saves before this one have no effect any more.
+            self.records.clear();
+            self.compacts = false;
+        } else if is_snapshot {
+            self.compacts |= mirror.compacted().is_some();
+        }
+        if self.compacts {
+            self.records.clear();
+        } else {
+            self.records.push(record);
         }
-        self.folder.append(records.iter().map(Vec::as_slice))
     }
 }
 
-/// Merges writes into all their saves and the last of the known instances and upstreams.
-fn merge(writes: impl Iterator<Item = Write>) -> (Saves, Option<Known>) {
-    let (mut saves, mut last) = (Saves::new(), None);
-    for write in writes {
-        match write {
-            Write::Saves(more) => saves.extend(more),
-            Write::Known(known) => last = Some(known),
+/// The store thread.
+#[derive(Debug)]
+struct Writer {
+    store: Store,
+    batch: Batch,
+    /// Since when writing has failed.
+    failing: Option<time::Instant>,
+    log: slog::Logger,
+}
+
+impl Writer {
+    fn run(mut self, receiver: &crossbeam_channel::Receiver<Write>, confirm: impl Fn(u64)) {
+        metric::record_store_failure(time::Duration::ZERO);
+        while let Ok(first) = receiver.recv() {
+            self.add(std::iter::once(first).chain(receiver.try_iter()));
+            while !self.store_saves(&confirm) {
+                thread::sleep(RETRY_INTERVAL);
+                self.add(receiver.try_iter());
+            }
+            if let Some(known) = self.batch.known.take() {
+                self.save_known(&known);
+            }
+        }
+    }
+
+    fn add(&mut self, writes: impl Iterator<Item = Write>) {
+        for write in writes {
+            self.batch.add(write, &mut self.store.mirror);
+        }
+    }
+
+    /// Stores and confirms the saves of the batch; returns `false` if they could not be stored.
+    fn store_saves(&mut self, confirm: impl Fn(u64)) -> bool {
+        let Some(last) = self.batch.last else {
+            return true;
+        };
+        let start = time::Instant::now();
+        let stored = self.store.write(&self.batch);
+        metric::record_disk_sync(start.elapsed());
+        match stored {
+            Ok(()) => {
+                let known = self.batch.known.take();
+                self.batch = Batch { known, ..Batch::default() };
+                self.report_success();
+                confirm(last);
+                true
+            }
+            Err(e) => {
+                self.report_failure(start, &e);
+                false
+            }
+        }
+    }
+
+    fn report_failure(&mut self, start: time::Instant, error: &state::Error) {
+        if self.failing.is_none() {
+            slog::error!(self.log, "store: Writing fails, this voter confirms nothing.";
+                "error" => %error);
+        }
+        let since = *self.failing.get_or_insert(start);
+        metric::record_store_failure(since.elapsed());
+    }
+
+    fn report_success(&mut self) {
+        if let Some(since) = self.failing.take() {
+            let ms = since.elapsed().as_millis() as u64;
+            slog::info!(self.log, "store: Writing works again."; "ms" => ms);
+            metric::record_store_failure(time::Duration::ZERO);
+        }
+    }
+
+    /// Saves the known instances and upstreams. Without them a restart only takes longer.
+    fn save_known(&self, known: &Known) {
+        let hints = postcard::to_stdvec(known).unwrap_or_default();
+        if let Err(e) = self.store.folder.set_hints(&hints) {
+            slog::warn!(self.log, "store: The known instances and upstreams cannot be saved.";
+                "error" => %e);
         }
     }
-    (saves, last)
 }
--- /dev/null
+++ b/crates/apricotroute/tests/disk_full.rs
@@ -0,0 +1,56 @@
+//! Keepers whose disk takes no more data for a while.
+
+mod system;
+
+use std::{fs, thread, time::Duration};
+
+use system::{System, config, wait_until};
+
+const KEEPERS: usize = 3;
+/// Number of changes after which every keeper has compacted its log at least once.
+const CHANGES: u64 = 48;
+
+fn leader(system: &System) -> Option<usize> {
+    (0..KEEPERS).find(|at| system.metric(*at, "settings_leading", &[]) == Some(1.0))
+}
+
+fn failing_seconds(system: &System, at: usize) -> f64 {
+    system.metric(at, "store_failing", &[]).unwrap_or_default()
+}
+
+/// A keeper whose writes failed for a while must store and vote again: here the only two keepers
+/// left are itself and one that cannot win an election without its vote.
+#[test]
+fn votes_again() {
+    let layout = system::Layout { subnet: 131, zones: vec![(KEEPERS, 0)], has_relays: false };
+    let mut system = System::new(layout);
+    wait_until("a keeper accepts the configuration", || system.publish(0, &config(1)) == 200);
+    wait_until("a keeper leads", || leader(&system).is_some());
+    let led = leader(&system).unwrap();
+    let (full, third) = ((led + 1) % KEEPERS, (led + 2) % KEEPERS);
+    // A compaction cannot create its snapshot under a name that a folder has.
+    let draft = system.data_folder(full).join("snapshot.draft");
+    fs::create_dir(&draft).unwrap();
+    for version in 2..=CHANGES {
+        assert_eq!(
+            system.publish(led, &config(version)),
+            200,
+            "two keepers store version {version}"
+        );
+    }
+    wait_until("the keeper cannot write", || system.log(full).contains("Writing fail"));
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(system.publish(led, &config(CHANGES + 1)), 200);
+    let failing = failing_seconds(&system, full);
+    fs::remove_dir(&draft).unwrap();
+    thread::sleep(Duration::from_secs(1));
+    let healed = failing_seconds(&system, full);
+    system.kill(led);
+    fs::remove_dir_all(system.data_folder(led)).unwrap();
+    let newest = || system.read_config(third).1["Version"] == CHANGES + 1;
+    wait_until("the newest configuration is read back", newest);
+    wait_until("the configuration changes", || system.publish(third, &config(CHANGES + 2)) == 200);
+    assert!(failing >= 1.0 && healed == 0.0, "{failing} s, then {healed} s");
+    let (log, count) = (system.log(full), |text: &str| system.log(full).matches(text).count());
+    assert_eq!((count("Writing fails"), count("Writing works again")), (1, 1), "{log}");
+}
--- a/crates/link/src/metric.rs
+++ b/crates/link/src/metric.rs
@@ -4,7 +4,7 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider as _, ObservableGauge},
+    metrics::{Counter, Gauge, Histogram, MeterProvider as _, ObservableGauge},
 };
 use opentelemetry_sdk::metrics as sdk;
 use prometheus::Encoder as _;
@@ -29,6 +29,7 @@
     task_parts: Histogram<f64>,
     replies: Histogram<f64>,
     disk_syncs: Histogram<f64>,
+    store_failing: Gauge<f64>,
     config_reads: Histogram<f64>,
     omitted_lines: Counter<u64>,
 }
@@ -77,6 +78,7 @@
             task_parts: seconds("task_part_seconds"),
             replies: seconds("reply_seconds"),
             disk_syncs: seconds("disk_sync_seconds"),
+            store_failing: meter.f64_gauge("store_failing").build(),
             config_reads: seconds("settings_read_seconds"),
             omitted_lines: meter.u64_counter("log_lines_left_out").build(),
             registry,
@@ -212,6 +214,13 @@
     }
 }
 
+/// Records how long writes to the data folder have been failing; zero once they succeed.
+pub fn record_store_failure(lasted: time::Duration) {
+    if let Some(metrics) = metrics() {
+        metrics.store_failing.record(lasted.as_secs_f64(), &[]);
+    }
+}
+
 /// Records the time to read and check a configuration before it took effect.
 pub fn record_config_read(took: time::Duration) {
     if let Some(metrics) = metrics() {
--- a/crates/state/src/folder.rs
+++ b/crates/state/src/folder.rs
@@ -3,9 +3,9 @@
 //! Compaction is atomic: it writes a new log file first, then renames the snapshot that refers to
 //! that log into place. After a crash between the two steps, the old snapshot and log are used.
 
-use std::{fs, io::Write as _, path};
+use std::{ffi, io, path, sync};
 
-use crate::{error, name, wal};
+use crate::{disk, error, name, wal};
 
 /// Version of the on-disk format.
 pub const VERSION: u32 = 1;
@@ -14,6 +14,7 @@
 const LOCK: &str = "lock";
 const SNAPSHOT: &str = "snapshot";
 const HINTS: &str = "hints";
+const LOG_PREFIX: &str = "log-";
 
 #[derive(serde::Serialize, serde::Deserialize)]
 struct Identity {
@@ -32,10 +33,23 @@
 /// An open data folder. Its lock file keeps other processes from opening it.
 #[derive(Debug)]
 pub struct Folder {
+    disk: sync::Arc<dyn disk::Disk>,
     path: path::PathBuf,
     wal: wal::Wal,
+    /// Generation of the snapshot and the log in use.
     generation: u64,
-    _lock: fs::File,
+    /// Highest generation of which a log may exist.
+    last_generation: u64,
+    /// A compaction of which it is unknown whether its snapshot is in place.
+    unsettled: Option<Compacted>,
+    _lock: Box<dyn disk::File>,
+}
+
+/// The new log of a compaction, and the generation of the snapshot that refers to it.
+#[derive(Debug)]
+struct Compacted {
+    generation: u64,
+    wal: wal::Wal,
 }
 
 /// Contents of a data folder when it was opened.
@@ -76,14 +90,30 @@
         instance: &name::Name,
         incarnation: u64,
     ) -> Result<(Self, Loaded), error::Error> {
-        fs::create_dir_all(path).map_err(|e| error::Error::io("create data folder", e))?;
-        let lock = acquire_lock(path)?;
-        let identity = load_identity(path, instance, incarnation)?;
-        let snapshot = read_snapshot(&path.join(SNAPSHOT))?;
+        Self::open_on(sync::Arc::new(disk::Native), path, instance, incarnation)
+    }
+
+    /// Opens a data folder on a disk, as [`Self::open`] does.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::open`] does.
+    pub fn open_on(
+        disk: sync::Arc<dyn disk::Disk>,
+        path: &path::Path,
+        instance: &name::Name,
+        incarnation: u64,
+    ) -> Result<(Self, Loaded), error::Error> {
+        create_folder(&*disk, path)?;
+        let files = Files { disk: &*disk, path };
+        let lock = files.acquire_lock()?;
+        let identity = files.load_identity(instance, incarnation)?;
+        let snapshot = files.read_snapshot()?;
         let generation = snapshot.as_ref().map_or(0, |snapshot| snapshot.generation);
-        let (wal, replay) = wal::Wal::open(&log_path(path, generation))?;
-        sync_folder(path)?;
-        let (hints, hints_error) = match read_checksummed(&path.join(HINTS)) {
+        let (wal, replay) = wal::Wal::open_on(&*disk, &files.log_path(generation))?;
+        files.sync()?;
+        let last_generation = files.log_generations()?.into_iter().fold(generation, u64::max);
+        let (hints, hints_error) = match files.read_checksummed(HINTS) {
             Ok(hints) => (hints, None),
             Err(e) => (None, Some(e)),
         };
@@ -95,7 +125,13 @@
             hints,
             hints_error,
         };
-        Ok((Self { path: path.to_owned(), wal, generation, _lock: lock }, loaded))
+        let (path, unsettled) = (path.to_owned(), None);
+        let folder = Self { disk, path, wal, generation, last_generation, unsettled, _lock: lock };
+        Ok((folder, loaded))
+    }
+
+    fn files(&self) -> Files<'_> {
+        Files { disk: &*self.disk, path: &self.path }
     }
 
     /// Replaces the hints. Hints are optional data that helps after a start; they may be lost or
@@ -112,14 +148,15 @@
     /// folder.set_hints(b"known peers").unwrap();
     /// ```
     pub fn set_hints(&self, hints: &[u8]) -> Result<(), error::Error> {
-        write_atomic(&self.path, HINTS, &add_checksum(hints))
+        self.files().replace(HINTS, &add_checksum(hints))
     }
 
     /// Appends records to the log and syncs the log file.
     ///
     /// # Errors
     ///
-    /// Fails as [`wal::Wal::append`] does.
+    /// Fails as [`wal::Wal::append`] does, or if a failed compaction cannot be settled. The
+    /// records are then not stored; the caller may try again.
     ///
     /// ```
     /// # let dir = tempfile::tempdir().unwrap();
@@ -130,6 +167,7 @@
         &mut self,
         records: impl IntoIterator<Item = &'a [u8]>,
     ) -> Result<(), error::Error> {
+        self.settle()?;
         self.wal.append(records)
     }
 
@@ -137,8 +175,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the operating system reports an error on a write. The previous snapshot and log are
-    /// then still in use.
+    /// Fails if the operating system reports an error on a write. Either the previous or the new
+    /// snapshot and log are then in use; the caller may try again.
     ///
     /// ```
     /// # let dir = tempfile::tempdir().unwrap();
@@ -150,88 +188,180 @@
         state: &[u8],
         records: impl IntoIterator<Item = &'a [u8]>,
     ) -> Result<(), error::Error> {
-        let generation = self.generation + 1;
-        let next = log_path(&self.path, generation);
-        if next.exists() {
-            fs::remove_file(&next).map_err(|e| error::Error::io("remove stale log", e))?;
-        }
-        let (mut wal, _) = wal::Wal::open(&next)?;
-        wal.append(records)?;
+        self.settle()?;
+        // A failed attempt may have left a log that takes up the room that this one needs.
+        self.remove_stale_logs()?;
+        self.last_generation += 1;
+        let generation = self.last_generation;
+        let wal = wal::Wal::create(&*self.disk, &self.files().log_path(generation), records)?;
+        self.files().sync()?;
         let snapshot = Snapshot { generation, state: state.to_vec() };
-        write_snapshot(&self.path, &snapshot)?;
-        let previous = std::mem::replace(&mut self.wal, wal);
-        self.generation = generation;
-        fs::remove_file(previous.path()).map_err(|e| error::Error::io("remove previous log", e))
+        self.unsettled = Some(Compacted { generation, wal });
+        self.files().write_snapshot(&snapshot)?;
+        self.adopt();
+        // A log that cannot be removed is tried again by the next compaction, which then fails.
+        drop(self.remove_stale_logs());
+        Ok(())
+    }
+
+    /// Finds out which snapshot a failed compaction has left in place and makes it durable. The
+    /// snapshot is written again, because a second sync of the folder may succeed without having
+    /// written the new name.
+    fn settle(&mut self) -> Result<(), error::Error> {
+        let Some(compacted) = &self.unsettled else {
+            return Ok(());
+        };
+        match self.files().read_snapshot()? {
+            Some(snapshot) if snapshot.generation == compacted.generation => {
+                self.files().write_snapshot(&snapshot)?;
+                self.adopt();
+            }
+            _ => self.unsettled = None,
+        }
+        Ok(())
     }
-}
 
-fn log_path(folder: &path::Path, generation: u64) -> path::PathBuf {
-    folder.join(format!("log-{generation}"))
+    /// Uses the log of the last compaction from now on.
+    fn adopt(&mut self) {
+        if let Some(Compacted { generation, wal }) = self.unsettled.take() {
+            (self.generation, self.wal) = (generation, wal);
+        }
+    }
+
+    fn remove_stale_logs(&self) -> Result<(), error::Error> {
+        let files = self.files();
+        for generation in files.log_generations()? {
+            if generation != self.generation {
+                let removed = self.disk.remove(&files.log_path(generation));
+                removed.map_err(|e| error::Error::io("remove stale log", e))?;
+            }
+        }
+        Ok(())
+    }
 }
 
-fn acquire_lock(folder: &path::Path) -> Result<fs::File, error::Error> {
-    let io = |e| error::Error::io("lock data folder", e);
-    let file = fs::File::create(folder.join(LOCK)).map_err(io)?;
-    match file.try_lock() {
-        Ok(()) => Ok(file),
-        Err(fs::TryLockError::WouldBlock) => {
-            let reason = format!("another process uses {}", folder.display());
-            Err(error::Error::owner("lock data folder", reason))
+/// Creates a folder and its missing ancestors.
+fn create_folder(disk: &dyn disk::Disk, path: &path::Path) -> Result<(), error::Error> {
+    let io = |e| error::Error::io("create data folder", e);
+    match (disk.create_folder(path), path.parent()) {
+        (Err(e), Some(parent)) if e.kind() == io::ErrorKind::NotFound => {
+            create_folder(disk, parent)?;
+            disk.create_folder(path).map_err(io)
         }
-        Err(fs::TryLockError::Error(e)) => Err(io(e)),
+        (result, _) => result.map_err(io),
     }
 }
 
-fn load_identity(
-    folder: &path::Path,
-    instance: &name::Name,
-    incarnation: u64,
-) -> Result<Identity, error::Error> {
-    const STEP: &str = "read identity";
-    let path = folder.join(IDENTITY);
-    let fresh = Identity { version: VERSION, instance: instance.clone(), incarnation };
-    if !path.exists() {
-        let text = serde_json::to_vec(&fresh).unwrap_or_default();
-        write_atomic(folder, IDENTITY, &text)?;
-        return Ok(fresh);
+/// The files of a data folder.
+#[derive(Clone, Copy)]
+struct Files<'a> {
+    disk: &'a dyn disk::Disk,
+    path: &'a path::Path,
+}
+
+impl Files<'_> {
+    fn log_path(self, generation: u64) -> path::PathBuf {
+        self.path.join(format!("{LOG_PREFIX}{generation}"))
     }
-    let text = fs::read(&path).map_err(|e| error::Error::io(STEP, e))?;
-    let found: Identity = serde_json::from_slice(&text)
-        .map_err(|e| error::Error::corrupt(STEP, &e.to_string(), &path, e.column() as u64))?;
-    if found.instance != *instance {
-        let reason = format!("{} belongs to instance {}", folder.display(), found.instance);
-        return Err(error::Error::owner(STEP, reason));
+
+    /// Returns the generations of all logs.
+    fn log_generations(self) -> Result<Vec<u64>, error::Error> {
+        let names = self.disk.list(self.path).map_err(|e| error::Error::io("list logs", e))?;
+        let generation = |name: &ffi::OsString| {
+            name.to_str().and_then(|name| name.strip_prefix(LOG_PREFIX)?.parse().ok())
+        };
+        Ok(names.iter().filter_map(generation).collect())
     }
-    if found.version != VERSION {
-        let reason = format!("{} has format version {}", folder.display(), found.version);
-        return Err(error::Error::owner(STEP, reason));
+
+    fn acquire_lock(self) -> Result<Box<dyn disk::File>, error::Error> {
+        const STEP: &str = "lock data folder";
+        let io = |e| error::Error::io(STEP, e);
+        let mut file = self.disk.open(&self.path.join(LOCK)).map_err(io)?;
+        if file.try_lock().map_err(io)? {
+            return Ok(file);
+        }
+        let reason = format!("another process uses {}", self.path.display());
+        Err(error::Error::owner(STEP, reason))
     }
-    Ok(found)
-}
 
-fn read_snapshot(path: &path::Path) -> Result<Option<Snapshot>, error::Error> {
-    let Some(payload) = read_checksummed(path)? else { return Ok(None) };
-    let snapshot = postcard::from_bytes(&payload)
-        .map_err(|e| error::Error::corrupt("read snapshot", &e.to_string(), path, 0))?;
-    Ok(Some(snapshot))
-}
+    fn load_identity(
+        self,
+        instance: &name::Name,
+        incarnation: u64,
+    ) -> Result<Identity, error::Error> {
+        const STEP: &str = "read identity";
+        let path = self.path.join(IDENTITY);
+        let text = self.disk.read(&path).map_err(|e| error::Error::io(STEP, e))?;
+        let Some(text) = text else {
+            let fresh = Identity { version: VERSION, instance: instance.clone(), incarnation };
+            self.replace(IDENTITY, &serde_json::to_vec(&fresh).unwrap_or_default())?;
+            return Ok(fresh);
+        };
+        let found: Identity = serde_json::from_slice(&text)
+            .map_err(|e| error::Error::corrupt(STEP, &e.to_string(), &path, e.column() as u64))?;
+        if found.instance != *instance {
+            let reason = format!("{} belongs to instance {}", self.path.display(), found.instance);
+            return Err(error::Error::owner(STEP, reason));
+        }
+        if found.version != VERSION {
+            let reason = format!("{} has format version {}", self.path.display(), found.version);
+            return Err(error::Error::owner(STEP, reason));
+        }
+        Ok(found)
+    }
 
-/// Reads a file that starts with the checksum of its payload and returns the payload.
-fn read_checksummed(path: &path::Path) -> Result<Option<Vec<u8>>, error::Error> {
-    const STEP: &str = "read snapshot or hints";
-    if !path.exists() {
-        return Ok(None);
+    fn read_snapshot(self) -> Result<Option<Snapshot>, error::Error> {
+        let Some(payload) = self.read_checksummed(SNAPSHOT)? else {
+            return Ok(None);
+        };
+        let snapshot = postcard::from_bytes(&payload).map_err(|e| {
+            let path = self.path.join(SNAPSHOT);
+            error::Error::corrupt("read snapshot", &e.to_string(), &path, 0)
+        })?;
+        Ok(Some(snapshot))
     }
-    let mut bytes = fs::read(path).map_err(|e| error::Error::io(STEP, e))?;
-    let corrupt = |reason: &str| error::Error::corrupt(STEP, reason, path, 0);
-    let (sum, payload) = bytes
-        .split_at_checked(4)
-        .ok_or_else(|| corrupt("the file is shorter than its checksum"))?;
-    if crc32fast::hash(payload).to_le_bytes() != sum {
-        return Err(corrupt("bad checksum"));
+
+    /// Reads a file that starts with the checksum of its payload and returns the payload.
+    fn read_checksummed(self, name: &str) -> Result<Option<Vec<u8>>, error::Error> {
+        const STEP: &str = "read snapshot or hints";
+        let path = self.path.join(name);
+        let bytes = self.disk.read(&path).map_err(|e| error::Error::io(STEP, e))?;
+        let Some(mut bytes) = bytes else {
+            return Ok(None);
+        };
+        let corrupt = |reason: &str| error::Error::corrupt(STEP, reason, &path, 0);
+        let (sum, payload) = bytes
+            .split_at_checked(4)
+            .ok_or_else(|| corrupt("the file is shorter than its checksum"))?;
+        if crc32fast::hash(payload).to_le_bytes() != sum {
+            return Err(corrupt("bad checksum"));
+        }
+        bytes.drain(..4);
+        Ok(Some(bytes))
+    }
+
+    fn write_snapshot(self, snapshot: &Snapshot) -> Result<(), error::Error> {
+        let payload = postcard::to_stdvec(snapshot)
+            .map_err(|e| error::Error::input("encode snapshot", &e.to_string()))?;
+        self.replace(SNAPSHOT, &add_checksum(&payload))
+    }
+
+    /// Replaces a file atomically: after a crash it has either the old or the new content.
+    fn replace(self, name: &str, bytes: &[u8]) -> Result<(), error::Error> {
+        let io = |e| error::Error::io("replace file", e);
+        let draft = self.path.join(format!("{name}.draft"));
+        let mut file = self.disk.open(&draft).map_err(io)?;
+        file.set_len(0).map_err(io)?;
+        file.write_at(0, bytes).map_err(io)?;
+        file.sync().map_err(io)?;
+        self.disk.rename(&draft, &self.path.join(name)).map_err(io)?;
+        self.sync()
+    }
+
+    fn sync(self) -> Result<(), error::Error> {
+        let synced = self.disk.sync_folder(self.path);
+        synced.map_err(|e| error::Error::io("sync data folder", e))
     }
-    bytes.drain(..4);
-    Ok(Some(bytes))
 }
 
 /// Returns the payload with its checksum in front.
@@ -240,25 +370,3 @@
     bytes.extend_from_slice(payload);
     bytes
 }
-
-fn write_snapshot(folder: &path::Path, snapshot: &Snapshot) -> Result<(), error::Error> {
-    let payload = postcard::to_stdvec(snapshot)
-        .map_err(|e| error::Error::input("encode snapshot", &e.to_string()))?;
-    write_atomic(folder, SNAPSHOT, &add_checksum(&payload))
-}
-
-/// Replaces a file atomically: after a crash it has either the old or the new content.
-fn write_atomic(folder: &path::Path, name: &str, bytes: &[u8]) -> Result<(), error::Error> {
-    let io = |e| error::Error::io("replace file", e);
-    let temp = folder.join(format!("{name}.draft"));
-    let mut file = fs::File::create(&temp).map_err(io)?;
-    file.write_all(bytes).map_err(io)?;
-    file.sync_all().map_err(io)?;
-    fs::rename(&temp, folder.join(name)).map_err(io)?;
-    sync_folder(folder)
-}
-
-fn sync_folder(folder: &path::Path) -> Result<(), error::Error> {
-    let synced = fs::File::open(folder).and_then(|file| file.sync_all());
-    synced.map_err(|e| error::Error::io("sync data folder", e))
-}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -2,8 +2,8 @@
 //! table, the table of upstreams, and the write-ahead log that stores the settings tree.
 //!
 //! Except for [`JobId::generate`], which reads the wall clock, this crate opens no socket, reads no
-//! clock and starts no thread. Only [`folder`] and [`wal`] do I/O; they own the files of one data
-//! folder.
+//! clock and starts no thread. Only [`folder`] and [`wal`] do I/O, through [`disk`]; they own the files
+//! of one data folder.
 //!
 //! ```
 //! use state::{JobId, Tree};
@@ -17,6 +17,7 @@
 //! ```
 
 pub mod boot;
+pub mod disk;
 pub mod error;
 pub mod folder;
 pub mod id;
--- a/crates/state/src/wal.rs
+++ b/crates/state/src/wal.rs
@@ -4,19 +4,22 @@
 //! length, checksum of the payload; CRC-32 as in RFC 1952) and the payload. The length has its own
 //! checksum, so that a bit flip in it is distinguished from an incomplete write.
 
-use std::{fs, io, io::Read as _, io::Seek as _, io::Write as _, path};
+use std::path;
 
-use crate::error;
+use crate::{disk, error};
 
 const HEADER_LEN: usize = 12;
 /// Maximum size of the payload of a record, in bytes.
 pub const MAX_RECORD_LEN: usize = 64 << 20;
 
-/// An open log file, positioned at its end.
+/// An open log file.
 #[derive(Debug)]
 pub struct Wal {
-    file: fs::File,
-    path: path::PathBuf,
+    file: Box<dyn disk::File>,
+    /// Length of the records that are durable, in bytes.
+    synced: u64,
+    /// Whether the file may have bytes after the durable records, because an append has failed.
+    has_remains: bool,
 }
 
 /// Contents of a log when it was opened.
@@ -46,27 +49,55 @@
     /// assert_eq!(state::wal::Wal::open(&path).unwrap().1.records, [b"one"]);
     /// ```
     pub fn open(path: &path::Path) -> Result<(Self, Replay), error::Error> {
+        Self::open_on(&disk::Native, path)
+    }
+
+    /// Opens the log at `path` on a disk, as [`Self::open`] does.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::open`] does.
+    pub fn open_on(
+        disk: &dyn disk::Disk,
+        path: &path::Path,
+    ) -> Result<(Self, Replay), error::Error> {
         let io = |e| error::Error::io("open log", e);
-        let mut options = fs::OpenOptions::new();
-        options.read(true).write(true).create(true).truncate(false);
-        let mut file = options.open(path).map_err(io)?;
-        let mut bytes = Vec::new();
-        file.read_to_end(&mut bytes).map_err(io)?;
+        let mut file = disk.open(path).map_err(io)?;
+        let bytes = file.read().map_err(io)?;
         let (replay, end) = scan(&bytes, path)?;
         if replay.truncated_bytes > 0 {
             file.set_len(end).map_err(io)?;
-            file.sync_all().map_err(io)?;
+            file.sync().map_err(io)?;
         }
-        file.seek(io::SeekFrom::Start(end)).map_err(io)?;
-        Ok((Self { file, path: path.to_owned() }, replay))
+        Ok((Self { file, synced: end, has_remains: false }, replay))
+    }
+
+    /// Creates the log at `path` with these records and syncs it. The caller must sync its folder.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system reports an error on a write or a sync. The file may then
+    /// exist, and the caller must not use it.
+    pub fn create<'a>(
+        disk: &dyn disk::Disk,
+        path: &path::Path,
+        records: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Result<Self, error::Error> {
+        let io = |e| error::Error::io("create log", e);
+        let mut file = disk.open(path).map_err(io)?;
+        file.set_len(0).map_err(io)?;
+        let buffer = encode_all(records);
+        file.write_at(0, &buffer).map_err(io)?;
+        file.sync().map_err(io)?;
+        Ok(Self { file, synced: buffer.len() as u64, has_remains: false })
     }
 
     /// Appends records and syncs the file. The records are durable once this returns.
     ///
     /// # Errors
     ///
-    /// Fails if a write or the sync fails. The contents of the file are then unknown, and the
-    /// caller must not write to the log again.
+    /// Fails if a write or the sync fails. The log then holds the records before them, and what
+    /// this append has left in the file is removed before the next one.
     ///
     /// ```
     /// # let folder = tempfile::tempdir().unwrap();
@@ -77,19 +108,37 @@
         &mut self,
         records: impl IntoIterator<Item = &'a [u8]>,
     ) -> Result<(), error::Error> {
-        let mut buffer = Vec::new();
-        for record in records {
-            encode(record, &mut buffer);
-        }
         let io = |e| error::Error::io("append to log", e);
-        self.file.write_all(&buffer).map_err(io)?;
-        self.file.sync_data().map_err(io)
+        let buffer = encode_all(records);
+        self.remove_remains()?;
+        self.has_remains = true;
+        self.file.write_at(self.synced, &buffer).map_err(io)?;
+        self.file.sync().map_err(io)?;
+        self.has_remains = false;
+        self.synced += buffer.len() as u64;
+        Ok(())
     }
 
-    /// Returns the path of the log file.
-    pub fn path(&self) -> &path::Path {
-        &self.path
+    /// Truncates the file to its durable records after a failed append. After a failed sync, a
+    /// further sync may succeed without having written anything, so the records must be written
+    /// again to a file that does not hold them.
+    fn remove_remains(&mut self) -> Result<(), error::Error> {
+        let io = |e| error::Error::io("truncate log", e);
+        if self.has_remains {
+            self.file.set_len(self.synced).map_err(io)?;
+            self.file.sync().map_err(io)?;
+            self.has_remains = false;
+        }
+        Ok(())
+    }
+}
+
+fn encode_all<'a>(records: impl IntoIterator<Item = &'a [u8]>) -> Vec<u8> {
+    let mut buffer = Vec::new();
+    for record in records {
+        encode(record, &mut buffer);
     }
+    buffer
 }
 
 fn encode(record: &[u8], buffer: &mut Vec<u8>) {
