--- a/crates/state/src/folder.rs
+++ b/crates/state/src/folder.rs
@@ -110,9 +110,9 @@
         let identity = files.load_identity(instance, incarnation)?;
         let snapshot = files.read_snapshot()?;
         let generation = snapshot.as_ref().map_or(0, |snapshot| snapshot.generation);
+        let last_generation = files.last_generation(generation)?;
         let (wal, replay) = wal::Wal::open_on(&*disk, &files.log_path(generation))?;
         files.sync()?;
-        let last_generation = files.log_generations()?.into_iter().fold(generation, u64::max);
         let (hints, hints_error) = match files.read_checksummed(HINTS) {
             Ok(hints) => (hints, None),
             Err(e) => (None, Some(e)),
@@ -252,6 +252,20 @@
     }
 }
 
+/// Makes the name of a folder and of its ancestors durable.
+fn sync_ancestors(disk: &dyn disk::Disk, path: &path::Path) -> Result<(), error::Error> {
+    for folder in path.ancestors().skip(1) {
+        let current = path::Path::new(".");
+        let folder = if folder.as_os_str().is_empty() { current } else { folder };
+        match disk.sync_folder(folder) {
+            // This process has not created the names in a folder that it may not read.
+            Err(e) if e.kind() == io::ErrorKind::PermissionDenied => {}
+            result => result.map_err(|e| error::Error::io("sync parent of data folder", e))?,
+        }
+    }
+    Ok(())
+}
+
 /// The files of a data folder.
 #[derive(Clone, Copy)]
 struct Files<'a> {
@@ -273,6 +287,17 @@
         Ok(names.iter().filter_map(generation).collect())
     }
 
+    /// Returns the highest generation of a log; fails if logs exist, but not the one of the snapshot.
+    fn last_generation(self, current: u64) -> Result<u64, error::Error> {
+        let generations = self.log_generations()?;
+        let is_new = current == 0 && generations.is_empty();
+        if !is_new && !generations.contains(&current) {
+            let (reason, path) = ("the log of the snapshot is missing", self.log_path(current));
+            return Err(error::Error::corrupt("open log", reason, &path, 0));
+        }
+        Ok(generations.into_iter().fold(current, u64::max))
+    }
+
     fn acquire_lock(self) -> Result<Box<dyn disk::File>, error::Error> {
         const STEP: &str = "lock data folder";
         let io = |e| error::Error::io(STEP, e);
@@ -293,6 +318,7 @@
         let path = self.path.join(IDENTITY);
         let text = self.disk.read(&path).map_err(|e| error::Error::io(STEP, e))?;
         let Some(text) = text else {
+            sync_ancestors(self.disk, self.path)?;
             let fresh = Identity { version: VERSION, instance: instance.clone(), incarnation };
             self.replace(IDENTITY, &serde_json::to_vec(&fresh).unwrap_or_default())?;
             return Ok(fresh);
--- a/crates/state/tests/disk_faults.rs
+++ b/crates/state/tests/disk_faults.rs
@@ -189,3 +189,24 @@
 fn failing_or_killed() {
     assert!(play(false) > 60);
 }
+
+/// Opens the folder of a keeper and returns the number of its records.
+fn record_count(disk: &disk::Disk) -> usize {
+    let path = path::Path::new(disk::ROOT).join("data").join("node");
+    let opened = Folder::open_on(sync::Arc::new(disk.clone()), &path, &INSTANCE.into(), 7);
+    opened.unwrap().1.records.len()
+}
+
+/// After a loss of power, a folder must still be in the folders that were created for it.
+#[test]
+fn new_folder() {
+    for seed in 0..50 {
+        let mut keeper = Keeper::new(seed, true);
+        keeper.open();
+        keeper.issue(1);
+        keeper.store();
+        assert_eq!(keeper.confirmed, 1);
+        keeper.disk.lose_power();
+        assert_eq!(record_count(&keeper.disk), 1, "seed {seed}");
+    }
+}
