wal: the log is synced when it is opened

A record that a keeper had acknowledged after a restart could be lost with the next loss of power: the process before it was killed between the write and the sync, the log was read from the memory of the operating system, and its entries counted as synced.

--- a/crates/state/src/wal.rs
+++ b/crates/state/src/wal.rs
@@ -67,8 +67,9 @@
         let (replay, end) = scan(&bytes, path)?;
         if replay.truncated_bytes > 0 {
             file.set_len(end).map_err(io)?;
-            file.sync().map_err(io)?;
         }
+        // The last process may have ended between a write and its sync.
+        file.sync().map_err(io)?;
         Ok((Self { file, synced: end, has_remains: false }, replay))
     }
 
--- a/crates/state/tests/disk_faults.rs
+++ b/crates/state/tests/disk_faults.rs
@@ -210,3 +210,20 @@
         assert_eq!(record_count(&keeper.disk), 1, "seed {seed}");
     }
 }
+
+/// A record that a process has read must outlast a loss of power, even if the process that wrote it
+/// was killed before the sync.
+#[test]
+fn killed_before_sync() {
+    for seed in 0..50 {
+        let mut keeper = Keeper::new(seed, true);
+        keeper.open();
+        keeper.issue(1);
+        keeper.disk.stop_after(1);
+        keeper.store();
+        keeper.disk.restart();
+        assert_eq!((keeper.confirmed, record_count(&keeper.disk)), (0, 1));
+        keeper.disk.lose_power();
+        assert_eq!(record_count(&keeper.disk), 1, "seed {seed}");
+    }
+}
