--- a/crates/coord/src/replicate.rs
+++ b/crates/coord/src/replicate.rs
@@ -85,7 +85,11 @@
         now: u64,
     ) {
         let (index, term) = last;
-        if index > self.commit {
+        if self.log.term(index) == Some(term) {
+            // The log holds all that the snapshot covers, and may hold acknowledged entries after
+            // it.
+            self.commit_to(index);
+        } else if index > self.commit {
             // The snapshot counts once it is on disk, as entries do.
             self.synced = self.synced.min(self.commit);
             self.log = log::Log::new(index, term);
--- a/crates/coord/tests/acknowledgements.rs
+++ b/crates/coord/tests/acknowledgements.rs
@@ -2,7 +2,8 @@
 
 mod keepers;
 
-use keepers::Keepers;
+use coord::message::{Body, Raft};
+use keepers::{Envelope, Keepers};
 use rand::{RngExt as _, SeedableRng as _, rngs};
 
 /// Returns the two keepers other than `at`, of three.
@@ -40,6 +41,72 @@
     keepers.recover(5);
 }
 
+/// Takes the copies of messages in transit that `is_wanted` accepts, and drops all others.
+fn take_copies(keepers: &mut Keepers, is_wanted: impl Fn(&Raft) -> bool) -> Vec<Envelope> {
+    let all = std::mem::take(&mut keepers.in_transit).into_iter();
+    all.filter(|(.., body)| matches!(body, Body::Raft(_, _, raft) if is_wanted(raft))).collect()
+}
+
+/// Guards against a snapshot that removes later entries which the keeper has acknowledged.
+#[test]
+fn late_snapshot() {
+    let mut keepers = Keepers::new(3, 3, 2);
+    let leader = keepers.leader().unwrap();
+    let [behind, third] = others(leader);
+    keepers.set_isolated(behind, true);
+    for number in 1..=12 {
+        keepers.propose(leader, number);
+        keepers.run(40);
+    }
+    // The refusal that calls for the snapshot arrives twice, the second time long afterwards.
+    keepers.heal();
+    keepers.act(leader, |group, now| group.send_heartbeat(now.mono));
+    while let Some(at) = keepers.in_transit.iter().position(|(_, to, _)| *to == behind) {
+        keepers.deliver(at);
+    }
+    let refusals =
+        take_copies(&mut keepers, |body| matches!(body, Raft::Appended { success: false, .. }));
+    assert!(!refusals.is_empty());
+    keepers.in_transit.extend(refusals.clone());
+    keepers.run(500);
+    assert_eq!(keepers.group(behind).unwrap().machine().0.len(), 12);
+    // One of two further entries is committed without the knowledge of the keeper that holds both.
+    keepers.propose(leader, 13);
+    keepers.propose(leader, 14);
+    while let Some(at) = keepers.in_transit.iter().position(|(from, ..)| *from == leader) {
+        keepers.deliver(at);
+    }
+    keepers.sync(behind, usize::MAX);
+    let acknowledgements = take_copies(&mut keepers, |_| true);
+    keepers.set_cut(leader, behind, true);
+    keepers.sync(leader, usize::MAX);
+    keepers.sync(third, 1);
+    keepers.all[third].stalled = true;
+    keepers.run(1_100);
+    assert_eq!(keepers.committed.len(), 13);
+    keepers.heal();
+    keepers.in_transit = refusals;
+    while keepers.in_transit.iter().any(|(_, to, _)| *to == leader) {
+        keepers.deliver(0);
+    }
+    keepers.in_transit = take_copies(&mut keepers, |body| matches!(body, Raft::Snapshot { .. }));
+    assert!(!keepers.in_transit.is_empty());
+    while !keepers.in_transit.is_empty() {
+        keepers.deliver(0);
+        keepers.in_transit.retain(|(_, to, _)| *to == behind);
+    }
+    keepers.sync(behind, usize::MAX);
+    keepers.in_transit = acknowledgements;
+    while keepers.in_transit.iter().any(|(_, to, _)| *to == leader) {
+        keepers.deliver(0);
+        keepers.in_transit.retain(|(_, to, _)| *to == leader);
+    }
+    assert_eq!(keepers.committed.len(), 14, "two disks hold the last entry");
+    keepers.lose_disk(leader);
+    keepers.lose_power(third, 0);
+    keepers.recover(15);
+}
+
 /// Guards against a keeper that takes a seat with a snapshot that is not on its disk.
 #[test]
 fn unsaved_snapshot() {
--- a/crates/coord/tests/keepers/mod.rs
+++ b/crates/coord/tests/keepers/mod.rs
@@ -17,7 +17,8 @@
 /// Time by which one tick advances the clocks, microseconds.
 const STEP: u64 = 20 * MS;
 const TIMING: Timing = Timing { heartbeat: 200 * MS, election: 700 * MS, lease: 600 * MS };
-const FORMATION: Formation = Formation { at: 1, by: 1 };
+/// The formation of the group.
+pub const FORMATION: Formation = Formation { at: 1, by: 1 };
 const MAX_SEATS: usize = 5;
 
 /// A state machine that keeps all numbers that it was given.
