A write that later writes replace does not count for a rewritten entry

What operators saw: nothing yet; an acknowledged order may be on one disk less than counted.

Cause: an entry that was removed and written again while the disk was slow counted as stored when its first write had ended, although the write that removes it was still to come.

Evidence: acknowledgements::written_again failed on the code before: index 1 was acknowledged after the first of three writes.

--- a/crates/coord/src/delivery.rs
+++ b/crates/coord/src/delivery.rs
@@ -48,6 +48,8 @@
                 _ => None,
             };
             if let Some((index, term)) = stored.filter(|_| self.config.durable) {
+                // This write replaces the writes of later entries that are not on disk yet.
+                while self.unsynced.pop_back_if(|(_, last, _)| *last >= index).is_some() {}
                 self.unsynced.push_back((self.last_issued + 1, index, term));
             }
             self.save(save);
--- a/crates/coord/tests/acknowledgements.rs
+++ b/crates/coord/tests/acknowledgements.rs
@@ -2,7 +2,11 @@
 
 mod keepers;
 
-use coord::message::{Body, Raft};
+use coord::{
+    entry::{Entry, Payload},
+    message::{Body, Group, Raft, Route},
+    raft::Save,
+};
 use keepers::{Envelope, Keepers};
 use rand::{RngExt as _, SeedableRng as _, rngs};
 
@@ -107,6 +111,51 @@
     keepers.recover(15);
 }
 
+/// Guards against an entry that counts as stored because an earlier write of it has ended, although
+/// later writes removed it and wrote it again.
+#[test]
+fn written_again() {
+    let entry = |index, term| Entry { index, term, payload: Payload::Empty };
+    let append = |term, prev, commit, entries| Raft::Append {
+        term,
+        prev,
+        prev_term: term,
+        commit,
+        entries,
+        sent: 1,
+        echo: 0,
+    };
+    let mut keepers = Keepers::new(3, 3, 4);
+    keepers.lose_disk(2);
+    keepers.start(2);
+    keepers.in_transit.clear();
+    keepers.all[2].unsynced.clear();
+    let send = |keepers: &mut Keepers, from: usize, body: Raft| {
+        let route = Route { formation: keepers::FORMATION, from: 1, to: 2 };
+        let body = Body::Raft(Group::Settings, route, body);
+        keepers.in_transit.insert(0, (from, 2, body));
+        keepers.deliver(0);
+    };
+    // The keeper joins the group at the first message, which it refuses.
+    send(&mut keepers, 0, append(2, 9, 9, vec![]));
+    send(&mut keepers, 0, append(2, 0, 0, vec![entry(1, 2)]));
+    send(&mut keepers, 1, append(3, 0, 0, vec![entry(1, 3)]));
+    send(&mut keepers, 0, append(4, 0, 0, vec![entry(1, 2), entry(2, 4)]));
+    let acknowledged = |keepers: &Keepers| {
+        let index = |body: &Body| match body {
+            Body::Raft(_, _, Raft::Appended { success: true, index, .. }) => *index,
+            _ => 0,
+        };
+        keepers.in_transit.iter().map(|(.., body)| index(body)).max()
+    };
+    let is_entry = |(_, save): &(u64, Save)| matches!(save, Save::Entry(_));
+    let first = keepers.all[2].unsynced.iter().position(is_entry).unwrap();
+    keepers.sync(2, first + 1);
+    assert_eq!(acknowledged(&keepers), Some(0), "two writes of the entry are to come");
+    keepers.sync(2, usize::MAX);
+    assert_eq!(acknowledged(&keepers), Some(2));
+}
+
 /// Guards against a keeper that takes a seat with a snapshot that is not on its disk.
 #[test]
 fn unsaved_snapshot() {
