A seat is added before a lost voter's is taken away

What operators saw: nothing yet; three keepers of four stay without a leader for good after one disk was lost, while another keeper was off for some seconds with its disk intact.

Cause: the lost voter's seat was removed first. Until the spare had the seat, both of the two other voters were needed, so that the loss of one of their disks could not be made good, although the keeper that had been off came back with all that its disk held.

Change: the spare gets a seat of its own, then the lost voter's is removed. An even number of voters tolerates as many losses as the odd one before.

--- a/crates/coord/src/upkeep.rs
+++ b/crates/coord/src/upkeep.rs
@@ -72,7 +72,8 @@
     }
 
     /// Gives the seats of lost voters to members that hold all committed entries, and adds seats up
-    /// to `max_seats`, one committed change at a time (Ongaro 2014, section 4.1).
+    /// to `max_seats`, one committed change at a time (Ongaro 2014, section 4.1). While a seat
+    /// moves there is one voter more.
     pub fn replace_lost_voters(&mut self, max_seats: usize, now: u64) {
         let Stage::Joined(joined) = &mut self.stage else {
             return;
@@ -89,9 +90,6 @@
             is_eligible && voters.seat(&m.name).is_none()
         };
         let eligible: Vec<_> = raft.peers().filter(eligible).map(|(m, _)| m.clone()).collect();
-        let Some(next) = eligible.first() else {
-            return;
-        };
         let is_lost = |m: &&name::Member| {
             let contact = raft.peers().find(|(peer, _)| peer == m).map(|(_, p)| p.last_contact);
             **m != self.config.me
@@ -100,13 +98,15 @@
         let lost = voters.0.iter().find(is_lost).cloned();
         let seats = (voters.0.len() + eligible.len()).min(max_seats);
         let seats = if seats % 2 == 0 { seats - 1 } else { seats };
+        let is_even = voters.0.len() % 2 == 0;
         let mut next_voters = voters.clone();
-        if let Some(lost) = lost {
-            next_voters.0.retain(|m| *m != lost);
-        } else if voters.0.len() < seats {
-            next_voters.0.push(next.clone());
-        } else {
-            return;
+        // A lost voter may come back with its disk. If it were removed first, the others would be
+        // needed without exception until the seat is taken.
+        match (lost, eligible.first()) {
+            (Some(lost), _) if is_even => next_voters.0.retain(|m| *m != lost),
+            (Some(_), Some(next)) => next_voters.0.push(next.clone()),
+            (None, Some(next)) if voters.0.len() < seats => next_voters.0.push(next.clone()),
+            _ => return,
         }
         raft.propose(Payload::Voters(next_voters), now);
         self.process_output(now);
--- a/crates/coord/tests/keepers/mod.rs
+++ b/crates/coord/tests/keepers/mod.rs
@@ -303,11 +303,19 @@
         self.all[at].group.as_ref()
     }
 
+    fn voters(&self) -> Voters {
+        let raft = self.leader().and_then(|leader| self.group(leader)?.raft());
+        raft.map(|raft| raft.voters().clone()).unwrap_or_default()
+    }
+
     /// Whether the leader counts the present disk of a keeper as a voter.
     pub fn has_seat(&self, at: usize) -> bool {
-        let member = name::Member::new(&name(at), self.all[at].disk_id);
-        let raft = self.leader().and_then(|leader| self.group(leader)?.raft());
-        raft.is_some_and(|raft| raft.voters().contains(&member))
+        self.voters().contains(&name::Member::new(&name(at), self.all[at].disk_id))
+    }
+
+    /// Number of voters that the leader counts.
+    pub fn seats(&self) -> usize {
+        self.voters().0.len()
     }
 
     /// Heals all links and disks, starts all keepers and asserts that all of them hold all that
