folder: file systems that do not sync folders keep no instance from starting

Opening a new data folder synced all its ancestors, and failed where one of them is on a file system that is read-only or does not sync folders. Names there were not created by this process.

--- a/crates/state/src/folder.rs
+++ b/crates/state/src/folder.rs
@@ -258,8 +258,16 @@
         let current = path::Path::new(".");
         let folder = if folder.as_os_str().is_empty() { current } else { folder };
         match disk.sync_folder(folder) {
-            // This process has not created the names in a folder that it may not read.
-            Err(e) if e.kind() == io::ErrorKind::PermissionDenied => {}
+            // This process has not created the names in a folder that it may not read or write, and
+            // some file systems do not sync folders.
+            Err(e)
+                if matches!(
+                    e.kind(),
+                    io::ErrorKind::PermissionDenied
+                        | io::ErrorKind::ReadOnlyFilesystem
+                        | io::ErrorKind::InvalidInput
+                        | io::ErrorKind::Unsupported
+                ) => {}
             result => result.map_err(|e| error::Error::io("sync parent of data folder", e))?,
         }
     }
