--- a/crates/state/tests/torn_header.rs
+++ b/crates/state/tests/torn_header.rs
@@ -12,7 +12,9 @@
     let first = vec![7; SECTOR_LEN - split - HEADER_LEN];
     let (mut wal, _) = wal::Wal::open(path).unwrap();
     wal.append([first.as_slice()]).unwrap();
-    others.iter().for_each(|record| wal.append([*record]).unwrap());
+    for record in others {
+        wal.append([*record]).unwrap();
+    }
     fs::read(path).unwrap()
 }
 
