Entries that were compacted before their write ended count as stored

What operators saw: nothing yet; orders that follow each other fast wait for other disks, and a keeper with a slow disk gets no seat while they do.

Cause: the end of a write counted only if the log in memory still had the entry. A keeper whose disk lags behind the log by more entries than compaction keeps (eight) acknowledged nothing.

Evidence: acknowledgements::lagging_disk failed on the code before: index 1 was acknowledged with 5 on the disk.

Change: a write below the start of the log counts.

--- a/crates/coord/src/delivery.rs
+++ b/crates/coord/src/delivery.rs
@@ -44,7 +44,11 @@
         for save in out.saves.drain(..) {
             let stored = match &save {
                 Save::Entry(entry) => Some((entry.index, entry.term)),
-                Save::Snapshot { index, term, .. } => Some((*index, *term)),
+                Save::Snapshot { index, term, .. } => {
+                    // The snapshot replaces the whole log.
+                    self.unsynced.clear();
+                    Some((*index, *term))
+                }
                 _ => None,
             };
             if let Some((index, term)) = stored.filter(|_| self.config.durable) {
--- a/crates/coord/src/raft.rs
+++ b/crates/coord/src/raft.rs
@@ -360,7 +360,9 @@
 
     /// Records that entries up to `index`, which has `term`, are on disk.
     pub fn mark_synced(&mut self, index: u64, term: u64, now: u64) {
-        if index <= self.synced || self.log.term(index) != Some(term) {
+        // The log no longer has the terms of the committed entries that compaction removed.
+        let is_current = index < self.log.base() || self.log.term(index) == Some(term);
+        if index <= self.synced || !is_current {
             return;
         }
         self.synced = index;
--- a/crates/coord/tests/acknowledgements.rs
+++ b/crates/coord/tests/acknowledgements.rs
@@ -183,6 +183,34 @@
     keepers.recover(13);
 }
 
+/// Guards against entries that never count as stored because the log was compacted before their
+/// write ended.
+#[test]
+fn lagging_disk() {
+    let mut keepers = Keepers::new(3, 3, 5);
+    let leader = keepers.leader().unwrap();
+    let [slow, _] = others(leader);
+    keepers.all[slow].stalled = true;
+    let stored = |keepers: &Keepers| {
+        let raft = keepers.group(leader).unwrap().raft().unwrap();
+        let mut peers = raft.peers();
+        peers.find(|(peer, _)| peer.name.as_str() == format!("k{slow}")).unwrap().1.match_index
+    };
+    let before = stored(&keepers);
+    for number in 1..=4 {
+        keepers.propose(leader, number);
+        keepers.run(40);
+    }
+    let batch = keepers.all[slow].unsynced.len();
+    for number in 5..=12 {
+        keepers.propose(leader, number);
+        keepers.run(40);
+    }
+    keepers.sync(slow, batch);
+    keepers.settle();
+    assert_eq!(stored(&keepers), before + 4);
+}
+
 /// Loses one disk, and the power of all keepers, at a random moment of a random course of messages
 /// and writes.
 fn play(seed: u64) {
