A voter whose disk stores nothing loses its seat to a spare

What operators saw: nothing yet; a keeper with a full or hanging disk keeps its seat beside a spare one, and the next loss leaves no leader.

Cause: only a voter that is silent for 3 s counted as lost. One that answers without storing anything can neither hold entries nor vote, which both wait for its disk. A leader of that kind cannot be replaced by itself.

Evidence: seats::stuck_disk and seats::stuck_leader: on the code before the spare gets no seat.

Change: a voter that stores nothing for 3 s although entries are committed counts as lost, and a leader of that kind hands over. A disk that is slow but goes on keeps its seat (seats::slow_disk).

--- a/crates/coord/src/election.rs
+++ b/crates/coord/src/election.rs
@@ -120,7 +120,7 @@
 
     pub(crate) fn become_leader(&mut self, now: u64) {
         let next_index = self.log.last() + 1;
-        let progress = Progress { next_index, last_contact: now, ..Progress::default() };
+        let progress = Progress::new(next_index, now);
         let peers = self.other_voters().into_iter().map(|member| (member, progress)).collect();
         self.leader = Some(self.me.clone());
         self.lease_start = 0;
@@ -128,6 +128,7 @@
             peers,
             next_heartbeat: now,
             elected_at: now,
+            stored_at: now,
             commit_waiters: collections::BTreeMap::new(),
         });
     }
--- a/crates/coord/src/raft.rs
+++ b/crates/coord/src/raft.rs
@@ -91,6 +91,8 @@
     pub match_index: u64,
     /// When the follower last replied, on the leader's clock; initially when replication began.
     pub last_contact: u64,
+    /// When the match index last rose, or last reached the commit index, on the leader's clock.
+    pub(crate) stored_at: u64,
     pub(crate) next_index: u64,
     /// Send time of the latest message that the follower acknowledged, on the leader's clock.
     pub(crate) acked_at: u64,
@@ -100,11 +102,20 @@
     pub(crate) snapshot_at: u64,
 }
 
+impl Progress {
+    /// Starts replication at `next_index`.
+    pub(crate) fn new(next_index: u64, now: u64) -> Self {
+        Self { next_index, last_contact: now, stored_at: now, ..Self::default() }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct LeaderState {
     pub(crate) peers: collections::BTreeMap<name::Member, Progress>,
     pub(crate) next_heartbeat: u64,
     pub(crate) elected_at: u64,
+    /// When this leader's own last entry on disk last advanced, or last reached the commit index.
+    pub(crate) stored_at: u64,
     /// Members to notify once the commit index reaches the given index.
     pub(crate) commit_waiters: collections::BTreeMap<name::Member, u64>,
 }
@@ -343,7 +354,7 @@
             && !lead.peers.contains_key(member)
         {
             lead.peers.retain(|peer, _| peer.name != member.name || self.voters.contains(peer));
-            let progress = Progress { next_index, last_contact: now, ..Progress::default() };
+            let progress = Progress::new(next_index, now);
             lead.peers.insert(member.clone(), progress);
             self.send_append(member, now);
         }
@@ -366,7 +377,8 @@
             return;
         }
         self.synced = index;
-        if self.is_leader() {
+        if let Role::Leader(lead) = &mut self.role {
+            lead.stored_at = now;
             self.advance_commit(now);
         } else if let Some(leader) = self.leader.clone() {
             self.acknowledge(&leader, self.matched, 0, now);
--- a/crates/coord/src/replicate.rs
+++ b/crates/coord/src/replicate.rs
@@ -149,7 +149,10 @@
             progress.next_index = (index + 1).min(last + 1).max(1);
             return self.send_append(&from.clone(), now);
         }
-        progress.match_index = progress.match_index.max(index);
+        if index > progress.match_index {
+            progress.match_index = index;
+            progress.stored_at = now;
+        }
         progress.next_index = progress.next_index.max(index + 1);
         let more = progress.next_index <= last;
         self.advance_commit(now);
@@ -184,8 +187,7 @@
         let is_replaced = |m: &name::Member| voters.seat(&m.name).is_some_and(|seat| seat != m);
         lead.peers.retain(|member, _| !is_replaced(member));
         for member in others {
-            let fresh = Progress { next_index, last_contact: now, ..Progress::default() };
-            lead.peers.entry(member).or_insert(fresh);
+            lead.peers.entry(member).or_insert(Progress::new(next_index, now));
         }
     }
 
@@ -252,7 +254,16 @@
         if index <= self.commit || self.log.term(index) != Some(self.term) {
             return;
         }
+        let (former, synced) = (self.commit, self.synced);
         self.commit_to(index);
+        if let Role::Leader(lead) = &mut self.role {
+            if synced >= former {
+                lead.stored_at = now;
+            }
+            for progress in lead.peers.values_mut().filter(|p| p.match_index >= former) {
+                progress.stored_at = now;
+            }
+        }
         if self.durable {
             // Settings change rarely and must take effect on all members immediately.
             return self.broadcast(now);
@@ -267,6 +278,14 @@
         }
     }
 
+    /// When this leader's disk last stored an entry or held all committed ones.
+    pub(crate) fn leader_stored_at(&self) -> Option<u64> {
+        match &self.role {
+            Role::Leader(lead) => Some(lead.stored_at),
+            _ => None,
+        }
+    }
+
     pub(crate) fn commit_to(&mut self, index: u64) {
         let index = index.min(self.log.last());
         if index > self.commit {
--- a/crates/coord/src/upkeep.rs
+++ b/crates/coord/src/upkeep.rs
@@ -12,9 +12,9 @@
     time,
 };
 
-/// Time without a message after which a voter may lose its seat to another member, in microseconds.
-/// This is longer than a freeze or a restart, and well below the time in which a second disk may
-/// be lost.
+/// Time without a message, or with a disk that stores nothing, after which a voter may lose its seat
+/// to another member, in microseconds. This is longer than a freeze or a restart, and well below
+/// the time in which a second disk may be lost.
 const LOST_VOTER_TIMEOUT: u64 = 3_000 * time::MS;
 /// Maximum time since the last message of a member that takes over a seat, in microseconds: two
 /// heartbeats.
@@ -83,6 +83,12 @@
             return;
         }
         let (commit, voters) = (raft.commit(), raft.voters().clone());
+        let is_overdue = |at: u64| now > at + LOST_VOTER_TIMEOUT;
+        if raft.synced() < commit && raft.leader_stored_at().is_some_and(is_overdue) {
+            // Another leader can give this member's seat away.
+            raft.transfer_leadership(|_, matched| matched >= commit, now);
+            return self.process_output(now);
+        }
         let eligible = |(m, p): &(&name::Member, &raft::Progress)| {
             let is_eligible = now < p.last_contact + RESEAT_MAX_SILENCE
                 && p.match_index >= commit
@@ -91,9 +97,10 @@
         };
         let eligible: Vec<_> = raft.peers().filter(eligible).map(|(m, _)| m.clone()).collect();
         let is_lost = |m: &&name::Member| {
-            let contact = raft.peers().find(|(peer, _)| peer == m).map(|(_, p)| p.last_contact);
+            let progress = raft.peers().find(|(peer, _)| peer == m).map(|(_, progress)| progress);
+            let is_stuck = |p: &raft::Progress| p.match_index < commit && is_overdue(p.stored_at);
             **m != self.config.me
-                && contact.is_none_or(|contact| now > contact + LOST_VOTER_TIMEOUT)
+                && progress.is_none_or(|p| is_overdue(p.last_contact) || is_stuck(p))
         };
         let lost = voters.0.iter().find(is_lost).cloned();
         let seats = (voters.0.len() + eligible.len()).min(max_seats);
@@ -103,7 +110,9 @@
         // A lost voter may come back with its disk. If it were removed first, the others would be
         // needed without exception until the seat is taken.
         match (lost, eligible.first()) {
-            (Some(lost), _) if is_even => next_voters.0.retain(|m| *m != lost),
+            (Some(lost), _) if is_even && voters.0.len() > 2 => {
+                next_voters.0.retain(|m| *m != lost);
+            }
             (Some(_), Some(next)) => next_voters.0.push(next.clone()),
             (None, Some(next)) if voters.0.len() < seats => next_voters.0.push(next.clone()),
             _ => return,
