node: An instance that ends answers the clients that still wait

What callers saw: after SIGTERM an entry ended 0.5 s before the end of its grace period, and the connections of clients whose jobs had run in part ended without any answer.

Cause: `Node::stop` returned whether or not jobs were open, and nothing waited for responses to be written.

Change: when the last 0.5 s of the grace period begin, `Event::Finish` ends all open jobs with their final verdict: 504 where tasks may have run, 503 with Retry-After otherwise; their schedulers are told to stop the tasks. Then the listeners close gracefully, and the process ends once all connections are closed, at the latest 0.1 s before the end of the grace period. This holds for the calls of operators and upstreams to a keeper as well. Until then tasks go on as before. The ends of open jobs move to a file of their own.

--- a/crates/apricotroute/src/node/handle.rs
+++ b/crates/apricotroute/src/node/handle.rs
@@ -65,6 +65,11 @@
         while !self.send(Event::Drain) {}
     }
 
+    /// Answers all open jobs now.
+    pub fn finish(&self) {
+        while !self.send(Event::Finish) {}
+    }
+
     /// Refuses new jobs from now on.
     pub fn close(&self) {
         self.view.closed.store(true, atomic::Ordering::Relaxed);
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -26,8 +26,13 @@
 const ENTRY_DELAY: time::Duration = time::Duration::from_millis(2_600);
 /// How long a keeper stays up during shutdown, so that its successor has taken over.
 const KEEPER_DELAY: time::Duration = time::Duration::from_millis(900);
-/// Part of the grace period that is reserved for the last responses and log lines.
+/// Part of the grace period that is reserved for the last responses: jobs that are still open are
+/// answered when it begins.
 const GRACE_RESERVE: time::Duration = time::Duration::from_millis(500);
+/// Part of that reserve in which no response is awaited any more, for the last log lines.
+const EXIT_RESERVE: time::Duration = time::Duration::from_millis(100);
+/// Interval at which a shutdown checks its progress.
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
 /// Runs an instance until SIGTERM or SIGINT arrives; SIGHUP reloads the settings file.
 pub fn run(file: &path::Path, settings: &node::Node, log: &slog::Logger) -> error::Result<()> {
@@ -54,7 +59,7 @@
     control: handle::Control,
     /// Kept open until the end: the load balancer still sends clients for a while after the
     /// instance has ceased to be ready.
-    _listeners: Vec<http::Listener>,
+    listeners: Vec<http::Listener>,
     log: slog::Logger,
 }
 
@@ -86,30 +91,50 @@
             "cpu_share" => settings.millicores as f64 / 1e3, "memory_mb" => settings.memory,
             "descriptors" => settings.descriptors, "link_mbps" => settings.link);
         let (settings, log) = (settings.clone(), log.clone());
-        Ok(Self { settings, runtime, control, _listeners: listeners, log })
+        Ok(Self { settings, runtime, control, listeners, log })
     }
 
     /// Shuts down gracefully: finishes work in progress first, within the grace period of the
-    /// settings.
+    /// settings. What cannot be finished in time is answered before the end.
     pub fn stop(self) {
-        const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
         let (control, start) = (&self.control, time::Instant::now());
         slog::info!(self.log, "node: Draining."; "open" => control.view().open_jobs());
         control.drain();
-        let grace =
-            time::Duration::from_millis(self.settings.grace_ms).saturating_sub(GRACE_RESERVE);
+        let grace = time::Duration::from_millis(self.settings.grace_ms);
+        let work_end = grace.saturating_sub(GRACE_RESERVE);
         let delay = match self.settings.role {
             node::Role::Entry => ENTRY_DELAY,
             node::Role::Keeper => KEEPER_DELAY,
         };
-        thread::sleep(delay.min(grace));
+        thread::sleep(delay.min(work_end));
         control.close();
-        while start.elapsed() < grace && control.view().open_jobs() > 0 {
+        while start.elapsed() < work_end && control.view().open_jobs() > 0 {
             thread::sleep(POLL_INTERVAL);
         }
-        // Gives the last responses and messages time to be sent.
-        thread::sleep(POLL_INTERVAL * 2);
-        slog::info!(self.log, "node: Stopped."; "open" => control.view().open_jobs());
+        let unfinished = control.view().open_jobs();
+        self.answer_all(start + grace.saturating_sub(EXIT_RESERVE));
+        // Gives the last messages to other instances time to be sent.
+        thread::sleep(POLL_INTERVAL);
+        slog::info!(self.log, "node: Stopped."; "open" => unfinished,
+            "unanswered" => self.connections());
+    }
+
+    /// Answers what is open, and waits until the responses are written, at most until `deadline`.
+    fn answer_all(&self, deadline: time::Instant) {
+        self.listeners.iter().for_each(http::Listener::close);
+        loop {
+            // A job that was read while the entry closed may be submitted after the others.
+            self.control.finish();
+            thread::sleep(POLL_INTERVAL);
+            if self.connections() == 0 || time::Instant::now() >= deadline {
+                return;
+            }
+        }
+    }
+
+    /// Number of connections of clients, upstreams and operators.
+    fn connections(&self) -> usize {
+        self.listeners.iter().map(http::Listener::connections).sum()
     }
 }
 
--- a/crates/dispatch/src/machines/core.rs
+++ b/crates/dispatch/src/machines/core.rs
@@ -201,6 +201,7 @@
                 self.membership.set_seeds(&seeds, now.mono);
             }
             Event::Drain => self.drain(now),
+            Event::Finish => self.submissions.finish(now.mono),
         }
     }
 
--- a/crates/dispatch/src/machines/submissions.rs
+++ b/crates/dispatch/src/machines/submissions.rs
@@ -12,6 +12,8 @@
 //! Loads in heartbeats are 150 ms old, and two thirds of all slots change their task within that
 //! time, so that the loads only indicate which zone to ask first.
 
+mod ending;
+
 use std::collections;
 
 use state::{name, policy};
@@ -156,21 +158,6 @@
         self.assign(&id, number, view);
     }
 
-    /// Handles the disconnect of the client of a ticket.
-    pub fn disconnect(&mut self, ticket: Ticket) {
-        let Some(id) = self.tickets.remove(&ticket) else { return };
-        let Some(open) = self.open.get_mut(&id) else { return };
-        open.tickets.retain(|other| *other != ticket);
-        if !open.tickets.is_empty() {
-            return;
-        }
-        let detail = "its client has left".to_owned();
-        self.out.notes.push(Note { text: "job: Cancelled.", subject: id.clone(), detail });
-        if let Some(open) = self.open.remove(&id) {
-            self.cancel(&id, &open);
-        }
-    }
-
     /// Handles the verdict of a scheduler on its part of a job.
     pub fn handle_verdict(
         &mut self,
@@ -304,35 +291,6 @@
         self.out.sends.extend(sends);
     }
 
-    fn close(&mut self, id: &name::Name, verdict: &Verdict, now: u64) {
-        let Some(open) = self.open.remove(id) else { return };
-        if *verdict != Verdict::Complete {
-            self.cancel(id, &open);
-        }
-        let took = now.saturating_sub(open.arrived) / time::MS;
-        let resumed = open.resumed || open.parts.iter().any(|part| part.resumed);
-        let zones =
-            open.parts.iter().filter_map(|part| part.pinned_zone.as_ref()).chain(&open.zones);
-        let zones: Vec<_> = zones.map(name::Name::as_str).collect();
-        let detail = format!(
-            "{verdict:?} after {took} ms, objective {} ms, zones {}, resumed {resumed}",
-            open.job.objective,
-            zones.join(" ")
-        );
-        self.out.notes.push(Note { text: "job: Answered.", subject: id.clone(), detail });
-        for ticket in open.tickets {
-            self.tickets.remove(&ticket);
-            self.out.verdicts.push((ticket, verdict.clone()));
-        }
-    }
-
-    /// Informs the schedulers that no client awaits the job any more.
-    fn cancel(&mut self, id: &name::Name, open: &OpenJob) {
-        let holders = open.parts.iter().filter_map(|part| part.claim.as_ref());
-        let cancels = holders.map(|claim| (claim.holder.clone(), Body::Cancel(id.clone())));
-        self.out.sends.extend(cancels);
-    }
-
     /// Assigns a part of a job to a scheduler, if one can be reached.
     fn assign(&mut self, id: &name::Name, number: u64, view: View<'_>) {
         let Some(open) = self.open.get(id) else { return };
--- a/crates/dispatch/src/messages/event.rs
+++ b/crates/dispatch/src/messages/event.rs
@@ -50,6 +50,8 @@
     Seeds(Vec<name::Name>),
     /// The instance finishes the work in progress and takes no new jobs.
     Drain,
+    /// The instance ends: all open jobs are answered now.
+    Finish,
 }
 
 /// An effect that the caller carries out.
