Each thread and listener of an instance has an owner that acts on its end

What callers saw: an instance of which a part had ended went on without it. Where the store's thread had returned, the keeper kept its seat and confirmed nothing; where the thread that reads configurations has panicked, requests go by old routes or are refused for good; where a listener ends, nobody is told.

Change: link::vital owns the threads (control, traffic, settings, orders, store), the listeners, the peer server and the reload task of an instance, with node as with serve. A call to an upstream whose task ends without an outcome counts as lost. A thread that cannot be started is an error of the start. The peer server pauses when no connection can be accepted, as the other listeners do: out of file descriptors it tried again at once, without end.

--- a/crates/apricotroute/src/control.rs
+++ b/crates/apricotroute/src/control.rs
@@ -1,7 +1,7 @@
 //! The control thread, which alone owns the core. Other threads send it inputs through a bounded
 //! channel and read its state from a [`View`].
 
-use std::{collections, sync, sync::atomic, thread, time};
+use std::{collections, io, sync, sync::atomic, time};
 
 use coord::{
     config, core,
@@ -9,7 +9,7 @@
     group, message, queue,
     time::Now,
 };
-use link::{metric, peer, pool, span, task, trace};
+use link::{metric, peer, pool, span, task, trace, vital};
 use state::{name, tree};
 
 use crate::{changes, clock, refusals, store};
@@ -113,13 +113,10 @@
         (Self { sender, tickets, view, clock }, Channel { receiver })
     }
 
-    /// Starts the control thread.
-    pub fn start(&self, channel: Channel, parts: Parts) {
-        let control = self.clone();
-        let run = move || Thread::new(control, channel, parts).run();
-        if let Err(e) = thread::Builder::new().name("control".to_owned()).spawn(run) {
-            eprintln!("control: cannot start the thread: {e}");
-        }
+    /// Starts the control thread and the thread that writes to the disk, as parts of `owner`.
+    pub fn start(&self, owner: &vital::Owner, channel: Channel, parts: Parts) -> io::Result<()> {
+        let thread = Thread::new(self.clone(), owner, channel, parts)?;
+        owner.spawn("control", move || thread.run())
     }
 
     /// Returns the state that other threads read without a request to the control thread.
@@ -218,14 +215,20 @@
 }
 
 impl Thread {
-    fn new(control: Control, channel: Channel, parts: Parts) -> Self {
+    fn new(
+        control: Control,
+        owner: &vital::Owner,
+        channel: Channel,
+        parts: Parts,
+    ) -> io::Result<Self> {
         let now = control.clock.now();
         let core = core::Core::new(parts.config, parts.recovered, now);
         control.view.set_tree(core.tree());
         let reporter = control.clone();
         let saved = move |number| reporter.send(Event::Saved(number));
-        let store = parts.store.map(|store| store.run(parts.log.clone(), saved));
-        Self {
+        let store = parts.store.map(|store| store.run(owner, parts.log.clone(), saved));
+        let store = store.transpose()?;
+        Ok(Self {
             control,
             receiver: channel.receiver,
             core,
@@ -242,7 +245,7 @@
             logged: changes::Logged::default(),
             checked_at: time::Instant::now(),
             waiting_since: time::Instant::now(),
-        }
+        })
     }
 
     fn run(mut self) {
--- a/crates/apricotroute/src/instance.rs
+++ b/crates/apricotroute/src/instance.rs
@@ -4,10 +4,10 @@
 
 use coord::{event::Event, member};
 use error_stack::ResultExt as _;
-use link::{http, metric, peer, pool, span};
+use link::{http, metric, peer, pool, span, vital};
 use state::boot;
 
-use crate::{client, clock, control, error, operator, refusals, status, store};
+use crate::{client, clock, control, error, operator, parts, refusals, status, store};
 
 /// Threads of the runtime that runs the listeners and streams.
 const RUNTIME_THREADS: usize = 2;
@@ -22,6 +22,7 @@
     client: http::Listener,
     operator: http::Listener,
     spans: span::Spans,
+    owner: vital::Owner,
     log: slog::Logger,
     drain_limit: time::Duration,
 }
@@ -37,7 +38,8 @@
             .build()
             .change_context_lazy(context("start runtime of"))?;
         let spans = open_spans(boot, &runtime).change_context_lazy(context("open spans of"))?;
-        let control = start_control(boot, &runtime, &spans, &log)?;
+        let owner = parts::owner(&log);
+        let control = start_control(boot, &runtime, &spans, (&owner, &log))?;
         if let Ok(metrics) = metric::Metrics::new() {
             status::watch(metric::install(metrics), &control);
         }
@@ -52,13 +54,15 @@
         let instance = boot.instance.clone();
         let operator = operator::OperatorHandler { instance, control: control.clone(), pool };
         let client = http::Listener::open(&runtime, boot.client, sync::Arc::new(client))
-            .change_context_lazy(context("start"))?;
+            .change_context_lazy(context("start"))?
+            .with_owner(&runtime, &owner, "client listener");
         let operator = http::Listener::open(&runtime, boot.operator, sync::Arc::new(operator))
-            .change_context_lazy(context("start"))?;
+            .change_context_lazy(context("start"))?
+            .with_owner(&runtime, &owner, "operator listener");
         slog::info!(log, "instance: Started.";
             "client" => %client.address(), "operator" => %operator.address());
         let drain_limit = time::Duration::from_millis(boot.drain_ms);
-        Ok(Self { runtime, control, client, operator, spans, log, drain_limit })
+        Ok(Self { runtime, control, client, operator, spans, owner, log, drain_limit })
     }
 
     /// Returns the address of the interface for clients and upstreams.
@@ -86,6 +90,7 @@
             let unfinished = self.control.inspect(|core, _| core.in_progress()).unwrap_or_default();
             slog::warn!(self.log, "instance: Drain bound reached."; "cut" => unfinished.join(" "));
         }
+        self.owner.release();
         self.client.close();
         self.operator.close();
         let deadline = time::Instant::now() + CLOSE_TIMEOUT;
@@ -114,8 +119,9 @@
     boot: &boot::Boot,
     runtime: &tokio::runtime::Runtime,
     spans: &span::Spans,
-    log: &slog::Logger,
+    (owner, log): (&vital::Owner, &slog::Logger),
 ) -> error::Result<control::Control> {
+    let context = || error::Error::new("start", &boot.instance);
     let incarnation = u64::from(rand::random::<u32>().max(1));
     let store = open_store(boot, incarnation, log)?;
     let (control, channel) = control::Control::new(clock::Clock::new());
@@ -123,7 +129,8 @@
     let refusals = refusals::Refusals::new(log.clone());
     let inbox = sync::Arc::new(control::Inbox { control: control.clone(), peers, refusals });
     peer::Server::open(runtime, boot.peer, &boot.instance, inbox)
-        .change_context_lazy(|| error::Error::new("start", &boot.instance))?;
+        .change_context_lazy(context)?
+        .own(runtime, owner, "peer listener");
     let mut outbox = peer::Outbox::new();
     for peer in &boot.peers {
         outbox = outbox.with_peer(runtime, &boot.instance, &peer.instance, peer.peer);
@@ -137,7 +144,7 @@
         spans: spans.clone(),
         log: log.clone(),
     };
-    control.start(channel, parts);
+    control.start(owner, channel, parts).change_context_lazy(context)?;
     Ok(control)
 }
 
--- a/crates/apricotroute/src/main.rs
+++ b/crates/apricotroute/src/main.rs
@@ -19,6 +19,7 @@
 mod operator;
 mod options;
 mod output;
+mod parts;
 mod refusals;
 mod remote;
 mod reply;
--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -2,9 +2,9 @@
 //! and read its state from a [`view`](super::view).
 
 use std::{
-    collections,
+    collections, io,
     sync::{atomic, mpsc},
-    thread, time,
+    time,
 };
 
 use dispatch::{
@@ -12,7 +12,7 @@
     event::{self, Event, Output, Reply},
     job, message, order,
 };
-use link::metric;
+use link::{metric, vital};
 use state::name;
 
 use super::{
@@ -46,13 +46,10 @@
 }
 
 impl Control {
-    /// Starts the control thread.
-    pub fn start(&self, parts: Parts) {
-        let control = self.clone();
-        let run = move || Thread::new(control, parts).run();
-        if let Err(e) = thread::Builder::new().name("control".to_owned()).spawn(run) {
-            eprintln!("control: cannot start the thread: {e}");
-        }
+    /// Starts the control thread and the threads that it works with, as parts of `owner`.
+    pub fn start(&self, owner: &vital::Owner, parts: Parts) -> io::Result<()> {
+        let thread = Thread::new(self.clone(), owner, parts)?;
+        owner.spawn("control", move || thread.run())
     }
 }
 
@@ -81,15 +78,16 @@
 }
 
 impl Thread {
-    fn new(control: Control, parts: Parts) -> Self {
-        let reader = reader::start(control.clone(), parts.log.clone());
+    fn new(control: Control, owner: &vital::Owner, parts: Parts) -> io::Result<Self> {
+        let reader = reader::start(owner, control.clone(), parts.log.clone())?;
         let core = core::Core::new(parts.config, control.clock.now());
         let reporter = control.clone();
         // Retries until the mailbox accepts the report: without it the settings group makes no
         // progress until the next save.
         let saved = move |number| while !reporter.send(Event::Saved(number)) {};
-        let store = parts.store.map(|store| store.run(parts.log.clone(), saved));
-        Self {
+        let store = parts.store.map(|store| store.run(owner, parts.log.clone(), saved));
+        let store = store.transpose()?;
+        Ok(Self {
             control,
             core,
             replies: collections::HashMap::new(),
@@ -102,7 +100,7 @@
             unread_since: None,
             limiter: lines::Limiter::new(),
             log: parts.log,
-        }
+        })
     }
 
     fn run(mut self) {
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -15,11 +15,11 @@
 
 use dispatch::{core, event::Event, member};
 use error_stack::ResultExt as _;
-use link::{http, peer};
+use link::{http, peer, vital};
 use signal_hook::{consts, iterator};
 use state::node;
 
-use crate::{clock, error, store};
+use crate::{clock, error, parts, store};
 
 /// How long an entry still accepts clients during shutdown: the load balancer sends them elsewhere
 /// only after two failed readiness checks, at one check per second.
@@ -40,7 +40,7 @@
     let mut signals = iterator::Signals::new(signals)
         .change_context_lazy(|| error::Error::new("listen for signals of", &settings.instance))?;
     let node = Node::start(settings, log)?;
-    reload::watch(&node.runtime, file, settings, &node.control, log);
+    reload::watch(&node.runtime, &node.owner, file, settings, &node.control, log);
     for signal in signals.forever() {
         if signal != consts::SIGHUP {
             break;
@@ -60,6 +60,7 @@
     /// Kept open until the end: the load balancer still sends clients for a while after the
     /// instance has ceased to be ready.
     listeners: Vec<http::Listener>,
+    owner: vital::Owner,
     log: slog::Logger,
 }
 
@@ -75,12 +76,14 @@
         let (traffic, work) = traffic::channel();
         let clock = clock::Clock::new().with_offset(settings.clock_offset);
         let control = handle::Control::new(clock);
-        let listeners = open_listeners(settings, &runtime, &control, log)?;
+        let owner = parts::owner(log);
+        let listeners = open_listeners(settings, &runtime, &control, (&owner, log))?;
         let incarnation = control.clock().now().wall;
-        control.start(control_parts(settings, incarnation, traffic, log)?);
-        thread::Builder::new()
-            .name("traffic".to_owned())
-            .spawn({
+        control
+            .start(&owner, control_parts(settings, incarnation, traffic, log)?)
+            .change_context_lazy(context("start control of"))?;
+        owner
+            .spawn("traffic", {
                 let (runtime, control) = (sync::Arc::clone(&runtime), control.clone());
                 let (me, log) = (peer_name(settings), log.clone());
                 move || traffic::run(&runtime, work, &control, (&me, &log))
@@ -91,7 +94,7 @@
             "cpu_share" => settings.millicores as f64 / 1e3, "memory_mb" => settings.memory,
             "descriptors" => settings.descriptors, "link_mbps" => settings.link);
         let (settings, log) = (settings.clone(), log.clone());
-        Ok(Self { settings, runtime, control, listeners, log })
+        Ok(Self { settings, runtime, control, listeners, owner, log })
     }
 
     /// Shuts down gracefully: finishes work in progress first, within the grace period of the
@@ -121,6 +124,7 @@
 
     /// Answers what is open, and waits until the responses are written, at most until `deadline`.
     fn answer_all(&self, deadline: time::Instant) {
+        self.owner.release();
         self.listeners.iter().for_each(http::Listener::close);
         loop {
             // A job that was read while the entry closed may be submitted after the others.
@@ -156,38 +160,46 @@
     node: &node::Node,
     runtime: &tokio::runtime::Runtime,
     control: &handle::Control,
-    log: &slog::Logger,
+    (owner, log): (&vital::Owner, &slog::Logger),
 ) -> error::Result<Vec<http::Listener>> {
     let context = || error::Error::new("start", &node.instance);
     let backend = sync::Arc::new(handle::Backend::new(control.clone(), log.clone()));
     let inbox = sync::Arc::new(handle::Inbox::new(control.clone(), log.clone()));
     let peer = node.peer_listen.unwrap_or(node.peer);
-    peer::Server::open(runtime, peer, &peer_name(node), inbox).change_context_lazy(context)?;
+    peer::Server::open(runtime, peer, &peer_name(node), inbox).change_context_lazy(context)?.own(
+        runtime,
+        owner,
+        "peer listener",
+    );
     let mut listeners = Vec::new();
-    let mut listen = |address, handler| {
+    let mut listen = |address, handler, name| {
         let listener = http::Listener::open(runtime, address, handler);
-        listener.change_context_lazy(context).map(|listener| listeners.push(listener))
+        let listener = listener.change_context_lazy(context)?;
+        listeners.push(listener.with_owner(runtime, owner, name));
+        Ok::<_, error_stack::Report<error::Error>>(())
     };
     if let Some(address) = node.client {
         listen(
             address,
             sync::Arc::new(platform::front::ClientHandler::new(sync::Arc::clone(&backend))),
+            "client listener",
         )?;
     }
     if let Some(address) = node.ready {
         listen(
             address,
             sync::Arc::new(platform::front::ReadyHandler::new(sync::Arc::clone(&backend))),
+            "readiness listener",
         )?;
     }
     if let Some(address) = node.metrics {
         let metrics = measure::MetricsHandler::new(control).change_context_lazy(context)?;
-        listen(address, sync::Arc::new(metrics))?;
+        listen(address, sync::Arc::new(metrics), "metrics listener")?;
     }
     if let Some(address) = node.operator {
-        let handler = platform::control::ControlHandler::new(backend);
+        let handler = platform::control::ControlHandler::new(backend, owner);
         let handler = handler.change_context_lazy(context)?;
-        listen(address, sync::Arc::new(handler))?;
+        listen(address, sync::Arc::new(handler), "operator listener")?;
     }
     Ok(listeners)
 }
--- a/crates/apricotroute/src/node/reader.rs
+++ b/crates/apricotroute/src/node/reader.rs
@@ -4,15 +4,19 @@
 //! On the control thread this would delay heartbeats, and an instance that is silent for 500 ms
 //! counts as lost.
 
-use std::{sync::mpsc, thread, time};
+use std::{io, sync::mpsc, time};
 
 use dispatch::{event::Event, message::Document};
-use link::metric;
+use link::{metric, vital};
 
 use super::handle;
 
-/// Starts the thread, which puts the last of the waiting documents into effect.
-pub fn start(control: handle::Control, log: slog::Logger) -> mpsc::Sender<Document> {
+/// Starts the thread, a part of `owner`, which puts the last of the waiting documents into effect.
+pub fn start(
+    owner: &vital::Owner,
+    control: handle::Control,
+    log: slog::Logger,
+) -> io::Result<mpsc::Sender<Document>> {
     let (sender, receiver) = mpsc::channel::<Document>();
     let run = move || {
         while let Ok(first) = receiver.recv() {
@@ -20,10 +24,8 @@
             read(&newest, &control, &log);
         }
     };
-    if let Err(e) = thread::Builder::new().name("settings".to_owned()).spawn(run) {
-        eprintln!("settings: cannot start the thread: {e}");
-    }
-    sender
+    owner.spawn("settings", run)?;
+    Ok(sender)
 }
 
 fn read(document: &Document, control: &handle::Control, log: &slog::Logger) {
--- a/crates/apricotroute/src/node/reload.rs
+++ b/crates/apricotroute/src/node/reload.rs
@@ -2,6 +2,7 @@
 
 use std::{fs, path, sync, time};
 
+use link::vital;
 use state::node;
 
 use super::handle;
@@ -12,6 +13,7 @@
 /// Checks the file periodically and reloads it when its modification time has changed.
 pub fn watch(
     runtime: &sync::Arc<tokio::runtime::Runtime>,
+    owner: &vital::Owner,
     file: &path::Path,
     node: &node::Node,
     control: &handle::Control,
@@ -20,7 +22,7 @@
     let (file, node) = (file.to_owned(), node.clone());
     let (control, log) = (control.clone(), log.clone());
     let modified = |file: &path::Path| fs::metadata(file).and_then(|meta| meta.modified()).ok();
-    runtime.spawn(async move {
+    runtime.spawn(owner.clone().run("reload", async move {
         let mut last = modified(&file);
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
@@ -30,7 +32,7 @@
                 reload(&file, &node, &control, &log);
             }
         }
-    });
+    }));
 }
 
 /// Reads the file and applies the only setting that may change at run time, the seeds. A file that
--- a/crates/apricotroute/src/node/traffic.rs
+++ b/crates/apricotroute/src/node/traffic.rs
@@ -65,19 +65,58 @@
 }
 
 fn start_call(caller: &caller::Caller, control: &handle::Control, call: Call) {
-    let (caller, control) = (caller.clone(), control.clone());
+    let caller = caller.clone();
+    let pending = PendingCall::new(control, &call);
     tokio::spawn(async move {
-        let start = time::Instant::now();
         let outcome = platform::upstream::call(&caller, &call).await;
-        metric::record_call(order_label(&call.order), outcome_label(&outcome), start.elapsed());
+        metric::record_call(
+            order_label(&call.order),
+            outcome_label(&outcome),
+            pending.start.elapsed(),
+        );
+        pending.answer(outcome);
+    });
+}
+
+/// A call whose outcome the control thread waits for. It counts as lost if it ends without one.
+struct PendingCall {
+    control: handle::Control,
+    number: u64,
+    fence: u64,
+    start: time::Instant,
+    is_answered: bool,
+}
+
+impl PendingCall {
+    fn new(control: &handle::Control, call: &Call) -> Self {
+        let (number, fence) = (call.number, call.fence);
+        let (control, start) = (control.clone(), time::Instant::now());
+        Self { control, number, fence, start, is_answered: false }
+    }
+
+    fn answer(mut self, outcome: Outcome) {
+        self.send(outcome);
+    }
+
+    fn send(&mut self, outcome: Outcome) {
+        self.is_answered = true;
         let is_done = matches!(outcome, Outcome::Done(_));
-        let (number, fence, took) = (call.number, call.fence, start.elapsed());
+        let (number, fence, took) = (self.number, self.fence, self.start.elapsed());
         let took = took.as_micros() as u64;
         let event = Event::Called(Answer { number, fence, took, outcome });
         // The event is dropped only if tens of thousands wait in the mailbox. The lists of the next
         // hold then carry the same information.
-        let _sent = if is_done { control.send_deferred(event) } else { control.send(event) };
-    });
+        let _sent =
+            if is_done { self.control.send_deferred(event) } else { self.control.send(event) };
+    }
+}
+
+impl Drop for PendingCall {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.send(Outcome::Lost);
+        }
+    }
 }
 
 /// Returns the label of an order in metrics.
--- a/crates/apricotroute/src/store.rs
+++ b/crates/apricotroute/src/store.rs
@@ -4,12 +4,12 @@
 //! A failed write is tried again until it succeeds, together with the writes that have arrived in
 //! the meantime. Until then nothing is confirmed, so that the other voters commit without this one.
 
-use std::{path, thread, time};
+use std::{io, path, thread, time};
 
 use coord::{group, mirror::Mirror, raft};
 use dispatch::event::Known;
 use error_stack::ResultExt as _;
-use link::metric;
+use link::{metric, vital};
 use state::{folder, name};
 
 use crate::error;
@@ -80,20 +80,18 @@
         self.mirror.entry_count()
     }
 
-    /// Starts the store thread; it calls `confirm` with the last number of each stored batch.
+    /// Starts the store thread, a part of `owner`; it calls `confirm` with the last number of each
+    /// stored batch.
     pub fn run(
         self,
+        owner: &vital::Owner,
         log: slog::Logger,
         confirm: impl Fn(u64) + Send + 'static,
-    ) -> crossbeam_channel::Sender<Write> {
+    ) -> io::Result<crossbeam_channel::Sender<Write>> {
         let (sender, receiver) = crossbeam_channel::unbounded::<Write>();
         let writer = Writer { store: self, batch: Batch::default(), failing: None, log };
-        let run = move || writer.run(&receiver, confirm);
-        if let Err(e) = thread::Builder::new().name("store".to_owned()).spawn(run) {
-            // Without the thread the channel is closed, so nothing is ever confirmed.
-            eprintln!("store: cannot start the thread: {e}");
-        }
-        sender
+        owner.spawn("store", move || writer.run(&receiver, confirm))?;
+        Ok(sender)
     }
 
     /// Writes the records of a batch.
--- a/crates/link/src/http.rs
+++ b/crates/link/src/http.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt;
 use tokio::sync as async_sync;
 
-use crate::{error, socket};
+use crate::{error, socket, vital};
 
 /// Maximum size of a request body in bytes.
 pub const MAX_BODY: usize = 8 << 20;
@@ -176,6 +176,7 @@
     address: net::SocketAddr,
     close: async_sync::watch::Sender<bool>,
     permits: sync::Arc<async_sync::Semaphore>,
+    task: tokio::task::JoinHandle<()>,
 }
 
 impl Listener {
@@ -202,8 +203,21 @@
         let address = socket.local_addr().map_err(bind_error)?;
         let (close, closed) = async_sync::watch::channel(false);
         let permits = sync::Arc::new(async_sync::Semaphore::new(MAX_CONNECTIONS));
-        runtime.spawn(accept(socket, handler, closed, sync::Arc::clone(&permits)));
-        Ok(Self { address, close, permits })
+        let task = runtime.spawn(accept(socket, handler, closed, sync::Arc::clone(&permits)));
+        Ok(Self { address, close, permits, task })
+    }
+
+    /// Makes the listener a part of `owner`, which learns of its end.
+    #[must_use]
+    pub fn with_owner(
+        mut self,
+        runtime: &tokio::runtime::Runtime,
+        owner: &vital::Owner,
+        name: &'static str,
+    ) -> Self {
+        let task = std::mem::replace(&mut self.task, runtime.spawn(std::future::ready(())));
+        self.task = runtime.spawn(owner.clone().run(name, async { drop(task.await) }));
+        self
     }
 
     /// Returns the local address of the listener.
@@ -244,8 +258,7 @@
             _ = closed.changed() => return,
         };
         let Ok((stream, _)) = accepted else {
-            // The process is out of file descriptors. Wait until some connections end.
-            tokio::time::sleep(time::Duration::from_millis(20)).await;
+            tokio::time::sleep(socket::ACCEPT_PAUSE).await;
             continue;
         };
         let shared = sync::Arc::clone(&shared);
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod span;
 pub mod task;
 pub mod trace;
+pub mod vital;
 
 pub use error::Error;
 pub use trace::Context;
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -16,7 +16,7 @@
 use tokio_stream::{StreamExt as _, wrappers};
 use tonic::{body, codegen};
 
-use crate::{error, metric, socket};
+use crate::{error, metric, socket, vital};
 
 /// Maximum number of batches queued for a peer. Further batches are dropped, as on a broken link.
 const QUEUE_CAPACITY: usize = 4_096;
@@ -274,6 +274,7 @@
 #[derive(Debug)]
 pub struct Server {
     address: std::net::SocketAddr,
+    task: tokio::task::JoinHandle<Result<(), tonic::transport::Error>>,
 }
 
 impl Server {
@@ -301,7 +302,10 @@
         let address = socket.local_addr().map_err(bind_error)?;
         let service = peer::peer_server::PeerServer::new(Service { me: me.clone(), inbox })
             .max_decoding_message_size(MAX_MESSAGE);
-        let incoming = wrappers::TcpListenerStream::new(socket).map(|stream| {
+        let incoming = wrappers::TcpListenerStream::new(socket).then(async |stream| {
+            if stream.is_err() {
+                tokio::time::sleep(socket::ACCEPT_PAUSE).await;
+            }
             let stream = stream?;
             stream.set_nodelay(true)?;
             Ok::<_, std::io::Error>(stream)
@@ -310,8 +314,13 @@
             .http2_keepalive_interval(Some(PING_INTERVAL))
             .http2_keepalive_timeout(Some(PING_TIMEOUT))
             .add_service(service);
-        runtime.spawn(server.serve_with_incoming(incoming));
-        Ok(Self { address })
+        let task = runtime.spawn(server.serve_with_incoming(incoming));
+        Ok(Self { address, task })
+    }
+
+    /// Makes the server a part of `owner`, which learns of its end.
+    pub fn own(self, runtime: &tokio::runtime::Runtime, owner: &vital::Owner, name: &'static str) {
+        runtime.spawn(owner.clone().run(name, async { drop(self.task.await) }));
     }
 
     /// Returns the local address of the listener.
--- a/crates/link/src/socket.rs
+++ b/crates/link/src/socket.rs
@@ -7,6 +7,10 @@
 /// connections in a row. The system may apply a lower limit (`net.core.somaxconn`, 4,096 by default).
 const BACKLOG: u32 = 4_096;
 
+/// Pause after a connection could not be accepted, as the process is out of file descriptors until
+/// some connections end.
+pub(crate) const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
+
 /// Opens a listening socket on `address` for `runtime`. Connections of a former socket on this
 /// address may still be closing.
 ///
--- /dev/null
+++ b/crates/link/src/vital.rs
@@ -0,0 +1,85 @@
+//! Parts that an instance needs as long as it runs. When one of them ends, by returning or by a
+//! panic, the others would wait for it for ever, so its owner acts on the end.
+
+use std::{fmt, future, io, sync, sync::atomic, thread};
+
+/// What an owner does when a part has ended; the argument is the name of the part.
+pub type EndFn = Box<dyn Fn(&'static str) + Send + Sync>;
+
+struct Shared {
+    on_end: EndFn,
+    released: atomic::AtomicBool,
+}
+
+/// The owner of the parts of an instance. Clones own the same parts.
+#[derive(Clone)]
+pub struct Owner(sync::Arc<Shared>);
+
+impl fmt::Debug for Owner {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let released = self.0.released.load(atomic::Ordering::Relaxed);
+        f.debug_struct("Owner").field("released", &released).finish_non_exhaustive()
+    }
+}
+
+impl Owner {
+    /// Creates an owner that calls `on_end` for each part that ends.
+    ///
+    /// ```
+    /// let (ended, names) = std::sync::mpsc::channel();
+    /// let owner = link::vital::Owner::new(Box::new(move |name| drop(ended.send(name))));
+    /// owner.spawn("store", || {}).unwrap();
+    /// assert_eq!(names.recv().unwrap(), "store");
+    /// ```
+    pub fn new(on_end: EndFn) -> Self {
+        Self(sync::Arc::new(Shared { on_end, released: atomic::AtomicBool::new(false) }))
+    }
+
+    /// Starts a thread that runs a part.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the system cannot start a thread.
+    ///
+    /// ```
+    /// # let owner = link::vital::Owner::new(Box::new(|_| ()));
+    /// assert!(owner.spawn("store", || {}).is_ok());
+    /// ```
+    pub fn spawn(&self, name: &'static str, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
+        let part = self.part(name);
+        thread::Builder::new().name(name.to_owned()).spawn(move || {
+            let _part = part;
+            run();
+        })?;
+        Ok(())
+    }
+
+    /// Returns a task that runs a part.
+    pub async fn run(self, name: &'static str, task: impl future::Future<Output = ()>) {
+        let _part = self.part(name);
+        task.await;
+    }
+
+    /// Allows all parts to end from now on, because the instance shuts down.
+    pub fn release(&self) {
+        self.0.released.store(true, atomic::Ordering::Relaxed);
+    }
+
+    fn part(&self, name: &'static str) -> Part {
+        Part { owner: self.clone(), name }
+    }
+}
+
+/// Reports the end of a part when it is dropped, also by a panic.
+struct Part {
+    owner: Owner,
+    name: &'static str,
+}
+
+impl Drop for Part {
+    fn drop(&mut self) {
+        if !self.owner.0.released.load(atomic::Ordering::Relaxed) {
+            (self.owner.0.on_end)(self.name);
+        }
+    }
+}
