platform: A job in progress can be cancelled

What callers saw: DELETE of a job in progress was acknowledged with 410 and ignored. All its tasks ran, and the client got 200 "completed".

Cause: `ClientHandler::route` answered every DELETE of a job with 410 at once. No event cancelled a job but the end of its client's connection.

Change: `Event::Cancel` ends the job at the entry that holds it. DELETE and the client that waits get 200 with the state `cancelled`, and the schedulers of all its parts stop its tasks. Another entry sends `Body::Revoke` to the schedulers of all zones, and the one that has the job passes it on to its entry; the caller gets 410, as that entry knows of no such job. Weighed: a message to all entries, of which there may be hundreds, which would also open a stream to each. A second DELETE, and one for a job that ended or never was, get 410 as before.

Two limits: the 410 of another entry does not wait until the schedulers have the message, so one that is lost on the way cancels nothing; neither does one that comes while no scheduler has the job.

--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -264,6 +264,8 @@
         Reply::Verdict(job::Verdict::Failed) => "failed",
         Reply::Verdict(job::Verdict::GaveUp) => "gave_up",
         Reply::Verdict(job::Verdict::NotRun(refusal)) => refusal.name(),
+        Reply::Cancelled => "cancelled",
+        Reply::NotOpen => "not_open",
         Reply::Noted => "noted",
         Reply::Newest(_) => "newest",
         Reply::Incomplete => "incomplete",
--- a/crates/apricotroute/tests/endings.rs
+++ b/crates/apricotroute/tests/endings.rs
@@ -76,3 +76,38 @@
         })
     });
 }
+
+fn delete(system: &System, entry: usize, id: &str) -> (u16, Value) {
+    let url = format!("http://{}/board/{id}", system.client(entry));
+    system::call(&agent(), "DELETE", &url, b"")
+}
+
+fn check_stopped(system: &System, id: &str) {
+    wait_until("no task of the job runs", || {
+        system.upstreams.iter().all(|upstream| runs_of(upstream, id) == 0)
+    });
+    let count = || system.upstreams.iter().map(|upstream| upstream.history().len()).sum::<usize>();
+    let before = count();
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(count(), before, "nothing starts later");
+}
+
+#[test]
+fn job_cancelled() {
+    let system = hanging_system(2);
+    let cancelled = (200, json!({"State": "cancelled"}));
+    // The first job fits into one upstream, the second one needs both.
+    for (id, count) in [("00000000000000c1", 1), ("00000000000000c2", 8)] {
+        let client = submit(&system, KEEPERS, id, count);
+        assert_eq!(delete(&system, KEEPERS, id), cancelled);
+        assert_eq!(client.join().unwrap().0, cancelled);
+        assert_eq!(delete(&system, KEEPERS, id).0, 410);
+        check_stopped(&system, id);
+    }
+    let id = "00000000000000c3";
+    let client = submit(&system, KEEPERS, id, 1);
+    assert_eq!(delete(&system, KEEPERS + 1, id).0, 410, "the other entry does not hold the job");
+    assert_eq!(client.join().unwrap().0, cancelled);
+    check_stopped(&system, id);
+    assert_eq!(delete(&system, KEEPERS, "00000000000000c4").0, 410, "no such job");
+}
--- a/crates/dispatch/src/machines/core.rs
+++ b/crates/dispatch/src/machines/core.rs
@@ -173,6 +173,7 @@
                 submissions.submit(ticket, *job, view);
             }
             Event::Disconnected(ticket) => self.submissions.disconnect(ticket),
+            Event::Cancel(ticket, id) => self.cancel(ticket, &id, now),
             Event::Announce(ticket, record) => self.announce(ticket, &record, now),
             Event::UnknownService(ticket, record) => self.announce_unlisted(ticket, &record, now),
             Event::Unchecked(ticket, record) => self.announce_unchecked(ticket, record, now),
@@ -357,8 +358,8 @@
         }
         self.out.extend(submissions.notes.into_iter().map(Output::Note));
         self.out.extend(submissions.measures.into_iter().map(Output::Measure));
-        for (ticket, verdict) in submissions.verdicts {
-            self.reply(ticket, Reply::Verdict(verdict));
+        for (ticket, reply) in submissions.replies {
+            self.reply(ticket, reply);
         }
         if let Some(control_log) = &mut self.control_log {
             let out = control_log.take_output();
--- a/crates/dispatch/src/machines/mod.rs
+++ b/crates/dispatch/src/machines/mod.rs
@@ -9,6 +9,7 @@
 
 mod admission;
 mod announcement;
+mod cancelling;
 pub mod control_log;
 pub mod core;
 mod handback;
--- a/crates/dispatch/src/machines/peers.rs
+++ b/crates/dispatch/src/machines/peers.rs
@@ -187,6 +187,7 @@
             Body::Cancel(id) => {
                 self.scheds_mut().for_each(|sched| sched.cancel(&id, from));
             }
+            Body::Revoke(id) => self.on_revoke(from, &id, now),
             Body::Await(zone, handovers, entry_clock) => {
                 let unknown = match self.sched_of(&zone) {
                     Some(sched) => sched.renew_awaited(&handovers, from, entry_clock, now.mono),
--- a/crates/dispatch/src/machines/submissions.rs
+++ b/crates/dispatch/src/machines/submissions.rs
@@ -23,7 +23,7 @@
     machines::sched,
     messages::{
         claim,
-        event::{Measure, Note, Ticket},
+        event::{Measure, Note, Reply, Ticket},
         job::{Job, Refusal, Verdict},
         message::{Awaited, Body, Decision, Handover, Load, ReturnedTasks},
         share, time,
@@ -60,8 +60,8 @@
 pub struct Output {
     /// Messages to send, with their receivers.
     pub sends: Vec<(name::Name, Body)>,
-    /// Verdicts, with the tickets that await them.
-    pub verdicts: Vec<(Ticket, Verdict)>,
+    /// Replies, with the tickets that await them.
+    pub replies: Vec<(Ticket, Reply)>,
     /// Decisions to be logged.
     pub notes: Vec<Note>,
     /// Durations for histograms.
--- a/crates/dispatch/src/machines/submissions/ending.rs
+++ b/crates/dispatch/src/machines/submissions/ending.rs
@@ -5,7 +5,7 @@
 
 use super::{OpenJob, Submissions};
 use crate::messages::{
-    event::{Note, Ticket},
+    event::{Note, Reply, Ticket},
     job::{Refusal, Verdict},
     message::Body,
     time,
@@ -27,6 +27,19 @@
         }
     }
 
+    /// Cancels a job on request; returns `false` if it is not open here.
+    pub fn revoke(&mut self, id: &name::Name) -> bool {
+        let Some(open) = self.open.remove(id) else { return false };
+        self.cancel(id, &open);
+        let detail = "on request".to_owned();
+        self.out.notes.push(Note { text: "job: Cancelled.", subject: id.clone(), detail });
+        for ticket in open.tickets {
+            self.tickets.remove(&ticket);
+            self.out.replies.push((ticket, Reply::Cancelled));
+        }
+        true
+    }
+
     /// Ends all open jobs because the instance ends.
     pub fn finish(&mut self, now: u64) {
         let verdict = |open: &OpenJob| open.final_verdict(Refusal::Draining);
@@ -54,7 +67,7 @@
         self.out.notes.push(Note { text: "job: Answered.", subject: id.clone(), detail });
         for ticket in open.tickets {
             self.tickets.remove(&ticket);
-            self.out.verdicts.push((ticket, verdict.clone()));
+            self.out.replies.push((ticket, Reply::Verdict(verdict.clone())));
         }
     }
 
--- a/crates/dispatch/src/messages/event.rs
+++ b/crates/dispatch/src/messages/event.rs
@@ -24,6 +24,8 @@
     Submit(Ticket, Box<job::Job>),
     /// The client of this ticket has disconnected.
     Disconnected(Ticket),
+    /// A client cancels a job.
+    Cancel(Ticket, name::Name),
     /// An upstream announces itself.
     Announce(Ticket, upstream::Record),
     /// An upstream announces itself for a service that is missing from this instance's active
@@ -99,6 +101,10 @@
 pub enum Reply {
     /// The outcome of a job.
     Verdict(job::Verdict),
+    /// The job was cancelled on request.
+    Cancelled,
+    /// The job is not open here.
+    NotOpen,
     /// The request was accepted.
     Noted,
     /// The newest configuration.
--- a/crates/dispatch/src/messages/message.rs
+++ b/crates/dispatch/src/messages/message.rs
@@ -51,6 +51,9 @@
     /// A message that a third instance relays, as the sender does not reach its receiver: sender,
     /// receiver and content.
     Relay(name::Name, name::Name, Box<Body>),
+    /// Cancels a job on request. A scheduler that has it passes the message on to the entry whose
+    /// client awaits it.
+    Revoke(name::Name),
 }
 
 /// A job that an entry awaits from a scheduler.
@@ -87,7 +90,7 @@
             Self::Agree(_) => "agree",
             Self::Confirm(_) | Self::Confirmed(..) => "confirm",
             Self::Submit(..) => "submit",
-            Self::Cancel(_) => "cancel",
+            Self::Cancel(_) | Self::Revoke(_) => "cancel",
             Self::Await(..) | Self::Unknown(..) => "await",
             Self::Verdict(..) => "verdict",
             Self::Spare(..) => "spare",
--- a/crates/dispatch/tests/world/client.rs
+++ b/crates/dispatch/tests/world/client.rs
@@ -134,6 +134,14 @@
         self.requests.remove(id);
     }
 
+    /// Sends a request to cancel a job to an entry, and returns its ticket.
+    pub fn cancel(&mut self, entry: usize, id: &Name) -> u64 {
+        self.sequence += 1;
+        let ticket = self.sequence;
+        self.handle(entry, Event::Cancel(ticket, id.clone()));
+        ticket
+    }
+
     /// Records the verdict of a request, and a fault if the verdict is not true.
     pub(super) fn record_verdict(&mut self, ticket: u64, verdict: Verdict) {
         let Some(id) = self.tickets.remove(&ticket) else { return };
