Ask every zone before a job counts as too large

A job was answered with 200 and the state `failed`, at once and without a run, when no upstream of one zone had room for one of its tasks even when idle, although idle upstreams of other zones had. The same happened to a job of one step while the large upstreams of the other zones were busy.

Cause: a scheduler looks at the upstreams of its own zone, and the entry passed its refusal on as the verdict on the whole job.

The entry now notes which schedulers have said so of a part of a job, and hands it to the next zone that may hold it: one round trip a zone, each zone once. The answer is final only if all parts of all known zones have been asked, no upstream known to the entry, present or gone, could hold the job, and one step needs at least what the others do, since a job whose steps fit in different zones only meets the same refusals. Otherwise the job is refused with 503 (`no_zone`), at once.

A scheduler also refuses on arrival what lacks the required label at all its upstreams, the rest of a job that has begun elsewhere, and what only upstreams that are leaving could hold. Jobs that have not started are checked again when an upstream leaves. These waited until their deadline.

No message has changed: `NoZone` stays within an entry.

--- a/crates/dispatch/src/decisions/assignment.rs
+++ b/crates/dispatch/src/decisions/assignment.rs
@@ -49,6 +49,8 @@
     pub(crate) pinned_zone: Option<name::Name>,
     /// Schedulers that had no room for these tasks: zone and holder.
     pub(crate) full_seats: smallvec::SmallVec<[Seat; 4]>,
+    /// Schedulers whose upstreams cannot hold these tasks even when idle.
+    pub(crate) small_seats: smallvec::SmallVec<[Seat; 2]>,
 }
 
 /// Times by which an entry handles its assignments, microseconds.
@@ -93,6 +95,7 @@
             lost_since: None,
             pinned_zone: None,
             full_seats: smallvec::SmallVec::new(),
+            small_seats: smallvec::SmallVec::new(),
         }
     }
 
@@ -153,10 +156,13 @@
     /// Whether this scheduler had no room for the tasks. One scheduler of a whole zone speaks for
     /// the next one, too.
     pub(crate) fn was_full(&self, claim: &claim::Claim) -> bool {
-        let is_meant = |(zone, holder): &Seat| {
-            *zone == claim.zone && (claim.parts.is_all() || *holder == claim.holder)
-        };
-        self.full_seats.iter().any(is_meant)
+        is_listed(&self.full_seats, claim)
+    }
+
+    /// Whether this scheduler has refused the tasks because its upstreams cannot hold them even
+    /// when idle.
+    pub(crate) fn is_too_large(&self, claim: &claim::Claim) -> bool {
+        is_listed(&self.small_seats, claim)
     }
 
     /// Whether the holder of a claim schedules all parts where the tasks may run.
@@ -183,11 +189,23 @@
 
     /// Records that the scheduler returned all tasks and that none of them runs there.
     pub(crate) fn mark_returned(&mut self) {
-        if let Some(claim) = self.claim.take() {
-            self.full_seats.push((claim.zone, claim.holder));
+        if let Some(seat) = self.release() {
+            self.full_seats.push(seat);
+        }
+    }
+
+    /// Records that the scheduler refused all tasks because its upstreams cannot hold them.
+    pub(crate) fn mark_too_large(&mut self) {
+        if let Some(seat) = self.release() {
+            self.small_seats.push(seat);
         }
+    }
+
+    /// Takes the tasks back from their scheduler, which runs none of them.
+    fn release(&mut self) -> Option<Seat> {
         self.pinned_zone = None;
         self.handed_over = self.resumed;
+        self.claim.take().map(|claim| (claim.zone, claim.holder))
     }
 
     /// Creates a separate assignment for tasks of this one that their scheduler returned.
@@ -195,8 +213,13 @@
         let mut full_seats = self.full_seats.clone();
         let seat = |claim: &claim::Claim| (claim.zone.clone(), claim.holder.clone());
         full_seats.extend(self.claim.as_ref().map(seat));
-        let used_attempts = self.used_attempts;
-        Self { used_attempts, full_seats, ..Self::new(number, share::Share::new(tasks), now) }
+        let (used_attempts, small_seats) = (self.used_attempts, self.small_seats.clone());
+        Self {
+            used_attempts,
+            full_seats,
+            small_seats,
+            ..Self::new(number, share::Share::new(tasks), now)
+        }
     }
 
     /// Merges the tasks of an assignment that goes to the same scheduler.
@@ -217,3 +240,11 @@
         now.saturating_sub(self.last_asked) / time::MS
     }
 }
+
+/// Whether these seats include the holder of a claim, or any holder if it claims a whole zone.
+fn is_listed(seats: &[Seat], claim: &claim::Claim) -> bool {
+    let is_meant = |(zone, holder): &Seat| {
+        *zone == claim.zone && (claim.parts.is_all() || *holder == claim.holder)
+    };
+    seats.iter().any(is_meant)
+}
--- a/crates/dispatch/src/decisions/view.rs
+++ b/crates/dispatch/src/decisions/view.rs
@@ -1,11 +1,13 @@
 //! The state that an entry uses to decide about its clients' jobs: live instances, schedulers, and
 //! known upstreams.
 
+use std::collections;
+
 use state::name;
 
 use crate::{
     decisions::leadership,
-    messages::{claim, evacuation},
+    messages::{claim, evacuation, parts, upstream},
     tables::membership,
 };
 
@@ -18,6 +20,8 @@
     pub claims: &'a leadership::Claims,
     /// Zones where no task is started.
     pub evacuations: &'a evacuation::Evacuations,
+    /// The upstreams that this instance knows.
+    pub table: &'a upstream::Table,
     /// Digest of the known upstreams of this instance's zone.
     pub upstreams: u64,
     /// Current monotonic time, in microseconds.
@@ -48,6 +52,21 @@
         !self.evacuations.has(zone)
     }
 
+    /// Whether `holds` is true of live schedulers of all parts of each known zone: those with an
+    /// instance and those with a claim.
+    pub(crate) fn is_everywhere(&self, holds: impl Fn(&claim::Claim) -> bool) -> bool {
+        let is_held = |zone: &name::Name| {
+            let claims =
+                self.claims.of_zone(zone).filter(|claim| self.is_current(claim) && holds(claim));
+            claims.fold(parts::Parts::NONE, |all, claim| all.plus(claim.parts)).is_all()
+        };
+        let cards = self.membership.peers.values().filter_map(|peer| peer.card.as_ref());
+        let instances = cards.map(|card| &card.zone).chain([&self.membership.me().zone]);
+        let zones: collections::BTreeSet<_> =
+            self.claims.iter().map(|claim| &claim.zone).chain(instances).collect();
+        zones.into_iter().all(is_held)
+    }
+
     /// Whether there are zones with a claim, but none where a task may be started.
     pub(crate) fn is_closed(&self) -> bool {
         let mut zones = self.claims.iter().map(|claim| &claim.zone).peekable();
--- a/crates/dispatch/src/machines/admission.rs
+++ b/crates/dispatch/src/machines/admission.rs
@@ -6,7 +6,7 @@
     decisions::queue,
     machines::sched::Sched,
     messages::{
-        job::{Job, Refusal, Verdict},
+        job::{Job, Refusal, Step, Verdict},
         message::{self, Decision},
         order::End,
         time, upstream,
@@ -109,19 +109,14 @@
         now: u64,
     ) -> Option<Refusal> {
         // Offered tasks without room go back to the entry, since another zone may have room.
-        if job.resumed || handover.maybe_started || handover.offer {
+        if job.resumed || handover.offer {
             return None;
         }
-        let serves =
-            |session: &&Session| session.record.service == job.service && session.is_owned();
-        let mut known = self.sessions.values().filter(serves).peekable();
-        if known.peek().is_some() {
-            let fits = |need: &upstream::Room| {
-                self.sessions.values().filter(serves).any(|session| need.fits(&session.record.most))
-            };
-            if !job.steps.iter().all(|step| fits(&step.need)) {
-                return Some(Refusal::TooLarge);
-            }
+        if !self.can_hold(job) {
+            return Some(Refusal::TooLarge);
+        }
+        if handover.maybe_started {
+            return None;
         }
         if !self.policy.refuse_overload {
             return None;
@@ -136,6 +131,30 @@
         queue::refusal_delay(job, queued, self.load(now), now).map(Refusal::Overload)
     }
 
+    /// Whether each task of a job fits at an idle upstream that takes new tasks, as far as the
+    /// upstreams of its service are known.
+    fn can_hold(&self, job: &Job) -> bool {
+        let serves = |session: &&Session| session.record.service == job.service;
+        let mut open = self.sessions.values().filter(serves).peekable();
+        let is_unknown = open.peek().is_none();
+        let open: Vec<_> =
+            open.filter(|session| session.record.phase == upstream::Phase::Serving).collect();
+        let fits = |step: &Step| open.iter().any(|session| session.record.can_hold(step));
+        is_unknown || job.steps.iter().all(fits)
+    }
+
+    /// Refuses jobs that have not started and fit at no upstream since some have left.
+    pub(crate) fn refuse_too_large(&mut self, now: u64) {
+        if !std::mem::take(&mut self.shrunk) {
+            return;
+        }
+        let unfit = self.jobs.iter().filter(|(_, active)| !active.started);
+        let unfit = unfit.filter(|(_, active)| !self.can_hold(&active.job));
+        for id in unfit.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            self.finish(&id, Verdict::NotRun(Refusal::TooLarge), now);
+        }
+    }
+
     /// Attaches runs, and ends of runs, of a former scheduler to a job that was submitted again.
     pub(crate) fn adopt(&mut self, id: &name::Name, now: u64) {
         self.orphan_runs.retain(|task, _| task.job != *id);
--- a/crates/dispatch/src/machines/core.rs
+++ b/crates/dispatch/src/machines/core.rs
@@ -257,6 +257,7 @@
             membership: &self.membership,
             claims: &self.claims,
             evacuations: &self.evacuations,
+            table: &self.table,
             upstreams,
             now: now.mono,
         };
--- a/crates/dispatch/src/machines/peers.rs
+++ b/crates/dispatch/src/machines/peers.rs
@@ -198,7 +198,8 @@
             }
             Body::Unknown(id, number) => self.submissions.handle_unknown(from, &id, number),
             Body::Verdict(id, decision) => {
-                self.submissions.handle_verdict(from, &id, &decision, now.mono);
+                let (view, submissions) = self.view(now);
+                submissions.handle_verdict(from, &id, &decision, view);
             }
             Body::Spare(id, returned) => {
                 let (view, submissions) = self.view(now);
--- a/crates/dispatch/src/machines/sched.rs
+++ b/crates/dispatch/src/machines/sched.rs
@@ -117,6 +117,8 @@
     /// Upstreams without a pending hold.
     pub(crate) idle_sessions: collections::BTreeSet<incarnation::Incarnation>,
     pub(crate) dirty: bool,
+    /// Whether there may be less room at idle upstreams than when the jobs arrived.
+    pub(crate) shrunk: bool,
     pub(crate) evacuated: bool,
     pub(crate) policy: policy::Policy,
     pub(crate) findings: suspect::Findings,
@@ -149,6 +151,7 @@
             number: now << 8,
             idle_sessions: collections::BTreeSet::new(),
             dirty: false,
+            shrunk: false,
             evacuated: false,
             policy: policy::Policy::default(),
             findings: suspect::Findings::default(),
@@ -251,6 +254,7 @@
                 self.idle_sessions.insert(record.id.clone());
             }
         }
+        self.shrunk |= record.phase != upstream::Phase::Serving;
         self.dirty = true;
     }
 
@@ -289,6 +293,7 @@
     pub fn tick(&mut self, clock_of: impl Fn(&name::Name) -> Option<u64>, now: u64) {
         self.drop_abandoned(&clock_of, now);
         self.expire_jobs(now);
+        self.refuse_too_large(now);
         self.expire_leases(now);
         self.compare_speeds(now);
         self.mark_orphans(now);
@@ -413,6 +418,7 @@
                 self.requeue(id, &task);
             }
         }
+        self.shrunk = true;
         self.dirty = true;
     }
 
--- a/crates/dispatch/src/machines/submissions.rs
+++ b/crates/dispatch/src/machines/submissions.rs
@@ -177,8 +177,9 @@
         from: &name::Name,
         id: &name::Name,
         decision: &Decision,
-        now: u64,
+        view: View<'_>,
     ) {
+        let now = view.now;
         let Some(open) = self.open.get_mut(id) else { return };
         match &decision.verdict {
             Verdict::Complete => {
@@ -201,11 +202,16 @@
             // The verdict covers only this scheduler: one that held the job before, or another one
             // that holds some of its tasks, may have started it.
             Verdict::NotRun(_) | Verdict::GaveUp => {
-                let is_meant = |part: &&assignment::Assignment| {
+                let is_meant = |part: &&mut assignment::Assignment| {
                     part.number == decision.number && part.is_with(from)
                 };
-                let Some(part) = open.parts.iter().find(is_meant) else { return };
-                let sole = open.parts.len() == 1 && !open.maybe_started && !part.resumed;
+                let Some(part) = open.parts.iter_mut().find(is_meant) else { return };
+                if decision.verdict == Verdict::NotRun(Refusal::TooLarge) {
+                    part.mark_too_large();
+                    return self.assign(id, decision.number, view);
+                }
+                let resumed = part.resumed;
+                let sole = open.parts.len() == 1 && !open.maybe_started && !resumed;
                 let verdict = if sole { &decision.verdict } else { &Verdict::GaveUp };
                 self.close(id, verdict, now);
             }
@@ -338,7 +344,7 @@
         let Some(open) = self.open.get(id) else { return };
         let Some(at) = open.parts.iter().position(|part| part.number == number) else { return };
         let Some(choice) = self.choose(open, &open.parts[at], view) else {
-            if let Some(refusal) = self.refusal(&open.parts[at], view) {
+            if let Some(refusal) = self.refusal(open, &open.parts[at], view) {
                 let verdict = open.final_verdict(refusal);
                 self.close(id, &verdict, view.now);
             }
@@ -381,9 +387,21 @@
     }
 
     /// The reason to refuse tasks that no scheduler can take at present, unless they should wait.
-    fn refusal(&self, part: &assignment::Assignment, view: View<'_>) -> Option<Refusal> {
+    fn refusal(
+        &self,
+        open: &OpenJob,
+        part: &assignment::Assignment,
+        view: View<'_>,
+    ) -> Option<Refusal> {
         if part.pinned_zone.is_some() {
             None
+        } else if !part.small_seats.is_empty() {
+            // Where its steps fit in different zones only, no zone can hold the job either.
+            let is_final = open.job.has_largest_step()
+                && !view.table.could_hold(&open.job)
+                && view.is_everywhere(|claim| part.is_too_large(claim));
+            let refusal = if is_final { Refusal::TooLarge } else { Refusal::NoZone };
+            (is_final || !open.is_handed_over()).then_some(refusal)
         } else if view.is_closed() {
             Some(Refusal::Evacuated)
         } else {
@@ -444,8 +462,10 @@
             let claim = view.claims.of_zone(zone).filter(reached).max_by_key(order)?.clone();
             return Some(ChosenScheduler { claim, offer: false });
         }
+        let is_able =
+            |claim: &&claim::Claim| view.is_open(&claim.zone) && !part.is_too_large(claim);
         let able: smallvec::SmallVec<[&claim::Claim; 8]> =
-            view.claims.iter().filter(reached).filter(|claim| view.is_open(&claim.zone)).collect();
+            view.claims.iter().filter(reached).filter(is_able).collect();
         let min_cpu = open.job.min_cpu() as i64;
         let is_hopeful = |claim: &&&claim::Claim| {
             !part.was_full(claim) && !self.loads.is_full(claim, min_cpu, view.now)
@@ -472,7 +492,8 @@
             (!late(claim), free.min(need), claim.zone == *home, free)
         };
         let claim = (*able.iter().max_by_key(queue)?).clone();
-        let fresh = !open.maybe_started && !part.resumed && view.now < open.arrived + HOME_WAIT;
+        let untried = part.small_seats.is_empty() && !part.resumed;
+        let fresh = untried && !open.maybe_started && view.now < open.arrived + HOME_WAIT;
         if homeless && fresh && self.loads.free(&claim) < need {
             return None;
         }
--- a/crates/dispatch/src/machines/upkeep.rs
+++ b/crates/dispatch/src/machines/upkeep.rs
@@ -162,6 +162,7 @@
             self.note("upstream: Given up, it does not answer.", &id.name, "");
             self.out.gone.push((id.clone(), false));
             self.sessions.remove(&id);
+            self.shrunk = true;
         }
     }
 }
--- a/crates/dispatch/src/messages/job.rs
+++ b/crates/dispatch/src/messages/job.rs
@@ -24,6 +24,13 @@
     pub spread: u32,
 }
 
+impl Step {
+    /// Whether each upstream that can hold the tasks of `other` can hold those of this step.
+    fn fits_beside(&self, other: &Self) -> bool {
+        self.need.fits(&other.need) && (self.label.is_none() || self.label == other.label)
+    }
+}
+
 /// A job for which a client waits.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Job {
@@ -63,6 +70,13 @@
         self.steps.len() == 1
     }
 
+    /// Whether an upstream that can hold the tasks of one of its steps can hold those of all others,
+    /// so that a zone that cannot hold the job cannot hold that step.
+    pub fn has_largest_step(&self) -> bool {
+        let is_largest = |largest: &Step| self.steps.iter().all(|step| step.fits_beside(largest));
+        self.steps.iter().any(is_largest)
+    }
+
     /// Number of tasks in all steps.
     pub fn count(&self) -> u32 {
         self.steps.iter().map(|step| step.count).sum()
@@ -140,12 +154,15 @@
     NoScheduler,
     /// All zones are evacuated.
     Evacuated,
-    /// No upstream of the service has room for such a task, even when idle.
+    /// No upstream of the service has room for such a task, even when idle. A scheduler says so of
+    /// its own upstreams only.
     TooLarge,
     /// The instance is shutting down.
     Draining,
     /// The job asks for a feature that this version does not support.
     Unsupported(name::Name),
+    /// No zone that can be asked has room for the job, even when idle. Only entries use it.
+    NoZone,
 }
 
 impl Refusal {
@@ -158,6 +175,7 @@
             Self::TooLarge => "too_large",
             Self::Draining => "draining",
             Self::Unsupported(_) => "unsupported",
+            Self::NoZone => "no_zone",
         }
     }
 }
--- a/crates/dispatch/tests/world/call.rs
+++ b/crates/dispatch/tests/world/call.rs
@@ -34,7 +34,7 @@
             zone: Name::new(&upstream.zone),
             room: upstream.room,
             most: upstream.room,
-            labels: smallvec::SmallVec::new(),
+            labels: upstream.label.iter().cloned().collect(),
             phase,
             serial: upstream.serial,
         };
--- a/crates/dispatch/tests/world/upstream.rs
+++ b/crates/dispatch/tests/world/upstream.rs
@@ -8,6 +8,7 @@
     order::{Call, End, Ended, Order, Outcome, Reason, Running},
     upstream::Room,
 };
+use state::name::Name;
 
 /// One millisecond, microseconds.
 pub const MS: u64 = 1_000;
@@ -59,6 +60,7 @@
     pub address: String,
     pub zone: String,
     pub room: Room,
+    pub label: Option<Name>,
     pub is_up: bool,
     /// Whether its tasks make no progress.
     pub hangs: bool,
@@ -105,7 +107,7 @@
 
 impl Upstream {
     /// Returns whether a task of the job has ended here or was ordered to stop.
-    pub fn has_run(&self, job: &state::name::Name) -> bool {
+    pub fn has_run(&self, job: &Name) -> bool {
         self.highest.keys().any(|task| task.job == *job)
     }
 
@@ -116,6 +118,7 @@
             address: "10.9.0.1:80".to_owned(),
             zone: zone.to_owned(),
             room: Room { cpu, memory: 64_000, accelerators: 0 },
+            label: None,
             is_up: true,
             hangs: false,
             fails: false,
