--- a/crates/link/src/vital.rs
+++ b/crates/link/src/vital.rs
@@ -27,7 +27,7 @@
     ///
     /// ```
     /// let (ended, names) = std::sync::mpsc::channel();
-    /// let owner = link::vital::Owner::new(Box::new(move |name| drop(ended.send(name))));
+    /// let owner = link::vital::Owner::new(Box::new(move |name| ended.send(name).unwrap()));
     /// owner.spawn("store", || {}).unwrap();
     /// assert_eq!(names.recv().unwrap(), "store");
     /// ```
--- a/crates/link/tests/vital.rs
+++ b/crates/link/tests/vital.rs
@@ -12,7 +12,7 @@
 
 fn owner() -> (vital::Owner, mpsc::Receiver<&'static str>) {
     let (ended, names) = mpsc::channel();
-    (vital::Owner::new(Box::new(move |name| drop(ended.send(name)))), names)
+    (vital::Owner::new(Box::new(move |name| ended.send(name).unwrap())), names)
 }
 
 struct NoHandler;
@@ -35,7 +35,7 @@
     owner.spawn("panicked", || panic!("a part fails")).unwrap();
     assert_eq!(names.recv_timeout(TIMEOUT), Ok("panicked"));
     let (release, wait) = mpsc::channel::<()>();
-    owner.spawn("running", move || drop(wait.recv())).unwrap();
+    owner.spawn("running", move || wait.recv().unwrap_or_default()).unwrap();
     assert!(names.recv_timeout(SILENCE).is_err(), "a part that runs has not ended");
     drop(release);
     assert_eq!(names.recv_timeout(TIMEOUT), Ok("running"));
