An entry that has just started acts by an unconfirmed configuration for 2.5 s at most

Cause: a keeper announces the configuration up to the commit index on its own disk, which lags behind what was acknowledged, before any leader has told it what is committed; entries without a configuration put it in force, and nothing takes it back. Class: what one copy holds is taken for what is agreed.

Change: a keeper that has not learned what is committed within 2 s of its start announces no configuration. An entry that has just started and finds none of the keepers confirming what it acts by after 2.5 s answers 503 and is not ready until one does. Operators may count on a change 3 s after a start. In those 2.5 s clients are served as before: to refuse them would cost a second of service after each loss of power. Entries that were confirmed once go on without any keeper, as before.

Tests: configuration::older_after_restart, failed before (entries still in use 3 s after the start), and confirmed_after_restart, which guards that nothing is refused where keepers agree in time.

--- a/crates/coord/src/raft.rs
+++ b/crates/coord/src/raft.rs
@@ -158,6 +158,9 @@
     /// Highest index at which this member's log is known to match that of the leader of the
     /// current term.
     pub(crate) matched: u64,
+    /// Whether this process has learned from the leader of the present term, or as that leader, what
+    /// is committed. The commit index on a disk may be older.
+    pub(crate) confirmed: bool,
     pub(crate) role: Role,
     pub(crate) leader: Option<name::Member>,
     pub(crate) leader_contact: u64,
@@ -189,6 +192,7 @@
             commit: stored.log.base(),
             synced: stored.log.last(),
             matched: 0,
+            confirmed: false,
             log: stored.log,
             voters: stored.voters.clone(),
             base_voters: stored.voters,
@@ -306,6 +310,11 @@
         self.log.term(self.commit) == Some(self.term)
     }
 
+    /// Whether this process has learned what was committed when it started.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed
+    }
+
     /// Whether the latest voter change is committed, so that another may follow.
     pub fn is_settled(&self) -> bool {
         let is_change = |entry: &&Entry| matches!(entry.payload, Payload::Voters(_));
--- a/crates/coord/src/replicate.rs
+++ b/crates/coord/src/replicate.rs
@@ -60,6 +60,7 @@
         }
         self.matched = self.matched.max(last);
         self.commit_to(commit.min(last));
+        self.confirmed |= commit <= last && self.is_current();
         self.acknowledge(from, last, sent, now);
     }
 
@@ -256,6 +257,7 @@
         }
         let (former, synced) = (self.commit, self.synced);
         self.commit_to(index);
+        self.confirmed = true;
         if let Role::Leader(lead) = &mut self.role {
             if synced >= former {
                 lead.stored_at = now;
--- a/crates/dispatch/src/machines/control_log.rs
+++ b/crates/dispatch/src/machines/control_log.rs
@@ -298,6 +298,11 @@
         self.group.raft()
     }
 
+    /// Whether this member has learned since its start what is committed.
+    pub fn is_confirmed(&self) -> bool {
+        self.group.raft().is_some_and(raft::Raft::is_confirmed)
+    }
+
     /// The voters of the group, separated by spaces, for display.
     pub fn voters(&self) -> String {
         let voters = self.group.raft().map(|raft| raft.voters().0.clone()).unwrap_or_default();
--- a/crates/dispatch/src/machines/core.rs
+++ b/crates/dispatch/src/machines/core.rs
@@ -91,6 +91,8 @@
     pub(crate) submissions: submissions::Submissions,
     pub(crate) control_log: Option<control_log::ControlLog>,
     pub(crate) document: Document,
+    /// Whether a keeper has confirmed the configuration in force since this entry started.
+    pub(crate) confirmed: bool,
     pub(crate) evacuations: evacuation::Evacuations,
     pub(crate) named_zones: Vec<name::Name>,
     pub(crate) draining: bool,
@@ -133,6 +135,7 @@
             submissions: submissions::Submissions::default().with_policy(policy),
             control_log,
             document: Document::default(),
+            confirmed: false,
             evacuations: evacuation::Evacuations::default(),
             named_zones: zones,
             draining: false,
@@ -285,6 +288,7 @@
         self.watched_entries = self.find_watched_entries(now);
         self.send_heartbeats(now);
         self.fetch_newer(now);
+        self.check_confirmed(now);
         let table = &self.table;
         let is_gone = |id: &incarnation::Incarnation| {
             table.get(id).is_none_or(|known| known.phase == upstream::Phase::Gone)
--- a/crates/dispatch/src/machines/peers.rs
+++ b/crates/dispatch/src/machines/peers.rs
@@ -116,7 +116,7 @@
             draining: self.draining,
             led: self.claims.led_parts(zone, &self.membership, now.mono),
             claims: self.claims.iter().cloned().collect(),
-            version: self.document.version,
+            version: self.announced_version(now),
             evacuations: self.evacuations.clone(),
             members: self.membership.digest(),
             records: None,
--- a/crates/dispatch/src/machines/propagation.rs
+++ b/crates/dispatch/src/machines/propagation.rs
@@ -4,7 +4,7 @@
 use state::name;
 
 use crate::{
-    machines::core::Core,
+    machines::{control_log, core::Core},
     messages::{
         evacuation,
         event::{Output, Reply, Ticket},
@@ -22,6 +22,18 @@
 /// one, as it is cut off or keepers have lost power, goes on with the last that it has.
 const OUTDATED_AFTER: u64 = 1_100 * MS;
 
+/// A keeper that has just started announces the configuration on its disk, which may be older than
+/// the last acknowledged one, for this long, microseconds. After that it announces none until it has
+/// learned what is committed: the settings group has elected a leader by then, unless most of it is
+/// lost.
+const UNCONFIRMED_TIME: u64 = 2_000 * MS;
+/// A configuration that a keeper still announces this long after its first heartbeat is confirmed,
+/// microseconds: a heartbeat may be on its way for 200 ms.
+const CONFIRMED_AFTER: u64 = UNCONFIRMED_TIME + 200 * MS;
+/// An entry that has just started answers by a configuration that no keeper has confirmed for this
+/// long, microseconds. Operators count on their changes 3,000 ms after a start.
+const UNCONFIRMED_LIMIT: u64 = 2_500 * MS;
+
 /// Maximum size of a configuration that is sent without a request, bytes: several keepers may send
 /// it, and each copy takes 1.3 ms of a link of 25 Mbit/s.
 const MAX_UNREQUESTED: usize = 4_096;
@@ -36,13 +48,42 @@
     }
 
     /// Whether this instance has known a newer version for too long to answer requests by
-    /// the one in force, and a live instance has that newer one.
+    /// the one in force, and a live instance has that newer one; or whether no keeper has confirmed
+    /// the one in force since this instance started.
     pub fn is_outdated(&self, now: Now) -> bool {
+        if self.is_unconfirmed(now) {
+            return true;
+        }
         let Some((version, since)) = self.newer_versions.first_key_value() else { return false };
         now.mono >= since + OUTDATED_AFTER
             && !self.membership.sources(*version, now.mono).is_empty()
     }
 
+    /// Whether this entry has just started and acts by a configuration that a keeper announced when
+    /// that had just started itself, and does not confirm now.
+    fn is_unconfirmed(&self, now: Now) -> bool {
+        !self.confirmed
+            && self.control_log.is_none()
+            && now.mono >= self.membership.start() + UNCONFIRMED_LIMIT
+            && self.membership.has_older(self.document.version, now.mono)
+    }
+
+    /// Checks whether a keeper has confirmed the configuration in force. This is needed once after
+    /// a start: only confirmed configurations replace it from then on.
+    pub(crate) fn check_confirmed(&mut self, now: Now) {
+        let version = self.document.version;
+        self.confirmed |=
+            version > 0 && self.membership.has_kept(version, CONFIRMED_AFTER, now.mono);
+    }
+
+    /// The version that heartbeats announce; 0 for none.
+    pub(crate) fn announced_version(&self, now: Now) -> u64 {
+        let is_confirmed =
+            self.control_log.as_ref().is_none_or(control_log::ControlLog::is_confirmed);
+        let is_fresh = now.mono < self.membership.start() + UNCONFIRMED_TIME;
+        if is_confirmed || is_fresh { self.document.version } else { 0 }
+    }
+
     /// Requests the newest known configuration if that is due.
     pub(crate) fn fetch_newer(&mut self, now: Now) {
         let Some(newest) = self.newer_versions.last_key_value().map(|(version, _)| *version) else {
--- a/crates/dispatch/src/tables/membership.rs
+++ b/crates/dispatch/src/tables/membership.rs
@@ -202,6 +202,26 @@
         holders.into_iter().map(|(name, _)| name).collect()
     }
 
+    /// Whether a live keeper still has `version` or a newer one `time` after its first heartbeat.
+    pub fn has_kept(&self, version: u64, time: u64, now: u64) -> bool {
+        let kept =
+            |peer: &Peer, announced| announced >= version && peer.read >= peer.first_at + time;
+        self.live_keepers(now).any(|(peer, announced)| kept(peer, announced))
+    }
+
+    /// Whether a live keeper does not have `version` or a newer one.
+    pub fn has_older(&self, version: u64, now: u64) -> bool {
+        self.live_keepers(now).any(|(_, announced)| announced < version)
+    }
+
+    /// The live keepers, each with the version of the configuration that it announced last.
+    fn live_keepers(&self, now: u64) -> impl Iterator<Item = (&Peer, u64)> {
+        let live = self.peers.values().filter(move |peer| peer.is_alive(now));
+        let pings = live.filter_map(|peer| Some((peer, peer.ping.as_ref()?)));
+        let keepers = pings.filter(|(_, ping)| ping.card.role == member::Role::Keeper);
+        keepers.map(|(peer, ping)| (peer, ping.version))
+    }
+
     /// Records a heartbeat; returns true if it is the first of its sender's incarnation.
     pub fn record_heartbeat(&mut self, ping: message::Ping, direct: bool, now: u64) -> bool {
         let name = ping.card.name.clone();
@@ -220,6 +240,7 @@
         let first = former.is_none_or(|incarnation| incarnation < ping.card.incarnation);
         if first {
             peer.clock_bound = None;
+            peer.first_at = now;
         }
         peer.read = now;
         let proof = ping.ack.as_ref().filter(|ack| {
--- a/crates/dispatch/tests/configuration.rs
+++ b/crates/dispatch/tests/configuration.rs
@@ -85,6 +85,49 @@
     assert_eq!(count("settings: Order refused, another configuration has this version."), 1);
 }
 
+/// Whether each entry answers requests by its configuration, and by which version.
+fn in_use(world: &World) -> Vec<(u64, bool)> {
+    let now = world.clock();
+    let entries = [1, 3, 5].map(|at| world.instances[at].core.as_ref().unwrap());
+    entries.map(|core| (core.document().version, !core.is_outdated(now))).to_vec()
+}
+
+/// Entries must not go on by what a restarted keeper finds on its disk, which may have been replaced.
+#[test]
+fn older_after_restart() {
+    let mut world = started_world(4);
+    assert_eq!(publish(&mut world, 0, 5, "text"), Some(Reply::Noted));
+    world.set_zone_cut(2, true);
+    assert_eq!(publish(&mut world, 0, 6, "newer"), Some(Reply::Noted));
+    (0..6).for_each(|at| world.kill(at));
+    world.set_zone_cut(2, false);
+    [1, 3, 4, 5].into_iter().for_each(|at| world.start(at));
+    world.run(1_000);
+    assert_eq!(in_use(&world), [(5, true); 3], "for a short time");
+    world.run(2_000);
+    assert_eq!(in_use(&world), [(5, false); 3], "no keeper confirms it");
+    [0, 2].into_iter().for_each(|at| world.start(at));
+    world.run(3_000);
+    assert_eq!(in_use(&world), [(6, true); 3]);
+}
+
+#[test]
+fn confirmed_after_restart() {
+    let mut world = started_world(5);
+    assert_eq!(publish(&mut world, 0, 5, "text"), Some(Reply::Noted));
+    (0..6).for_each(|at| world.kill(at));
+    (0..6).for_each(|at| world.start(at));
+    world.run(300);
+    for _ in 0..60 {
+        world.run(100);
+        assert_eq!(in_use(&world), [(5, true); 3]);
+    }
+    KEEPERS.into_iter().for_each(|at| world.kill(at));
+    world.start(0);
+    world.run(10_000);
+    assert_eq!(in_use(&world), [(5, true); 3], "confirmed before the keepers were lost");
+}
+
 #[test]
 fn minority_cannot_tell() {
     let mut world = started_world(3);
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -471,7 +471,7 @@
         self.faults.extend(twice);
     }
 
-    fn clock(&self) -> Now {
+    pub fn clock(&self) -> Now {
         Now::new(self.now, WALL_CLOCK_MS + self.now / MS)
     }
 
