The seat of a keeper that is gone is given away although leaders change often

Cause: a leader counts a voter as lost 3 s after the start of its own term, so that leaders which follow each other faster never do. Class: a bound that starts anew with each holder of a role, although what it measures goes on.

Change: keepers of a small fleet hear each other by heartbeats, whoever leads. A voter that was not heard so for 3 s, and does not answer a new leader within 0.4 s, counts as lost.

--- a/crates/coord/src/group.rs
+++ b/crates/coord/src/group.rs
@@ -119,6 +119,9 @@
     pub(crate) peer_states: collections::BTreeMap<name::Name, (u64, Option<Formation>)>,
     /// Formations that this process has founded and left.
     pub(crate) abandoned: smallvec::SmallVec<[Formation; 4]>,
+    /// Other instances that this one has heard lately by other messages than those of the group;
+    /// `None` if that is not known.
+    pub(crate) heard: Option<Vec<name::Name>>,
     pub(crate) next_probe: u64,
     /// Number of the last change passed to the caller to be stored.
     pub(crate) last_issued: u64,
@@ -143,6 +146,7 @@
             machine,
             peer_states: collections::BTreeMap::new(),
             abandoned: smallvec::SmallVec::new(),
+            heard: None,
             next_probe: 0,
             last_issued: 0,
             last_saved: 0,
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -146,7 +146,7 @@
 pub mod share;
 pub mod status;
 pub mod time;
-mod upkeep;
+pub mod upkeep;
 mod waiter;
 
 pub use core::Core;
--- a/crates/coord/src/upkeep.rs
+++ b/crates/coord/src/upkeep.rs
@@ -15,7 +15,9 @@
 /// Time without a message, or with a disk that stores nothing, after which a voter may lose its seat
 /// to another member, in microseconds. This is longer than a freeze or a restart, and well below
 /// the time in which a second disk may be lost.
-const LOST_VOTER_TIMEOUT: u64 = 3_000 * time::MS;
+pub const LOST_VOTER_TIMEOUT: u64 = 3_000 * time::MS;
+/// Time in which a voter answers a new leader, in microseconds: two heartbeats of the leader.
+const ANSWER_TIMEOUT: u64 = 400 * time::MS;
 /// Maximum time since the last message of a member that takes over a seat, in microseconds: two
 /// heartbeats.
 const RESEAT_MAX_SILENCE: u64 = 500 * time::MS;
@@ -63,6 +65,13 @@
         self.config.others = others;
     }
 
+    /// Sets the other instances that this one has heard within [`LOST_VOTER_TIMEOUT`] by other
+    /// messages than those of the group; `None` if this instance cannot tell yet. A leader that has
+    /// just been elected so knows which voters were lost before.
+    pub fn set_heard(&mut self, heard: Option<Vec<name::Name>>) {
+        self.heard = heard;
+    }
+
     /// Sends a heartbeat immediately if this member leads.
     pub fn send_heartbeat(&mut self, now: u64) {
         if let Stage::Joined(joined) = &mut self.stage {
@@ -99,8 +108,10 @@
         let is_lost = |m: &&name::Member| {
             let progress = raft.peers().find(|(peer, _)| peer == m).map(|(_, progress)| progress);
             let is_stuck = |p: &raft::Progress| p.match_index < commit && is_overdue(p.stored_at);
+            let is_unheard = self.heard.as_ref().is_some_and(|heard| !heard.contains(&m.name));
+            let is_mute = |p: &raft::Progress| now > p.last_contact + ANSWER_TIMEOUT && is_unheard;
             **m != self.config.me
-                && progress.is_none_or(|p| is_overdue(p.last_contact) || is_stuck(p))
+                && progress.is_none_or(|p| is_overdue(p.last_contact) || is_stuck(p) || is_mute(p))
         };
         let lost = voters.0.iter().find(is_lost).cloned();
         let seats = (voters.0.len() + eligible.len()).min(max_seats);
--- a/crates/dispatch/src/machines/control_log.rs
+++ b/crates/dispatch/src/machines/control_log.rs
@@ -314,6 +314,12 @@
         self.group.set_others(others);
     }
 
+    /// Sets the other instances that were heard within [`coord::upkeep::LOST_VOTER_TIMEOUT`], if that is
+    /// known.
+    pub fn set_heard(&mut self, heard: Option<Vec<name::Name>>) {
+        self.group.set_heard(heard);
+    }
+
     /// Handles a configuration from the operator.
     pub fn publish(&mut self, ticket: Ticket, document: Document, now: u64) {
         if let Some(same) = self.group.machine().precheck(&document) {
--- a/crates/dispatch/src/tables/membership.rs
+++ b/crates/dispatch/src/tables/membership.rs
@@ -222,6 +222,16 @@
         keepers.map(|(peer, ping)| (peer, ping.version))
     }
 
+    /// Other instances that were heard within `time`; `None` if this instance has not listened for
+    /// that long, or is one of so many that it does not listen to all.
+    pub fn heard_within(&self, time: u64, now: u64) -> Option<Vec<name::Name>> {
+        if !self.is_small() || now < self.start.max(self.distrust_until) + time {
+            return None;
+        }
+        let heard = self.peers.iter().filter(|(_, peer)| now < peer.heartbeat_at + time);
+        Some(heard.map(|(name, _)| name.clone()).collect())
+    }
+
     /// Records a heartbeat; returns true if it is the first of its sender's incarnation.
     pub fn record_heartbeat(&mut self, ping: message::Ping, direct: bool, now: u64) -> bool {
         let name = ping.card.name.clone();
--- a/crates/dispatch/tests/configuration.rs
+++ b/crates/dispatch/tests/configuration.rs
@@ -168,6 +168,46 @@
     }
 }
 
+/// Index of the leader of the settings group.
+fn leader(world: &World) -> Option<usize> {
+    let now = world.clock();
+    let leads =
+        |at: &usize| world.instances[*at].core.as_ref().is_some_and(|c| c.status(now).leading);
+    KEEPERS.into_iter().find(|at| !world.instances[*at].frozen && leads(at))
+}
+
+/// The seat of a keeper that is gone must be repaired although no leader lasts for 3 s.
+#[test]
+fn leaders_change_often() {
+    for seed in 0..5 {
+        let mut world = started_world(seed);
+        let removed = KEEPERS.into_iter().find(|at| Some(*at) != leader(&world)).unwrap();
+        world.replace_keeper(removed, "10.0.0.77:7301");
+        for _ in 0..6 {
+            while leader(&world).is_none() {
+                world.run(100);
+            }
+            let frozen = leader(&world).unwrap();
+            world.freeze(frozen);
+            world.run(1_500);
+            world.unfreeze(frozen);
+            world.run(1_000);
+        }
+        assert_eq!(publish(&mut world, KEEPERS[1], 9, "text"), Some(Reply::Noted), "seed {seed}");
+        let lost = KEEPERS.into_iter().find(|at| *at != removed).unwrap();
+        world.lose_disk(lost);
+        (0..6).for_each(|at| world.kill(at));
+        world.run(500);
+        (0..6).for_each(|at| world.start(at));
+        world.run(5_000);
+        assert_eq!(
+            read(&mut world, removed),
+            Some(newest_reply(9, "text")),
+            "seed {seed}, {lost} lost its disk"
+        );
+    }
+}
+
 #[test]
 fn disks_lost_in_turn() {
     // Each disk is lost once, with time between the losses to catch up. The group repairs its
