Tests: a soak of changed configurations, with lost power at the end

Callers saw once each on three deployments that a confirmed configuration was not kept. The soak had one operator that waits for its answers, a prober of the last four versions and no loss of a disk with all processes at once, so no run of it looked at most sentences of the rule.

Seeds from CONFIG_SEED on send changes from two operators with up to eight orders in progress each: answers that are not read, bodies whose second half arrives late, changes sent again, other content under the version held, 46 kinds of invalid ones, 100 to 400 routes. Faults are added: most keepers killed, a keeper exchanged, seeds changed, a full and a hanging disk, few descriptors. At the end one disk is removed while all processes are killed right after an acknowledgement.

The torn write of the soak looked for files with the ending .log, which no log has, so it never tore one. It now appends the first part of a record.

--- a/crates/apricotroute/tests/soak.rs
+++ b/crates/apricotroute/tests/soak.rs
@@ -7,14 +7,28 @@
 
 mod system;
 
+#[path = "soak/config.rs"]
+mod config;
+#[path = "soak/content.rs"]
+mod content;
+#[path = "soak/faults.rs"]
+mod faults;
 #[path = "soak/judge.rs"]
 mod judge;
 #[path = "soak/load.rs"]
 mod load;
+#[path = "soak/orders.rs"]
+mod orders;
+#[path = "soak/outages.rs"]
+mod outages;
 #[path = "soak/plan.rs"]
 mod plan;
 #[path = "soak/play.rs"]
 mod play;
+#[path = "soak/probes.rs"]
+mod probes;
+#[path = "soak/verify.rs"]
+mod verify;
 
 use std::time::Duration;
 
@@ -44,12 +58,16 @@
     play::run(subnet, seed, size, duration);
 }
 
+/// The seeds that a variable selects, in the form `A..B`.
+fn seed_range(name: &str) -> Option<std::ops::Range<u64>> {
+    let range = std::env::var(name).ok()?;
+    let (from, to) = range.split_once("..").expect("the form is A..B");
+    Some(from.parse().expect("a number")..to.parse().expect("a number"))
+}
+
 #[test]
 fn seeds() {
-    let range = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1..2".to_owned());
-    let (from, to) = range.split_once("..").expect("SOAK_SEEDS is A..B");
-    let range = from.parse().expect("a number")..to.parse().expect("a number");
-    for seed in range {
+    for seed in seed_range("SOAK_SEEDS").unwrap_or(1..2) {
         soak(env_var("SOAK_NET").unwrap_or(100), seed, env_var("SOAK_MS").unwrap_or(8_000));
         eprintln!("seed {seed} passed");
     }
@@ -65,6 +83,17 @@
     soak(97, plan::UNEQUAL_SEED, 8_000);
 }
 
+/// Runs seeds of changed configurations; `CONFIG_SEEDS=A..B` selects other ones, and `SOAK_MS` sets
+/// the duration of the faults of each.
+#[test]
+fn configurations() {
+    let first = plan::CONFIG_SEED;
+    for seed in seed_range("CONFIG_SEEDS").unwrap_or(first..first + 1) {
+        let duration = Duration::from_millis(env_var("SOAK_MS").unwrap_or(2_000));
+        config::run(env_var("SOAK_NET").unwrap_or(96), seed, duration);
+    }
+}
+
 #[test]
 fn regressions() {
     for (seed, ms) in REGRESSIONS {
--- a/crates/apricotroute/tests/soak/plan.rs
+++ b/crates/apricotroute/tests/soak/plan.rs
@@ -60,6 +60,19 @@
     Race,
     /// An operator sends an invalid configuration.
     Invalid,
+    /// Kills all keepers but one at once and starts them again after this time.
+    KillMost(usize, Duration),
+    /// Removes a keeper for good, and adds an empty one at another address.
+    Exchange(usize),
+    /// Writes the seeds into all settings files in another order, with SIGHUP or without.
+    Reseed(bool),
+    /// A keeper's disk has no room for snapshots for this long.
+    FullDisk(usize, Duration),
+    /// A keeper's disk hangs for this long.
+    HungDisk(usize, Duration),
+    /// Restarts an instance at once, and fills it with idle connections for this long while it may
+    /// have only a few files open.
+    Crowd(usize, Duration),
 }
 
 impl Fault {
@@ -71,7 +84,9 @@
         // A process has ended this long after SIGTERM.
         const STOP_TIME: Duration = Duration::from_secs(7);
         match self {
-            Self::Kill(_, time) | Self::KillKeepers(time) => Some(time + START_TIME),
+            Self::Kill(_, time) | Self::KillKeepers(time) | Self::KillMost(_, time) => {
+                Some(time + START_TIME)
+            }
             Self::KillAll | Self::Wipe(_) | Self::TornWrite(_) | Self::ClockSkew(..) => {
                 Some(START_TIME * 2)
             }
@@ -80,9 +95,13 @@
             | Self::BlockOneWay(_, _, time)
             | Self::Isolate(_, time)
             | Self::IsolateZone(_, time)
-            | Self::Delay(_, _, time) => Some(time),
-            Self::Reset(_) | Self::Blackhole(_) => Some(START_TIME),
+            | Self::Delay(_, _, time)
+            | Self::FullDisk(_, time)
+            | Self::HungDisk(_, time)
+            | Self::Crowd(_, time) => Some(time),
+            Self::Reset(_) | Self::Blackhole(_) | Self::Exchange(_) => Some(START_TIME),
             Self::Hup(..)
+            | Self::Reseed(_)
             | Self::Crash(_)
             | Self::Leave(_)
             | Self::Fail(..)
@@ -95,6 +114,17 @@
             | Self::Invalid => None,
         }
     }
+
+    /// How long the fault itself lasts, without the time that processes need to start again.
+    pub fn duration(self) -> Duration {
+        const SHORT: Duration = Duration::from_millis(500);
+        match self {
+            Self::Kill(_, time) | Self::KillKeepers(time) | Self::KillMost(_, time) => time,
+            Self::KillAll | Self::Wipe(_) | Self::TornWrite(_) | Self::ClockSkew(..) => SHORT,
+            Self::Reset(_) | Self::Blackhole(_) | Self::Exchange(_) => Duration::ZERO,
+            _ => self.disturbance().unwrap_or_default(),
+        }
+    }
 }
 
 /// The size of a system; entries and upstreams are counted per zone.
@@ -121,6 +151,8 @@
 pub const SAME_ID_SEED: u64 = 3_000;
 /// From this seed on, entries are of unequal sizes, and all keepers are lost twice.
 pub const UNEQUAL_SEED: u64 = 4_000;
+/// From this seed on, the faults concern the configuration, and the run is [`super::config`]'s.
+pub const CONFIG_SEED: u64 = 5_000;
 /// Number of random values that select a fault, for a seed below [`FULL_SEED`].
 const EARLY_CHOICES: u32 = 26;
 /// Number of random values that select a fault, for all other seeds.
@@ -201,3 +233,74 @@
         _ => Fault::Publish,
     }
 }
+
+/// The faults of a run of configurations: series of faults that overlap, with calm times between.
+/// Only one keeper loses its disk. Without `has_disks`, no disk is full or hangs.
+pub fn config_plan(
+    seed: u64,
+    size: Size,
+    duration: Duration,
+    has_disks: bool,
+) -> Vec<(Duration, Fault)> {
+    /// Number of faults in a series.
+    const SERIES: std::ops::Range<u32> = 1..5;
+    /// Pause between two faults of a series, milliseconds.
+    const GAP: u64 = 900;
+    /// Pause between two series, milliseconds.
+    const CALM: std::ops::Range<u64> = 2_000..9_000;
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let (mut at, mut plan, mut lost) = (0, Vec::new(), false);
+    while at < duration.as_millis() as u64 {
+        for _ in 0..rng.random_range(SERIES) {
+            let fault = config_fault(&mut rng, size, &mut lost);
+            let is_disk = matches!(fault, Fault::FullDisk(..) | Fault::HungDisk(..));
+            if has_disks || !is_disk {
+                plan.push((Duration::from_millis(at), fault));
+            }
+            at += rng.random_range(0..GAP);
+        }
+        at += rng.random_range(CALM);
+    }
+    plan
+}
+
+fn config_fault(rng: &mut SmallRng, size: Size, lost: &mut bool) -> Fault {
+    let instance = rng.random_range(0..size.zones * size.instances());
+    let other = rng.random_range(0..size.zones * size.instances());
+    let zone = rng.random_range(0..size.zones);
+    let keeper = zone * size.instances();
+    let time = Duration::from_millis(rng.random_range(100..5_000));
+    match rng.random_range(0..30) {
+        0..=2 => Fault::Kill(instance, time / 2),
+        3 => Fault::Kill(keeper, time / 2),
+        4 => Fault::Term(instance),
+        5 | 6 => Fault::Suspend(instance, time),
+        7 | 8 => Fault::Suspend(keeper, time),
+        9 => Fault::Hup(instance, rng.random_range(1..4)),
+        10 => Fault::KillKeepers(time),
+        11 => Fault::KillAll,
+        12 | 13 => Fault::KillMost(zone, time),
+        14 if !*lost => {
+            *lost = true;
+            Fault::Wipe(keeper)
+        }
+        15 if !*lost => {
+            *lost = true;
+            Fault::Exchange(keeper)
+        }
+        14..=16 => Fault::TornWrite(keeper),
+        17 => Fault::BlockOneWay(instance, other, time),
+        18 => Fault::BlockOneWay(keeper, other, time),
+        19 => Fault::BlockOneWay(other, keeper, time),
+        20 => Fault::Isolate(instance, time),
+        21 => Fault::IsolateZone(zone, time),
+        22 => Fault::Delay(instance, time / 40, time),
+        23 => Fault::Reset(instance),
+        24 => Fault::Blackhole(instance),
+        25 => Fault::ClockSkew(instance, rng.random_range(-5_000..5_000)),
+        26 => Fault::Reseed(rng.random_bool(0.5)),
+        27 => Fault::FullDisk(keeper, time * 3),
+        28 => Fault::HungDisk(keeper, time * 2),
+        _ => Fault::Crowd(instance, time),
+    }
+}
--- a/crates/apricotroute/tests/soak/play.rs
+++ b/crates/apricotroute/tests/soak/play.rs
@@ -1,9 +1,7 @@
 //! Applies the plan of one seed to a system of real processes.
 
 use std::{
-    fs,
-    io::Write as _,
-    net, sync, thread,
+    collections, fs, net, path, sync, thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
@@ -15,12 +13,10 @@
     judge,
     load::{self, Observations},
     plan::{self, Fault, Size},
+    verify::Disruption,
 };
-use crate::system::{self, System, TASK_CPU, UPSTREAM_CPU, agent, call, job};
+use crate::system::{self, System, agent, call, job};
 
-/// A process has ended this long after SIGTERM: its grace period of 6 s and a margin for a busy
-/// machine.
-const STOP_LIMIT: Duration = Duration::from_secs(8);
 /// The system has recovered this long after the last fault: a wiped disk is repaired, and
 /// instances that had been disconnected have connected again.
 const RECOVERY_TIME: Duration = Duration::from_secs(9);
@@ -33,7 +29,7 @@
 
 /// A later step of a fault, such as its end.
 #[derive(Clone, Copy, Debug)]
-enum Step {
+pub enum Step {
     Start(usize),
     Restart(usize, Instant),
     Resume(usize),
@@ -43,28 +39,40 @@
     RestoreRoom(usize),
     Replace(usize),
     EndLeave(usize),
+    Release(usize),
+    Disperse(usize),
+    /// The operators learn the present keepers.
+    Relist,
 }
 
-struct Runner {
-    system: System,
-    size: Size,
-    observed: sync::Arc<Observations>,
-    rng: SmallRng,
-    scheduled: Vec<(Instant, Step)>,
-    threads: Vec<thread::JoinHandle<()>>,
+pub struct Runner {
+    pub system: System,
+    pub size: Size,
+    pub observed: sync::Arc<Observations>,
+    pub rng: SmallRng,
+    pub scheduled: Vec<(Instant, Step)>,
+    pub threads: Vec<thread::JoinHandle<()>>,
     /// For each instance, the number of its current process; `None` while it is down.
-    launches: sync::Arc<sync::Mutex<Vec<Option<u32>>>>,
-    operators: Vec<net::SocketAddr>,
+    pub launches: sync::Arc<sync::Mutex<Vec<Option<u32>>>>,
+    pub operators: Vec<net::SocketAddr>,
     /// For each upstream, the index of its current process in the system, and how many processes
     /// it had before.
-    upstreams: Vec<(usize, u32)>,
+    pub upstreams: Vec<(usize, u32)>,
     /// Whether upstreams keep their ids when they restart.
     keeps_ids: bool,
     /// The faults applied so far, with their times.
-    timeline: Vec<String>,
+    pub timeline: Vec<String>,
     /// Start and end of each time in which instances or the connections between them were
     /// disturbed.
-    disturbed: Vec<(Instant, Instant)>,
+    pub disturbed: Vec<(Instant, Instant)>,
+    /// As `disturbed`, with the instances concerned.
+    pub disruptions: Vec<Disruption>,
+    /// The keepers that operators know.
+    pub listed: sync::Arc<sync::Mutex<Vec<net::SocketAddr>>>,
+    /// Files that take no writes, by keeper.
+    pub blocked_files: collections::BTreeMap<usize, path::PathBuf>,
+    /// The idle connections to instances; they close when the entry is removed.
+    pub crowds: collections::BTreeMap<usize, sync::Arc<()>>,
     began: Instant,
 }
 
@@ -91,13 +99,17 @@
 }
 
 impl Runner {
-    fn new(subnet: u8, seed: u64, size: Size) -> Self {
+    pub fn new(subnet: u8, seed: u64, size: Size) -> Self {
         let zones = vec![(size.keepers, size.entries); size.zones];
         let layout = system::Layout { subnet, zones, has_relays: true };
         let system = System::with_sizes(layout, plan::sizes(seed));
         let operators = system.keepers().map(|at| system.operator(at)).collect();
         let launches = system.instances.iter().map(|instance| Some(instance.launches)).collect();
         Self {
+            listed: sync::Arc::new(sync::Mutex::new(Vec::clone(&operators))),
+            disruptions: Vec::new(),
+            blocked_files: collections::BTreeMap::new(),
+            crowds: collections::BTreeMap::new(),
             system,
             size,
             observed: sync::Arc::default(),
@@ -128,7 +140,7 @@
     }
 
     /// Adds an upstream that replaces `earlier` ones.
-    fn add_upstream(
+    pub fn add_upstream(
         &mut self,
         upstream: usize,
         earlier: u32,
@@ -169,12 +181,12 @@
         }));
     }
 
-    fn record(&mut self, text: &str) {
+    pub fn record(&mut self, text: &str) {
         self.timeline.push(format!("{:>6} ms {text}", self.began.elapsed().as_millis()));
     }
 
     /// Waits until a given time, and runs the scheduled steps that become due meanwhile.
-    fn wait(&mut self, until: Instant) {
+    pub fn wait(&mut self, until: Instant) {
         const INTERVAL: Duration = Duration::from_millis(10);
         loop {
             let now = Instant::now();
@@ -220,7 +232,7 @@
     }
 
     /// Submits a job whose task crashes upstreams; the test does not check the answer.
-    fn submit_fatal(&mut self, zone: usize) {
+    pub fn submit_fatal(&mut self, zone: usize) {
         let entries = self.system.entries().filter(|at| self.system.instances[*at].zone == zone);
         let entries: Vec<_> = entries.collect();
         let entry = entries[self.rng.random_range(0..entries.len())];
@@ -233,250 +245,19 @@
         }));
     }
 
-    /// Whether an instance runs, is not suspended and has received no SIGTERM.
-    fn is_up(&self, at: usize) -> bool {
-        let pending = |(_, step): &(Instant, Step)| match step {
-            Step::Start(other) | Step::Restart(other, _) | Step::Resume(other) => *other == at,
-            _ => false,
-        };
-        self.system.instances[at].child.is_some() && !self.scheduled.iter().any(pending)
-    }
-
-    fn start(&mut self, at: usize) {
-        self.system.start(at);
-        self.launches.lock().unwrap()[at] = Some(self.system.instances[at].launches);
-    }
-
-    fn kill_each(&mut self, all: &[usize], down: Duration) {
-        for at in all {
-            let _killed = self.kill(*at, down);
-        }
-    }
-
-    /// Kills an instance and schedules its restart after `down`; returns false if it is not up.
-    fn kill(&mut self, at: usize, down: Duration) -> bool {
-        if !self.is_up(at) {
-            return false;
-        }
-        self.launches.lock().unwrap()[at] = None;
-        self.system.kill(at);
-        self.system.write_boot_file(at, false, &json!({}));
-        self.scheduled.push((Instant::now() + down, Step::Start(at)));
-        true
-    }
-
-    fn apply(&mut self, fault: Fault) {
-        self.record(&format!("{fault:?}"));
-        if let Some(time) = fault.disturbance() {
-            let now = Instant::now();
-            self.disturbed.push((now, now + time));
-        }
-        let all: Vec<_> = (0..self.system.instances.len()).collect();
-        match fault {
-            Fault::Kill(at, down) => self.kill_each(&[at], down),
-            Fault::KillKeepers(down) => {
-                let keepers: Vec<_> = self.system.keepers().collect();
-                self.kill_each(&keepers, down);
-            }
-            Fault::KillAll => self.kill_each(&all, Duration::from_millis(200)),
-            Fault::Term(at) if self.is_up(at) => {
-                self.system.signal(at, "-TERM");
-                self.scheduled
-                    .push((Instant::now(), Step::Restart(at, Instant::now() + STOP_LIMIT)));
-            }
-            Fault::Suspend(at, time) if self.is_up(at) => {
-                self.system.signal(at, "-STOP");
-                self.scheduled.push((Instant::now() + time, Step::Resume(at)));
-            }
-            Fault::Hup(at, times) if self.is_up(at) => {
-                for _ in 0..times {
-                    self.system.signal(at, "-HUP");
-                }
-            }
-            Fault::Term(_) | Fault::Suspend(..) | Fault::Hup(..) => {}
-            Fault::Wipe(at) => {
-                if self.kill(at, Duration::from_millis(500)) {
-                    fs::remove_dir_all(self.system.data_folder(at)).unwrap();
-                }
-            }
-            Fault::TornWrite(at) => {
-                if self.kill(at, Duration::from_millis(300)) {
-                    self.tear_log(at);
-                }
-            }
-            Fault::ClockSkew(at, offset) => {
-                if self.kill(at, Duration::from_millis(100)) {
-                    self.system.write_boot_file(at, false, &json!({"clock_offset_ms": offset}));
-                }
-            }
-            Fault::BlockOneWay(from, to, time) => self.block(&[from], &[to], time),
-            Fault::Isolate(at, time) => self.isolate(&[at], time),
-            Fault::IsolateZone(zone, time) => {
-                let inside: Vec<_> =
-                    all.into_iter().filter(|at| self.system.instances[*at].zone == zone).collect();
-                self.isolate(&inside, time);
-            }
-            Fault::Delay(at, latency, time) => {
-                for to in all {
-                    self.system.faults.set_delay(at, to, latency);
-                }
-                self.scheduled.push((Instant::now() + time, Step::EndDelay(at)));
-            }
-            Fault::Reset(at) => self.system.faults.reset(at),
-            Fault::Blackhole(at) => self.system.faults.blackhole(at),
-            Fault::Crash(upstream) => self.crash(upstream, Duration::from_millis(400)),
-            Fault::Leave(upstream) => {
-                let (at, _) = self.upstreams[upstream];
-                self.system.upstreams[at].leave();
-                self.scheduled
-                    .push((Instant::now() + Duration::from_secs(3), Step::EndLeave(upstream)));
-            }
-            Fault::Fail(upstream, time) => {
-                self.set_behavior(upstream, standin::Behavior::Failing, time);
-            }
-            Fault::Hang(upstream, time) => {
-                self.set_behavior(upstream, standin::Behavior::Hanging, time);
-            }
-            Fault::Unresponsive(upstream, time) => {
-                self.set_behavior(upstream, standin::Behavior::Unresponsive, time);
-            }
-            Fault::Shrink(upstream, time) => {
-                let (at, _) = self.upstreams[upstream];
-                self.system.upstreams[at].set_capacity(TASK_CPU);
-                self.scheduled.push((Instant::now() + time, Step::RestoreRoom(upstream)));
-            }
-            Fault::Fatal(zone) => self.submit_fatal(zone),
-            Fault::Publish => self.publish(1),
-            Fault::Race => self.publish(2),
-            Fault::Invalid => {
-                let to = self.operators[self.rng.random_range(0..self.operators.len())];
-                let observed = sync::Arc::clone(&self.observed);
-                self.threads.push(thread::spawn(move || load::publish_invalid(&observed, to)));
-            }
-        }
-    }
-
-    fn run_step(&mut self, step: Step) {
-        match step {
-            Step::Start(at) => self.start(at),
-            Step::Restart(at, until) => self.restart(at, until),
-            Step::Resume(at) => self.system.signal(at, "-CONT"),
-            Step::Unblock(from, to) => self.system.faults.set_blocked(from, to, false),
-            Step::EndDelay(at) => {
-                for to in 0..self.system.instances.len() {
-                    self.system.faults.set_delay(at, to, Duration::ZERO);
-                }
-            }
-            Step::ResetBehavior(upstream) => {
-                let (at, _) = self.upstreams[upstream];
-                self.system.upstreams[at].set_behavior(standin::Behavior::Healthy);
-            }
-            Step::RestoreRoom(upstream) => {
-                let (at, _) = self.upstreams[upstream];
-                self.system.upstreams[at].set_capacity(UPSTREAM_CPU);
-            }
-            Step::EndLeave(upstream) => self.crash(upstream, Duration::from_millis(400)),
-            Step::Replace(upstream) => {
-                let (at, earlier) = self.upstreams[upstream];
-                let address = self.system.upstreams[at].address();
-                self.upstreams[upstream] = (self.system.upstreams.len(), earlier + 1);
-                let zone = upstream / self.size.upstreams;
-                self.add_upstream(upstream, earlier + 1, zone, Some(address));
-            }
-        }
-    }
-
-    /// Starts an instance again once its process has ended after SIGTERM.
-    fn restart(&mut self, at: usize, until: Instant) {
-        let child = self.system.instances[at].child.as_mut().unwrap();
-        match child.try_wait().unwrap() {
-            Some(status) => {
-                if !status.success() {
-                    self.observed.record_violation(format!(
-                        "instance {at} ended after SIGTERM with {status}"
-                    ));
-                }
-                self.launches.lock().unwrap()[at] = None;
-                self.system.write_boot_file(at, false, &json!({}));
-                self.start(at);
-            }
-            None if Instant::now() > until => {
-                self.observed
-                    .record_violation(format!("instance {at} did not end in time after SIGTERM"));
-                self.system.kill(at);
-                self.start(at);
-            }
-            None => {
-                let next = Instant::now() + Duration::from_millis(20);
-                self.scheduled.push((next, Step::Restart(at, until)));
-            }
-        }
-    }
-
-    /// Appends random bytes to the newest file of a keeper's log, as after an unfinished write.
-    fn tear_log(&mut self, at: usize) {
-        let files =
-            fs::read_dir(self.system.data_folder(at)).unwrap().map(|entry| entry.unwrap().path());
-        let logs = files.filter(|path| path.extension().is_some_and(|end| end == "log"));
-        let Some(newest) = logs.max() else { return };
-        let mut file = fs::OpenOptions::new().append(true).open(newest).unwrap();
-        let bytes: Vec<u8> = (0..self.rng.random_range(1..60)).map(|_| self.rng.random()).collect();
-        file.write_all(&bytes).unwrap();
-    }
-
-    fn isolate(&mut self, inside: &[usize], time: Duration) {
-        let all = 0..self.system.instances.len();
-        let outside: Vec<_> = all.filter(|at| !inside.contains(at)).collect();
-        self.block(inside, &outside, time);
-        self.block(&outside, inside, time);
-    }
-
-    fn block(&mut self, from: &[usize], to: &[usize], time: Duration) {
-        for a in from {
-            for b in to.iter().filter(|b| *b != a) {
-                self.system.faults.set_blocked(*a, *b, true);
-                self.scheduled.push((Instant::now() + time, Step::Unblock(*a, *b)));
-            }
-        }
-    }
-
-    fn crash(&mut self, upstream: usize, down: Duration) {
-        let replaced =
-            |(_, step): &(Instant, Step)| matches!(step, Step::Replace(p) if *p == upstream);
-        if self.scheduled.iter().any(replaced) {
-            return;
-        }
-        let (at, _) = self.upstreams[upstream];
-        self.system.upstreams[at].crash();
-        self.scheduled.push((Instant::now() + down, Step::Replace(upstream)));
-    }
-
-    fn set_behavior(&mut self, upstream: usize, behavior: standin::Behavior, time: Duration) {
-        let (at, _) = self.upstreams[upstream];
-        self.system.upstreams[at].set_behavior(behavior);
-        self.scheduled.push((Instant::now() + time, Step::ResetBehavior(upstream)));
-    }
-
-    /// Lets this many operators send different configurations under the next version.
-    fn publish(&mut self, operators: u64) {
-        let version = self.observed.next_version(self.rng.random_range(1..5));
-        for mark in 0..operators {
-            let (observed, to) = (sync::Arc::clone(&self.observed), self.operators.clone());
-            let mut rng = SmallRng::seed_from_u64(self.rng.random());
-            let config = load::config(version, mark);
-            self.threads
-                .push(thread::spawn(move || load::publish(&observed, &to, &config, &mut rng)));
-        }
-    }
-
-    /// Ends all faults and waits until the system has recovered.
-    fn heal(&mut self) {
+    /// Waits until all faults have ended.
+    pub fn end_faults(&mut self) {
         while !self.scheduled.is_empty() {
             let next = self.scheduled.iter().map(|(at, _)| *at).min().unwrap_or_else(Instant::now);
             self.wait(next);
         }
         self.system.faults.heal();
         self.record("all faults have ended");
+    }
+
+    /// Ends all faults and waits until the system has recovered.
+    fn heal(&mut self) {
+        self.end_faults();
         self.publish(1);
         self.wait(Instant::now() + RECOVERY_TIME);
     }
@@ -514,11 +295,19 @@
             ));
         }
         let violations = self.observed.violations.lock().unwrap().clone();
+        let summary =
+            format!("{} requests, {complete} of {all} complete after the recovery", requests.len());
+        self.report(seed, &summary, &violations);
+    }
+
+    /// Prints the result of a run; logs are kept if a rule was violated.
+    ///
+    /// # Panics
+    ///
+    /// If a rule was violated.
+    pub fn report(self, seed: u64, summary: &str, violations: &[String]) {
+        eprintln!("seed {seed}: {summary}");
         if violations.is_empty() {
-            eprintln!(
-                "seed {seed}: {} requests, {complete} of {all} complete after the recovery",
-                requests.len()
-            );
             return;
         }
         let kept = self.system.folder.path().with_extension(format!("soak-{seed}"));
--- a/crates/apricotroute/tests/system/mod.rs
+++ b/crates/apricotroute/tests/system/mod.rs
@@ -28,6 +28,10 @@
 const PEER_PORT: u16 = 7301;
 /// The port on which an instance listens for its peers while a relay listens on its [`PEER_PORT`].
 const RELAYED_PEER_PORT: u16 = 7401;
+/// Maximum number of instances that are added to a running system.
+const MAX_ADDED: usize = 4;
+/// Variable with the path of another binary to test, such as that of an earlier commit.
+const BINARY_VARIABLE: &str = "APRICOTROUTE_BINARY";
 
 /// The layout of a system.
 #[derive(Clone, Debug)]
@@ -48,6 +52,17 @@
     pub child: Option<process::Child>,
     /// The number of processes started for this instance so far.
     pub launches: u32,
+    /// Whether the instance was removed for good.
+    pub is_removed: bool,
+    /// Maximum number of files that its processes may have open, if there is one.
+    pub descriptors: Option<u32>,
+}
+
+impl Instance {
+    fn new(zone: usize, is_keeper: bool) -> Self {
+        let (child, launches, is_removed, descriptors) = (None, 0, false, None);
+        Self { zone, is_keeper, child, launches, is_removed, descriptors }
+    }
 }
 
 /// A running system.
@@ -103,12 +118,7 @@
         let mut instances = Vec::new();
         for (zone, (keepers, entries)) in layout.zones.iter().enumerate() {
             for at in 0..keepers + entries {
-                instances.push(Instance {
-                    zone,
-                    is_keeper: at < *keepers,
-                    child: None,
-                    launches: 0,
-                });
+                instances.push(Instance::new(zone, at < *keepers));
             }
         }
         let folder = tempfile::tempdir().unwrap();
@@ -130,8 +140,9 @@
 
     fn start_relay(&self, at: usize) {
         let (listen, address) = (self.address(at, PEER_PORT), self.address(at, RELAYED_PEER_PORT));
-        let peers =
-            (0..self.instances.len()).map(|at| self.address(at, PEER_PORT).to_string()).collect();
+        // Instances that are added later have the next indices.
+        let count = self.instances.len() + MAX_ADDED;
+        let peers = (0..count).map(|at| self.address(at, PEER_PORT).to_string()).collect();
         let faults = sync::Arc::clone(&self.faults);
         relay::Relay::open(
             &self.runtime,
@@ -152,11 +163,23 @@
         zone: usize,
         address: Option<net::SocketAddr>,
         born: Option<u64>,
+    ) {
+        self.add_upstream_of(SERVICE, id, zone, address, born);
+    }
+
+    /// Adds an upstream of a service.
+    pub fn add_upstream_of(
+        &mut self,
+        service: &str,
+        id: &str,
+        zone: usize,
+        address: Option<net::SocketAddr>,
+        born: Option<u64>,
     ) {
         let options = platform::standin::Options {
             id: id.to_owned(),
             born,
-            service: SERVICE.to_owned(),
+            service: service.to_owned(),
             zone: zone_name(zone),
             cpu: UPSTREAM_CPU,
             task_cpu: TASK_CPU,
@@ -174,7 +197,7 @@
         self.instances
             .iter()
             .enumerate()
-            .filter(|(_, instance)| instance.is_keeper)
+            .filter(|(_, instance)| instance.is_keeper && !instance.is_removed)
             .map(|(at, _)| at)
     }
 
@@ -187,6 +210,18 @@
             .map(|(at, _)| at)
     }
 
+    /// Adds a keeper with an empty disk and starts it. The boot files of the others do not change.
+    pub fn add_keeper(&mut self, zone: usize) -> usize {
+        let at = self.instances.len();
+        self.instances.push(Instance::new(zone, true));
+        self.write_boot_file(at, false, &json!({}));
+        if self.layout.has_relays {
+            self.start_relay(at);
+        }
+        self.start(at);
+        at
+    }
+
     /// The address of an entry for clients.
     pub fn client(&self, at: usize) -> net::SocketAddr {
         self.address(at, CLIENT_PORT)
@@ -246,7 +281,15 @@
     pub fn start(&mut self, at: usize) {
         let log = self.folder.path().join(format!("{at}.log"));
         let log = fs::OpenOptions::new().append(true).create(true).open(log).unwrap();
-        let child = process::Command::new(env!("CARGO_BIN_EXE_apricotroute"))
+        let mut command = match self.instances[at].descriptors {
+            Some(limit) => {
+                let mut command = process::Command::new("prlimit");
+                command.arg(format!("--nofile={limit}")).arg(binary());
+                command
+            }
+            None => process::Command::new(binary()),
+        };
+        let child = command
             .args(["node", "--settings"])
             .arg(self.boot_file(at))
             .stdout(log.try_clone().unwrap())
@@ -259,7 +302,7 @@
 
     /// Starts the process of an instance with its standard output on a pipe that is never read.
     pub fn start_unread(&mut self, at: usize) {
-        let child = process::Command::new(env!("CARGO_BIN_EXE_apricotroute"))
+        let child = process::Command::new(binary())
             .args(["node", "--settings"])
             .arg(self.boot_file(at))
             .stdout(process::Stdio::piped())
@@ -282,6 +325,18 @@
         child.wait().unwrap();
     }
 
+    /// Kills the processes of all instances at the same moment, and waits until they have ended.
+    pub fn kill_all(&mut self) {
+        let mut children: Vec<_> =
+            self.instances.iter_mut().filter_map(|instance| instance.child.take()).collect();
+        for child in &mut children {
+            child.kill().unwrap();
+        }
+        for child in &mut children {
+            child.wait().unwrap();
+        }
+    }
+
     /// Sends a configuration to a keeper and returns the status.
     pub fn publish(&self, at: usize, config: &Value) -> u16 {
         let url = format!("http://{}/apricotroute/config", self.operator(at));
@@ -338,6 +393,11 @@
     }
 }
 
+/// The path of the binary to test.
+fn binary() -> String {
+    std::env::var(BINARY_VARIABLE).unwrap_or_else(|_| env!("CARGO_BIN_EXE_apricotroute").to_owned())
+}
+
 /// The name of a zone.
 pub fn zone_name(zone: usize) -> String {
     format!("zone-{zone}")
