--- a/crates/apricotroute/tests/soak/outages.rs
+++ b/crates/apricotroute/tests/soak/outages.rs
@@ -25,6 +25,17 @@
                 let others: Vec<_> = keepers.into_iter().filter(|at| *at != kept).collect();
                 self.kill_each(&others, down);
             }
+            Fault::PowerLoss(at, down) => {
+                if self.is_up(at) {
+                    self.system.faults.blackhole(at);
+                    self.kill_each(&[at], down);
+                }
+            }
+            Fault::BlackholeAll => {
+                for at in 0..self.system.instances.len() {
+                    self.system.faults.blackhole(at);
+                }
+            }
             Fault::Exchange(at) => self.exchange(at),
             Fault::Reseed(has_signal) => self.reseed(has_signal),
             Fault::FullDisk(at, time) => self.block_disk(at, "snapshot.draft", Disk::Full, time),
