Tests: an older configuration after a restart, and a seat that is not repaired

Two breaks of the rule on configurations with real processes, both found by the soak beside a load of 55 to 130 and reduced to tests that fail without load.

older_after_restart: after all processes were killed, keepers announce the configuration up to the commit index that their own disk holds, before any leader has confirmed what is committed, and entries that have just started put it in force. Entries answered 404 for a route whose configuration had been acknowledged.

seat_of_removed: a leader gives a removed keeper's seat away 3 s after the start of its own term, so that a leader that changes more often never does. When one more disk is lost, one of three voters is left and the configuration is never read back.

--- /dev/null
+++ b/crates/apricotroute/tests/config_losses.rs
@@ -0,0 +1,113 @@
+//! An acknowledged configuration when several instances are lost one after the other.
+
+mod system;
+
+use std::{
+    fs, thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::json;
+use system::{System, wait_until};
+
+/// The configuration is read back this long after all processes are back at the latest.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
+
+fn start(subnet: u8, zones: &[(usize, usize)]) -> System {
+    let zones = zones.to_vec();
+    let system = System::new(system::Layout { subnet, zones, has_relays: false });
+    publish(&system, 1);
+    system
+}
+
+/// Sends a configuration until it is acknowledged. Each has a route of its own.
+fn publish(system: &System, version: u64) {
+    let mut config = system::config(version);
+    let own = system::route("own", &prefix(version));
+    config["Routes"].as_array_mut().unwrap().push(own);
+    wait_until("a change is acknowledged", || {
+        system.keepers().any(|at| system.publish(at, &config) == 200)
+    });
+}
+
+fn prefix(version: u64) -> String {
+    format!("/v{version}/")
+}
+
+fn restart(system: &mut System, at: usize) {
+    system.write_boot_file(at, false, &json!({}));
+    system.start(at);
+}
+
+/// The keeper that became the leader of the settings group last.
+fn leader(system: &System) -> usize {
+    let since = |at: &usize| {
+        let log = system.log(*at);
+        let line = log.lines().rfind(|line| line.contains("settings: Leading."))?;
+        let line: serde_json::Value = serde_json::from_str(line).ok()?;
+        line["ts"].as_str().map(str::to_owned)
+    };
+    system.keepers().max_by_key(since).unwrap()
+}
+
+#[test]
+fn older_after_restart() {
+    const CHANGES: u64 = 12;
+    let mut system = start(43, &[(1, 1), (1, 1), (1, 1)]);
+    system.wait_ready();
+    (2..=CHANGES).for_each(|version| publish(&system, version));
+    let all: Vec<_> = (0..system.instances.len()).collect();
+    system.kill_at_once(&all);
+    // One keeper is back before the others, which have to confirm what is committed.
+    let keeper = system.keepers().next().unwrap();
+    let entries: Vec<_> = system.entries().collect();
+    restart(&mut system, keeper);
+    entries.iter().for_each(|at| restart(&mut system, *at));
+    let until = Instant::now() + RECOVERY_LIMIT;
+    while Instant::now() < until {
+        for at in &entries {
+            let url = format!("http://{}{}", system.client(*at), prefix(CHANGES));
+            let (status, _) = system::get(&url);
+            assert_ne!(status, 404, "entry {at} acts by a configuration that was replaced");
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+#[test]
+fn seat_of_removed() {
+    const FREEZES: u32 = 5;
+    let mut system = start(44, &[(1, 0), (1, 0), (1, 0)]);
+    let removed = system.keepers().find(|at| *at != leader(&system)).unwrap();
+    system.kill(removed);
+    system.instances[removed].is_removed = true;
+    let added = system.add_keeper(system.instances[removed].zone);
+    for at in system.keepers().collect::<Vec<_>>() {
+        system.write_boot_file(at, false, &json!({}));
+        system.signal(at, "-HUP");
+    }
+    // One keeper at a time is frozen, so that the others elect a leader each time.
+    for _ in 0..FREEZES {
+        let frozen = leader(&system);
+        system.signal(frozen, "-STOP");
+        thread::sleep(Duration::from_millis(1_500));
+        system.signal(frozen, "-CONT");
+        thread::sleep(Duration::from_millis(1_000));
+    }
+    let version = 2;
+    publish(&system, version);
+    let lost = system.keepers().find(|at| *at != added).unwrap();
+    let keepers: Vec<_> = system.keepers().collect();
+    system.kill_at_once(&keepers);
+    fs::remove_dir_all(system.data_folder(lost)).unwrap();
+    keepers.iter().for_each(|at| restart(&mut system, *at));
+    let until = Instant::now() + RECOVERY_LIMIT;
+    let is_read = |at: usize| {
+        let (status, config) = system.read_config(at);
+        status == 200 && config["Version"] == version
+    };
+    while !system.keepers().any(is_read) {
+        assert!(Instant::now() < until, "the configuration is not read back");
+        thread::sleep(Duration::from_millis(100));
+    }
+}
--- a/crates/apricotroute/tests/disk_faults.rs
+++ b/crates/apricotroute/tests/disk_faults.rs
@@ -3,7 +3,7 @@
 mod system;
 
 use std::{
-    fs, net, thread,
+    collections, fs, net, sync, thread,
     time::{Duration, Instant},
 };
 
@@ -24,13 +24,15 @@
     system
 }
 
-/// The keeper that leads the settings group.
+/// The keeper that became the leader of the settings group last.
 fn leader(system: &System) -> usize {
-    let leads = |at: &usize| {
+    let since = |at: &usize| {
         let log = system.log(*at);
-        log.rfind("settings: Leading.") > log.rfind("settings: Not leading.")
+        let line = log.lines().rfind(|line| line.contains("settings: Leading."))?;
+        let line: serde_json::Value = serde_json::from_str(line).ok()?;
+        line["ts"].as_str().map(str::to_owned)
     };
-    system.keepers().find(leads).unwrap()
+    system.keepers().max_by_key(since).unwrap()
 }
 
 fn publish(system: &System, versions: std::ops::RangeInclusive<u64>) {
@@ -87,13 +89,26 @@
     system.write_boot_file(full, false, &json!({}));
     system.start(full);
     wait_until("the keeper answers", || system.read_config(full).0 == 200);
-    let connect = |_| net::TcpStream::connect(system.operator(full)).ok();
-    let crowd: Vec<_> = (0..CONNECTIONS).filter_map(connect).collect();
-    thread::sleep(Duration::from_secs(1));
-    publish(&system, 2..=CHANGES);
-    drop(crowd);
+    let (address, is_over) = (system.operator(full), sync::atomic::AtomicBool::new(false));
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut crowd = collections::VecDeque::new();
+            while !is_over.load(sync::atomic::Ordering::SeqCst) {
+                // The keeper closes idle connections after some time, so others take their place.
+                crowd.extend(net::TcpStream::connect(address).ok());
+                if crowd.len() > CONNECTIONS {
+                    crowd.pop_front();
+                    thread::sleep(Duration::from_millis(20));
+                }
+            }
+        });
+        thread::sleep(Duration::from_secs(1));
+        publish(&system, 2..=CHANGES);
+        is_over.store(true, sync::atomic::Ordering::SeqCst);
+    });
     thread::sleep(Duration::from_secs(4));
     let lost = leader(&system);
     assert_ne!(lost, full);
+    assert!(system.log(full).contains("Too many open files"));
     lose_disk(&mut system, lost, CHANGES);
 }
