Tests: an entry may act by what it found for 3 s after its start

older_after_restart asked for the present configuration from the first moment on. From then on the check is as strict as before.

--- a/crates/apricotroute/tests/config_losses.rs
+++ b/crates/apricotroute/tests/config_losses.rs
@@ -12,6 +12,8 @@
 
 /// The configuration is read back this long after all processes are back at the latest.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
+/// An acknowledged configuration is in force at instances that have run for this long.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
 
 fn start(subnet: u8, zones: &[(usize, usize)]) -> System {
     let zones = zones.to_vec();
@@ -68,6 +70,8 @@
         restart(&mut system, *at);
     }
     let until = Instant::now() + RECOVERY_LIMIT;
+    // Changes count at instances that have run for this time.
+    thread::sleep(CONTACT_TIME);
     while Instant::now() < until {
         for at in &entries {
             let url = format!("http://{}{}", system.client(*at), prefix(CHANGES));
