disk_full: a leader that cannot write does not hold up changes

The test guards the choice that a leader with a failing disk keeps leading: the other two keepers store every change, and the leader stays the same.

--- a/crates/apricotroute/tests/disk_full.rs
+++ b/crates/apricotroute/tests/disk_full.rs
@@ -10,6 +10,14 @@
 /// Number of changes after which every keeper has compacted its log at least once.
 const CHANGES: u64 = 48;
 
+fn system(subnet: u8) -> System {
+    let layout = system::Layout { subnet, zones: vec![(KEEPERS, 0)], has_relays: false };
+    let system = System::new(layout);
+    wait_until("a keeper accepts the configuration", || system.publish(0, &config(1)) == 200);
+    wait_until("a keeper leads", || leader(&system).is_some());
+    system
+}
+
 fn leader(system: &System) -> Option<usize> {
     (0..KEEPERS).find(|at| system.metric(*at, "settings_leading", &[]) == Some(1.0))
 }
@@ -22,10 +30,7 @@
 /// left are itself and one that cannot win an election without its vote.
 #[test]
 fn votes_again() {
-    let layout = system::Layout { subnet: 131, zones: vec![(KEEPERS, 0)], has_relays: false };
-    let mut system = System::new(layout);
-    wait_until("a keeper accepts the configuration", || system.publish(0, &config(1)) == 200);
-    wait_until("a keeper leads", || leader(&system).is_some());
+    let mut system = system(131);
     let led = leader(&system).unwrap();
     let (full, third) = ((led + 1) % KEEPERS, (led + 2) % KEEPERS);
     // A compaction cannot create its snapshot under a name that a folder has.
@@ -54,3 +59,20 @@
     let (log, count) = (system.log(full), |text: &str| system.log(full).matches(text).count());
     assert_eq!((count("Writing fails"), count("Writing works again")), (1, 1), "{log}");
 }
+
+/// A leader that cannot write must not hold up the changes that the other keepers store.
+#[test]
+fn leader_commits() {
+    let system = system(132);
+    let led = leader(&system).unwrap();
+    let draft = system.data_folder(led).join("snapshot.draft");
+    fs::create_dir(&draft).unwrap();
+    for version in 2..=CHANGES {
+        assert_eq!(system.publish(led, &config(version)), 200, "version {version} is stored");
+    }
+    wait_until("the leader cannot write", || system.log(led).contains("Writing fail"));
+    assert_eq!(system.publish((led + 1) % KEEPERS, &config(CHANGES + 1)), 200);
+    assert_eq!(leader(&system), Some(led));
+    fs::remove_dir(&draft).unwrap();
+    wait_until("the leader can write", || failing_seconds(&system, led) == 0.0);
+}
