An evacuation order that was given up does not undo a later one

What operators saw: an acknowledged evacuation ends for good, a moment after a keeper that was stopped for 5 s goes on: it reads an order that its host took for it before, and carries it out as a new one.

Cause: an order was proposed on the newest revision of the set, also again when it proved stale, so that nothing was ever stale. Nothing tied an order to the time at which it was sent.

Change: an order that waits while another one changes its zone is answered, 200 if that is what it asks for and 503 otherwise, and not proposed again. The state machine of the control log is moved to a file of its own, unchanged but for the zone that an order changed.

--- a/crates/dispatch/src/machines/control_log.rs
+++ b/crates/dispatch/src/machines/control_log.rs
@@ -6,11 +6,15 @@
 use coord::{entry, group, message as agree, raft};
 use state::name;
 
-use crate::messages::{
-    compression, evacuation,
-    event::{Reply, Ticket},
-    message::{Body, Document},
-    time,
+pub use crate::machines::control_state::Machine;
+use crate::{
+    machines::control_state::{Change, Command, Outcome},
+    messages::{
+        evacuation,
+        event::{Reply, Ticket},
+        message::{Body, Document},
+        time,
+    },
 };
 
 /// Timing of the Raft group. A lost leader is replaced within 1.5 s, so that an order that arrives
@@ -21,6 +25,10 @@
 const PROPOSAL_RETRY: u64 = 300 * time::MS;
 /// An order or a read is answered within this, microseconds: callers stop waiting after a second.
 const REPLY_TIMEOUT: u64 = 900 * time::MS;
+/// Evacuation orders that are read this soon after a stop are refused, microseconds: the host may
+/// have taken them while this instance was stopped, and their callers may have given them up and
+/// had later orders acknowledged elsewhere.
+const STOP_PAUSE: u64 = 2_000 * time::MS;
 /// Maximum number of voting members: two of five may be lost.
 const MAX_VOTERS: usize = 5;
 /// Number of entries after which the log is compacted. An entry may hold a whole compressed
@@ -33,141 +41,6 @@
 /// Incarnation of the disks of the group's first members.
 pub const FIRST_INCARNATION: u64 = 1;
 
-/// A change of the replicated state, as stored in the log.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
-enum Change {
-    Publish(Document),
-    Evacuate(evacuation::Order),
-}
-
-impl Change {
-    /// What the change asks for, for display.
-    fn describe(&self) -> String {
-        match self {
-            Self::Publish(document) => format!("version {}", document.version),
-            Self::Evacuate(order) => format!("zone {}, evacuated: {}", order.zone, order.evacuated),
-        }
-    }
-}
-
-#[derive(serde::Serialize, serde::Deserialize)]
-struct Command {
-    change: Change,
-    origin: u64,
-}
-
-/// Format of a log entry from versions without evacuations.
-#[derive(serde::Deserialize)]
-struct LegacyCommand {
-    origin: u64,
-    document: Document,
-}
-
-impl Command {
-    fn decode(bytes: &[u8]) -> Option<Self> {
-        // An origin is far larger than any variant index of `Change`, so neither format is decoded
-        // as the other.
-        postcard::from_bytes(bytes).ok().or_else(|| {
-            let LegacyCommand { origin, document } = postcard::from_bytes(bytes).ok()?;
-            Some(Self { change: Change::Publish(document), origin })
-        })
-    }
-}
-
-/// The result of an order that was applied.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Applied {
-    origin: u64,
-    outcome: Outcome,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Outcome {
-    InForce,
-    /// Another configuration has the same version.
-    Conflict,
-    /// The state has changed since the order was proposed.
-    Stale,
-}
-
-/// The replicated state.
-#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
-struct State {
-    document: Document,
-    evacuations: evacuation::Evacuations,
-}
-
-/// The state machine that applies the log to the replicated state.
-#[derive(Debug, Default)]
-pub struct Machine {
-    state: State,
-}
-
-impl Machine {
-    /// Whether `document` can be acknowledged without a change, as it is older than the held one or
-    /// has the same text; `None` if it is newer than the held one.
-    fn precheck(&self, document: &Document) -> Option<bool> {
-        let held = &self.state.document;
-        if document.version > held.version {
-            return None;
-        }
-        let older = document.version < held.version;
-        Some(older || is_same(&document.body, &held.body))
-    }
-
-    fn publish(&mut self, document: Document) -> Outcome {
-        match self.precheck(&document) {
-            Some(true) => Outcome::InForce,
-            Some(false) => Outcome::Conflict,
-            None => {
-                self.state.document = document;
-                Outcome::InForce
-            }
-        }
-    }
-
-    fn evacuate(&mut self, order: &evacuation::Order) -> Outcome {
-        match self.state.evacuations.apply(order) {
-            evacuation::Outcome::InForce => Outcome::InForce,
-            evacuation::Outcome::Stale => Outcome::Stale,
-        }
-    }
-}
-
-impl group::Machine for Machine {
-    type Effect = Applied;
-
-    fn apply(&mut self, command: &[u8]) -> Vec<Applied> {
-        let Some(Command { change, origin }) = Command::decode(command) else {
-            return Vec::new();
-        };
-        let outcome = match change {
-            Change::Publish(document) => self.publish(document),
-            Change::Evacuate(order) => self.evacuate(&order),
-        };
-        vec![Applied { origin, outcome }]
-    }
-
-    fn snapshot(&self) -> bytes::Bytes {
-        coord::machine::encode(&self.state)
-    }
-
-    fn restore(&mut self, state: &[u8]) {
-        // Snapshots of versions without evacuations hold only the configuration.
-        let legacy = || State {
-            document: postcard::from_bytes(state).unwrap_or_default(),
-            ..State::default()
-        };
-        let state = postcard::from_bytes(state).unwrap_or_else(|_| legacy());
-        let key = |state: &State| (state.document.version, state.evacuations.revision);
-        if key(&state) >= key(&self.state) {
-            self.state = state;
-        }
-    }
-
-    fn reset(&mut self) {}
-}
-
 #[derive(Debug)]
 struct PendingOrder {
     ticket: Ticket,
@@ -210,6 +83,8 @@
     orders: collections::BTreeMap<u64, PendingOrder>,
     queries: collections::BTreeMap<u64, Query>,
     last_number: u64,
+    /// Until when evacuation orders are refused after a stop, microseconds.
+    refuse_until: u64,
     out: Output,
 }
 
@@ -249,6 +124,7 @@
             orders: collections::BTreeMap::new(),
             queries: collections::BTreeMap::new(),
             last_number: seed >> 8,
+            refuse_until: 0,
             out: Output::default(),
         }
     }
@@ -259,6 +135,9 @@
         let sends = group.sends.into_iter().map(|(to, body)| (to, Body::Agree(Box::new(body))));
         self.out.sends.extend(sends);
         self.out.saves.extend(group.saves);
+        if group.restored {
+            self.answer_superseded(None);
+        }
         for applied in group.effects {
             if let Some(order) = self.orders.remove(&applied.origin) {
                 let reply = match applied.outcome {
@@ -274,10 +153,35 @@
                 self.out.notes.push((text, order.change.describe()));
                 self.out.replies.push((order.ticket, reply));
             }
+            if applied.changed.is_some() {
+                self.answer_superseded(applied.changed.as_ref());
+            }
         }
         std::mem::take(&mut self.out)
     }
 
+    /// Answers the orders for `zone`, or for all zones, that wait while another order changed it.
+    /// If one of them asks for another state, it may be older than that order, and its caller may
+    /// have given it up.
+    fn answer_superseded(&mut self, zone: Option<&name::Name>) {
+        let evacuations = &self.group.machine().state.evacuations;
+        let out = &mut self.out;
+        self.orders.retain(|_, pending| {
+            let order = match &pending.change {
+                Change::Evacuate(order) if zone.is_none_or(|zone| order.zone == *zone) => order,
+                _ => return true,
+            };
+            let (reply, text) = if evacuations.has(&order.zone) == order.evacuated {
+                (Reply::Noted, answer_text(&Reply::Noted))
+            } else {
+                (Reply::Unavailable, "settings: Order overtaken by another one.")
+            };
+            out.notes.push((text, pending.change.describe()));
+            out.replies.push((pending.ticket, reply));
+            false
+        });
+    }
+
     /// The newest configuration that this member knows to be committed.
     pub fn document(&self) -> &Document {
         &self.group.machine().state.document
@@ -324,8 +228,18 @@
     /// Handles an order to evacuate a zone or to revert its evacuation. The order goes through the
     /// log even if it asks for the state that this member holds: this member may lag behind.
     pub fn evacuate(&mut self, ticket: Ticket, zone: name::Name, evacuated: bool, now: u64) {
-        let order = evacuation::Order { zone, evacuated, base: 0 };
-        self.add_order(ticket, Change::Evacuate(order), now);
+        let change = Change::Evacuate(evacuation::Order { zone, evacuated, base: 0 });
+        if now < self.refuse_until {
+            self.out.notes.push(("settings: Order refused after a stop.", change.describe()));
+            self.out.replies.push((ticket, Reply::Unavailable));
+            return;
+        }
+        self.add_order(ticket, change, now);
+    }
+
+    /// Handles that this instance was stopped until now.
+    pub fn on_stop(&mut self, now: u64) {
+        self.refuse_until = now + STOP_PAUSE;
     }
 
     fn add_order(&mut self, ticket: Ticket, change: Change, now: u64) {
@@ -491,10 +405,3 @@
         _ => "settings: Order refused, another configuration has this version.",
     }
 }
-
-/// Whether two compressed texts are the same. Another version of this program may compress the same
-/// text to other bytes.
-fn is_same(one: &bytes::Bytes, other: &bytes::Bytes) -> bool {
-    one == other
-        || matches!((compression::decompress(one), compression::decompress(other)), (Ok(a), Ok(b)) if a == b)
-}
--- a/crates/dispatch/src/machines/core.rs
+++ b/crates/dispatch/src/machines/core.rs
@@ -225,6 +225,9 @@
         }
         self.membership.suspect_all(now.mono);
         self.scheds_mut().for_each(sched::Sched::drop_all);
+        if let Some(control_log) = &mut self.control_log {
+            control_log.on_stop(now.mono);
+        }
         let me = self.membership.me().name.clone();
         self.note(
             "node: Resumed after a stop, treating all other instances as silent.",
--- a/crates/dispatch/src/machines/mod.rs
+++ b/crates/dispatch/src/machines/mod.rs
@@ -5,11 +5,12 @@
 //! - [`sched`]: the scheduler of one zone. `admission`, `start`, `outcome`, `handback`, `rescue`,
 //!   `restart`, `slow`, `lasting` and `upkeep` handle its events.
 //! - [`submissions`]: the jobs of an entry's clients.
-//! - [`control_log`]: the replicated configuration.
+//! - [`control_log`]: the replicated configuration; `control_state` is its state machine.
 
 mod admission;
 mod announcement;
 pub mod control_log;
+mod control_state;
 pub mod core;
 mod handback;
 mod lasting;
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -215,6 +215,57 @@
     assert_eq!(evacuations.revision, 2);
 }
 
+/// Guards against an order that waited in the sockets of a stopped keeper and undoes a later one.
+#[test]
+fn order_after_stop() {
+    let mut world = started_world(12);
+    assert_eq!(send_order(&mut world, 0, 1, true), Some(Reply::Noted));
+    world.freeze(6);
+    world.run(1_500);
+    assert_eq!(send_order(&mut world, 3, 1, false), Some(Reply::Noted));
+    assert_eq!(send_order(&mut world, 3, 1, true), Some(Reply::Noted));
+    world.run(3_000);
+    world.unfreeze(6);
+    let waited = world.evacuate(6, 1, false);
+    world.run(1_000);
+    assert_eq!(world.reply(waited), Some(&Reply::Unavailable));
+    let evacuated = |world: &World| {
+        world.instances[3].core.as_ref().map(|core| core.evacuations().has(&zone_name(1)))
+    };
+    assert_eq!(evacuated(&world), Some(true));
+    // A while later the keeper takes orders again.
+    world.run(2_000);
+    assert_eq!(send_order(&mut world, 6, 1, false), Some(Reply::Noted));
+    assert_eq!(evacuated(&world), Some(false));
+}
+
+/// Guards against an order that waits at a cut-off keeper and undoes a later one.
+#[test]
+fn overtaken_order() {
+    for seed in 0..10 {
+        let mut world = started_world(seed);
+        assert_eq!(send_order(&mut world, 0, 1, true), Some(Reply::Noted), "seed {seed}");
+        world.set_zone_cut(2, true);
+        let waiting = world.evacuate(6, 1, false);
+        let replies = [false, true].map(|evacuated| {
+            let ticket = world.evacuate(3, 1, evacuated);
+            world.run(150);
+            world.reply(ticket).cloned()
+        });
+        world.set_zone_cut(2, false);
+        world.run(1_500);
+        let has = |at: usize| {
+            let core = world.instances[at].core.as_ref();
+            core.is_some_and(|core| core.evacuations().has(&zone_name(1)))
+        };
+        // Without the cut-off keeper, which may lead, the other orders may fail.
+        if replies == [Some(Reply::Noted), Some(Reply::Noted)] {
+            assert_eq!(world.reply(waiting), Some(&Reply::Unavailable), "seed {seed}");
+            assert!(KEEPERS.into_iter().all(has), "seed {seed}");
+        }
+    }
+}
+
 #[test]
 fn lagging_keeper() {
     // A keeper that was cut off while the zone was evacuated can revert the evacuation after the
