Never give a task up because upstreams fell silent

A job was answered with 200 and the state `failed`, without a failed run, after three of its upstreams in turn had been cut off for some seconds; other upstreams were idle, and the client had time left.

Cause: each upstream that stayed silent until its lease ended counted as a loss of weight 2, and weight 6 gave the task up as one that crashes its upstreams, although no crash was proved.

Only proved losses, of which a new incarnation has taken the place, now give a task up: two, or three if several tasks shared them. After three losses of which one is not proved the task waits before it starts again: 5 s, then 10 s, then 20 s, from the last loss on. The wait ends early when an upstream answers, and the job when a crash is proved or at its deadline, as given up. A task that crashes upstreams for good so takes at most six of them in 60 s.

A new scheduler knows the losses that its predecessor saw, but not what ran at these upstreams, and so never proved them when they returned; such a loss is now proved from what the instance knows.

--- a/crates/dispatch/src/decisions/place.rs
+++ b/crates/dispatch/src/decisions/place.rs
@@ -31,6 +31,8 @@
     Placed,
     /// A run of the task may still be in progress at some upstream.
     Running,
+    /// The task may crash upstreams, and must not start yet.
+    Held,
     /// No upstream has room for the task.
     Full,
 }
@@ -153,6 +155,9 @@
 
     /// Reserves room for a task at an upstream that the entry of its job knows.
     pub fn place(&mut self, job: &job::Job, task: &job::Task, limit: Limit) -> Choice {
+        if self.suspects.is_held(task, self.now) {
+            return Choice::Held;
+        }
         let step = &job.steps[task.step as usize];
         let bound = self.bound(job, task, limit);
         let classes = [Class::Healthy, Class::Suspected, Class::Slow].into_iter();
--- a/crates/dispatch/src/machines/scheduling.rs
+++ b/crates/dispatch/src/machines/scheduling.rs
@@ -180,6 +180,9 @@
             }
         }
         for (id, last) in out.gone {
+            if last {
+                self.prove_loss(&id, now);
+            }
             if let Some(record) = self.table.mark_gone(&id, last) {
                 self.send_record(&record, now);
             }
@@ -237,6 +240,18 @@
         }
     }
 
+    /// Records that an upstream which fell silent has been replaced. Its loss may be known from a
+    /// former scheduler only.
+    fn prove_loss(&mut self, id: &incarnation::Incarnation, now: Now) {
+        let loss = self.suspects.proved_loss(id);
+        let is_serving = |record: &upstream::Record| record.phase == upstream::Phase::Serving;
+        if !loss.tasks.is_empty() && self.table.get(id).is_some_and(is_serving) {
+            let losses = [loss];
+            self.record_losses(&losses, now);
+            self.send_losses(&losses, now);
+        }
+    }
+
     /// Handles refusals by upstreams that have seen a higher token, while no message arrives from
     /// an instance with a higher claim.
     fn handle_outranked(&mut self, name: &name::Name, ids: &[incarnation::Incarnation], now: Now) {
--- a/crates/dispatch/src/messages/suspect.rs
+++ b/crates/dispatch/src/messages/suspect.rs
@@ -7,8 +7,10 @@
 //! loss identifies the task at fault; the scheduler then gives it up.
 //!
 //! An upstream that returns as a new incarnation proves the loss. One that stays silent until its
-//! leases have expired may only be unreachable: that counts for less, and no longer counts once it
-//! answers again.
+//! leases have expired may only be unreachable: that never gives a task up, and no longer counts
+//! once the upstream answers again. A task whose upstreams keep falling silent waits before each
+//! further start instead, so that one that crashes upstreams for good takes few of them until its
+//! client gives up.
 
 use std::collections;
 
@@ -16,13 +18,15 @@
 
 use crate::messages::{incarnation, job, time};
 
-/// Weight of a proved loss of an incarnation.
-const PROVED_WEIGHT: u32 = 3;
-/// Weight of an upstream that fell silent.
-const SILENT_WEIGHT: u32 = 2;
-/// A task with this weight is given up: after two proved losses, or after three of which at least
-/// one is not proved.
-const WEIGHT_LIMIT: u32 = 6;
+/// Number of proved losses after which a task is given up.
+const PROVED_LIMIT: usize = 2;
+/// Number of losses, proved or not, after which a task waits if one of them is not proved.
+const HOLD_LIMIT: usize = 3;
+/// How long a task waits after that many losses, microseconds: an upstream that has crashed has
+/// mostly returned by then, which proves the loss. Each further loss doubles it.
+const HOLD_TIME: u64 = 5_000 * time::MS;
+/// How often the wait doubles at most.
+const MAX_DOUBLINGS: usize = 2;
 /// How long a task is remembered after the last loss, microseconds: clients that lost their entry
 /// return within seconds.
 const RETENTION: u64 = 30_000 * time::MS;
@@ -67,11 +71,17 @@
 }
 
 impl History {
-    fn weight(&self) -> u32 {
-        self.losses
-            .iter()
-            .map(|(_, proved)| if *proved { PROVED_WEIGHT } else { SILENT_WEIGHT })
-            .sum()
+    fn proved(&self) -> usize {
+        self.losses.iter().filter(|(_, proved)| *proved).count()
+    }
+
+    /// When the task may start again, microseconds.
+    fn held_until(&self) -> u64 {
+        let count = self.losses.len();
+        if count < HOLD_LIMIT || self.proved() == count {
+            return 0;
+        }
+        self.last_loss + (HOLD_TIME << (count - HOLD_LIMIT).min(MAX_DOUBLINGS))
     }
 }
 
@@ -92,12 +102,12 @@
                 None => history.losses.push((loss.upstream.clone(), loss.proved)),
             }
         }
-        let weight = |task: &job::Task| self.tasks.get(task).map_or(0, History::weight);
+        let proved = |task: &job::Task| self.tasks.get(task).map_or(0, History::proved);
         let over: Vec<_> =
-            loss.tasks.iter().filter(|task| weight(task) >= WEIGHT_LIMIT).cloned().collect();
+            loss.tasks.iter().filter(|task| proved(task) >= PROVED_LIMIT).cloned().collect();
         let shared = over.len() > 1;
         let sure: Vec<_> =
-            over.into_iter().filter(|task| !shared || weight(task) > WEIGHT_LIMIT).collect();
+            over.into_iter().filter(|task| !shared || proved(task) > PROVED_LIMIT).collect();
         for task in &sure {
             if let Some(history) = self.tasks.get_mut(task) {
                 history.given_up = true;
@@ -140,6 +150,11 @@
         self.tasks.contains_key(task)
     }
 
+    /// Whether a task must not start yet, as several upstreams fell silent while they ran it.
+    pub fn is_held(&self, task: &job::Task, now: u64) -> bool {
+        self.tasks.get(task).is_some_and(|history| now < history.held_until())
+    }
+
     /// The upstreams that were lost while they ran tasks of a job.
     pub fn losses_of(&self, job: &name::Name) -> Vec<Loss> {
         let of_job = self.tasks.iter().filter(|(task, _)| task.job == *job);
@@ -153,6 +168,16 @@
         losses.collect()
     }
 
+    /// The loss of an upstream that a new incarnation has replaced since it fell silent, perhaps
+    /// under a former scheduler.
+    pub fn proved_loss(&self, upstream: &incarnation::Incarnation) -> Loss {
+        let ran =
+            |history: &History| history.losses.iter().any(|(id, proved)| id == upstream && !proved);
+        let tasks = self.tasks.iter().filter(|(_, history)| ran(history));
+        let tasks = tasks.map(|(task, _)| task.clone()).collect();
+        Loss { upstream: upstream.clone(), proved: true, tasks }
+    }
+
     /// Whether a task of a job was given up.
     pub fn is_given_up(&self, job: &name::Name) -> bool {
         self.tasks.iter().any(|(task, history)| history.given_up && task.job == *job)
