A late heartbeat of a keeper that has just started confirms nothing

It then acted by the replaced configuration for good. And one wiped or new keeper made an entry refuse that heard the others late.

Change: the time is taken from the keeper's own clock in its heartbeats, and an entry refuses only if no live keeper announces its version.

Test: configuration::older_after_restart delays the heartbeats by 0.4 s; it failed with the former comparison (entries still in use) and passes.

--- a/crates/dispatch/src/machines/propagation.rs
+++ b/crates/dispatch/src/machines/propagation.rs
@@ -27,9 +27,6 @@
 /// learned what is committed: the settings group has elected a leader by then, unless most of it is
 /// lost.
 const UNCONFIRMED_TIME: u64 = 2_000 * MS;
-/// A configuration that a keeper still announces this long after its first heartbeat is confirmed,
-/// microseconds: a heartbeat may be on its way for 200 ms.
-const CONFIRMED_AFTER: u64 = UNCONFIRMED_TIME + 200 * MS;
 /// An entry that has just started answers by a configuration that no keeper has confirmed for this
 /// long, microseconds. Operators count on their changes 3,000 ms after a start.
 const UNCONFIRMED_LIMIT: u64 = 2_500 * MS;
@@ -65,7 +62,7 @@
         !self.confirmed
             && self.control_log.is_none()
             && now.mono >= self.membership.start() + UNCONFIRMED_LIMIT
-            && self.membership.has_older(self.document.version, now.mono)
+            && self.membership.is_unannounced(self.document.version, now.mono)
     }
 
     /// Checks whether a keeper has confirmed the configuration in force. This is needed once after
@@ -73,7 +70,7 @@
     pub(crate) fn check_confirmed(&mut self, now: Now) {
         let version = self.document.version;
         self.confirmed |=
-            version > 0 && self.membership.has_kept(version, CONFIRMED_AFTER, now.mono);
+            version > 0 && self.membership.is_announced_after(version, UNCONFIRMED_TIME, now.mono);
     }
 
     /// The version that heartbeats announce; 0 for none.
--- a/crates/dispatch/src/tables/membership.rs
+++ b/crates/dispatch/src/tables/membership.rs
@@ -202,24 +202,24 @@
         holders.into_iter().map(|(name, _)| name).collect()
     }
 
-    /// Whether a live keeper still has `version` or a newer one `time` after its first heartbeat.
-    pub fn has_kept(&self, version: u64, time: u64, now: u64) -> bool {
-        let kept =
-            |peer: &Peer, announced| announced >= version && peer.read >= peer.first_at + time;
-        self.live_keepers(now).any(|(peer, announced)| kept(peer, announced))
+    /// Whether a live keeper announced `version` or a newer one when it had run for `time`, by its
+    /// own clock.
+    pub fn is_announced_after(&self, version: u64, time: u64, now: u64) -> bool {
+        self.live_keepers(now)
+            .any(|(peer, ping)| ping.version >= version && ping.clock >= peer.first_clock + time)
     }
 
-    /// Whether a live keeper does not have `version` or a newer one.
-    pub fn has_older(&self, version: u64, now: u64) -> bool {
-        self.live_keepers(now).any(|(_, announced)| announced < version)
+    /// Whether there are live keepers, none of which announces `version` or a newer one.
+    pub fn is_unannounced(&self, version: u64, now: u64) -> bool {
+        let mut keepers = self.live_keepers(now).peekable();
+        keepers.peek().is_some() && keepers.all(|(_, ping)| ping.version < version)
     }
 
-    /// The live keepers, each with the version of the configuration that it announced last.
-    fn live_keepers(&self, now: u64) -> impl Iterator<Item = (&Peer, u64)> {
+    /// The live keepers with their last heartbeats.
+    fn live_keepers(&self, now: u64) -> impl Iterator<Item = (&Peer, &message::Ping)> {
         let live = self.peers.values().filter(move |peer| peer.is_alive(now));
         let pings = live.filter_map(|peer| Some((peer, peer.ping.as_ref()?)));
-        let keepers = pings.filter(|(_, ping)| ping.card.role == member::Role::Keeper);
-        keepers.map(|(peer, ping)| (peer, ping.version))
+        pings.filter(|(_, ping)| ping.card.role == member::Role::Keeper)
     }
 
     /// Other instances that were heard within `time`; `None` if this instance has not listened for
@@ -250,7 +250,7 @@
         let first = former.is_none_or(|incarnation| incarnation < ping.card.incarnation);
         if first {
             peer.clock_bound = None;
-            peer.first_at = now;
+            peer.first_clock = ping.clock;
         }
         peer.read = now;
         let proof = ping.ack.as_ref().filter(|ack| {
--- a/crates/dispatch/src/tables/peer.rs
+++ b/crates/dispatch/src/tables/peer.rs
@@ -34,8 +34,8 @@
     pub(crate) clock_bound: Option<ClockBound>,
     /// Start of the current unbroken period of direct heartbeats from it.
     pub(crate) direct_since: u64,
-    /// When the first heartbeat of its incarnation was read.
-    pub(crate) first_at: u64,
+    /// Time of its own clock in the first heartbeat of its incarnation, microseconds.
+    pub(crate) first_clock: u64,
     /// When its heartbeat last said that it watches this instance.
     pub(crate) watched_at: u64,
     /// Start of the current unbroken period of heartbeats to it.
--- a/crates/dispatch/tests/configuration.rs
+++ b/crates/dispatch/tests/configuration.rs
@@ -106,6 +106,10 @@
     }
     world.run(1_000);
     assert_eq!(in_use(&world), [(5, true); 3], "for a short time");
+    // What the keeper still announces arrives late.
+    for entry in [1, 3, 5] {
+        world.delay_stream(4, entry, 400);
+    }
     world.run(2_000);
     assert_eq!(in_use(&world), [(5, false); 3], "no keeper confirms it");
     for at in [0, 2] {
