Parts are watched from the end of the start, and signals are listened for from its beginning

A start that failed ended the parts that were started already, whose owner then ended the process with exit code 70 before the true error was printed (found by reading). The owner watches once all parts are started, and acts then on one that ended before. Test: vital::ended_early.

The handlers are installed before the settings are read.

--- a/crates/apricotroute/src/cli.rs
+++ b/crates/apricotroute/src/cli.rs
@@ -125,6 +125,7 @@
 }
 
 fn run_node(mut arguments: Arguments) -> Outcome {
+    let signals = node::signals()?;
     let file = options::required(&mut arguments, "--settings")?;
     options::finish(arguments)?;
     let path = path::Path::new(&file);
@@ -133,7 +134,7 @@
         Err(code) => return Ok(code),
     };
     let (log, guard) = logs::logger_to(io::stdout(), &node.log, node.instance.as_str());
-    node::run(path, &node, &log)?;
+    node::run(path, &node, signals, &log)?;
     drop(log);
     logs::flush(guard);
     Ok(process::ExitCode::SUCCESS)
--- a/crates/apricotroute/src/instance.rs
+++ b/crates/apricotroute/src/instance.rs
@@ -61,6 +61,7 @@
             .with_owner(&runtime, &owner, "operator listener");
         slog::info!(log, "instance: Started.";
             "client" => %client.address(), "operator" => %operator.address());
+        owner.watch();
         let drain_limit = time::Duration::from_millis(boot.drain_ms);
         Ok(Self { runtime, control, client, operator, spans, owner, log, drain_limit })
     }
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -34,11 +34,20 @@
 /// Interval at which a shutdown checks its progress.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
-/// Runs an instance until SIGTERM or SIGINT arrives; SIGHUP reloads the settings file.
-pub fn run(file: &path::Path, settings: &node::Node, log: &slog::Logger) -> error::Result<()> {
+/// Starts to listen for the signals of an instance. Until then each of them ends the process.
+pub fn signals() -> error::Result<iterator::Signals> {
     let signals = [consts::SIGTERM, consts::SIGINT, consts::SIGHUP];
-    let mut signals = iterator::Signals::new(signals)
-        .change_context_lazy(|| error::Error::new("listen for signals of", &settings.instance))?;
+    iterator::Signals::new(signals)
+        .change_context_lazy(|| error::Error::new("listen for", "signals"))
+}
+
+/// Runs an instance until SIGTERM or SIGINT arrives; SIGHUP reloads the settings file.
+pub fn run(
+    file: &path::Path,
+    settings: &node::Node,
+    mut signals: iterator::Signals,
+    log: &slog::Logger,
+) -> error::Result<()> {
     let node = Node::start(settings, log)?;
     reload::watch(&node.runtime, &node.owner, file, settings, &node.control, log);
     for signal in signals.forever() {
@@ -93,6 +102,7 @@
             "seeds" => ?settings.seeds, "first" => settings.first_start,
             "cpu_share" => settings.millicores as f64 / 1e3, "memory_mb" => settings.memory,
             "descriptors" => settings.descriptors, "link_mbps" => settings.link);
+        owner.watch();
         let (settings, log) = (settings.clone(), log.clone());
         Ok(Self { settings, runtime, control, listeners, owner, log })
     }
--- a/crates/link/src/vital.rs
+++ b/crates/link/src/vital.rs
@@ -8,7 +8,9 @@
 
 struct Shared {
     on_end: EndFn,
-    released: atomic::AtomicBool,
+    is_watching: atomic::AtomicBool,
+    /// A part that ended before the owner watched.
+    early: sync::Mutex<Option<&'static str>>,
 }
 
 /// The owner of the parts of an instance. Clones own the same parts.
@@ -17,22 +19,34 @@
 
 impl fmt::Debug for Owner {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let released = self.0.released.load(atomic::Ordering::Relaxed);
-        f.debug_struct("Owner").field("released", &released).finish_non_exhaustive()
+        let is_watching = self.0.is_watching.load(atomic::Ordering::SeqCst);
+        f.debug_struct("Owner").field("is_watching", &is_watching).finish_non_exhaustive()
     }
 }
 
 impl Owner {
-    /// Creates an owner that calls `on_end` for each part that ends.
+    /// Creates an owner that calls `on_end` for each part that ends while it watches.
     ///
     /// ```
     /// let (ended, names) = std::sync::mpsc::channel();
     /// let owner = link::vital::Owner::new(Box::new(move |name| ended.send(name).unwrap()));
+    /// owner.watch();
     /// owner.spawn("store", || {}).unwrap();
     /// assert_eq!(names.recv().unwrap(), "store");
     /// ```
     pub fn new(on_end: EndFn) -> Self {
-        Self(sync::Arc::new(Shared { on_end, released: atomic::AtomicBool::new(false) }))
+        let (is_watching, early) = (atomic::AtomicBool::new(false), sync::Mutex::new(None));
+        Self(sync::Arc::new(Shared { on_end, is_watching, early }))
+    }
+
+    /// Starts to watch the parts, once all of them are started. A start that fails ends its parts
+    /// with its own error.
+    pub fn watch(&self) {
+        self.0.is_watching.store(true, atomic::Ordering::SeqCst);
+        let early = self.0.early.lock().unwrap_or_else(sync::PoisonError::into_inner).take();
+        if let Some(name) = early {
+            (self.0.on_end)(name);
+        }
     }
 
     /// Starts a thread that runs a part.
@@ -62,7 +76,7 @@
 
     /// Allows all parts to end from now on, because the instance shuts down.
     pub fn release(&self) {
-        self.0.released.store(true, atomic::Ordering::Relaxed);
+        self.0.is_watching.store(false, atomic::Ordering::SeqCst);
     }
 
     fn part(&self, name: &'static str) -> Part {
@@ -78,8 +92,10 @@
 
 impl Drop for Part {
     fn drop(&mut self) {
-        if !self.owner.0.released.load(atomic::Ordering::Relaxed) {
-            (self.owner.0.on_end)(self.name);
+        let shared = &self.owner.0;
+        *shared.early.lock().unwrap_or_else(sync::PoisonError::into_inner) = Some(self.name);
+        if shared.is_watching.load(atomic::Ordering::SeqCst) {
+            (shared.on_end)(self.name);
         }
     }
 }
--- a/crates/link/tests/vital.rs
+++ b/crates/link/tests/vital.rs
@@ -12,7 +12,9 @@
 
 fn owner() -> (vital::Owner, mpsc::Receiver<&'static str>) {
     let (ended, names) = mpsc::channel();
-    (vital::Owner::new(Box::new(move |name| ended.send(name).unwrap())), names)
+    let owner = vital::Owner::new(Box::new(move |name| ended.send(name).unwrap()));
+    owner.watch();
+    (owner, names)
 }
 
 struct NoHandler;
@@ -41,6 +43,16 @@
     assert_eq!(names.recv_timeout(TIMEOUT), Ok("running"));
 }
 
+#[test]
+fn ended_early() {
+    let (ended, names) = mpsc::channel();
+    let owner = vital::Owner::new(Box::new(move |name| ended.send(name).unwrap()));
+    owner.spawn("returned", || ()).unwrap();
+    assert!(names.recv_timeout(SILENCE).is_err(), "the start may still fail with its own error");
+    owner.watch();
+    assert_eq!(names.recv_timeout(TIMEOUT), Ok("returned"));
+}
+
 #[test]
 fn task_ends() {
     let (owner, names) = owner();
