--- a/crates/coord/src/raft.rs
+++ b/crates/coord/src/raft.rs
@@ -158,8 +158,7 @@
     /// Highest index at which this member's log is known to match that of the leader of the
     /// current term.
     pub(crate) matched: u64,
-    /// Whether this process has learned from the leader of the present term, or as that leader, what
-    /// is committed. The commit index on a disk may be older.
+    /// Whether this process has learned what is committed; the commit index on a disk may be older.
     pub(crate) confirmed: bool,
     pub(crate) role: Role,
     pub(crate) leader: Option<name::Member>,
@@ -310,7 +309,7 @@
         self.log.term(self.commit) == Some(self.term)
     }
 
-    /// Whether this process has learned what was committed when it started.
+    /// Whether this process has learned what is committed.
     pub fn is_confirmed(&self) -> bool {
         self.confirmed
     }
--- a/crates/dispatch/src/machines/admission.rs
+++ b/crates/dispatch/src/machines/admission.rs
@@ -139,7 +139,7 @@
         let is_unknown = open.peek().is_none();
         let open: Vec<_> =
             open.filter(|session| session.record.phase == upstream::Phase::Serving).collect();
-        let fits = |step: &Step| open.iter().any(|session| session.record.can_hold(step));
+        let fits = |step: &Step| open.iter().any(|session| step.fits(&session.record));
         is_unknown || job.steps.iter().all(fits)
     }
 
--- a/crates/dispatch/src/machines/submissions.rs
+++ b/crates/dispatch/src/machines/submissions.rs
@@ -356,7 +356,7 @@
         } else if !part.small_seats.is_empty() {
             // Where its steps fit in different zones only, no zone can hold the job either.
             let is_final = open.job.has_largest_step()
-                && !view.table.could_hold(&open.job)
+                && !open.job.may_fit(view.table)
                 && view.is_everywhere(|claim| part.is_too_large(claim));
             let refusal = if is_final { Refusal::TooLarge } else { Refusal::NoZone };
             (is_final || !open.is_handed_over()).then_some(refusal)
--- a/crates/dispatch/src/messages/job.rs
+++ b/crates/dispatch/src/messages/job.rs
@@ -25,6 +25,12 @@
 }
 
 impl Step {
+    /// Whether an upstream has the label and, when idle, the room for a task of this step.
+    pub(crate) fn fits(&self, record: &upstream::Record) -> bool {
+        self.need.fits(&record.most)
+            && self.label.as_ref().is_none_or(|label| record.labels.contains(label))
+    }
+
     /// Whether each upstream that can hold the tasks of `other` can hold those of this step.
     fn fits_beside(&self, other: &Self) -> bool {
         self.need.fits(&other.need) && (self.label.is_none() || self.label == other.label)
@@ -77,6 +83,13 @@
         self.steps.iter().any(is_largest)
     }
 
+    /// Whether there were upstreams, of those that an instance remembers, that could hold the tasks
+    /// of each step: they may return.
+    pub(crate) fn may_fit(&self, upstreams: &upstream::Table) -> bool {
+        let of_service = || upstreams.all().filter(|record| record.service == self.service);
+        self.steps.iter().all(|step| of_service().any(|record| step.fits(record)))
+    }
+
     /// Number of tasks in all steps.
     pub fn count(&self) -> u32 {
         self.steps.iter().map(|step| step.count).sum()
--- a/crates/dispatch/src/messages/upstream.rs
+++ b/crates/dispatch/src/messages/upstream.rs
@@ -5,7 +5,7 @@
 
 use state::name;
 
-use crate::messages::{incarnation, job};
+use crate::messages::incarnation;
 
 /// Whether an upstream takes new work.
 #[derive(
@@ -95,14 +95,6 @@
     pub serial: u64,
 }
 
-impl Record {
-    /// Whether the upstream has the label and, when idle, the room for a task of a step.
-    pub(crate) fn can_hold(&self, step: &job::Step) -> bool {
-        step.need.fits(&self.most)
-            && step.label.as_ref().is_none_or(|label| self.labels.contains(label))
-    }
-}
-
 /// How many incarnations that are gone the table keeps, so that late records about them are
 /// ignored. If an upstream is replaced every 300 ms, this covers the last ten minutes.
 const MAX_GONE: usize = 2_048;
@@ -231,11 +223,9 @@
         self.records.get(id)
     }
 
-    /// Whether there were upstreams, of those known here, that could hold the tasks of each step of
-    /// a job: they may return.
-    pub(crate) fn could_hold(&self, job: &job::Job) -> bool {
-        let of_service = || self.records.values().filter(|record| record.service == job.service);
-        job.steps.iter().all(|step| of_service().any(|record| record.can_hold(step)))
+    /// All upstreams that this instance remembers, including those that are gone.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
     }
 
     /// The upstreams of a zone that are not gone.
