Silence and confirmation are looked up only where they are used

Each tick of every instance listed the peers that it had heard, also of entries, which have no settings group, and went through all peers for a confirmation that it already had.

--- a/crates/dispatch/src/machines/core.rs
+++ b/crates/dispatch/src/machines/core.rs
@@ -318,9 +318,9 @@
         let (view, submissions) = self.view(now);
         submissions.tick(view);
         let keepers: Vec<_> = self.membership.keepers().cloned().collect();
-        let heard = self.membership.heard_within(upkeep::LOST_VOTER_TIMEOUT, now.mono);
         if let Some(control_log) = &mut self.control_log {
             control_log.set_others(keepers);
+            let heard = self.membership.heard_within(upkeep::LOST_VOTER_TIMEOUT, now.mono);
             control_log.set_heard(heard);
             control_log.tick(now);
             let leads = control_log.is_leader();
--- a/crates/dispatch/src/machines/propagation.rs
+++ b/crates/dispatch/src/machines/propagation.rs
@@ -69,8 +69,10 @@
     /// a start: only confirmed configurations replace it from then on.
     pub(crate) fn check_confirmed(&mut self, now: Now) {
         let version = self.document.version;
-        self.confirmed |=
-            version > 0 && self.membership.is_announced_after(version, UNCONFIRMED_TIME, now.mono);
+        if !self.confirmed && self.control_log.is_none() && version > 0 {
+            self.confirmed =
+                self.membership.is_announced_after(version, UNCONFIRMED_TIME, now.mono);
+        }
     }
 
     /// The version that heartbeats announce; 0 for none.
