settings: log when an evacuation order is read and proposed

A keeper that carried out a late copy of an order left no line that told whether the copy had waited before it was read, or between its reading and its proposal. Each order now leaves a line when it is read, with the age of its connection, and one for each proposal, with the revision it is based on.

--- a/crates/dispatch/src/machines/control_log.rs
+++ b/crates/dispatch/src/machines/control_log.rs
@@ -238,8 +238,11 @@
 
     /// Handles an order to evacuate a zone or to revert its evacuation. The order goes through the
     /// log even if it asks for the state that this member holds: this member may lag behind.
-    pub fn evacuate(&mut self, ticket: Ticket, zone: name::Name, evacuated: bool, now: u64) {
+    pub fn evacuate(&mut self, ticket: Ticket, request: evacuation::Request, now: u64) {
+        let evacuation::Request { zone, evacuated, opened } = request;
         let change = Change::Evacuate(evacuation::Order { zone, evacuated, base: 0 });
+        let detail = format!("{}, connection open for {opened} ms", change.describe());
+        self.out.notes.push(("settings: Order read.", detail));
         if now < self.refuse_until {
             self.out.notes.push(("settings: Order refused after a stop.", change.describe()));
             self.out.replies.push((ticket, Reply::Unavailable));
@@ -337,6 +340,11 @@
                 order.retry_at = now + PROPOSAL_RETRY;
                 if let Change::Evacuate(order) = &mut order.change {
                     order.base = revision;
+                    let detail = format!(
+                        "zone {}, evacuated: {}, on revision {revision}",
+                        order.zone, order.evacuated
+                    );
+                    self.out.notes.push(("settings: Order proposed.", detail));
                 }
                 let command = Command { change: order.change.clone(), origin: *origin };
                 self.group.propose(&coord::machine::encode(&command), now);
--- a/crates/dispatch/src/machines/core.rs
+++ b/crates/dispatch/src/machines/core.rs
@@ -187,9 +187,7 @@
                 Some(control_log) => control_log.publish(ticket, document, now.mono),
                 None => self.reply(ticket, Reply::Unavailable),
             },
-            Event::Evacuate(ticket, zone, evacuated) => {
-                self.order_evacuation(ticket, zone, evacuated, now);
-            }
+            Event::Evacuate(ticket, request) => self.order_evacuation(ticket, request, now),
             Event::Read(ticket) => match &mut self.control_log {
                 Some(control_log) => control_log.query_newest(ticket, now.mono),
                 None => self.reply(ticket, Reply::Unavailable),
--- a/crates/dispatch/src/machines/propagation.rs
+++ b/crates/dispatch/src/machines/propagation.rs
@@ -173,15 +173,14 @@
     pub(crate) fn order_evacuation(
         &mut self,
         ticket: Ticket,
-        zone: name::Name,
-        evacuated: bool,
+        request: evacuation::Request,
         now: Now,
     ) {
-        if !self.has_zone(&zone) {
+        if !self.has_zone(&request.zone) {
             return self.reply(ticket, Reply::NoZone);
         }
         match &mut self.control_log {
-            Some(control_log) => control_log.evacuate(ticket, zone, evacuated, now.mono),
+            Some(control_log) => control_log.evacuate(ticket, request, now.mono),
             None => self.reply(ticket, Reply::Unavailable),
         }
     }
--- a/crates/dispatch/src/messages/evacuation.rs
+++ b/crates/dispatch/src/messages/evacuation.rs
@@ -3,6 +3,17 @@
 
 use state::name;
 
+/// A request of the operator to evacuate a zone or to revert its evacuation, as a keeper read it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// The zone.
+    pub zone: name::Name,
+    /// Whether the zone is to be evacuated; false reverts an evacuation.
+    pub evacuated: bool,
+    /// For how long its connection had been open when it was read, in milliseconds.
+    pub opened: u64,
+}
+
 /// An order to evacuate a zone or to revert its evacuation.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Order {
--- a/crates/dispatch/src/messages/event.rs
+++ b/crates/dispatch/src/messages/event.rs
@@ -4,7 +4,7 @@
 
 use state::name;
 
-use crate::messages::{incarnation, job, message, order, timing, upstream};
+use crate::messages::{evacuation, incarnation, job, message, order, timing, upstream};
 
 /// Identifier of a request that awaits a reply.
 pub type Ticket = u64;
@@ -42,8 +42,8 @@
     Withdraw(Ticket, incarnation::Incarnation),
     /// The operator publishes a configuration.
     Publish(Ticket, message::Document),
-    /// The operator evacuates a zone, or ends its evacuation where this is `false`.
-    Evacuate(Ticket, name::Name, bool),
+    /// The operator evacuates a zone or ends its evacuation.
+    Evacuate(Ticket, evacuation::Request),
     /// The operator asks for the newest configuration.
     Read(Ticket),
     /// A call to an upstream has finished.
--- a/crates/dispatch/tests/world/operator.rs
+++ b/crates/dispatch/tests/world/operator.rs
@@ -1,6 +1,7 @@
 //! The operator, who publishes and reads configurations and evacuates zones.
 
 use dispatch::{
+    evacuation,
     event::{Event, Reply},
     message::Document,
 };
@@ -29,7 +30,8 @@
     pub fn evacuate(&mut self, at: usize, zone: usize, evacuated: bool) -> u64 {
         self.sequence += 1;
         let ticket = self.sequence;
-        self.handle(at, Event::Evacuate(ticket, zone_name(zone), evacuated));
+        let request = evacuation::Request { zone: zone_name(zone), evacuated, opened: 0 };
+        self.handle(at, Event::Evacuate(ticket, request));
         ticket
     }
 
--- a/crates/link/src/http.rs
+++ b/crates/link/src/http.rs
@@ -43,6 +43,8 @@
     pub headers: header::HeaderMap,
     /// Request body.
     pub body: Bytes,
+    /// When the connection was accepted.
+    pub opened: time::Instant,
 }
 
 impl Request {
@@ -278,9 +280,10 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let opened = time::Instant::now();
     let service = service::service_fn(move |request| {
         let shared = sync::Arc::clone(&shared);
-        async move { Ok::<_, std::convert::Infallible>(respond(request, &shared).await) }
+        async move { Ok::<_, std::convert::Infallible>(respond(request, &shared, opened).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(rt::TokioTimer::new())
@@ -300,6 +303,7 @@
 async fn respond(
     request: hyper::Request<Incoming>,
     shared: &Shared,
+    opened: time::Instant,
 ) -> hyper::Response<Full<Bytes>> {
     let (head, body) = request.into_parts();
     let reading = tokio::time::timeout(BODY_TIMEOUT, read_body(body, &shared.body_permits));
@@ -309,7 +313,7 @@
         Err(_) => return encode(shared.handler.reject(RequestError::TooSlow), true),
     };
     let path = head.uri.path().to_owned();
-    let request = Request { method: head.method, path, headers: head.headers, body };
+    let request = Request { method: head.method, path, headers: head.headers, body, opened };
     let (sender, receiver) = async_sync::oneshot::channel();
     let guard = DisconnectGuard { on_disconnect: DisconnectSlot::default() };
     let on_disconnect = sync::Arc::clone(&guard.on_disconnect);
