An evacuation order takes effect only if its sender still waits for it

What callers saw: a DELETE or POST of an evacuation that the operator had given up, and replaced with later, acknowledged orders, was carried out once it arrived.

Change: an order that would change the zone is answered with a challenge, 307 to the same path with a number. It counts when it comes back with the number, or again as it was after the first connection ended as that of a client that has read its answer. An order that takes effect ends the challenges for its zone and raises the revision, also where it asks for the present state: a proposal of an earlier order then finds another revision.

--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -265,6 +265,7 @@
         Reply::Noted => "noted",
         Reply::Newest(_) => "newest",
         Reply::Incomplete => "incomplete",
+        Reply::Challenge(_) => "challenge",
         Reply::Conflict => "conflict",
         Reply::NoZone => "no_zone",
         Reply::Unavailable => "unavailable",
--- a/crates/apricotroute/tests/system/mod.rs
+++ b/crates/apricotroute/tests/system/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
 pub mod relay;
+pub mod slow_link;
 
 use std::{
     fs, net, path, process, sync, thread,
--- a/crates/dispatch/src/machines/control_log.rs
+++ b/crates/dispatch/src/machines/control_log.rs
@@ -15,6 +15,7 @@
         message::{Body, Document},
         time,
     },
+    tables::challenges,
 };
 
 /// Timing of the Raft group. A lost leader is replaced within 1.5 s, so that an order that arrives
@@ -25,10 +26,6 @@
 const PROPOSAL_RETRY: u64 = 300 * time::MS;
 /// An order or a read is answered within this, microseconds: callers stop waiting after a second.
 const REPLY_TIMEOUT: u64 = 900 * time::MS;
-/// Evacuation orders that are read this soon after a stop are refused, microseconds: the host may
-/// have taken them while this instance was stopped, and their callers may have given them up and
-/// had later orders acknowledged elsewhere.
-const STOP_PAUSE: u64 = 2_000 * time::MS;
 /// Maximum number of voting members: two of five may be lost.
 const MAX_VOTERS: usize = 5;
 /// Number of entries after which the log is compacted. An entry may hold a whole compressed
@@ -83,8 +80,9 @@
     orders: collections::BTreeMap<u64, PendingOrder>,
     queries: collections::BTreeMap<u64, Query>,
     last_number: u64,
-    /// Until when evacuation orders are refused after a stop, microseconds.
-    refuse_until: u64,
+    challenges: challenges::Challenges,
+    /// The other keepers.
+    others: Vec<name::Name>,
     out: Output,
 }
 
@@ -124,7 +122,8 @@
             orders: collections::BTreeMap::new(),
             queries: collections::BTreeMap::new(),
             last_number: seed >> 8,
-            refuse_until: 0,
+            challenges: challenges::Challenges::default(),
+            others: Vec::new(),
             out: Output::default(),
         }
     }
@@ -136,6 +135,7 @@
         self.out.sends.extend(sends);
         self.out.saves.extend(group.saves);
         if group.restored {
+            self.challenges.drop_zone(None);
             self.answer_superseded(None);
         }
         for applied in group.effects {
@@ -153,14 +153,15 @@
                 self.out.notes.push((text, order.change.describe()));
                 self.out.replies.push((order.ticket, reply));
             }
-            if applied.changed.is_some() {
-                self.answer_superseded(applied.changed.as_ref());
+            if let Some(zone) = &applied.ordered {
+                self.challenges.drop_zone(Some(zone));
+                self.answer_superseded(Some(zone));
             }
         }
         std::mem::take(&mut self.out)
     }
 
-    /// Answers the orders for `zone`, or for all zones, that wait while another order changed it.
+    /// Answers the orders for `zone`, or for all zones, that wait while another order took effect.
     /// If one of them asks for another state, it may be older than that order, and its caller may
     /// have given it up.
     fn answer_superseded(&mut self, zone: Option<&name::Name>) {
@@ -168,7 +169,9 @@
         let out = &mut self.out;
         self.orders.retain(|_, pending| {
             let order = match &pending.change {
-                Change::Evacuate(order) if zone.is_none_or(|zone| order.zone == *zone) => order,
+                Change::EvacuateOnBase(order) if zone.is_none_or(|zone| order.zone == *zone) => {
+                    order
+                }
                 _ => return true,
             };
             let (reply, text) = if evacuations.has(&order.zone) == order.evacuated {
@@ -215,6 +218,7 @@
 
     /// Sets the other instances that may be members.
     pub fn set_others(&mut self, others: Vec<name::Name>) {
+        self.others.clone_from(&others);
         self.group.set_others(others);
     }
 
@@ -236,24 +240,45 @@
         self.add_order(ticket, Change::Publish(document), now);
     }
 
-    /// Handles an order to evacuate a zone or to revert its evacuation. The order goes through the
-    /// log even if it asks for the state that this member holds: this member may lag behind.
+    /// Handles an order to evacuate a zone or to revert its evacuation. One that would change the
+    /// state that this member holds is challenged: its sender may have given it up and had a later
+    /// one acknowledged elsewhere. The others go through the log as well, because this member may
+    /// lag behind.
     pub fn evacuate(&mut self, ticket: Ticket, request: evacuation::Request, now: u64) {
-        let evacuation::Request { zone, evacuated, opened } = request;
-        let change = Change::Evacuate(evacuation::Order { zone, evacuated, base: 0 });
-        let detail = format!("{}, connection open for {opened} ms", change.describe());
+        let is_changing = self.evacuations().has(&request.zone) != request.evacuated;
+        let is_wanted = !is_changing || self.challenges.is_met(&request, now);
+        let evacuation::Request { zone, evacuated, challenge, opened } = request;
+        let order = evacuation::Order { zone, evacuated, base: self.evacuations().revision };
+        let change = Change::EvacuateOnBase(order.clone());
+        let number = challenge.map_or_else(|| "none".to_owned(), |number| number.to_string());
+        let detail =
+            format!("{}, connection open for {opened} ms, challenge {number}", change.describe());
         self.out.notes.push(("settings: Order read.", detail));
-        if now < self.refuse_until {
-            self.out.notes.push(("settings: Order refused after a stop.", change.describe()));
-            self.out.replies.push((ticket, Reply::Unavailable));
-            return;
+        if is_wanted {
+            return self.add_order(ticket, change, now);
+        }
+        self.last_number += 1;
+        let detail = format!("{}, challenge {}", change.describe(), self.last_number);
+        self.out.notes.push(("settings: Order challenged.", detail));
+        self.out.replies.push((ticket, Reply::Challenge(self.last_number)));
+        self.challenges.issue(self.last_number, order, now);
+    }
+
+    /// Handles that the sender of an order has read the challenge with this number. Tells the other
+    /// keepers, at which it may repeat the order without the number.
+    pub fn on_challenge_read(&mut self, number: u64, now: u64) {
+        if let Some(order) = self.challenges.on_read(number, now) {
+            let send = |name: &name::Name| (name.clone(), Body::Challenged(order.clone()));
+            self.out.sends.extend(self.others.iter().map(send));
         }
-        self.add_order(ticket, change, now);
     }
 
-    /// Handles that this instance was stopped until now.
-    pub fn on_stop(&mut self, now: u64) {
-        self.refuse_until = now + STOP_PAUSE;
+    /// Handles that the sender of an order has read the challenge of another keeper. An order that
+    /// took effect since then may be later than the challenged one.
+    pub fn on_challenge_read_elsewhere(&mut self, order: evacuation::Order, now: u64) {
+        if order.base >= self.evacuations().revision {
+            self.challenges.on_read_elsewhere(order, now);
+        }
     }
 
     fn add_order(&mut self, ticket: Ticket, change: Change, now: u64) {
@@ -338,7 +363,7 @@
                 expired.push(*origin);
             } else if now >= order.retry_at {
                 order.retry_at = now + PROPOSAL_RETRY;
-                if let Change::Evacuate(order) = &mut order.change {
+                if let Change::EvacuateOnBase(order) = &mut order.change {
                     order.base = revision;
                     let detail = format!(
                         "zone {}, evacuated: {}, on revision {revision}",
--- a/crates/dispatch/src/machines/control_state.rs
+++ b/crates/dispatch/src/machines/control_state.rs
@@ -9,7 +9,9 @@
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 pub(crate) enum Change {
     Publish(Document),
+    /// Format from versions in which an order for the present state left the revision as it was.
     Evacuate(evacuation::Order),
+    EvacuateOnBase(evacuation::Order),
 }
 
 impl Change {
@@ -17,7 +19,9 @@
     pub(crate) fn describe(&self) -> String {
         match self {
             Self::Publish(document) => format!("version {}", document.version),
-            Self::Evacuate(order) => format!("zone {}, evacuated: {}", order.zone, order.evacuated),
+            Self::Evacuate(order) | Self::EvacuateOnBase(order) => {
+                format!("zone {}, evacuated: {}", order.zone, order.evacuated)
+            }
         }
     }
 }
@@ -51,8 +55,8 @@
 pub struct Applied {
     pub(crate) origin: u64,
     pub(crate) outcome: Outcome,
-    /// The zone that the order evacuated, or whose evacuation it reverted.
-    pub(crate) changed: Option<name::Name>,
+    /// The zone of an evacuation order that took effect.
+    pub(crate) ordered: Option<name::Name>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,6 +68,15 @@
     Stale,
 }
 
+impl From<evacuation::Outcome> for Outcome {
+    fn from(outcome: evacuation::Outcome) -> Self {
+        match outcome {
+            evacuation::Outcome::InForce => Self::InForce,
+            evacuation::Outcome::Stale => Self::Stale,
+        }
+    }
+}
+
 /// The replicated state.
 #[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
 pub(crate) struct State {
@@ -99,13 +112,6 @@
             }
         }
     }
-
-    fn evacuate(&mut self, order: &evacuation::Order) -> Outcome {
-        match self.state.evacuations.apply(order) {
-            evacuation::Outcome::InForce => Outcome::InForce,
-            evacuation::Outcome::Stale => Outcome::Stale,
-        }
-    }
 }
 
 impl group::Machine for Machine {
@@ -116,12 +122,16 @@
             return Vec::new();
         };
         let revision = self.state.evacuations.revision;
+        let evacuations = &mut self.state.evacuations;
         let (outcome, zone) = match change {
             Change::Publish(document) => (self.publish(document), None),
-            Change::Evacuate(order) => (self.evacuate(&order), Some(order.zone)),
+            Change::Evacuate(order) => (evacuations.apply(&order).into(), Some(order.zone)),
+            Change::EvacuateOnBase(order) => {
+                (evacuations.apply_on_base(&order).into(), Some(order.zone))
+            }
         };
-        let changed = zone.filter(|_| self.state.evacuations.revision > revision);
-        vec![Applied { origin, outcome, changed }]
+        let ordered = zone.filter(|_| self.state.evacuations.revision > revision);
+        vec![Applied { origin, outcome, ordered }]
     }
 
     fn snapshot(&self) -> bytes::Bytes {
--- a/crates/dispatch/src/machines/core.rs
+++ b/crates/dispatch/src/machines/core.rs
@@ -188,6 +188,11 @@
                 None => self.reply(ticket, Reply::Unavailable),
             },
             Event::Evacuate(ticket, request) => self.order_evacuation(ticket, request, now),
+            Event::ChallengeRead(number) => {
+                if let Some(control_log) = &mut self.control_log {
+                    control_log.on_challenge_read(number, now.mono);
+                }
+            }
             Event::Read(ticket) => match &mut self.control_log {
                 Some(control_log) => control_log.query_newest(ticket, now.mono),
                 None => self.reply(ticket, Reply::Unavailable),
@@ -228,9 +233,6 @@
         }
         self.membership.suspect_all(now.mono);
         self.scheds_mut().for_each(sched::Sched::drop_all);
-        if let Some(control_log) = &mut self.control_log {
-            control_log.on_stop(now.mono);
-        }
         let me = self.membership.me().name.clone();
         self.note(
             "node: Resumed after a stop, treating all other instances as silent.",
--- a/crates/dispatch/src/machines/peers.rs
+++ b/crates/dispatch/src/machines/peers.rs
@@ -183,6 +183,11 @@
                     control_log.on_query_answer(number, version);
                 }
             }
+            Body::Challenged(order) => {
+                if let Some(control_log) = &mut self.control_log {
+                    control_log.on_challenge_read_elsewhere(order, now.mono);
+                }
+            }
             Body::Submit(zone, job, handover) => self.on_submit(from, &zone, *job, handover, now),
             Body::Cancel(id) => {
                 self.scheds_mut().for_each(|sched| sched.cancel(&id, from));
--- a/crates/dispatch/src/messages/evacuation.rs
+++ b/crates/dispatch/src/messages/evacuation.rs
@@ -10,6 +10,8 @@
     pub zone: name::Name,
     /// Whether the zone is to be evacuated; false reverts an evacuation.
     pub evacuated: bool,
+    /// Number of the challenge that it meets, if its sender was redirected.
+    pub challenge: Option<u64>,
     /// For how long its connection had been open when it was read, in milliseconds.
     pub opened: u64,
 }
@@ -78,6 +80,29 @@
         Outcome::InForce
     }
 
+    /// Applies an order if it is based on the present revision. It raises the revision even if it
+    /// asks for the present state, so that no earlier order takes effect after it.
+    ///
+    /// ```
+    /// use dispatch::evacuation;
+    ///
+    /// let mut held = evacuation::Evacuations::default();
+    /// let order = |evacuated| evacuation::Order { zone: "west".into(), evacuated, base: 0 };
+    /// assert_eq!(held.apply_on_base(&order(false)), evacuation::Outcome::InForce);
+    /// assert_eq!(held.apply_on_base(&order(true)), evacuation::Outcome::Stale);
+    /// ```
+    pub fn apply_on_base(&mut self, order: &Order) -> Outcome {
+        if order.base != self.revision {
+            return Outcome::Stale;
+        }
+        self.revision += 1;
+        self.zones.retain(|zone| *zone != order.zone);
+        if order.evacuated {
+            self.zones.push(order.zone.clone());
+        }
+        Outcome::InForce
+    }
+
     /// Names of the zones, separated by spaces, for display.
     pub fn names(&self) -> String {
         let names: Vec<_> = self.zones.iter().map(name::Name::as_str).collect();
--- a/crates/dispatch/src/messages/event.rs
+++ b/crates/dispatch/src/messages/event.rs
@@ -44,6 +44,8 @@
     Publish(Ticket, message::Document),
     /// The operator evacuates a zone or ends its evacuation.
     Evacuate(Ticket, evacuation::Request),
+    /// The sender of an order has read the challenge with this number.
+    ChallengeRead(u64),
     /// The operator asks for the newest configuration.
     Read(Ticket),
     /// A call to an upstream has finished.
@@ -111,6 +113,8 @@
     Newest(message::Document),
     /// The announcement lacks the start time that other upstreams of its service state.
     Incomplete,
+    /// The order counts once its sender repeats it with this number.
+    Challenge(u64),
     /// Another configuration already has this version.
     Conflict,
     /// The zone does not exist.
--- a/crates/dispatch/src/messages/message.rs
+++ b/crates/dispatch/src/messages/message.rs
@@ -54,6 +54,8 @@
     /// Cancels a job on request. A scheduler that has it passes the message on to the entry whose
     /// client awaits it.
     Revoke(name::Name),
+    /// The sender of an order has read the challenge of a keeper, issued on the order's base.
+    Challenged(evacuation::Order),
 }
 
 /// A job that an entry awaits from a scheduler.
@@ -97,6 +99,7 @@
             Self::Seek(..) | Self::Clear(..) => "seek",
             Self::Lost(_) => "lost",
             Self::Relay(..) => "relay",
+            Self::Challenged(_) => "challenged",
         }
     }
 }
--- a/crates/dispatch/src/tables/mod.rs
+++ b/crates/dispatch/src/tables/mod.rs
@@ -9,6 +9,7 @@
 pub mod active;
 pub mod call_timeout;
 pub mod capacity_limit;
+pub(crate) mod challenges;
 pub mod directory;
 pub mod fetch;
 pub mod health;
--- a/crates/link/src/http.rs
+++ b/crates/link/src/http.rs
@@ -92,10 +92,21 @@
 type DisconnectFn = Box<dyn FnOnce() + Send>;
 type DisconnectSlot = sync::Arc<sync::Mutex<Option<DisconnectFn>>>;
 
+/// Time in which a client that has read a response closes its connection or sends its next request,
+/// if it does so because of that response. One that closes it later may have stopped waiting before
+/// the response arrived.
+const READ_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
+/// Callback for a client that has read its response.
+type ReadFn = Box<dyn FnOnce() + Send>;
+
+/// The last response of a connection that has a callback, and when it was written.
+type ReadSlot = sync::Arc<sync::Mutex<Option<(ReadFn, time::Instant)>>>;
+
 /// Sends the response to one request. If it is dropped without a response, the client receives
 /// status 500.
 pub struct Responder {
-    sender: async_sync::oneshot::Sender<Response>,
+    sender: async_sync::oneshot::Sender<(Response, Option<ReadFn>)>,
     on_disconnect: DisconnectSlot,
 }
 
@@ -133,7 +144,15 @@
     /// Sends the response.
     pub fn send(self, response: Response) {
         // Sending fails if the client has disconnected; the response is then not needed.
-        drop(self.sender.send(response));
+        drop(self.sender.send((response, None)));
+    }
+
+    /// Sends the response, and runs `on_read` once the client has shown that it read it: its
+    /// connection ends without an error, or carries another request, within [`READ_TIMEOUT`].
+    /// Nothing runs for a client that does neither.
+    pub fn send_watched(self, response: Response, on_read: impl FnOnce() + Send + 'static) {
+        // As in `send`.
+        drop(self.sender.send((response, Some(Box::new(on_read)))));
     }
 
     /// Runs `callback` if the client disconnects before it has received its response.
@@ -281,9 +300,17 @@
         return;
     }
     let opened = time::Instant::now();
-    let service = service::service_fn(move |request| {
-        let shared = sync::Arc::clone(&shared);
-        async move { Ok::<_, std::convert::Infallible>(respond(request, &shared, opened).await) }
+    let unread = ReadSlot::default();
+    let service = service::service_fn(|request| {
+        let (shared, unread) = (sync::Arc::clone(&shared), sync::Arc::clone(&unread));
+        async move {
+            run_read(&unread);
+            let (response, on_read) = respond(request, &shared, opened).await;
+            if let (Some(on_read), Ok(mut slot)) = (on_read, unread.lock()) {
+                *slot = Some((on_read, time::Instant::now()));
+            }
+            Ok::<_, std::convert::Infallible>(response)
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(rt::TokioTimer::new())
@@ -293,24 +320,41 @@
         .serve_connection(rt::TokioIo::new(stream), service);
     tokio::pin!(connection);
     // A broken connection is not reported, because its client can no longer be answered.
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        _ = closed.wait_for(|closed| *closed) => connection.as_mut().graceful_shutdown(),
+    let ended = tokio::select! {
+        ended = connection.as_mut() => Some(ended),
+        _ = closed.wait_for(|closed| *closed) => None,
+    };
+    match ended {
+        Some(Ok(())) => run_read(&unread),
+        Some(Err(_)) => {}
+        None => {
+            connection.as_mut().graceful_shutdown();
+            drop(connection.await);
+        }
+    }
+}
+
+/// Runs the callback of the last response, if it was written a short time ago.
+fn run_read(unread: &ReadSlot) {
+    let taken = unread.lock().ok().and_then(|mut slot| slot.take());
+    if let Some((on_read, written)) = taken
+        && written.elapsed() < READ_TIMEOUT
+    {
+        on_read();
     }
-    drop(connection.await);
 }
 
 async fn respond(
     request: hyper::Request<Incoming>,
     shared: &Shared,
     opened: time::Instant,
-) -> hyper::Response<Full<Bytes>> {
+) -> (hyper::Response<Full<Bytes>>, Option<ReadFn>) {
     let (head, body) = request.into_parts();
     let reading = tokio::time::timeout(BODY_TIMEOUT, read_body(body, &shared.body_permits));
     let body = match reading.await {
         Ok(Ok(body)) => body,
-        Ok(Err(error)) => return encode(shared.handler.reject(error), true),
-        Err(_) => return encode(shared.handler.reject(RequestError::TooSlow), true),
+        Ok(Err(error)) => return (encode(shared.handler.reject(error), true), None),
+        Err(_) => return (encode(shared.handler.reject(RequestError::TooSlow), true), None),
     };
     let path = head.uri.path().to_owned();
     let request = Request { method: head.method, path, headers: head.headers, body, opened };
@@ -321,8 +365,8 @@
     let response = receiver.await;
     guard.disarm();
     match response {
-        Ok(response) => encode(response, false),
-        Err(_) => encode(Response::text(500, "no response\n"), true),
+        Ok((response, on_read)) => (encode(response, false), on_read),
+        Err(_) => (encode(Response::text(500, "no response\n"), true), None),
     }
 }
 
