An entry that resumes confirms its configuration before it serves

What callers saw: in the first 0.12 to 0.16 s after an entry had been stopped for 4 s, a route that was dropped meanwhile was served and one that was added got 404.

Cause: the listeners used the routes in effect without regard to the stop, and the control thread distrusted the other instances but not its own configuration.

Change: after a stop an entry is settled once a keeper announces its version in answer to a heartbeat sent after the stop, or after 0.5 s without a keeper. Requests wait for that, on their own time. A listener that runs before the control thread has noticed the stop waits as well.

--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -32,6 +32,9 @@
 /// effect are then out of date. An entry with 0.12 of a core takes 160 ms for 4,200 routes.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 
+/// Maximum number of requests that wait until the routes in effect are confirmed.
+const MAX_UNSETTLED: usize = 1_024;
+
 /// Everything that the control thread is started with.
 #[derive(Debug)]
 pub struct Parts {
@@ -73,6 +76,8 @@
     reader: mpsc::Sender<message::Document>,
     /// Since when a received configuration has been waiting for the reader thread.
     unread_since: Option<time::Instant>,
+    /// Requests that wait until the routes in effect are confirmed.
+    unsettled: Vec<platform::SettledFn>,
     limiter: lines::Limiter,
     log: slog::Logger,
 }
@@ -98,6 +103,7 @@
             traffic: parts.traffic,
             reader,
             unread_since: None,
+            unsettled: Vec::new(),
             limiter: lines::Limiter::new(),
             log: parts.log,
         })
@@ -108,7 +114,9 @@
         let mut status_due = tick_due;
         loop {
             let wait = tick_due.saturating_duration_since(time::Instant::now());
-            for input in self.control.mailbox.receive(wait) {
+            let inputs = self.control.mailbox.receive(wait);
+            self.core.detect_stop(self.control.clock.now());
+            for input in inputs {
                 self.handle_input(input);
             }
             if time::Instant::now() >= tick_due {
@@ -138,6 +146,10 @@
                 self.replies.insert(ticket, Pending { reply, since, service });
                 event
             }
+            Input::Unsettled(then) if self.unsettled.len() < MAX_UNSETTLED => {
+                return self.unsettled.push(then);
+            }
+            Input::Unsettled(then) => return then(false),
         };
         if let Event::Disconnected(ticket) = &event {
             self.replies.remove(ticket);
@@ -236,6 +248,13 @@
         }
         let overdue = self.unread_since.is_some_and(|since| since.elapsed() >= READ_TIMEOUT);
         self.publish_outdated(overdue || self.core.is_outdated(now));
+        // Newer routes are in effect once they are read, or known to be out of date.
+        let is_read = self.unread_since.is_none() || overdue;
+        let is_settled = self.core.is_settled(now) && is_read;
+        view.set_unsettled(!self.core.is_settled(now), now);
+        if is_settled {
+            self.unsettled.drain(..).for_each(|then| then(true));
+        }
     }
 }
 
--- a/crates/apricotroute/src/node/handle.rs
+++ b/crates/apricotroute/src/node/handle.rs
@@ -17,6 +17,8 @@
 pub(super) enum Input {
     Event(Event),
     Request(event::Ticket, Event, platform::ReplyFn),
+    /// A request that waits until the routes in effect are confirmed.
+    Unsettled(platform::SettledFn),
 }
 
 /// A handle to the control thread.
@@ -133,6 +135,17 @@
         self.control.view.outdated.load(atomic::Ordering::Relaxed)
     }
 
+    fn is_unsettled(&self) -> bool {
+        self.control.view.is_unsettled(self.control.clock.now())
+    }
+
+    fn when_settled(&self, then: platform::SettledFn) {
+        if let Err(Input::Unsettled(then)) = self.control.mailbox.push(Input::Unsettled(then)) {
+            slog::warn!(self.log, "control: Mailbox is full, a request is refused.");
+            then(false);
+        }
+    }
+
     fn is_ready(&self) -> bool {
         self.control.view.ready.load(atomic::Ordering::Relaxed)
     }
--- a/crates/apricotroute/src/node/view.rs
+++ b/crates/apricotroute/src/node/view.rs
@@ -2,7 +2,10 @@
 
 use std::{sync, sync::atomic};
 
-use dispatch::{routing, status};
+use dispatch::{
+    core, routing, status,
+    time::{MS, Now},
+};
 
 /// State that the control thread publishes for other threads.
 #[derive(Debug, Default)]
@@ -10,6 +13,10 @@
     pub(super) routing: sync::RwLock<sync::Arc<routing::Routing>>,
     pub(super) ready: atomic::AtomicBool,
     pub(super) outdated: atomic::AtomicBool,
+    pub(super) unsettled: atomic::AtomicBool,
+    /// When the control thread last published this state, by its monotonic clock in microseconds
+    /// and by the time of day in milliseconds; 0 before the first time.
+    pub(super) published: (atomic::AtomicU64, atomic::AtomicU64),
     pub(super) draining: atomic::AtomicBool,
     pub(super) closed: atomic::AtomicBool,
     pub(super) open_jobs: atomic::AtomicUsize,
@@ -30,6 +37,23 @@
         }
     }
 
+    /// Whether requests must wait until the routes in effect are confirmed: this instance has
+    /// resumed after a stop, which the control thread may not have noticed yet.
+    pub(super) fn is_unsettled(&self, now: Now) -> bool {
+        let (mono, wall) = &self.published;
+        let mono = mono.load(atomic::Ordering::Acquire);
+        let wall = wall.load(atomic::Ordering::Relaxed);
+        let stalled = now.mono.saturating_sub(mono).max(now.wall.saturating_sub(wall) * MS);
+        self.unsettled.load(atomic::Ordering::Relaxed) || mono > 0 && stalled >= core::STALL_LIMIT
+    }
+
+    /// Sets whether requests must wait, as the control thread knows at `now`.
+    pub(super) fn set_unsettled(&self, unsettled: bool, now: Now) {
+        self.unsettled.store(unsettled, atomic::Ordering::Relaxed);
+        self.published.1.store(now.wall, atomic::Ordering::Relaxed);
+        self.published.0.store(now.mono, atomic::Ordering::Release);
+    }
+
     /// Replaces the routes in effect.
     pub fn set_routing(&self, routing: routing::Routing) {
         let mut current = self.routing.write().unwrap_or_else(sync::PoisonError::into_inner);
--- a/crates/dispatch/src/machines/core.rs
+++ b/crates/dispatch/src/machines/core.rs
@@ -25,7 +25,7 @@
 /// An instance that handled no event for this long, in microseconds, counts as suspended: its
 /// knowledge of the other instances is too old to act on. A client that lost its entry submits its
 /// job again after 1,300 ms, and noticing that loss takes [`crate::tables::peer::SILENCE_TIMEOUT`].
-const STALL_LIMIT: u64 = 600 * MS;
+pub const STALL_LIMIT: u64 = 600 * MS;
 
 /// When the wall clock advances this much more than the monotonic clock, in microseconds, the
 /// monotonic clock was stopped, as it is while a machine is suspended. The resolution of the wall
@@ -93,6 +93,8 @@
     pub(crate) document: Document,
     /// Whether a keeper has confirmed the configuration in force since this entry started.
     pub(crate) confirmed: bool,
+    /// When this entry resumed after a stop, unless a keeper has confirmed its configuration since.
+    pub(crate) resumed_at: Option<u64>,
     pub(crate) evacuations: evacuation::Evacuations,
     pub(crate) named_zones: Vec<name::Name>,
     pub(crate) draining: bool,
@@ -136,6 +138,7 @@
             control_log,
             document: Document::default(),
             confirmed: false,
+            resumed_at: None,
             evacuations: evacuation::Evacuations::default(),
             named_zones: zones,
             draining: false,
@@ -220,7 +223,7 @@
 
     /// Counts all other instances as silent after this instance was stopped. The wall clock reveals
     /// the stop if the monotonic clock was stopped as well.
-    pub(crate) fn detect_stop(&mut self, now: Now) {
+    pub fn detect_stop(&mut self, now: Now) {
         let last = std::mem::replace(&mut self.last, now);
         let wall = now.wall.saturating_sub(last.wall) * MS;
         let mono = now.mono.saturating_sub(last.mono);
@@ -233,6 +236,9 @@
         }
         self.membership.suspect_all(now.mono);
         self.scheds_mut().for_each(sched::Sched::drop_all);
+        if self.control_log.is_none() {
+            self.resumed_at = Some(now.mono);
+        }
         let me = self.membership.me().name.clone();
         self.note(
             "node: Resumed after a stop, treating all other instances as silent.",
--- a/crates/dispatch/src/machines/peers.rs
+++ b/crates/dispatch/src/machines/peers.rs
@@ -328,6 +328,7 @@
             self.send_heartbeat(&from, now);
         }
         self.record_version(version, now);
+        self.check_settled();
         let zone = self.membership.me().zone.clone();
         let sync_needed =
             members != self.membership.digest() || self.membership.is_forgotten(&from);
--- a/crates/dispatch/src/machines/propagation.rs
+++ b/crates/dispatch/src/machines/propagation.rs
@@ -31,6 +31,10 @@
 /// long, microseconds. Operators count on their changes 3,000 ms after a start.
 const UNCONFIRMED_LIMIT: u64 = 2_500 * MS;
 
+/// An entry that has resumed after a stop and hears of no keeper goes on with the configuration that
+/// it has after this long, microseconds: three heartbeats.
+const SETTLE_LIMIT: u64 = 500 * MS;
+
 /// Maximum size of a configuration that is sent without a request, bytes: several keepers may send
 /// it, and each copy takes 1.3 ms of a link of 25 Mbit/s.
 const MAX_UNREQUESTED: usize = 4_096;
@@ -75,6 +79,23 @@
         }
     }
 
+    /// Whether this instance may answer requests by the configuration in force. It may not after a
+    /// stop until a keeper has answered that it has no newer one: routes may have changed in the
+    /// meantime.
+    pub fn is_settled(&self, now: Now) -> bool {
+        self.resumed_at.is_none_or(|since| {
+            now.mono >= since + SETTLE_LIMIT
+                && (self.newer_versions.is_empty() || self.is_outdated(now))
+        })
+    }
+
+    /// Checks whether a keeper has confirmed the configuration in force since the last stop.
+    pub(crate) fn check_settled(&mut self) {
+        let version = self.document.version;
+        self.resumed_at =
+            self.resumed_at.filter(|since| !self.membership.is_confirmed_since(version, *since));
+    }
+
     /// The version that heartbeats announce; 0 for none.
     pub(crate) fn announced_version(&self, now: Now) -> u64 {
         let is_confirmed =
@@ -148,6 +169,7 @@
             format!("version {}, known for {waited} ms", document.version),
         );
         self.out.push(Output::Document(document));
+        self.check_settled();
         if self.control_log.is_some() {
             self.announce_version(now);
         }
--- a/crates/dispatch/src/tables/membership.rs
+++ b/crates/dispatch/src/tables/membership.rs
@@ -215,6 +215,16 @@
         keepers.peek().is_some() && keepers.all(|(_, ping)| ping.version < version)
     }
 
+    /// Whether a keeper has announced just `version` in answer to a heartbeat that this instance sent
+    /// at `since` or later, by its own clock.
+    pub fn is_confirmed_since(&self, version: u64, since: u64) -> bool {
+        let pings = self.peers.values().filter_map(|peer| peer.ping.as_ref());
+        let keepers = pings.filter(|ping| ping.card.role == member::Role::Keeper);
+        keepers.into_iter().any(|ping| {
+            ping.version == version && ping.ack.as_ref().is_some_and(|ack| ack.clock >= since)
+        })
+    }
+
     /// The live keepers with their last heartbeats.
     fn live_keepers(&self, now: u64) -> impl Iterator<Item = (&Peer, &message::Ping)> {
         let live = self.peers.values().filter(move |peer| peer.is_alive(now));
--- a/crates/dispatch/tests/configuration.rs
+++ b/crates/dispatch/tests/configuration.rs
@@ -320,3 +320,63 @@
     let elapsed = started.elapsed();
     assert!(elapsed < std::time::Duration::from_secs(5), "{elapsed:?}");
 }
+
+/// Guards against an entry that has resumed after a stop and answers by what it had before, or takes
+/// a heartbeat that was sent during the stop for a confirmation.
+#[test]
+fn resumed_entry() {
+    for seed in 0..10 {
+        let mut world = World::new(seed, 3, 1, 4);
+        world.run(3_000);
+        assert_eq!(publish(&mut world, KEEPERS[0], 5, "one"), Some(Reply::Noted));
+        world.run(1_000);
+        let state = |world: &World| {
+            let core = world.instances[1].core.as_ref().expect("it runs");
+            (core.document().version, core.is_settled(world.clock()))
+        };
+        assert_eq!(state(&world), (5, true), "seed {seed}");
+        world.freeze(1);
+        world.run(1_500);
+        assert_eq!(publish(&mut world, KEEPERS[0], 6, "other"), Some(Reply::Noted));
+        world.run(1_500);
+        world.unfreeze(1);
+        // What waits for it is handled one microsecond later.
+        let resumed = world.now;
+        world.run(1);
+        let mut settled_after = None;
+        for ms in 1..500 {
+            match state(&world) {
+                (6, true) => {
+                    settled_after = Some(ms);
+                    break;
+                }
+                (version, settled) => {
+                    assert!(!settled, "seed {seed}: version {version}, {} us", world.now - resumed);
+                }
+            }
+            world.run(1);
+        }
+        assert!(settled_after.is_some_and(|ms| ms < 400), "seed {seed}: {settled_after:?}");
+    }
+}
+
+/// An entry that has resumed and reaches no keeper goes on with the configuration that it has.
+#[test]
+fn resumed_cut_off() {
+    let mut world = World::new(1, 3, 1, 4);
+    world.run(3_000);
+    assert_eq!(publish(&mut world, KEEPERS[0], 5, "one"), Some(Reply::Noted));
+    world.run(1_000);
+    world.freeze(1);
+    world.run(1_500);
+    for keeper in KEEPERS {
+        world.kill(keeper);
+    }
+    world.unfreeze(1);
+    world.run(20);
+    let settled =
+        |world: &World| world.instances[1].core.as_ref().map(|core| core.is_settled(world.clock()));
+    assert_eq!(settled(&world), Some(false));
+    world.run(600);
+    assert_eq!(settled(&world), Some(true));
+}
