Announcements of upstreams may carry a number, so that a late copy changes nothing

What callers saw: on the own interface, a copy of "serving" that an upstream had given up at an instance that was stopped, and followed by "leaving" or DELETE at another one, counted as the newest once it was read, and tasks started there until the next announcement.

Cause: instances numbered announcements by the time at which they read them.

Change: an optional number in POST /v1/upstreams, which orders announcements before the receiver's clock does; a copy of the last one before a withdrawal is refused too. Without it nothing changes. The stand-in upstream sends it.

Result: slots::late_announcement and odd_upstreams::late_announcements pass; before, the key was unknown, and the table took the highest sequence (by reading).

--- a/crates/apricotroute/src/standin.rs
+++ b/crates/apricotroute/src/standin.rs
@@ -149,6 +149,7 @@
     fn send_announcement(&self, remote: &remote::Remote, state: &str) -> Option<time::Duration> {
         let options = &self.options;
         let (cores, memory, accelerators) = options.capacity;
+        let wall = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
         let body = json!({
             "upstream": options.name,
             "service": options.service,
@@ -159,6 +160,7 @@
             "cores": cores,
             "memory_mb": memory,
             "accelerators": accelerators,
+            "number": wall.as_micros() as u64,
         });
         let answer = remote.post("/v1/upstreams", body.to_string().as_bytes()).ok()?;
         let lease = serde_json::from_str::<proto::json::Lease>(&answer.body).ok()?;
--- a/crates/apricotroute/tests/odd_upstreams.rs
+++ b/crates/apricotroute/tests/odd_upstreams.rs
@@ -267,3 +267,28 @@
     assert_eq!((status, &body["state"]), (503, &json!("not_run")), "{body}");
     assert_eq!(fake.received().len(), 4);
 }
+
+/// Guards against a copy of an announcement that its upstream has given up and followed by another
+/// one: no task starts at an upstream that has said that it leaves, or has withdrawn.
+#[test]
+fn late_announcements() {
+    let cluster = cluster();
+    let fake = FakeUpstream::start(|_, _, stream| answer(stream, "1"));
+    let announce = |number: u64, state: &str| {
+        let body = json!({"upstream": "u1", "service": "polish-board", "availability_zone": "west",
+            "address": fake.address, "slots": 4, "state": state, "number": number});
+        assert_eq!(post(cluster.instances[0].client, "/v1/upstreams", &body).0, 200);
+    };
+    announce(5, "serving");
+    assert_eq!(submit(&cluster, 4, 2_000).1, 200);
+    announce(6, "leaving");
+    announce(5, "serving");
+    assert_eq!(submit(&cluster, 4, 2_000).1, 503, "after a late copy");
+    announce(7, "serving");
+    assert_eq!(submit(&cluster, 4, 2_000).1, 200);
+    let gone = delete(cluster.instances[0].client, "/v1/upstreams/u1");
+    assert_eq!(gone.map(|(status, _)| status), Some(200));
+    announce(7, "serving");
+    assert_eq!(submit(&cluster, 4, 2_000).1, 503, "after a copy from before the withdrawal");
+    assert_eq!(fake.received().len(), 8);
+}
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -72,6 +72,7 @@
 //!     phase: upstream::Phase::Serving,
 //!     capacity: None,
 //!     sequence: 0,
+//!     number: 0,
 //! };
 //! step(&mut core, event::Event::Announce(2, upstream), clock);
 //!
--- a/crates/coord/src/news.rs
+++ b/crates/coord/src/news.rs
@@ -15,9 +15,12 @@
 impl Core {
     pub(crate) fn announce(&mut self, ticket: Ticket, mut info: upstream::Upstream, now: Now) {
         let lease = self.tree().policy_at(info.service.as_str()).upstream_lease_ms;
-        let known =
-            self.fleet.upstreams().get(info.name.as_str()).map_or(0, |leased| leased.info.sequence);
-        info.sequence = now.wall.max(known + 1);
+        let known = self.fleet.upstreams().get(info.name.as_str()).map(|leased| &leased.info);
+        // A copy that the upstream has given up and followed by another announcement.
+        if known.is_some_and(|known| known.supersedes(&info)) {
+            return self.out.push(Output::Reply(ticket, Reply::Lease(lease)));
+        }
+        info.sequence = now.wall.max(known.map_or(0, |known| known.sequence) + 1);
         let sequence = info.sequence;
         let changed = self.fleet.put(info.clone(), now.after(lease));
         self.dispatch_pending.insert(info.service.clone());
--- a/crates/coord/tests/net/mod.rs
+++ b/crates/coord/tests/net/mod.rs
@@ -318,6 +318,7 @@
             phase: upstream::Phase::Serving,
             capacity: None,
             sequence: 0,
+            number: 0,
         };
         self.handle(at, Event::Announce(ticket, info));
     }
--- a/crates/coord/tests/slots.rs
+++ b/crates/coord/tests/slots.rs
@@ -22,6 +22,7 @@
         phase: upstream::Phase::Serving,
         capacity: None,
         sequence: 1,
+        number: 0,
     }
 }
 
@@ -116,6 +117,35 @@
     assert_eq!(pick(&mut fleet, SECOND), None);
 }
 
+/// Guards against a copy of an announcement that its upstream has given up and followed by another
+/// one, whichever instance reads it last.
+#[test]
+fn late_announcement() {
+    let numbered = |phase, sequence, number| upstream::Upstream {
+        phase,
+        sequence,
+        number,
+        ..upstream("u0", 8)
+    };
+    for last in [upstream::Phase::Leaving, upstream::Phase::Gone] {
+        let mut fleet = fleet(0, 1, 1, 8);
+        fleet.put(numbered(upstream::Phase::Serving, 2, 5), 200 * SECOND);
+        assert!(fleet.put(numbered(last, 3, 6), 200 * SECOND));
+        for number in [4, 5] {
+            let late = numbered(upstream::Phase::Serving, 9, number);
+            assert!(!fleet.put(late, 300 * SECOND), "{last:?}, {number}");
+        }
+        assert_eq!(pick(&mut fleet, SECOND), None, "{last:?}");
+        // The newer one counts although the clock of the instance that read it is behind.
+        assert!(fleet.put(numbered(upstream::Phase::Serving, 1, 7), 300 * SECOND), "{last:?}");
+        assert!(pick(&mut fleet, SECOND).is_some(), "{last:?}");
+    }
+    let mut fleet = fleet(0, 1, 1, 8);
+    fleet.put(numbered(upstream::Phase::Gone, 2, 5), 200 * SECOND);
+    assert!(!fleet.put(numbered(upstream::Phase::Serving, 9, 5), 300 * SECOND));
+    assert_eq!(pick(&mut fleet, SECOND), None, "a copy of the last one before the withdrawal");
+}
+
 /// A step of a simulation of instances that share one upstream.
 #[derive(Clone, Debug)]
 enum Step {
--- a/crates/proto/src/json.rs
+++ b/crates/proto/src/json.rs
@@ -200,6 +200,10 @@
     /// Accelerators per slot.
     #[serde(default)]
     pub accelerators: Option<u64>,
+    /// Number of the announcement, which rises with each, also across restarts of the upstream; a
+    /// copy that arrives after one with a higher number changes nothing.
+    #[serde(default)]
+    pub number: Option<u64>,
 }
 
 /// Lifecycle phase of an upstream.
@@ -271,6 +275,7 @@
             },
             capacity: declared.then_some(capacity),
             sequence: 0,
+            number: self.number.unwrap_or(0),
         }
     }
 }
--- a/crates/state/src/upstream.rs
+++ b/crates/state/src/upstream.rs
@@ -60,9 +60,20 @@
     pub phase: Phase,
     /// Resource capacity of the upstream. `None`, if it declared none, means no limit.
     pub capacity: Option<Resources>,
-    /// Sequence number of the announcement, so that a delayed announcement never replaces a newer
-    /// one.
+    /// Sequence number of the announcement, by the instance that received it, so that a delayed
+    /// message between instances never replaces a newer one.
     pub sequence: u64,
+    /// Number that the upstream gave the announcement, which rises with each; 0 without one.
+    pub number: u64,
+}
+
+impl Upstream {
+    /// Returns whether the upstream sent `other` before this announcement, or a copy of the last one
+    /// before it withdrew. Without numbers that cannot be told.
+    pub fn supersedes(&self, other: &Self) -> bool {
+        let is_withdrawn = self.phase == Phase::Gone && self.number == other.number;
+        other.number > 0 && (self.number > other.number || is_withdrawn)
+    }
 }
 
 /// An upstream and the end of its lease.
@@ -117,9 +128,13 @@
     /// lease changed. An announcement older than the stored one is ignored.
     pub fn put(&mut self, info: Upstream, until: u64) -> bool {
         match self.map.get_mut(&info.name) {
-            Some(entry) if entry.info.sequence > info.sequence => false,
+            Some(entry) if entry.info.supersedes(&info) => false,
+            Some(entry) if entry.info.sequence > info.sequence && !info.supersedes(&entry.info) => {
+                false
+            }
             Some(entry) => {
-                let same = Upstream { sequence: info.sequence, ..entry.info.clone() } == info;
+                let (sequence, number) = (info.sequence, info.number);
+                let same = Upstream { sequence, number, ..entry.info.clone() } == info;
                 entry.expires = entry.expires.max(until);
                 entry.info = info;
                 !same
