A scheduler that surveys its upstreams refuses no late job for want of room

Cause: a job that became late while no upstream had answered yet was refused as if there were no room. On arrival that was asked, for waiting jobs it was not.

--- a/crates/dispatch/src/machines/admission.rs
+++ b/crates/dispatch/src/machines/admission.rs
@@ -121,9 +121,7 @@
         if !self.policy.refuse_overload {
             return None;
         }
-        if now < self.since + SURVEY_TIMEOUT
-            && self.sessions.values().any(|session| !session.is_owned())
-        {
+        if self.is_surveying(now) {
             return None;
         }
         let queued =
@@ -131,6 +129,14 @@
         queue::refusal_delay(job, queued, self.load(now), now).map(Refusal::Overload)
     }
 
+    /// Whether this scheduler has just started and does not know its capacity yet: no upstream has
+    /// announced itself, or one has not answered.
+    pub(crate) fn is_surveying(&self, now: u64) -> bool {
+        let is_unknown = self.sessions.is_empty();
+        now < self.since + SURVEY_TIMEOUT
+            && (is_unknown || self.sessions.values().any(|session| !session.is_owned()))
+    }
+
     /// Whether each task of a job fits at an idle upstream that takes new tasks, as far as the
     /// upstreams of its service are known.
     fn can_hold(&self, job: &Job) -> bool {
--- a/crates/dispatch/src/machines/upkeep.rs
+++ b/crates/dispatch/src/machines/upkeep.rs
@@ -68,7 +68,8 @@
     pub(crate) fn expire_jobs(&mut self, now: u64) {
         let mut expired = Vec::new();
         let policy = self.policy;
-        let overloaded = policy.refuse_late && queue::is_overloaded(self.load(now));
+        let overloaded =
+            policy.refuse_late && !self.is_surveying(now) && queue::is_overloaded(self.load(now));
         let is_late = |active: &ActiveJob| {
             overloaded && queue::feasibility(active, now) == queue::Feasibility::Late
         };
--- a/crates/dispatch/tests/owner.rs
+++ b/crates/dispatch/tests/owner.rs
@@ -234,6 +234,24 @@
     assert_eq!(refused, []);
 }
 
+/// Guards against a job that becomes late while the upstreams of a new scheduler announce themselves
+/// and answer, and is refused for want of room.
+#[test]
+fn late_while_surveying() {
+    let (mut harness, _) = Harness::new(&[]);
+    harness.sched.submit(Job { objective: 280, ..job("j", 1) }, &"entry".into(), harness.now);
+    harness.now += 150 * MS;
+    assert_eq!(harness.calls().len(), 0);
+    harness.sched.update_upstream(&record("u1"));
+    let holds = harness.calls();
+    assert_eq!(harness.verdicts, [], "before the upstream has answered");
+    harness.now += 20 * MS;
+    harness.answer(&holds[0], held(vec![], vec![], harness.now));
+    let starts = harness.calls();
+    assert!(starts.iter().any(|call| matches!(call.order, Order::Start { .. })), "{starts:?}");
+    assert_eq!(harness.verdicts, []);
+}
+
 #[test]
 fn failed_task() {
     let (mut harness, holds) = Harness::new(&["u1"]);
