An entry that resumes serves no request before the newer routes are read

Cause: the entry counted as settled once it had adopted the confirmed configuration, while the reader thread still read its routes; requests that arrived in that time used the former ones.

Change: requests wait until the routes are read, at most until they count as out of date.

--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -248,10 +248,10 @@
         }
         let overdue = self.unread_since.is_some_and(|since| since.elapsed() >= READ_TIMEOUT);
         self.publish_outdated(overdue || self.core.is_outdated(now));
-        // Newer routes are in effect once they are read, or known to be out of date.
+        // Routes that are newer than those before a stop are in effect once they are read.
         let is_read = self.unread_since.is_none() || overdue;
-        let is_settled = self.core.is_settled(now) && is_read;
-        view.set_unsettled(!self.core.is_settled(now), now);
+        let is_settled = self.core.is_settled(now) && (is_read || !view.waits());
+        view.set_unsettled(!is_settled, now);
         if is_settled {
             self.unsettled.drain(..).for_each(|then| then(true));
         }
--- a/crates/apricotroute/src/node/view.rs
+++ b/crates/apricotroute/src/node/view.rs
@@ -44,7 +44,12 @@
         let mono = mono.load(atomic::Ordering::Acquire);
         let wall = wall.load(atomic::Ordering::Relaxed);
         let stalled = now.mono.saturating_sub(mono).max(now.wall.saturating_sub(wall) * MS);
-        self.unsettled.load(atomic::Ordering::Relaxed) || mono > 0 && stalled >= core::STALL_LIMIT
+        self.waits() || mono > 0 && stalled >= core::STALL_LIMIT
+    }
+
+    /// Whether requests wait, as the control thread last published.
+    pub(super) fn waits(&self) -> bool {
+        self.unsettled.load(atomic::Ordering::Relaxed)
     }
 
     /// Sets whether requests must wait, as the control thread knows at `now`.
--- a/crates/apricotroute/tests/resumed_entry.rs
+++ b/crates/apricotroute/tests/resumed_entry.rs
@@ -3,17 +3,18 @@
 
 mod system;
 
-use std::{
-    sync::atomic,
-    thread,
-    time::{Duration, Instant},
-};
+use std::{sync::atomic, thread, time::Duration};
 
 use serde_json::json;
 use system::{System, agent, config, wait_until};
 
 /// Index of the entry that is stopped.
 const ENTRY: usize = 4;
+/// Number of routes besides those that are requested.
+const OTHER_ROUTES: usize = 1_000;
+/// Number of clients that send requests while the entry resumes, each at its own moment.
+const REQUESTS: u32 = 100;
+const REQUEST_INTERVAL: Duration = Duration::from_millis(10);
 
 fn system(subnet: u8) -> System {
     let mut system =
@@ -46,28 +47,30 @@
         system.signal(ENTRY, "-STOP");
         let mut newer = config(4 + round);
         let added = format!("/new-{round}/");
-        newer["Routes"] = json!([system::route("r", "/board/"), system::route("new", &added)]);
+        // So many that reading them takes a while.
+        let others =
+            (0..OTHER_ROUTES).map(|at| system::route(&format!("o-{at}"), &format!("/o/{at}/")));
+        let mut routes = vec![system::route("r", "/board/"), system::route("new", &added)];
+        routes.extend(others);
+        newer["Routes"] = routes.into();
         assert_eq!(system.publish(0, &newer), 200, "round {round}");
         thread::sleep(Duration::from_secs(3));
         let dropped = if round == 0 { "/old/".to_owned() } else { format!("/new-{}/", round - 1) };
         // The requests that wait at the entry when it resumes, and those of the next moments.
-        let until = Instant::now() + Duration::from_secs(1);
-        let number = atomic::AtomicU64::new(0x100 * (1 + round));
+        let number = atomic::AtomicU64::new(0x1000 * (1 + round));
         thread::scope(|scope| {
-            for at in 0..8 {
-                let (system, number, prefix) =
-                    (&system, &number, if at % 2 == 0 { &added } else { &dropped });
+            for at in 0..REQUESTS {
+                let (system, number, added, dropped) = (&system, &number, &added, &dropped);
                 scope.spawn(move || {
-                    while Instant::now() < until {
+                    thread::sleep(REQUEST_INTERVAL * at);
+                    for (prefix, wrong) in [(added, 404), (dropped, 200)] {
                         let id = number.fetch_add(1, atomic::Ordering::SeqCst);
                         let status = submit(system, prefix, id);
-                        let wrong = if at % 2 == 0 { 404 } else { 200 };
                         assert_ne!(status, wrong, "{prefix} in round {round}");
-                        thread::sleep(Duration::from_millis(5));
                     }
                 });
             }
-            thread::sleep(Duration::from_millis(100));
+            thread::sleep(REQUEST_INTERVAL * 10);
             system.signal(ENTRY, "-CONT");
         });
         wait_until("the added route is served", || {
