--- a/crates/link/src/http.rs
+++ b/crates/link/src/http.rs
@@ -95,7 +95,7 @@
 /// Time in which a client that has read a response closes its connection or sends its next request,
 /// if it does so because of that response. One that closes it later may have stopped waiting before
 /// the response arrived.
-const READ_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+pub const READ_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
 /// Callback for a client that has read its response.
 type ReadFn = Box<dyn FnOnce() + Send>;
