--- a/crates/apricotroute/tests/late_orders.rs
+++ b/crates/apricotroute/tests/late_orders.rs
@@ -17,6 +17,8 @@
 const RESEND_TIME: Duration = Duration::from_secs(5);
 /// Number of redirects that an operator follows.
 const MAX_REDIRECTS: usize = 2;
+/// Time for which a keeper is stopped.
+const STOP: Duration = Duration::from_secs(5);
 /// The indices of the four keepers.
 const KEEPERS: [usize; 4] = [0, 1, 3, 4];
 
@@ -88,74 +90,92 @@
     KEEPERS.iter().filter_map(|at| system.metric(*at, "evacuated_zones", &[])).collect()
 }
 
-/// Has copies of the second of three orders given up at keepers behind links with these delays, and
-/// checks that the third one stays in force after all copies have arrived.
-fn check(subnet: u8, follows_redirects: bool, evacuates: bool, delays: &[u64], frozen: bool) {
-    let system = system(subnet);
-    let operator = Operator { follows_redirects };
-    let (last, late) = if evacuates { ("POST", "DELETE") } else { ("DELETE", "POST") };
-    let sound = [system.operator(0), system.operator(1)];
-    assert!(operator.order(last, &sound) && operator.order(late, &sound), "first orders");
-    assert!(operator.order(last, &sound), "an order without a late copy");
-    let links: Vec<_> = delays
-        .iter()
-        .zip([3, 4].into_iter().cycle())
-        .map(|(delay, keeper)| {
+/// An order that is given up while its copies wait, between two later ones that are acknowledged.
+struct Case {
+    subnet: u8,
+    follows_redirects: bool,
+    /// The method of the orders that stay in force; the copies that are given up have the other one.
+    method: &'static str,
+    /// Delay of the link that each copy takes, milliseconds. The links lead to two keepers in turn.
+    delays: &'static [u64],
+    /// Whether the first of these keepers is stopped as well, for [`STOP`].
+    is_stopped: bool,
+}
+
+impl Case {
+    /// Has the copies given up, and checks that the last acknowledged order stays in force while and
+    /// after they arrive.
+    fn check(&self) {
+        let system = system(self.subnet);
+        let operator = Operator { follows_redirects: self.follows_redirects };
+        let evacuates = self.method == "POST";
+        let (last, late) = (self.method, if evacuates { "DELETE" } else { "POST" });
+        let sound = [system.operator(0), system.operator(1)];
+        assert!(operator.order(last, &sound) && operator.order(late, &sound), "first orders");
+        assert!(operator.order(last, &sound), "an order without a late copy");
+        let late_keepers = [KEEPERS[2], KEEPERS[3]].into_iter().cycle();
+        let links = self.delays.iter().zip(late_keepers).map(|(delay, keeper)| {
             let link = SlowLink::open(&system.runtime, system.operator(keeper));
             link.set_delay(Duration::from_millis(*delay));
             link
-        })
-        .collect();
-    if frozen {
-        system.signal(3, "-STOP");
-    }
-    let began = Instant::now();
-    for link in &links {
-        assert_eq!(operator.send(late, link.address()), None, "the copy is given up");
-    }
-    assert!(operator.order(late, &sound), "another keeper acknowledges the order");
-    assert!(operator.order(last, &sound), "a later order is acknowledged");
-    if frozen {
-        thread::sleep(Duration::from_secs(5).saturating_sub(began.elapsed()));
-        system.signal(3, "-CONT");
-    }
-    let expected = vec![if evacuates { 1.0 } else { 0.0 }; KEEPERS.len()];
-    wait_until("the last order is in force", || evacuated(&system) == expected);
-    let longest = delays.iter().max().copied().unwrap_or_default();
-    // All copies have arrived a second after the longest delay, and their closes a second later.
-    let settled = Duration::from_millis(longest + 1_000 * delays.len() as u64 + 2_000);
-    while began.elapsed() < settled {
-        assert_eq!(evacuated(&system), expected, "{:?} after the first copy", began.elapsed());
-        thread::sleep(Duration::from_millis(100));
+        });
+        let links: Vec<_> = links.collect();
+        if self.is_stopped {
+            system.signal(KEEPERS[2], "-STOP");
+        }
+        let began = Instant::now();
+        for link in &links {
+            assert_eq!(operator.send(late, link.address()), None, "the copy is given up");
+        }
+        assert!(operator.order(late, &sound), "another keeper acknowledges the order");
+        assert!(operator.order(last, &sound), "a later order is acknowledged");
+        if self.is_stopped {
+            thread::sleep(STOP.saturating_sub(began.elapsed()));
+            system.signal(KEEPERS[2], "-CONT");
+        }
+        let expected = vec![if evacuates { 1.0 } else { 0.0 }; KEEPERS.len()];
+        wait_until("the last order is in force", || evacuated(&system) == expected);
+        let longest = Duration::from_millis(self.delays.iter().max().copied().unwrap_or_default());
+        // A copy is sent when the one before it is given up, and its close follows as late.
+        let settled = longest + PATIENCE * (self.delays.len() as u32 + 2);
+        while began.elapsed() < settled {
+            assert_eq!(evacuated(&system), expected, "{:?} after the first copy", began.elapsed());
+            thread::sleep(Duration::from_millis(100));
+        }
     }
 }
 
 /// Guards against a copy on a slow link to a keeper that undoes a later order.
 #[test]
 fn slow_link() {
-    check(80, true, true, &[3_000], false);
+    let (method, delays) = ("POST", &[3_000]);
+    Case { subnet: 80, follows_redirects: true, method, delays, is_stopped: false }.check();
 }
 
 /// Guards against the same, for an operator that follows no redirects.
 #[test]
 fn no_redirects() {
-    check(81, false, true, &[5_000], false);
+    let (method, delays) = ("POST", &[5_000]);
+    Case { subnet: 81, follows_redirects: false, method, delays, is_stopped: false }.check();
 }
 
 /// Guards against a late copy that evacuates a zone after its evacuation was reverted.
 #[test]
 fn late_evacuation() {
-    check(82, false, false, &[3_000], false);
+    let (method, delays) = ("DELETE", &[3_000]);
+    Case { subnet: 82, follows_redirects: false, method, delays, is_stopped: false }.check();
 }
 
 /// Guards against a copy that is read some seconds after its keeper has resumed.
 #[test]
 fn read_after_stop() {
-    check(83, true, true, &[8_000], true);
+    let (method, delays) = ("POST", &[8_000]);
+    Case { subnet: 83, follows_redirects: true, method, delays, is_stopped: true }.check();
 }
 
 /// Guards against copies of one order that are read after each other, at one keeper and at two.
 #[test]
 fn several_copies() {
-    check(84, false, true, &[6_000, 6_000, 5_000, 4_000], false);
+    let (method, delays) = ("POST", &[6_000, 6_000, 5_000, 4_000]);
+    Case { subnet: 84, follows_redirects: false, method, delays, is_stopped: false }.check();
 }
