--- a/crates/apricotroute/tests/config_losses.rs
+++ b/crates/apricotroute/tests/config_losses.rs
@@ -41,17 +41,6 @@
     system.start(at);
 }
 
-/// The keeper that became the leader of the settings group last.
-fn leader(system: &System) -> usize {
-    let since = |at: &usize| {
-        let log = system.log(*at);
-        let line = log.lines().rfind(|line| line.contains("settings: Leading."))?;
-        let line: serde_json::Value = serde_json::from_str(line).ok()?;
-        line["ts"].as_str().map(str::to_owned)
-    };
-    system.keepers().max_by_key(since).unwrap()
-}
-
 #[test]
 fn older_after_restart() {
     const CHANGES: u64 = 12;
@@ -61,7 +50,7 @@
         publish(&system, version);
     }
     // One follower is back before the others, which have to confirm what is committed.
-    let keeper = system.keepers().find(|at| *at != leader(&system)).unwrap();
+    let keeper = system.keepers().find(|at| *at != system.leader()).unwrap();
     let all: Vec<_> = (0..system.instances.len()).collect();
     system.kill_at_once(&all);
     let entries: Vec<_> = system.entries().collect();
@@ -86,7 +75,7 @@
 fn seat_of_removed() {
     const FREEZES: u32 = 5;
     let mut system = start(44, &[(1, 0), (1, 0), (1, 0)]);
-    let removed = system.keepers().find(|at| *at != leader(&system)).unwrap();
+    let removed = system.keepers().find(|at| *at != system.leader()).unwrap();
     system.kill(removed);
     system.instances[removed].is_removed = true;
     let added = system.add_keeper(system.instances[removed].zone);
@@ -96,7 +85,7 @@
     }
     // One keeper at a time is frozen, so that the others elect a leader each time.
     for _ in 0..FREEZES {
-        let frozen = leader(&system);
+        let frozen = system.leader();
         system.signal(frozen, "-STOP");
         thread::sleep(Duration::from_millis(1_500));
         system.signal(frozen, "-CONT");
--- a/crates/apricotroute/tests/disk_faults.rs
+++ b/crates/apricotroute/tests/disk_faults.rs
@@ -24,17 +24,6 @@
     system
 }
 
-/// The keeper that became the leader of the settings group last.
-fn leader(system: &System) -> usize {
-    let since = |at: &usize| {
-        let log = system.log(*at);
-        let line = log.lines().rfind(|line| line.contains("settings: Leading."))?;
-        let line: serde_json::Value = serde_json::from_str(line).ok()?;
-        line["ts"].as_str().map(str::to_owned)
-    };
-    system.keepers().max_by_key(since).unwrap()
-}
-
 fn publish(system: &System, versions: std::ops::RangeInclusive<u64>) {
     for version in versions {
         wait_until("a change is acknowledged", || {
@@ -67,14 +56,14 @@
 #[test]
 fn lost_after_full() {
     let mut system = start(41);
-    let lost = leader(&system);
+    let lost = system.leader();
     let full = system.keepers().find(|at| *at != lost).unwrap();
     let draft = system.data_folder(full).join("snapshot.draft");
     std::os::unix::fs::symlink("/dev/full", &draft).unwrap();
     publish(&system, 2..=CHANGES);
     drop(fs::remove_file(&draft));
     thread::sleep(Duration::from_secs(4));
-    let lost = leader(&system);
+    let lost = system.leader();
     lose_disk(&mut system, lost, CHANGES);
 }
 
@@ -83,7 +72,7 @@
     const DESCRIPTORS: u32 = 160;
     const CONNECTIONS: usize = 200;
     let mut system = start(42);
-    let full = system.keepers().find(|at| *at != leader(&system)).unwrap();
+    let full = system.keepers().find(|at| *at != system.leader()).unwrap();
     system.kill(full);
     system.instances[full].descriptors = Some(DESCRIPTORS);
     system.write_boot_file(full, false, &json!({}));
@@ -107,7 +96,7 @@
         is_over.store(true, sync::atomic::Ordering::SeqCst);
     });
     thread::sleep(Duration::from_secs(4));
-    let lost = leader(&system);
+    let lost = system.leader();
     assert_ne!(lost, full);
     assert!(system.log(full).contains("Too many open files"));
     lose_disk(&mut system, lost, CHANGES);
--- a/crates/apricotroute/tests/system/mod.rs
+++ b/crates/apricotroute/tests/system/mod.rs
@@ -338,6 +338,17 @@
         }
     }
 
+    /// The keeper that became the leader of the settings group last.
+    pub fn leader(&self) -> usize {
+        let since = |at: &usize| {
+            let log = self.log(*at);
+            let line = log.lines().rfind(|line| line.contains("settings: Leading."))?;
+            let line: Value = serde_json::from_str(line).ok()?;
+            line["ts"].as_str().map(str::to_owned)
+        };
+        self.keepers().max_by_key(since).unwrap()
+    }
+
     /// Sends a configuration to a keeper and returns the status.
     pub fn publish(&self, at: usize, config: &Value) -> u16 {
         let url = format!("http://{}/apricotroute/config", self.operator(at));
--- a/crates/dispatch/src/machines/control_log.rs
+++ b/crates/dispatch/src/machines/control_log.rs
@@ -363,12 +363,9 @@
                 expired.push(*origin);
             } else if now >= order.retry_at {
                 order.retry_at = now + PROPOSAL_RETRY;
-                if let Change::EvacuateOnBase(order) = &mut order.change {
-                    order.base = revision;
-                    let detail = format!(
-                        "zone {}, evacuated: {}, on revision {revision}",
-                        order.zone, order.evacuated
-                    );
+                if let Change::EvacuateOnBase(evacuation) = &mut order.change {
+                    evacuation.base = revision;
+                    let detail = format!("{}, on revision {revision}", order.change.describe());
                     self.out.notes.push(("settings: Order proposed.", detail));
                 }
                 let command = Command { change: order.change.clone(), origin: *origin };
