Elections do not start anew while votes are on their way to the disk

What callers saw: no settings leader for as long as a disk was busy; instances were not ready and changes got 503.

Cause: a candidate whose own vote, or that of another keeper, took longer to reach the disk than the election timeout began the next term, for which all had to write again; keepers that were storing a vote granted pre-votes to others.

Change: a member whose vote is not on disk neither starts an election nor grants a pre-vote, the timeout begins when the vote is stored, and the votes of a term still count while its candidate asks for pre-votes again.

--- a/crates/coord/src/delivery.rs
+++ b/crates/coord/src/delivery.rs
@@ -49,6 +49,10 @@
                     self.unsynced.clear();
                     Some((*index, *term))
                 }
+                Save::HardState(..) => {
+                    self.last_vote = self.last_issued + 1;
+                    None
+                }
                 _ => None,
             };
             if let Some((index, term)) = stored.filter(|_| self.config.durable) {
--- a/crates/coord/src/election.rs
+++ b/crates/coord/src/election.rs
@@ -29,7 +29,8 @@
         }
         let up_to_date = last >= (self.log.last_term(), self.log.last());
         if pre {
-            let granted = up_to_date && term > self.term;
+            // Another election would take the vote that is being stored away from its candidate.
+            let granted = up_to_date && term > self.term && !self.is_voting;
             // A refusal carries the voter's own term: a pre-vote request alone must not raise any
             // member's term.
             return self.send_voted(from, if granted { term } else { self.term }, granted, true);
@@ -69,29 +70,28 @@
         if term != expected || !self.voters.contains(from) {
             return;
         }
-        let Role::Candidate { pre: is_pre, votes } = &mut self.role else {
+        let Role::Candidate { pre_votes, votes } = &mut self.role else {
             return;
         };
-        if *is_pre != pre {
-            return;
+        // Votes may arrive after this member has asked for pre-votes again.
+        let granted = if pre { pre_votes } else { votes };
+        if granted.contains(&self.me) {
+            granted.insert(from.clone());
+            self.count_votes(now);
         }
-        votes.insert(from.clone());
-        self.count_votes(now);
     }
 
     pub(crate) fn count_votes(&mut self, now: u64) {
-        let Role::Candidate { pre, votes } = &self.role else {
+        let Role::Candidate { pre_votes, votes } = &self.role else {
             return;
         };
-        if votes.len() < self.voters.quorum() {
-            return;
-        }
-        if *pre {
-            self.confirm_commit();
-            self.campaign(false, now);
-        } else {
+        let quorum = self.voters.quorum();
+        if votes.len() >= quorum {
             self.become_leader(now);
             self.append(Payload::Empty, now);
+        } else if pre_votes.len() >= quorum {
+            self.confirm_commit();
+            self.campaign(false, now);
         }
     }
 
@@ -113,8 +113,13 @@
         if !pre {
             self.set_term(term, Some(self.me.clone()));
         }
-        let votes = collections::BTreeSet::from([self.me.clone()]);
-        self.role = Role::Candidate { pre, votes };
+        let own = collections::BTreeSet::from([self.me.clone()]);
+        let (pre_votes, votes) = match (pre, std::mem::replace(&mut self.role, Role::Follower)) {
+            (true, Role::Candidate { votes, .. }) => (own, votes),
+            (true, _) => (own, collections::BTreeSet::new()),
+            (false, _) => (collections::BTreeSet::new(), own),
+        };
+        self.role = Role::Candidate { pre_votes, votes };
         let (last, last_term) = (self.log.last(), self.log.last_term());
         for to in self.other_voters() {
             self.out.sends.push((to, Message::Vote { term, last, last_term, pre }));
@@ -164,7 +169,18 @@
         self.reset_election_timer(now);
     }
 
+    /// Records that the current term and vote are on disk. Only then does the time start in which
+    /// the other members answer a candidate, or the candidate that this member voted for becomes
+    /// leader.
+    pub(crate) fn on_hard_state_saved(&mut self, now: u64) {
+        self.is_voting = false;
+        if self.vote.is_some() && !self.is_leader() {
+            self.reset_election_timer(now);
+        }
+    }
+
     pub(crate) fn save_hard_state(&mut self) {
+        self.is_voting = self.durable;
         self.out.saves.push(Save::HardState(self.term, self.vote.clone()));
     }
 
--- a/crates/coord/src/group.rs
+++ b/crates/coord/src/group.rs
@@ -127,6 +127,8 @@
     pub(crate) last_issued: u64,
     /// Number of the last change known to be on disk.
     pub(crate) last_saved: u64,
+    /// Number of the last change of the term or the vote.
+    pub(crate) last_vote: u64,
     /// Entries and snapshots not yet known to be on disk: number of the change, index and term.
     pub(crate) unsynced: collections::VecDeque<(u64, u64, u64)>,
     /// Messages that wait until the change with this number is on disk.
@@ -150,6 +152,7 @@
             next_probe: 0,
             last_issued: 0,
             last_saved: 0,
+            last_vote: 0,
             unsynced: collections::VecDeque::new(),
             pending_sends: collections::VecDeque::new(),
             refused: 0,
@@ -323,6 +326,12 @@
                 joined.raft.mark_synced(index, term, now);
             }
         }
+        if let Stage::Joined(joined) = &mut self.stage
+            && joined.raft.is_voting
+            && self.last_vote <= self.last_saved
+        {
+            joined.raft.on_hard_state_saved(now);
+        }
         while let Some((at, ..)) = self.pending_sends.front()
             && *at <= self.last_saved
         {
--- a/crates/coord/src/raft.rs
+++ b/crates/coord/src/raft.rs
@@ -123,7 +123,12 @@
 #[derive(Debug)]
 pub(crate) enum Role {
     Follower,
-    Candidate { pre: bool, votes: collections::BTreeSet<name::Member> },
+    /// Requests pre-votes for the next term, or votes in the current one. The votes of the current
+    /// term still count while pre-votes are requested.
+    Candidate {
+        pre_votes: collections::BTreeSet<name::Member>,
+        votes: collections::BTreeSet<name::Member>,
+    },
     Leader(LeaderState),
 }
 
@@ -167,6 +172,8 @@
     pub(crate) lease_start: u64,
     /// When this member starts an election unless a leader contacts it, microseconds.
     pub(crate) election_at: u64,
+    /// Whether the current term and vote are not known to be on disk yet.
+    pub(crate) is_voting: bool,
     pub(crate) out: Output,
 }
 
@@ -200,6 +207,7 @@
             leader_contact: 0,
             lease_start: 0,
             election_at: 0,
+            is_voting: false,
             out: Output::default(),
         };
         raft.refresh_voters();
@@ -219,7 +227,7 @@
         let stored =
             Stored { term: FIRST_TERM, vote: Some(me.clone()), voters, ..Stored::default() };
         let mut raft = Self::new(me, timing, durable, stored, now, seed);
-        raft.out.saves.push(Save::HardState(raft.term, raft.vote.clone()));
+        raft.save_hard_state();
         raft.become_leader(now);
         let voters = raft.voters.clone();
         raft.append(Payload::Voters(voters), now);
@@ -331,7 +339,7 @@
             } else if now >= lead.next_heartbeat {
                 self.broadcast(now);
             }
-        } else if now >= self.election_at {
+        } else if now >= self.election_at && !self.is_voting {
             self.campaign(true, now);
         }
     }
--- a/crates/coord/tests/slow_disks.rs
+++ b/crates/coord/tests/slow_disks.rs
@@ -72,6 +72,27 @@
     keepers.group(at).and_then(Group::raft).is_some_and(Raft::is_confirmed)
 }
 
+/// Whether the leader has committed an entry of its term.
+fn has_current_leader(keepers: &Keepers) -> bool {
+    let raft = keepers.leader().and_then(|at| keepers.group(at)?.raft());
+    raft.is_some_and(Raft::is_current)
+}
+
+/// Guards against elections that start anew while votes are on their way to the disk.
+#[test]
+fn leader_despite_slow_disks() {
+    for latencies in [[300; 3], [900; 3], [1_500; 3], [20, 1_500, 1_500], [1_500, 1_500, 20]] {
+        for seed in 0..20 {
+            let mut keepers = restarted(seed);
+            let mut disks = Disks::new(&mut keepers, &latencies);
+            // Two timeouts of the election, two of a split vote, and four writes one after another.
+            let limit = 4 * 1_400 + 4 * latencies[1];
+            let taken = disks.run(&mut keepers, limit, has_current_leader);
+            assert!(taken.is_some(), "latencies {latencies:?}, seed {seed}");
+        }
+    }
+}
+
 /// Guards against members that learn what is committed only once a write of each is on disk.
 #[test]
 fn confirmed_before_writes() {
@@ -86,3 +107,27 @@
         }
     }
 }
+
+/// A member whose log has a command that may be committed waits for a leader to commit it.
+#[test]
+fn open_command_not_confirmed() {
+    let mut keepers = Keepers::new(3, 3, 1);
+    let leader = keepers.leader().unwrap();
+    // Both followers store the command, and nobody learns of it.
+    keepers.all[leader].stalled = true;
+    keepers.propose(leader, 1);
+    (0..3).filter(|at| *at != leader).for_each(|at| {
+        let to_follower = |(_, to, _): &keepers::Envelope| *to == at;
+        let index = keepers.in_transit.iter().position(to_follower).unwrap();
+        keepers.deliver(index);
+        keepers.sync(at, usize::MAX);
+    });
+    keepers.in_transit.clear();
+    (0..3).for_each(|at| keepers.lose_power(at, 0));
+    (0..3).for_each(|at| keepers.start(at));
+    let mut disks = Disks::new(&mut keepers, &[3_000; 3]);
+    let any_confirmed = |keepers: &Keepers| (0..3).any(|at| is_confirmed(keepers, at));
+    assert_eq!(disks.run(&mut keepers, 3_000, any_confirmed), None);
+    disks.run(&mut keepers, 20_000, any_confirmed).expect("a leader commits it");
+    assert_eq!(keepers.committed, [1]);
+}
