--- a/crates/apricotroute/tests/system/mod.rs
+++ b/crates/apricotroute/tests/system/mod.rs
@@ -74,6 +74,8 @@
     pub runtime: tokio::runtime::Runtime,
     pub upstreams: Vec<platform::standin::Standin>,
     pub faults: sync::Arc<relay::Faults>,
+    /// Duration of the tasks at upstreams that are added from now on.
+    pub task_time: Duration,
     layout: Layout,
     /// Keys of the bootstrap files of the entries, taken in turn.
     sizes: Vec<Value>,
@@ -125,8 +127,9 @@
         let folder = tempfile::tempdir().unwrap();
         let faults = sync::Arc::default();
         let (upstreams, block) = (Vec::new(), AddressBlock::reserve(layout.subnet));
+        let task_time = Duration::from_millis(100);
         let mut system =
-            Self { folder, instances, runtime, upstreams, faults, layout, sizes, block };
+            Self { folder, instances, runtime, upstreams, faults, task_time, layout, sizes, block };
         for at in 0..system.instances.len() {
             system.write_boot_file(at, true, &json!({}));
             if system.layout.has_relays {
@@ -184,7 +187,7 @@
             zone: zone_name(zone),
             cpu: UPSTREAM_CPU,
             task_cpu: TASK_CPU,
-            duration: Duration::from_millis(100),
+            duration: self.task_time,
             max_lease: Duration::from_secs(1),
             address: address.unwrap_or_else(|| net::SocketAddr::from(([127, 0, 0, 1], 0))),
             to: self.keepers().map(|at| self.operator(at)).collect(),
--- a/crates/dispatch/tests/world/client.rs
+++ b/crates/dispatch/tests/world/client.rs
@@ -84,6 +84,23 @@
         self.push(self.now, Action::Submit { id: id.clone() });
     }
 
+    /// Ends the connection of a job's client for the client only: its entry learns nothing.
+    pub fn lose_connection(&mut self, id: &Name) {
+        self.tickets.retain(|_, other| other != id);
+    }
+
+    /// The ticket of a job's client, once its submission was handled.
+    pub fn ticket(&mut self, id: &Name) -> u64 {
+        self.run(1);
+        let found = self.tickets.iter().find(|(_, other)| *other == id);
+        found.map(|(ticket, _)| *ticket).expect("an open ticket")
+    }
+
+    /// Lets an entry learn that the client of a ticket has disconnected.
+    pub fn end_connection(&mut self, entry: usize, ticket: u64) {
+        self.handle(entry, Event::Disconnected(ticket));
+    }
+
     /// Sends a job to a random entry of its client's zone, or of any zone if that zone has none.
     pub(super) fn send_job(&mut self, id: &Name) {
         let Some(request) = self.requests.get(id) else { return };
