Logs tell how long a request waited, and whether its client had left

`request: Taken.` has `waited_ms`; `request: Its client has left.` and `abandoned_requests_total` show requests that are handled without a client. With them the logs of the first entry tell a request that waited there from one that came late and from a connection that only the client lost.

--- a/crates/apricotroute/src/node/handle.rs
+++ b/crates/apricotroute/src/node/handle.rs
@@ -7,7 +7,7 @@
     event::{self, Event, Reply},
     message, routing,
 };
-use link::peer;
+use link::{metric, peer};
 use state::name;
 
 use super::{mailbox, view::View};
@@ -154,8 +154,15 @@
         self.control.view.draining.load(atomic::Ordering::Relaxed)
     }
 
-    fn log_submitted(&self, request: &str, id: &str) {
-        slog::info!(self.log, "request: Taken."; "request" => request, "id" => id);
+    fn log_submitted(&self, request: &str, id: &str, waited: u64) {
+        slog::info!(self.log, "request: Taken."; "request" => request, "id" => id,
+            "waited_ms" => waited);
+    }
+
+    fn log_abandoned(&self, request: &str, id: &str, waited: u64) {
+        metric::count_abandoned_request();
+        slog::info!(self.log, "request: Its client has left."; "request" => request, "id" => id,
+            "waited_ms" => waited);
     }
 
     fn log_refused(&self, request: &str, path: &str, status: u16, why: &str) {
--- a/crates/link/src/metric.rs
+++ b/crates/link/src/metric.rs
@@ -22,6 +22,7 @@
     over_ideal: Histogram<f64>,
     calls: Histogram<f64>,
     surplus_responses: Counter<u64>,
+    abandoned_requests: Counter<u64>,
     start_waits: Histogram<f64>,
     first_waits: Histogram<f64>,
     idle_rooms: Histogram<f64>,
@@ -71,6 +72,7 @@
             over_ideal: meter.f64_histogram("over_ideal_ms").with_boundaries(millis).build(),
             calls: seconds("upstream_call_seconds"),
             surplus_responses: meter.u64_counter("surplus_responses").build(),
+            abandoned_requests: meter.u64_counter("abandoned_requests").build(),
             start_waits: seconds("start_wait_seconds"),
             first_waits: seconds("first_start_wait_seconds"),
             idle_rooms: seconds("idle_room_seconds"),
@@ -162,6 +164,13 @@
     }
 }
 
+/// Counts a request whose client left before it was handled.
+pub fn count_abandoned_request() {
+    if let Some(metrics) = metrics() {
+        metrics.abandoned_requests.add(1, &[]);
+    }
+}
+
 /// Records how long a task waited between the arrival of its job and its own start.
 pub fn record_start_wait(waited: time::Duration) {
     if let Some(metrics) = metrics() {
