A request whose client has left submits no job

Callers saw the tasks of a job run in two zones at once. An entry that was stopped read a request whose connection had been closed 1.3 s before, and submitted its job beside the second attempt. Two causes: the callback for a client that leaves was lost if the client had left before it was set, as while a request waits for its configuration to be confirmed; and a close that arrived with the request was seen only after the request was handled.

The state of the client is kept with the request: a callback that is set late runs at once, and the entry submits nothing for a client that has left. The connection looks for its end once more before a request is handled.

--- a/crates/link/src/http.rs
+++ b/crates/link/src/http.rs
@@ -90,7 +90,21 @@
 
 /// Callback for a client that disconnects before it has received its response.
 type DisconnectFn = Box<dyn FnOnce() + Send>;
-type DisconnectSlot = sync::Arc<sync::Mutex<Option<DisconnectFn>>>;
+type SharedClient = sync::Arc<sync::Mutex<Client>>;
+
+/// The client of one request, as its connection shows it.
+#[derive(Default)]
+enum Client {
+    /// It waits for the response.
+    #[default]
+    Waiting,
+    /// It waits for the response; the callback runs if it disconnects.
+    Watched(DisconnectFn),
+    /// The response is ready.
+    Answered,
+    /// It has disconnected without a response.
+    Gone,
+}
 
 /// Time in which a client that has read a response closes its connection or sends its next request,
 /// if it does so because of that response. One that closes it later may have stopped waiting before
@@ -107,7 +121,7 @@
 /// status 500.
 pub struct Responder {
     sender: async_sync::oneshot::Sender<(Response, Option<ReadFn>)>,
-    on_disconnect: DisconnectSlot,
+    client: SharedClient,
 }
 
 impl std::fmt::Debug for Responder {
@@ -116,25 +130,60 @@
     }
 }
 
-/// Runs the disconnect callback if it is dropped before the response is ready.
+/// Tells whether the client of a request has disconnected. It outlives the [`Responder`].
+pub struct ClientWatch {
+    client: SharedClient,
+}
+
+impl std::fmt::Debug for ClientWatch {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("ClientWatch").finish_non_exhaustive()
+    }
+}
+
+impl ClientWatch {
+    /// Runs `callback` if the client disconnects before it has received its response, at once if it
+    /// has done so already.
+    pub fn on_disconnect(&self, callback: impl FnOnce() + Send + 'static) {
+        let Ok(mut client) = self.client.lock() else { return };
+        match *client {
+            Client::Waiting | Client::Watched(_) => *client = Client::Watched(Box::new(callback)),
+            Client::Answered => {}
+            Client::Gone => {
+                drop(client);
+                callback();
+            }
+        }
+    }
+}
+
+/// Marks a client as gone if it is dropped before the response is ready.
 struct DisconnectGuard {
-    on_disconnect: DisconnectSlot,
+    client: SharedClient,
 }
 
 impl DisconnectGuard {
-    /// Removes the callback, because the response is ready.
+    /// Records that the response is ready.
     fn disarm(&self) {
-        drop(self.take());
+        drop(self.replace(Client::Answered));
     }
 
-    fn take(&self) -> Option<DisconnectFn> {
-        self.on_disconnect.lock().ok()?.take()
+    /// Sets the state of the client, unless the response was ready before; returns the callback.
+    fn replace(&self, next: Client) -> Option<DisconnectFn> {
+        let mut client = self.client.lock().ok()?;
+        if matches!(*client, Client::Answered) {
+            return None;
+        }
+        match std::mem::replace(&mut *client, next) {
+            Client::Watched(callback) => Some(callback),
+            _ => None,
+        }
     }
 }
 
 impl Drop for DisconnectGuard {
     fn drop(&mut self) {
-        if let Some(callback) = self.take() {
+        if let Some(callback) = self.replace(Client::Gone) {
             callback();
         }
     }
@@ -155,11 +204,9 @@
         drop(self.sender.send((response, Some(Box::new(on_read)))));
     }
 
-    /// Runs `callback` if the client disconnects before it has received its response.
-    pub fn on_disconnect(&self, callback: impl FnOnce() + Send + 'static) {
-        if let Ok(mut callback_slot) = self.on_disconnect.lock() {
-            *callback_slot = Some(Box::new(callback));
-        }
+    /// Returns a watch on the client, which may be used after the response was sent.
+    pub fn watch(&self) -> ClientWatch {
+        ClientWatch { client: sync::Arc::clone(&self.client) }
     }
 
     /// Returns whether the client is still waiting for the response.
@@ -358,10 +405,13 @@
     };
     let path = head.uri.path().to_owned();
     let request = Request { method: head.method, path, headers: head.headers, body, opened };
+    // The connection looks for the end of its input before it continues here: a request is not
+    // handled if its client has closed the connection while the request waited to be read.
+    tokio::task::yield_now().await;
     let (sender, receiver) = async_sync::oneshot::channel();
-    let guard = DisconnectGuard { on_disconnect: DisconnectSlot::default() };
-    let on_disconnect = sync::Arc::clone(&guard.on_disconnect);
-    shared.handler.handle(request, Responder { sender, on_disconnect });
+    let guard = DisconnectGuard { client: SharedClient::default() };
+    let client = sync::Arc::clone(&guard.client);
+    shared.handler.handle(request, Responder { sender, client });
     let response = receiver.await;
     guard.disarm();
     match response {
--- a/crates/link/tests/gone_client.rs
+++ b/crates/link/tests/gone_client.rs
@@ -24,6 +24,29 @@
     }
 }
 
+/// Sends a request and closes its connection before the runtime of the listener runs again.
+fn send_and_close(runtime: &tokio::runtime::Runtime, address: net::SocketAddr) {
+    let mut client = net::TcpStream::connect(address).unwrap();
+    client.write_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+    drop(client);
+    runtime.block_on(async { tokio::time::sleep(Duration::from_millis(100)).await });
+}
+
+/// Guards against a request that is handled although its client closed the connection before the
+/// request was read.
+#[test]
+fn left_unread() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let (sender, responders) = mpsc::channel();
+    let any = "127.0.0.1:0".parse().unwrap();
+    let handler = sync::Arc::new(Keep(sync::Mutex::new(sender)));
+    let listener = http::Listener::open(&runtime, any, handler).unwrap();
+    for _ in 0..20 {
+        send_and_close(&runtime, listener.address());
+        assert!(responders.try_recv().is_err(), "the request is handled");
+    }
+}
+
 /// Guards against a callback that never runs because the client left before it was set.
 #[test]
 fn left_before() {
@@ -42,6 +65,6 @@
         std::thread::sleep(Duration::from_millis(5));
     }
     let (sender, called) = mpsc::channel();
-    responder.on_disconnect(move || sender.send(()).unwrap());
+    responder.watch().on_disconnect(move || sender.send(()).unwrap());
     called.recv_timeout(TIMEOUT).expect("the callback runs");
 }
