--- a/crates/dispatch/src/tables/requests.rs
+++ b/crates/dispatch/src/tables/requests.rs
@@ -72,10 +72,12 @@
             .collect()
     }
 
-    /// Handles an answer: returns the request, unless it came too late.
+    /// Handles an answer: returns the request, unless it came too late. A registrar that answers
+    /// late would delay each job if it were asked again.
     pub(crate) fn answer(&mut self, from: &name::Name, number: u64) -> Option<Request> {
+        let request = self.open.remove(&number)?;
         self.silent.remove(from);
-        self.open.remove(&number)
+        Some(request)
     }
 
     /// Whether a registrar does not answer.
