--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,8 +16,8 @@
 //!   owner.
 //! - [`sched`], [`active`], [`queue`], [`place`] and [`health`]: jobs, their order, and where
 //!   their tasks run.
-//! - [`submissions`] and [`share`]: the entry's side of a job, and which scheduler has which of its
-//!   tasks.
+//! - [`submissions`], [`share`] and [`reservation`]: the entry's side of a job, which scheduler has
+//!   which of its tasks, and which entry has the job.
 //! - [`status`]: the status of an instance for monitoring.
 //! - [`control_log`], [`fetch`], [`compression`] and [`routing`]: the replicated configuration, its
 //!   distribution to all instances, and the routing of requests by it.
