A job that is sent again waits only for zones that may have tasks of it

An entry that had ended a job told the entry of the next attempt nothing about where it had been, so that this one waited for the word of every scheduler. With a zone cut off the client's second attempt waited for up to 2 s, longer than most clients do. Entries remember for 4 s in which zones tasks of a job may be left; a job that is submitted again at the same entry waits for those in other zones too.

--- a/crates/dispatch/src/machines/submissions.rs
+++ b/crates/dispatch/src/machines/submissions.rs
@@ -58,8 +58,7 @@
 /// wait all incoming jobs would fill the queues of the other zones meanwhile.
 const HOME_WAIT: u64 = 400 * time::MS;
 
-/// How long the entry keeps the verdicts of completed and failed jobs for clients that submit them
-/// again, microseconds.
+/// How long the entry remembers how jobs ended, for clients that submit them again, microseconds.
 const END_RETENTION: u64 = 4_000 * time::MS;
 /// Detail of the log line of a job that is cancelled because nobody awaits it.
 const NO_CLIENT: &str = "its client has left";
@@ -101,8 +100,10 @@
     tickets: collections::HashMap<Ticket, name::Name>,
     loads: loads::Loads,
     requests: requests::Requests,
-    /// Verdicts of jobs that have completed or failed, and when.
-    ended: collections::HashMap<name::Name, (Verdict, u64)>,
+    /// Jobs that have ended a short time ago.
+    ended: collections::HashMap<name::Name, reservation::Ending>,
+    /// Time of the last tick.
+    last_tick: u64,
     /// Time since which no scheduler that could take tasks is available.
     leaderless: Option<u64>,
     /// Number of the last handover.
@@ -173,7 +174,7 @@
         let (tickets, parts) = (smallvec::smallvec![ticket], smallvec::smallvec![part]);
         let (arrived, zones) = (view.now, smallvec::SmallVec::new());
         let (maybe_started, resumed) = (false, false);
-        let standing = reservation::Standing::default();
+        let standing = self.new_standing(&id, view);
         let open =
             OpenJob { job, tickets, arrived, parts, maybe_started, resumed, zones, standing };
         self.open.insert(id.clone(), open);
@@ -283,6 +284,7 @@
     /// Handles everything that is due.
     pub fn tick(&mut self, view: View<'_>) {
         let now = view.now;
+        self.last_tick = now;
         self.tick_reservations(view);
         self.leaderless = if view.has_scheduler() { None } else { self.leaderless.or(Some(now)) };
         let mut queries: collections::BTreeMap<(name::Name, name::Name), Vec<Awaited>> =
--- a/crates/dispatch/src/machines/submissions/ending.rs
+++ b/crates/dispatch/src/machines/submissions/ending.rs
@@ -25,6 +25,7 @@
     pub fn revoke(&mut self, id: &name::Name) -> bool {
         let Some(open) = self.open.remove(id) else { return false };
         self.cancel(id, &open);
+        self.remember(id, &open, None);
         self.out.sends.extend(open.standing.farewells(id, &JobEnd::Cancelled));
         let detail = "on request".to_owned();
         self.out.notes.push(Note { text: "job: Cancelled.", subject: id.clone(), detail });
@@ -49,9 +50,8 @@
         if *verdict != Verdict::Complete {
             self.cancel(id, &open);
         }
-        if matches!(verdict, Verdict::Complete | Verdict::Failed) {
-            self.ended.insert(id.clone(), (verdict.clone(), now));
-        }
+        let is_final = matches!(verdict, Verdict::Complete | Verdict::Failed);
+        self.remember(id, &open, is_final.then_some(verdict));
         let end = JobEnd::Verdict(verdict.clone());
         self.out.sends.extend(open.standing.farewells(id, &end));
         let took = now.saturating_sub(open.arrived) / time::MS;
--- a/crates/dispatch/src/machines/submissions/reservation.rs
+++ b/crates/dispatch/src/machines/submissions/reservation.rs
@@ -14,9 +14,10 @@
     machines::{sched, start, upkeep},
     messages::{
         event::{Note, Reply},
+        job::Verdict,
         message::Body,
         parts::Parts,
-        reservation::{FormerEntry, Holder, JobEnd, Message, Reservation},
+        reservation::{FormerEntry, Holder, JobEnd, Message, Reservation, Zones},
         share, time,
     },
 };
@@ -101,6 +102,18 @@
     has_ended: bool,
     /// When it last had the job, as far as this entry knows.
     last: u64,
+    /// Zones where tasks of it may be left; `None` stands for all.
+    zones: Option<Zones>,
+}
+
+/// How a job ended at this entry.
+#[derive(Debug)]
+pub(super) struct Ending {
+    /// The verdict that holds for later submissions as well.
+    verdict: Option<Verdict>,
+    /// Zones where tasks of it may be left.
+    zones: Zones,
+    at: u64,
 }
 
 impl Standing {
@@ -214,11 +227,15 @@
         let standing = &mut open.standing;
         standing.until = sent + RESERVATION_TIME;
         if let Some(former) = standing.former.take() {
-            let left = view.claims.zone_names().map(|zone| (zone.clone(), Parts::ALL)).collect();
+            let zones = former.zones;
+            let zones = zones.unwrap_or_else(|| view.claims.zone_names().cloned().collect());
+            let left: smallvec::SmallVec<_> =
+                zones.into_iter().map(|zone| (zone, Parts::ALL)).collect();
+            let is_clear = left.is_empty();
             let is_split = view.claims.zone_names().any(|zone| view.is_split(zone));
             let wait = if is_split { sched::SPLIT_RUN_TIMEOUT } else { sched::FORMER_RUN_TIMEOUT };
             standing.stage = Stage::Clearing(Clearing { end: former.last + wait, asked: 0, left });
-            return self.probe(id, view);
+            return if is_clear { self.start_anew(id, view) } else { self.probe(id, view) };
         }
         if matches!(standing.stage, Stage::Asking | Stage::Held) {
             standing.stage = Stage::Held;
@@ -243,8 +260,8 @@
         let Some(open) = self.open.get_mut(id) else { return };
         if holder.entry == *me {
             // A former incarnation of this instance had it.
-            let (entry, has_ended) = (me.clone(), true);
-            open.standing.former = Some(Former { entry, has_ended, last: renewed });
+            let (entry, has_ended, zones) = (me.clone(), true, None);
+            open.standing.former = Some(Former { entry, has_ended, last: renewed, zones });
             return self.reserve(id, view);
         }
         open.standing.waiting.clear();
@@ -258,6 +275,8 @@
         let holders = open.parts.iter().filter_map(|part| part.claim.as_ref());
         let cancels = holders.map(|claim| (claim.holder.clone(), Body::Cancel(id.clone())));
         self.out.sends.extend(cancels);
+        let zones = open.zones_left();
+        open.zones = zones.into_iter().collect();
         // Its tasks may run for the other entry.
         open.maybe_started = true;
         open.standing.stage = Stage::Joined(Joined {
@@ -284,14 +303,17 @@
         let mut joined = Vec::new();
         for id in ids {
             let Some(open) = self.open.get_mut(&id) else {
-                let verdict = self.ended.get(&id).map(|(verdict, _)| verdict.clone());
-                let end = verdict.map_or(JobEnd::NotOpen, JobEnd::Verdict);
+                let end = match self.ended.get(&id) {
+                    Some(Ending { verdict: Some(verdict), .. }) => JobEnd::Verdict(verdict.clone()),
+                    ending => JobEnd::NotOpen(ending.map(|ending| ending.zones.clone())),
+                };
                 self.tell(from, Message::Ended(id, end));
                 continue;
             };
             let is_mutual = matches!(&open.standing.stage, Stage::Joined(at) if at.entry == *from);
             if is_mutual && from < me {
-                self.tell(from, Message::Ended(id, JobEnd::NotOpen));
+                let zones = Some(open.zones_left());
+                self.tell(from, Message::Ended(id, JobEnd::NotOpen(zones)));
                 continue;
             }
             match open.standing.joiners.iter_mut().find(|(entry, _)| entry == from) {
@@ -337,9 +359,9 @@
             JobEnd::Cancelled => {
                 self.revoke(id);
             }
-            JobEnd::NotOpen => {
-                let (entry, has_ended) = (from.clone(), true);
-                open.standing.former = Some(Former { entry, has_ended, last: view.now });
+            JobEnd::NotOpen(zones) => {
+                let (entry, has_ended, zones) = (from.clone(), true, zones.clone());
+                open.standing.former = Some(Former { entry, has_ended, last: view.now, zones });
                 self.reserve(id, view);
             }
         }
@@ -430,7 +452,7 @@
                 Task::Drop => self.drop_unawaited(&id),
             }
         }
-        self.ended.retain(|_, (_, at)| now < *at + super::END_RETENTION);
+        self.ended.retain(|_, ending| now < ending.at + super::END_RETENTION);
     }
 
     /// Ends a job that no client awaits any more, here or at another entry.
@@ -443,10 +465,31 @@
         self.out.notes.push(Note { text, subject: id.clone(), detail });
         if let Some(open) = self.open.remove(id) {
             self.cancel(id, &open);
-            self.out.sends.extend(open.standing.farewells(id, &JobEnd::NotOpen));
+            self.remember(id, &open, None);
+            self.out.sends.extend(open.standing.farewells(id, &JobEnd::NotOpen(None)));
         }
     }
 
+    /// Remembers how a job ended here, with the verdict that holds for later submissions as well.
+    pub(super) fn remember(&mut self, id: &name::Name, open: &OpenJob, verdict: Option<&Verdict>) {
+        let (verdict, zones, at) = (verdict.cloned(), open.zones_left(), self.last_tick);
+        self.ended.insert(id.clone(), Ending { verdict, zones, at });
+    }
+
+    /// The standing with a job that a client submits here. Tasks of an earlier submission may be left
+    /// in other zones; the scheduler of the own zone knows those in this one.
+    pub(super) fn new_standing(&self, id: &name::Name, view: View<'_>) -> Standing {
+        let home = &view.membership.me().zone;
+        let is_elsewhere = |ending: &&Ending| ending.zones.iter().any(|zone| zone != home);
+        let former = self.ended.get(id).filter(is_elsewhere).map(|ending| Former {
+            entry: view.membership.me().name.clone(),
+            has_ended: true,
+            last: ending.at,
+            zones: Some(ending.zones.clone()),
+        });
+        Standing { former, ..Standing::default() }
+    }
+
     /// Ends the right to hand jobs over until it is renewed, because this instance was stopped.
     pub fn expire_reservations(&mut self) {
         for open in self.open.values_mut() {
@@ -456,7 +499,8 @@
 
     /// Replies to a client whose job has ended here a short time ago; returns `false` if none has.
     pub(super) fn repeat_verdict(&mut self, ticket: u64, id: &name::Name) -> bool {
-        let Some((verdict, _)) = self.ended.get(id) else { return false };
+        let verdict = self.ended.get(id).and_then(|ending| ending.verdict.as_ref());
+        let Some(verdict) = verdict else { return false };
         self.out.replies.push((ticket, Reply::Verdict(verdict.clone())));
         let detail = format!("{verdict:?}, as to an earlier submission");
         self.out.notes.push(Note { text: "job: Answered.", subject: id.clone(), detail });
@@ -464,6 +508,14 @@
     }
 }
 
+impl OpenJob {
+    /// The zones where tasks of the job may be left once this entry has ended it.
+    fn zones_left(&self) -> Zones {
+        let pinned = self.parts.iter().filter_map(|part| part.pinned_zone.as_ref());
+        pinned.chain(&self.zones).cloned().collect()
+    }
+}
+
 /// What is due for the reservation of a job.
 #[derive(Debug)]
 enum Task {
@@ -495,8 +547,8 @@
                 if !is_silent || !self.waiting.is_empty() || now < self.asked + JOIN_TIMEOUT {
                     return None;
                 }
-                let (entry, has_ended) = (joined.entry.clone(), false);
-                self.former = Some(Former { entry, has_ended, last: joined.renewed });
+                let (entry, has_ended, zones) = (joined.entry.clone(), false, None);
+                self.former = Some(Former { entry, has_ended, last: joined.renewed, zones });
                 Some(Task::Reserve)
             }
         }
--- a/crates/dispatch/src/messages/reservation.rs
+++ b/crates/dispatch/src/messages/reservation.rs
@@ -4,6 +4,9 @@
 
 use crate::messages::{job, parts};
 
+/// Zones with tasks of a job.
+pub type Zones = smallvec::SmallVec<[name::Name; 2]>;
+
 /// A message between entries, registrars and schedulers.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Message {
@@ -61,8 +64,9 @@
     Verdict(job::Verdict),
     /// It was cancelled on request.
     Cancelled,
-    /// The entry does not have it; its tasks may still run.
-    NotOpen,
+    /// The entry does not have it. Tasks of it may be left in these zones, or in any zone if the entry
+    /// does not know.
+    NotOpen(Option<Zones>),
 }
 
 impl Message {
--- a/crates/dispatch/tests/sent_again.rs
+++ b/crates/dispatch/tests/sent_again.rs
@@ -149,3 +149,23 @@
     });
     assert_eq!(faults, Vec::<String>::new());
 }
+
+/// Guards against a client that waits for the answer of a zone that is cut off and has no task of
+/// its job.
+#[test]
+fn other_zone_cut() {
+    let faults = check(|world| {
+        world.set_zone_cut(1, true);
+        world.run(1_000);
+        let id = world.submit(0, 2, 14_000, 200);
+        let ticket = world.ticket(&id);
+        world.lose_connection(&id);
+        world.end_connection(1, ticket);
+        world.run(RETRY_DELAY);
+        world.resubmit(&id, 2);
+        world.run(400);
+        assert!(world.is_complete(&id), "{id} is answered without that zone");
+        vec![id]
+    });
+    assert_eq!(faults, Vec::<String>::new());
+}
