--- a/crates/dispatch/src/machines/submissions/reservation.rs
+++ b/crates/dispatch/src/machines/submissions/reservation.rs
@@ -158,7 +158,7 @@
         standing.asked = view.now;
         let mut is_enough = false;
         let order = registrar::order(id, view.claims, view.now);
-        // Without the own scheduler the job could not be handed over, either.
+        // If none answers, all are asked: one of them is the scheduler that would get the job.
         let is_lost = order.iter().all(|registrar| self.requests.is_silent(&registrar.name));
         for registrar in order {
             if is_enough {
