The test of lost reports cuts the link once the job is handed over

load::given_back_once cuts the link from the keeper to the entry for 5 ms after a job was submitted, so that the keeper's report is lost. The entry reserves the job first now, and within these 5 ms the cut hit the answer to that request instead: the report was sent later and arrived, and the test counted 1 report for 2. It runs until the job is handed over and cuts the link then. What it asserts is unchanged.

--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -325,6 +325,7 @@
         let keeper = world.schedulers(0)[0];
         let entry = 1 - keeper;
         world.submit(0, 4, 14_000, 900);
+        world.run_until_logged("job: Handed over.");
         world.set_cut(keeper, entry, lost);
         world.run(5);
         world.set_cut(keeper, entry, false);
--- a/crates/dispatch/tests/world/mod.rs
+++ b/crates/dispatch/tests/world/mod.rs
@@ -356,6 +356,15 @@
         self.now = end;
     }
 
+    /// Runs the simulation until an instance has logged a line with this text.
+    pub fn run_until_logged(&mut self, text: &str) {
+        while !self.log_counts.contains_key(text) {
+            let Some(due) = self.queue.pop() else { return };
+            self.now = self.now.max(due.at);
+            self.step(due.action);
+        }
+    }
+
     fn step(&mut self, action: Action) {
         let target = match &action {
             Action::Deliver { to, .. } => Some(*to),
