--- a/crates/apricotroute/tests/sent_again.rs
+++ b/crates/apricotroute/tests/sent_again.rs
@@ -43,15 +43,9 @@
 
 /// Sends the first attempt of a job; its answer is never read.
 fn send(address: net::SocketAddr, id: &str) -> net::TcpStream {
-    let body = system::job(3).to_string();
-    let head = format!(
-        "POST /board/{id} HTTP/1.1\r\nHost: {}\r\nApricotroute-Deadline-Ms: 3000\r\n\
-         Content-Length: {}\r\n\r\n",
-        system::HOST,
-        body.len()
-    );
+    let text = system::job_request(id, &system::job(3).to_string());
     let mut stream = net::TcpStream::connect(address).unwrap();
-    stream.write_all((head + &body).as_bytes()).unwrap();
+    stream.write_all(text.as_bytes()).unwrap();
     stream
 }
 
--- a/crates/apricotroute/tests/soak/load.rs
+++ b/crates/apricotroute/tests/soak/load.rs
@@ -100,13 +100,7 @@
     body: &str,
 ) -> Option<net::TcpStream> {
     let mut stream = net::TcpStream::connect_timeout(&address, PATIENCE).ok()?;
-    let head = format!(
-        "POST /board/{id} HTTP/1.1\r\nHost: {}\r\nApricotroute-Deadline-Ms: 3000\r\n\
-         Content-Length: {}\r\n\r\n",
-        system::HOST,
-        body.len()
-    );
-    let text = head + body;
+    let text = system::job_request(id, body);
     if rng.random_bool(0.5) {
         return stream.write_all(text.as_bytes()).ok().map(|()| stream);
     }
--- a/crates/apricotroute/tests/system/mod.rs
+++ b/crates/apricotroute/tests/system/mod.rs
@@ -424,6 +424,15 @@
     json!({"Spec": "text", "BestEffort": true, "Steps": [step]})
 }
 
+/// The text of a request that submits a job, for clients that do not wait for the answer.
+pub fn job_request(id: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST /board/{id} HTTP/1.1\r\nHost: {HOST}\r\nApricotroute-Deadline-Ms: 3000\r\n\
+         Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
 /// A configuration with one route for jobs.
 pub fn config(version: u64) -> Value {
     json!({
--- a/crates/dispatch/src/machines/submissions/reservation.rs
+++ b/crates/dispatch/src/machines/submissions/reservation.rs
@@ -1,6 +1,6 @@
 //! The right of one entry to hand a job to schedulers.
 //!
-//! An entry reserves each job at a registrar before it hands it over, and renews the reservation
+//! An entry reserves each job at registrars before it hands it over, and renews the reservation
 //! while the job is open. If another entry has the job, because its client has submitted it there
 //! before, this one joins it: its client gets the outcome of the same tasks. It takes the job over
 //! once the other entry has ended it or does not answer, and starts it after all schedulers have
