--- /dev/null
+++ b/review/standins-3/src/client.rs
@@ -0,0 +1,132 @@
+//! Clients: jobs, and what was answered.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use crate::{http, json::Json, json::quote, record::Record, system::HOST};
+
+#[derive(Clone, Debug, Default)]
+pub struct Step {
+    pub count: u32,
+    pub cpu: u64,
+    pub ms: u64,
+    pub after: Vec<usize>,
+    pub spread: u32,
+    pub label: String,
+}
+
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub id: String,
+    pub steps: Vec<Step>,
+    pub deadline: Duration,
+}
+
+/// One try of a client, or one DELETE.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    pub method: &'static str,
+    pub job: String,
+    pub sent: Instant,
+    pub ended: Instant,
+    /// 0 if there was no whole answer.
+    pub status: u16,
+    pub body: String,
+}
+
+impl Attempt {
+    pub fn state(&self) -> String {
+        Json::parse(&self.body).map(|body| body.get("State").text().to_owned()).unwrap_or_default()
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Clients {
+    pub attempts: Arc<Mutex<Vec<Attempt>>>,
+    record: Record,
+}
+
+impl Job {
+    pub fn body(&self) -> String {
+        let spec: Vec<_> = self.steps.iter().map(|s| format!("{}:{}", s.cpu, s.ms)).collect();
+        let steps: Vec<_> = self
+            .steps
+            .iter()
+            .map(|step| {
+                let mut text = format!(
+                    "{{\"Count\":{},\"Cpu\":{},\"MemMb\":64,\"EstimateMs\":{}",
+                    step.count, step.cpu, step.ms
+                );
+                if !step.after.is_empty() {
+                    text += &format!(",\"DependsOn\":{:?}", step.after);
+                }
+                if step.spread > 0 {
+                    text += &format!(",\"AntiAffinity\":{}", step.spread);
+                }
+                if !step.label.is_empty() {
+                    text += &format!(",\"RequiredLabel\":{}", quote(&step.label));
+                }
+                text + "}"
+            })
+            .collect();
+        format!(
+            "{{\"Spec\":{},\"BestEffort\":true,\"Steps\":[{}]}}",
+            quote(&spec.join(";")),
+            steps.join(",")
+        )
+    }
+}
+
+impl Clients {
+    pub fn new(record: Record) -> Self {
+        Self { attempts: Arc::default(), record }
+    }
+
+    /// Submits a job at an entry once and waits for the answer up to its deadline.
+    pub fn submit(&self, job: &Job, entry: SocketAddr) -> Attempt {
+        self.submit_within(job, entry, job.deadline)
+    }
+
+    /// The same for a client that leaves after `patience`.
+    pub fn submit_within(&self, job: &Job, entry: SocketAddr, patience: Duration) -> Attempt {
+        let deadline = job.deadline.as_millis().to_string();
+        let headers = [("Host", HOST.to_owned()), ("Apricotroute-Deadline-Ms", deadline)];
+        self.send("POST", &job.id, entry, &headers, &job.body(), patience)
+    }
+
+    pub fn cancel(&self, id: &str, entry: SocketAddr) -> Attempt {
+        let headers = [("Host", HOST.to_owned())];
+        self.send("DELETE", id, entry, &headers, "", Duration::from_secs(3))
+    }
+
+    fn send(
+        &self,
+        method: &'static str,
+        id: &str,
+        entry: SocketAddr,
+        headers: &[(&str, String)],
+        body: &str,
+        timeout: Duration,
+    ) -> Attempt {
+        let sent = Instant::now();
+        self.record.write_at(sent, "send", &format!("{method} {id} to {entry} {body}"));
+        let answer = http::call(entry, method, &format!("/board/{id}"), headers, body, timeout);
+        let ended = Instant::now();
+        let (status, body) = match answer {
+            Ok(answer) => (answer.status, answer.body),
+            Err(error) => (0, error.to_string()),
+        };
+        self.record.write_at(
+            ended,
+            "answer",
+            &format!("{method} {id} from {entry}: {status} {body}"),
+        );
+        let job = id.to_owned();
+        let attempt = Attempt { method, job, sent, ended, status, body };
+        self.attempts.lock().unwrap().push(attempt.clone());
+        attempt
+    }
+}
