--- a/review/standins-3/src/soak.rs
+++ b/review/standins-3/src/soak.rs
@@ -126,7 +126,13 @@
 /// Plays one seed and prints what was broken.
 pub fn run(record: &Path, seed: u64, seconds: u64, modes: Modes) -> i32 {
     let record = Record::create(record);
-    let system = System::start(modes.zones, 4 - modes.zones, 2 + 2 / modes.zones, modes.cuts, record.clone());
+    let system = System::start(
+        modes.zones,
+        4 - modes.zones,
+        2 + 2 / modes.zones,
+        modes.cuts,
+        record.clone(),
+    );
     let mut soak = Soak {
         seed,
         modes,
