A job starts anew only when no task of any earlier handover is left

Cause: where tasks of a job may be left was known in four places, and each way to start a job anew looked at one of them. An entry that learned late of an earlier entry cleared the zones of that one and forgot those of its own tasks, which it had just cancelled.

Change: an open or ended job has one record of the tasks that may be left, whichever entry has handed them over, and each start waits until it is empty. The word of a scheduler covers only what was handed over before the question. The time of a silent zone counts from the last word of any entry there. `job: Waits for its former tasks.` names the zones.

--- a/crates/dispatch/src/machines/reserving.rs
+++ b/crates/dispatch/src/machines/reserving.rs
@@ -30,7 +30,7 @@
             Message::Reserve(number, incarnation, jobs) => {
                 self.on_reserve(from, number, incarnation, jobs, now);
             }
-            Message::Probe(zone, ids) => self.on_probe(from, &zone, ids, now),
+            Message::Probe(zone, number, ids) => self.on_probe(from, &zone, number, ids, now),
             other => {
                 let (view, submissions) = self.view(now);
                 submissions.handle_reservation(from, other, view);
@@ -57,6 +57,7 @@
         &mut self,
         from: &name::Name,
         zone: &name::Name,
+        number: u64,
         mut ids: Vec<name::Name>,
         now: Now,
     ) {
@@ -64,7 +65,7 @@
         ids.retain(|id| sched.is_absent(id, now.mono));
         let parts = sched.parts;
         if !ids.is_empty() {
-            let absent = Message::Absent(zone.clone(), parts, ids);
+            let absent = Message::Absent(zone.clone(), parts, number, ids);
             self.send(from, Body::Reservation(absent), now);
         }
     }
--- a/crates/dispatch/src/machines/submissions.rs
+++ b/crates/dispatch/src/machines/submissions.rs
@@ -13,6 +13,7 @@
 //! time, so that the loads only indicate which zone to ask first.
 
 mod ending;
+mod leftovers;
 mod reservation;
 
 use std::collections;
@@ -89,6 +90,8 @@
     resumed: bool,
     /// Zones in which parts of it were completed.
     zones: smallvec::SmallVec<[name::Name; 1]>,
+    /// Tasks of it that no part accounts for and that may still run.
+    leftovers: leftovers::Leftovers,
     /// Whether this entry or another one has the job.
     standing: reservation::Standing,
 }
@@ -174,9 +177,19 @@
         let (tickets, parts) = (smallvec::smallvec![ticket], smallvec::smallvec![part]);
         let (arrived, zones) = (view.now, smallvec::SmallVec::new());
         let (maybe_started, resumed) = (false, false);
-        let standing = self.new_standing(&id, view);
-        let open =
-            OpenJob { job, tickets, arrived, parts, maybe_started, resumed, zones, standing };
+        let leftovers = self.leftovers_of(&id);
+        let standing = reservation::Standing::default();
+        let open = OpenJob {
+            job,
+            tickets,
+            arrived,
+            parts,
+            maybe_started,
+            resumed,
+            zones,
+            leftovers,
+            standing,
+        };
         self.open.insert(id.clone(), open);
         // Refuses a job that no scheduler can take.
         self.assign(&id, number, view);
@@ -202,6 +215,9 @@
                 open.maybe_started = true;
                 open.resumed |= done.iter().any(|part| part.resumed);
                 open.zones.extend(done.iter().filter_map(|part| part.pinned_zone.clone()));
+                for part in &done {
+                    open.leftovers.add_part(part, self.number);
+                }
                 let others = done.into_iter().filter_map(|part| part.claim);
                 let others = others.filter(|claim| claim.holder != *from);
                 let cancels = others.map(|claim| (claim.holder, Body::Cancel(id.clone())));
@@ -311,6 +327,7 @@
                 }
             }
             if open.standing.is_own()
+                && !open.standing.is_clearing()
                 && !open.is_handed_over()
                 && now >= open.arrived + NO_SCHEDULER_TIMEOUT
             {
--- a/crates/dispatch/src/machines/submissions/reservation.rs
+++ b/crates/dispatch/src/machines/submissions/reservation.rs
@@ -3,21 +3,25 @@
 //! An entry reserves each job at registrars before it hands it over, and renews the reservation
 //! while the job is open. If another entry has the job, because its client has submitted it there
 //! before, this one joins it: its client gets the outcome of the same tasks. It takes the job over
-//! once the other entry has ended it or does not answer, and starts it after all schedulers have
-//! confirmed that no task of it is left.
+//! once the other entry has ended it or does not answer. It starts a job only after the schedulers
+//! of all zones where tasks of it may be left have confirmed that there are none, whichever entry
+//! has handed these over.
 
 use state::name;
 
-use super::{NO_CLIENT, OpenJob, Submissions};
+use super::{
+    NO_CLIENT, OpenJob, Submissions,
+    leftovers::{LastWord, Leftovers},
+};
 use crate::{
     decisions::{assignment, registrar, view::View},
-    machines::{sched, start, upkeep},
+    machines::{start, upkeep},
     messages::{
         event::{Note, Reply},
         job::Verdict,
         message::Body,
         parts::Parts,
-        reservation::{FormerEntry, Holder, JobEnd, Message, Reservation, Zones},
+        reservation::{FormerEntry, Holder, JobEnd, Message, Reservation},
         share, time,
     },
 };
@@ -59,7 +63,7 @@
     /// Time until which the entry may hand the job over.
     until: u64,
     /// The entry that it takes the job over from.
-    former: Option<Former>,
+    former: Option<FormerEntry>,
     /// Entries whose clients await the job, too, and when each of them last said so.
     joiners: smallvec::SmallVec<[(name::Name, u64); 1]>,
 }
@@ -73,8 +77,8 @@
     Held,
     /// Another entry has the job.
     Joined(Joined),
-    /// The entry has reserved the job; tasks that the former entry has handed over may be left.
-    Clearing(Clearing),
+    /// The entry has reserved the job; tasks of it may be left. The time is that of the last probe.
+    Clearing(u64),
 }
 
 #[derive(Debug)]
@@ -87,32 +91,12 @@
     heard: Option<u64>,
 }
 
-#[derive(Debug)]
-struct Clearing {
-    /// Time when no task is left for certain.
-    end: u64,
-    asked: u64,
-    /// The parts of each zone that may have tasks.
-    left: smallvec::SmallVec<[(name::Name, Parts); 4]>,
-}
-
-#[derive(Debug)]
-struct Former {
-    entry: name::Name,
-    has_ended: bool,
-    /// When it last had the job, as far as this entry knows.
-    last: u64,
-    /// Zones where tasks of it may be left; `None` stands for all.
-    zones: Option<Zones>,
-}
-
 /// How a job ended at this entry.
 #[derive(Debug)]
 pub(super) struct Ending {
     /// The verdict that holds for later submissions as well.
     verdict: Option<Verdict>,
-    /// Zones where tasks of it may be left.
-    zones: Zones,
+    leftovers: Leftovers,
     at: u64,
 }
 
@@ -122,6 +106,11 @@
         !matches!(self.stage, Stage::Joined(_))
     }
 
+    /// Whether the job waits until no task of an earlier handover is left.
+    pub(super) fn is_clearing(&self) -> bool {
+        matches!(self.stage, Stage::Clearing(_))
+    }
+
     /// Whether the entry may hand the job over now.
     pub(super) fn allows_handover(&self, now: u64) -> bool {
         matches!(self.stage, Stage::Held) && now < self.until
@@ -164,12 +153,7 @@
             if self.requests.is_silent(&registrar.name) {
                 continue;
             }
-            let former = standing.former.as_ref();
-            let former = former.map(|former| FormerEntry {
-                entry: former.entry.clone(),
-                has_ended: former.has_ended,
-            });
-            let reservation = Reservation { job: id.clone(), former };
+            let reservation = Reservation { job: id.clone(), former: standing.former.clone() };
             standing.waiting.push(self.requests.add(&registrar.name, reservation, view.now));
             is_enough = standing.waiting.len() >= REGISTRARS && !registrar.is_new;
         }
@@ -186,7 +170,9 @@
             Message::Joined(ids) => self.handle_joined(from, &ids, view.now),
             Message::Leave(id) => self.handle_leave(from, &id),
             Message::Ended(id, end) => self.handle_ended(from, &id, &end, view),
-            Message::Absent(zone, parts, ids) => self.handle_absent(&zone, parts, &ids, view),
+            Message::Absent(zone, parts, number, ids) => {
+                self.handle_absent(&zone, parts, number, &ids, view);
+            }
             // Registrars and schedulers handle these.
             Message::Reserve(..) | Message::Probe(..) => {}
         }
@@ -223,18 +209,14 @@
         let Some(open) = self.open.get_mut(id) else { return };
         let standing = &mut open.standing;
         standing.until = sent + RESERVATION_TIME;
-        if let Some(former) = standing.former.take() {
-            let zones = former.zones;
-            let zones = zones.unwrap_or_else(|| view.claims.zone_names().cloned().collect());
-            let left: smallvec::SmallVec<_> =
-                zones.into_iter().map(|zone| (zone, Parts::ALL)).collect();
-            let is_clear = left.is_empty();
-            let is_split = view.claims.zone_names().any(|zone| view.is_split(zone));
-            let wait = if is_split { sched::SPLIT_RUN_TIMEOUT } else { sched::FORMER_RUN_TIMEOUT };
-            standing.stage = Stage::Clearing(Clearing { end: former.last + wait, asked: 0, left });
-            return if is_clear { self.start_anew(id, view) } else { self.probe(id, view) };
-        }
-        if matches!(standing.stage, Stage::Asking | Stage::Held) {
+        let is_taken_over = standing.former.take().is_some();
+        let is_first = matches!(standing.stage, Stage::Asking);
+        if is_taken_over || is_first && !open.leftovers.is_empty() {
+            standing.stage = Stage::Clearing(0);
+            let (text, detail) = ("job: Waits for its former tasks.", open.leftovers.to_string());
+            self.out.notes.push(Note { text, subject: id.clone(), detail });
+            self.clear(id, view);
+        } else if is_first || matches!(standing.stage, Stage::Held) {
             standing.stage = Stage::Held;
             self.assign_rest(id, view);
         }
@@ -257,8 +239,8 @@
         let Some(open) = self.open.get_mut(id) else { return };
         if holder.entry == *me {
             // A former incarnation of this instance had it.
-            let (entry, has_ended, zones) = (me.clone(), true, None);
-            open.standing.former = Some(Former { entry, has_ended, last: renewed, zones });
+            open.standing.former = Some(FormerEntry { entry: me.clone(), has_ended: true });
+            open.leftovers.add_all(None, last_word(renewed, self.number));
             return self.reserve(id, view);
         }
         open.standing.waiting.clear();
@@ -272,8 +254,7 @@
         let holders = open.parts.iter().filter_map(|part| part.claim.as_ref());
         let cancels = holders.map(|claim| (claim.holder.clone(), Body::Cancel(id.clone())));
         self.out.sends.extend(cancels);
-        let zones = open.zones_left();
-        open.zones = zones.into_iter().collect();
+        open.leftovers = open.leftovers_at_end(self.number);
         // Its tasks may run for the other entry.
         open.maybe_started = true;
         open.standing.stage = Stage::Joined(Joined {
@@ -302,15 +283,16 @@
             let Some(open) = self.open.get_mut(&id) else {
                 let end = match self.ended.get(&id) {
                     Some(Ending { verdict: Some(verdict), .. }) => JobEnd::Verdict(verdict.clone()),
-                    ending => JobEnd::NotOpen(ending.map(|ending| ending.zones.clone())),
+                    Some(Ending { leftovers, .. }) => not_open(leftovers, view.now),
+                    None => JobEnd::NotOpen(None, 0),
                 };
                 self.tell(from, Message::Ended(id, end));
                 continue;
             };
             let is_mutual = matches!(&open.standing.stage, Stage::Joined(at) if at.entry == *from);
             if is_mutual && from < me {
-                let zones = Some(open.zones_left());
-                self.tell(from, Message::Ended(id, JobEnd::NotOpen(zones)));
+                let end = not_open(&open.leftovers, view.now);
+                self.tell(from, Message::Ended(id, end));
                 continue;
             }
             match open.standing.joiners.iter_mut().find(|(entry, _)| entry == from) {
@@ -356,22 +338,31 @@
             JobEnd::Cancelled => {
                 self.revoke(id);
             }
-            JobEnd::NotOpen(zones) => {
-                let (entry, has_ended, zones) = (from.clone(), true, zones.clone());
-                open.standing.former = Some(Former { entry, has_ended, last: view.now, zones });
+            JobEnd::NotOpen(zones, age) => {
+                open.standing.former = Some(FormerEntry { entry: from.clone(), has_ended: true });
+                let asked = view.now.saturating_sub(age * time::MS);
+                let last = LastWord { asked, number: self.number, is_split: false };
+                open.leftovers.add_all(zones.as_ref(), last);
                 self.reserve(id, view);
             }
         }
     }
 
-    /// Asks the schedulers that have not answered whether tasks of a job are left.
-    fn probe(&mut self, id: &name::Name, view: View<'_>) {
+    /// Asks the schedulers that have not answered whether tasks of a job are left, and starts the job
+    /// once there are none.
+    fn clear(&mut self, id: &name::Name, view: View<'_>) {
+        let number = self.next_number(view.now);
         let Some(open) = self.open.get_mut(id) else { return };
-        let Stage::Clearing(clearing) = &mut open.standing.stage else { return };
-        clearing.asked = view.now;
-        for (zone, left) in &clearing.left {
-            let claims = view.claims.of_zone(zone).filter(|claim| claim.parts.overlaps(*left));
-            let probe = Body::Reservation(Message::Probe(zone.clone(), vec![id.clone()]));
+        let Stage::Clearing(asked) = &mut open.standing.stage else { return };
+        *asked = view.now;
+        let is_split = view.claims.zone_names().any(|zone| view.is_split(zone));
+        open.leftovers.resolve(view.claims.zone_names(), is_split, view.now);
+        if open.leftovers.is_empty() {
+            return self.start_anew(id, view);
+        }
+        for (zone, left) in open.leftovers.iter() {
+            let claims = view.claims.of_zone(zone).filter(|claim| claim.parts.overlaps(left));
+            let probe = Body::Reservation(Message::Probe(zone.clone(), number, vec![id.clone()]));
             let bodies = claims.map(|claim| (claim.holder.clone(), probe.clone()));
             self.out.sends.extend(bodies);
         }
@@ -382,23 +373,23 @@
         &mut self,
         zone: &name::Name,
         parts: Parts,
+        number: u64,
         ids: &[name::Name],
         view: View<'_>,
     ) {
         for id in ids {
             let Some(open) = self.open.get_mut(id) else { continue };
-            let Stage::Clearing(clearing) = &mut open.standing.stage else { continue };
-            for (_, left) in clearing.left.iter_mut().filter(|(other, _)| other == zone) {
-                *left = left.minus(parts);
+            if !open.standing.is_clearing() {
+                continue;
             }
-            clearing.left.retain(|(_, left)| !left.is_empty());
-            if clearing.left.is_empty() {
+            open.leftovers.remove(zone, parts, number);
+            if open.leftovers.is_empty() {
                 self.start_anew(id, view);
             }
         }
     }
 
-    /// Starts a job whose former entry has lost it, now that no task of it is left.
+    /// Starts a job that was handed over before, now that no task of it is left.
     fn start_anew(&mut self, id: &name::Name, view: View<'_>) {
         let Some(open) = self.open.get_mut(id) else { return };
         open.standing.stage = Stage::Held;
@@ -406,7 +397,7 @@
             // Upstreams refuse the run numbers that they have seen.
             part.skip_attempts();
         }
-        let detail = "no task of its former entry is left".to_owned();
+        let detail = "no task of an earlier handover is left".to_owned();
         self.out.notes.push(Note { text: "job: Taken over.", subject: id.clone(), detail });
         if view.now < open.standing.until {
             self.assign_rest(id, view);
@@ -434,7 +425,7 @@
         for (id, open) in &mut self.open {
             let standing = &mut open.standing;
             standing.joiners.retain(|(_, heard)| now < *heard + upkeep::ABANDON_AFTER);
-            if let Some(task) = standing.due(now) {
+            if let Some(task) = standing.due(&mut open.leftovers, self.number, now) {
                 due.push((id.clone(), task));
             } else if open.tickets.is_empty() && standing.joiners.is_empty() {
                 due.push((id.clone(), Task::Drop));
@@ -444,8 +435,7 @@
             match task {
                 Task::Reserve => self.reserve(&id, view),
                 Task::Join(entry) => self.tell(&entry, Message::Join(vec![id])),
-                Task::Probe => self.probe(&id, view),
-                Task::StartAnew => self.start_anew(&id, view),
+                Task::Clear => self.clear(&id, view),
                 Task::Drop => self.drop_unawaited(&id),
             }
         }
@@ -463,28 +453,20 @@
         if let Some(open) = self.open.remove(id) {
             self.cancel(id, &open);
             self.remember(id, &open, None);
-            self.out.sends.extend(open.standing.farewells(id, &JobEnd::NotOpen(None)));
+            self.out.sends.extend(open.standing.farewells(id, &JobEnd::NotOpen(None, 0)));
         }
     }
 
     /// Remembers how a job ended here, with the verdict that holds for later submissions as well.
     pub(super) fn remember(&mut self, id: &name::Name, open: &OpenJob, verdict: Option<&Verdict>) {
-        let (verdict, zones, at) = (verdict.cloned(), open.zones_left(), self.last_tick);
-        self.ended.insert(id.clone(), Ending { verdict, zones, at });
+        let (verdict, at) = (verdict.cloned(), self.last_tick);
+        let leftovers = open.leftovers_at_end(self.number);
+        self.ended.insert(id.clone(), Ending { verdict, leftovers, at });
     }
 
-    /// The standing with a job that a client submits here. Tasks of an earlier submission may be left
-    /// in other zones; the scheduler of the own zone knows those in this one.
-    pub(super) fn new_standing(&self, id: &name::Name, view: View<'_>) -> Standing {
-        let home = &view.membership.me().zone;
-        let is_elsewhere = |ending: &&Ending| ending.zones.iter().any(|zone| zone != home);
-        let former = self.ended.get(id).filter(is_elsewhere).map(|ending| Former {
-            entry: view.membership.me().name.clone(),
-            has_ended: true,
-            last: ending.at,
-            zones: Some(ending.zones.clone()),
-        });
-        Standing { former, ..Standing::default() }
+    /// The tasks that may be left of a job that a client has submitted here before.
+    pub(super) fn leftovers_of(&self, id: &name::Name) -> Leftovers {
+        self.ended.get(id).map(|ending| ending.leftovers.clone()).unwrap_or_default()
     }
 
     /// Ends the right to hand jobs over until it is renewed, because this instance was stopped.
@@ -506,34 +488,43 @@
 }
 
 impl OpenJob {
-    /// The zones where tasks of the job may be left once this entry has ended it.
-    fn zones_left(&self) -> Zones {
-        let pinned = self.parts.iter().filter_map(|part| part.pinned_zone.as_ref());
-        pinned.chain(&self.zones).cloned().collect()
+    /// The tasks that may be left once this entry has ended the job. `number` is the last number that
+    /// it has given to a handover or a probe.
+    fn leftovers_at_end(&self, number: u64) -> Leftovers {
+        let mut leftovers = self.leftovers.clone();
+        self.parts.iter().for_each(|part| leftovers.add_part(part, number));
+        leftovers
     }
 }
 
+/// The end of a job of which these tasks may be left.
+fn not_open(leftovers: &Leftovers, now: u64) -> JobEnd {
+    JobEnd::NotOpen(leftovers.zones(), leftovers.age(now))
+}
+
+/// The last word to schedulers of an entry that last reserved a job at `renewed` and does not tell.
+fn last_word(renewed: u64, number: u64) -> LastWord {
+    let asked = renewed + time::on_slowest(RESERVATION_TIME);
+    LastWord { asked, number, is_split: false }
+}
+
 /// What is due for the reservation of a job.
 #[derive(Debug)]
 enum Task {
     Reserve,
     Join(name::Name),
-    Probe,
-    StartAnew,
+    Clear,
     Drop,
 }
 
 impl Standing {
-    fn due(&mut self, now: u64) -> Option<Task> {
+    fn due(&mut self, leftovers: &mut Leftovers, number: u64, now: u64) -> Option<Task> {
         let renewal = self.waiting.is_empty() && now >= self.asked + RENEW_INTERVAL;
         match &mut self.stage {
             Stage::Asking => None,
             Stage::Held => renewal.then_some(Task::Reserve),
-            Stage::Clearing(clearing) if now >= clearing.end => Some(Task::StartAnew),
             Stage::Clearing(_) if renewal => Some(Task::Reserve),
-            Stage::Clearing(clearing) => {
-                (now >= clearing.asked + PROBE_INTERVAL).then_some(Task::Probe)
-            }
+            Stage::Clearing(asked) => (now >= *asked + PROBE_INTERVAL).then_some(Task::Clear),
             Stage::Joined(joined) => {
                 let limit = joined.heard.map(|heard| heard + REJOIN_TIMEOUT);
                 let is_silent = now >= limit.unwrap_or(joined.since + JOIN_TIMEOUT);
@@ -544,8 +535,9 @@
                 if !is_silent || !self.waiting.is_empty() || now < self.asked + JOIN_TIMEOUT {
                     return None;
                 }
-                let (entry, has_ended, zones) = (joined.entry.clone(), false, None);
-                self.former = Some(Former { entry, has_ended, last: joined.renewed, zones });
+                let entry = joined.entry.clone();
+                self.former = Some(FormerEntry { entry, has_ended: false });
+                leftovers.add_all(None, last_word(joined.renewed, number));
                 Some(Task::Reserve)
             }
         }
--- a/crates/dispatch/src/messages/reservation.rs
+++ b/crates/dispatch/src/messages/reservation.rs
@@ -24,10 +24,11 @@
     Leave(name::Name),
     /// A job that the receiver has joined ended at the sender, or is not open there.
     Ended(name::Name, JobEnd),
-    /// Asks the scheduler of this zone for which of these jobs no task is left at its upstreams.
-    Probe(name::Name, Vec<name::Name>),
+    /// Asks the scheduler of this zone for which of these jobs no task is left at its upstreams. The
+    /// answer repeats the number.
+    Probe(name::Name, u64, Vec<name::Name>),
     /// No task of these jobs runs, or will be started, at the upstreams in these parts of the zone.
-    Absent(name::Name, parts::Parts, Vec<name::Name>),
+    Absent(name::Name, parts::Parts, u64, Vec<name::Name>),
 }
 
 /// A job that an entry reserves.
@@ -65,8 +66,8 @@
     /// It was cancelled on request.
     Cancelled,
     /// The entry does not have it. Tasks of it may be left in these zones, or in any zone if the entry
-    /// does not know.
-    NotOpen(Option<Zones>),
+    /// does not know; these were last asked for this long ago, milliseconds.
+    NotOpen(Option<Zones>, u64),
 }
 
 impl Message {
