A keeper that ends as planned gives its seat away first

Cause: the end of a keeper was announced to schedulers only. The group inferred it from 3 s of silence, a time that is meant for voters which may come back; until then it had two live voters of three and bore no loss of a disk.

Change: a member that is about to end says so to the voters. The leader gives its seat to a member that holds all committed entries, which is added before the leaving one is removed, and the process ends once that is committed, nobody can take the seat, or 3 s are over. A leader adds its successor itself and hands its leadership to a voter that does not leave. Seats have a module of their own.

--- a/crates/apricotroute/src/node/control.rs
+++ b/crates/apricotroute/src/node/control.rs
@@ -235,7 +235,8 @@
         self.publish();
     }
 
-    /// Publishes readiness, the number of open jobs and whether the routes are out of date.
+    /// Publishes readiness, the number of open jobs, whether the routes are out of date and whether
+    /// a seat may be taken over.
     fn publish(&mut self) {
         let (view, now) = (&self.control.view, self.control.clock.now());
         let version = view.routing().version;
@@ -243,6 +244,7 @@
         let ready = serving && !view.draining.load(atomic::Ordering::Relaxed);
         view.ready.store(ready, atomic::Ordering::Relaxed);
         view.open_jobs.store(self.core.open(), atomic::Ordering::Relaxed);
+        view.awaits_successor.store(self.core.awaits_successor(now), atomic::Ordering::Relaxed);
         if self.core.document().version <= version {
             self.unread_since = None;
         }
--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -26,6 +26,10 @@
 const ENTRY_DELAY: time::Duration = time::Duration::from_millis(2_600);
 /// How long a keeper stays up during shutdown, so that its successor has taken over.
 const KEEPER_DELAY: time::Duration = time::Duration::from_millis(900);
+/// How long a keeper stays up during shutdown at most, so that another one takes over its seat: the
+/// time in which the group elects a leader twice. With its seat the group would bear the loss of one
+/// disk less.
+const SEAT_LIMIT: time::Duration = time::Duration::from_secs(3);
 /// Part of the grace period that is reserved for the last responses: jobs that are still open are
 /// answered when it begins.
 const GRACE_RESERVE: time::Duration = time::Duration::from_millis(500);
@@ -120,6 +124,11 @@
             node::Role::Keeper => KEEPER_DELAY,
         };
         thread::sleep(delay.min(work_end));
+        let seat_end = SEAT_LIMIT.min(work_end);
+        while start.elapsed() < seat_end && control.view().awaits_successor() {
+            thread::sleep(POLL_INTERVAL);
+        }
+        let is_seated = control.view().awaits_successor();
         control.close();
         while start.elapsed() < work_end && control.view().open_jobs() > 0 {
             thread::sleep(POLL_INTERVAL);
@@ -129,7 +138,7 @@
         // Gives the last messages to other instances time to be sent.
         thread::sleep(POLL_INTERVAL);
         slog::info!(self.log, "node: Stopped."; "open" => unfinished,
-            "unanswered" => self.connections());
+            "unanswered" => self.connections(), "seated" => is_seated);
     }
 
     /// Answers what is open, and waits until the responses are written, at most until `deadline`.
--- a/crates/apricotroute/src/node/view.rs
+++ b/crates/apricotroute/src/node/view.rs
@@ -20,6 +20,8 @@
     pub(super) draining: atomic::AtomicBool,
     pub(super) closed: atomic::AtomicBool,
     pub(super) open_jobs: atomic::AtomicUsize,
+    /// Whether another instance may still take over this one's seat among the voters.
+    pub(super) awaits_successor: atomic::AtomicBool,
     pub(super) status: sync::RwLock<status::Status>,
 }
 
@@ -29,6 +31,11 @@
         self.open_jobs.load(atomic::Ordering::Relaxed)
     }
 
+    /// Returns whether another instance may still take over this one's seat among the voters.
+    pub fn awaits_successor(&self) -> bool {
+        self.awaits_successor.load(atomic::Ordering::Relaxed)
+    }
+
     /// Returns the status of the instance, at most half a second old.
     pub fn status(&self) -> status::Status {
         match self.status.read() {
--- a/crates/apricotroute/tests/config_losses.rs
+++ b/crates/apricotroute/tests/config_losses.rs
@@ -110,3 +110,59 @@
         thread::sleep(Duration::from_millis(100));
     }
 }
+
+/// Adds a keeper in the zone of `leaving`, which then ends as planned, `run` after the start of its
+/// successor.
+fn replace(system: &mut System, leaving: usize, run: Duration) -> usize {
+    let added = system.add_keeper(system.instances[leaving].zone);
+    thread::sleep(run);
+    system.signal(leaving, "-TERM");
+    let mut child = system.instances[leaving].child.take().unwrap();
+    assert!(child.wait().unwrap().success());
+    system.instances[leaving].is_removed = true;
+    added
+}
+
+/// Kills the processes of `killed`, one of which loses its disk, starts them again, and asserts that
+/// the configuration is read back.
+fn lose_disk(system: &mut System, killed: &[usize], lost: usize, version: u64) {
+    system.kill_at_once(killed);
+    fs::remove_dir_all(system.data_folder(lost)).unwrap();
+    thread::sleep(Duration::from_millis(500));
+    for at in killed {
+        restart(system, *at);
+    }
+    let until = Instant::now() + RECOVERY_LIMIT;
+    let is_read = |at: usize| {
+        let (status, config) = system.read_config(at);
+        status == 200 && config["Version"] == version
+    };
+    while !system.keepers().any(is_read) {
+        assert!(Instant::now() < until, "the configuration is not read back");
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// Guards against a keeper that ends as planned with its seat, so that the loss of one disk right
+/// after its end leaves no majority.
+#[test]
+fn planned_end() {
+    // Whether the leader leaves, the number of replaced keepers, and whether all lose power.
+    let cases = [(95, true, 1, false), (96, false, 1, true), (97, false, 2, false)];
+    for (subnet, is_leader, count, is_power_cut) in cases {
+        let mut system = start(subnet, &[(1, 0), (1, 0), (1, 0)]);
+        let first: Vec<_> = system.keepers().collect();
+        for _ in 0..count {
+            let leader = system.leader();
+            let leaves =
+                |at: &&usize| !system.instances[**at].is_removed && (**at == leader) == is_leader;
+            let leaving = *first.iter().find(leaves).unwrap();
+            replace(&mut system, leaving, Duration::from_secs(2));
+        }
+        publish(&system, 2);
+        let all: Vec<_> = system.keepers().collect();
+        let lost = all[0];
+        let killed = if is_power_cut { all } else { vec![lost] };
+        lose_disk(&mut system, &killed, lost, 2);
+    }
+}
--- a/crates/coord/src/group.rs
+++ b/crates/coord/src/group.rs
@@ -11,7 +11,7 @@
     joined::Joined,
     message::{self, FormMessage, Formation, Route},
     raft::{self, Raft, Save, Timing},
-    time,
+    seats, time,
 };
 
 /// Allowed difference between two wall clocks, in milliseconds.
@@ -122,6 +122,7 @@
     /// Other instances that this one has heard lately by other messages than those of the group;
     /// `None` if that is not known.
     pub(crate) heard: Option<Vec<name::Name>>,
+    pub(crate) departures: seats::Departures,
     pub(crate) next_probe: u64,
     /// Number of the last change passed to the caller to be stored.
     pub(crate) last_issued: u64,
@@ -149,6 +150,7 @@
             peer_states: collections::BTreeMap::new(),
             abandoned: smallvec::SmallVec::new(),
             heard: None,
+            departures: seats::Departures::default(),
             next_probe: 0,
             last_issued: 0,
             last_saved: 0,
@@ -267,6 +269,7 @@
                 }
             }
         }
+        self.announce_departure(now.mono);
         self.process_output(now.mono);
     }
 
@@ -371,6 +374,7 @@
                 }
             }
             FormMessage::Abandoned(formation) => self.on_abandoned(from, *formation),
+            FormMessage::Leaving => self.departures.record(from, now.mono),
         }
         self.leave_if_unrecoverable(now.mono);
         self.process_output(now.mono);
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -144,10 +144,11 @@
 mod replicate;
 pub mod retry;
 mod run;
+pub mod seats;
 pub mod share;
 pub mod status;
 pub mod time;
-pub mod upkeep;
+mod upkeep;
 mod waiter;
 
 pub use core::Core;
--- a/crates/coord/src/message.rs
+++ b/crates/coord/src/message.rs
@@ -99,6 +99,8 @@
     Grant(Formation),
     /// Answer to [`Self::Probe`] of a member of this formation: the sender has founded and left it.
     Abandoned(Formation),
+    /// The instance of the sender is about to end.
+    Leaving,
 }
 
 /// Consensus messages within a formed group (Ongaro 2014).
--- a/crates/coord/src/upkeep.rs
+++ b/crates/coord/src/upkeep.rs
@@ -1,26 +1,17 @@
-//! How a member joins and leaves a formation, and how a leader repairs the seats of voters.
+//! How a member joins and leaves a formation.
 
 use state::name;
 
 use crate::{
-    entry::{Payload, Voters},
+    entry::Voters,
     form,
-    group::{Config, Group, LEADER_PROBE_INTERVAL, LEARNER_TIMEOUT, MAX_SKEW_MS, Machine, Stage},
+    group::{Config, Group, LEADER_PROBE_INTERVAL, MAX_SKEW_MS, Machine, Stage},
     joined::Joined,
     message::{self, FormMessage, Formation},
     raft::{self, Raft, Save},
     time,
 };
 
-/// Time without a message, or with a disk that stores nothing, after which a voter may lose its seat
-/// to another member, in microseconds. This is longer than a freeze or a restart, and well below
-/// the time in which a second disk may be lost.
-pub const LOST_VOTER_TIMEOUT: u64 = 3_000 * time::MS;
-/// Time in which a voter answers a new leader, in microseconds: two heartbeats of the leader.
-const ANSWER_TIMEOUT: u64 = 400 * time::MS;
-/// Maximum time since the last message of a member that takes over a seat, in microseconds: two
-/// heartbeats.
-const RESEAT_MAX_SILENCE: u64 = 500 * time::MS;
 /// Maximum number of formations that a founder remembers to have left.
 const MAX_ABANDONED: usize = 16;
 
@@ -65,13 +56,6 @@
         self.config.others = others;
     }
 
-    /// Sets the other instances that this one has heard within [`LOST_VOTER_TIMEOUT`] by other
-    /// messages than those of the group; `None` if this instance cannot tell yet. A leader that has
-    /// just been elected so knows which voters were lost before.
-    pub fn set_heard(&mut self, heard: Option<Vec<name::Name>>) {
-        self.heard = heard;
-    }
-
     /// Sends a heartbeat immediately if this member leads.
     pub fn send_heartbeat(&mut self, now: u64) {
         if let Stage::Joined(joined) = &mut self.stage {
@@ -80,58 +64,6 @@
         }
     }
 
-    /// Gives the seats of lost voters to members that hold all committed entries, and adds seats up
-    /// to `max_seats`, one committed change at a time (Ongaro 2014, section 4.1). While a seat
-    /// moves there is one voter more.
-    pub fn replace_lost_voters(&mut self, max_seats: usize, now: u64) {
-        let Stage::Joined(joined) = &mut self.stage else {
-            return;
-        };
-        let raft = &mut joined.raft;
-        if !raft.is_leader() || !raft.is_settled() {
-            return;
-        }
-        let (commit, voters) = (raft.commit(), raft.voters().clone());
-        let is_overdue = |at: u64| now > at + LOST_VOTER_TIMEOUT;
-        if raft.synced() < commit && raft.leader_stored_at().is_some_and(is_overdue) {
-            // Another leader can give this member's seat away.
-            raft.transfer_leadership(|_, matched| matched >= commit, now);
-            return self.process_output(now);
-        }
-        let eligible = |(m, p): &(&name::Member, &raft::Progress)| {
-            let is_eligible = now < p.last_contact + RESEAT_MAX_SILENCE
-                && p.match_index >= commit
-                && p.match_index > 0;
-            is_eligible && voters.seat(&m.name).is_none()
-        };
-        let eligible: Vec<_> = raft.peers().filter(eligible).map(|(m, _)| m.clone()).collect();
-        let is_lost = |m: &&name::Member| {
-            let progress = raft.peers().find(|(peer, _)| peer == m).map(|(_, progress)| progress);
-            let is_stuck = |p: &raft::Progress| p.match_index < commit && is_overdue(p.stored_at);
-            let is_unheard = self.heard.as_ref().is_some_and(|heard| !heard.contains(&m.name));
-            let is_mute = |p: &raft::Progress| now > p.last_contact + ANSWER_TIMEOUT && is_unheard;
-            **m != self.config.me
-                && progress.is_none_or(|p| is_overdue(p.last_contact) || is_stuck(p) || is_mute(p))
-        };
-        let lost = voters.0.iter().find(is_lost).cloned();
-        let seats = (voters.0.len() + eligible.len()).min(max_seats);
-        let seats = if seats % 2 == 0 { seats - 1 } else { seats };
-        let is_even = voters.0.len() % 2 == 0;
-        let mut next_voters = voters.clone();
-        // A lost voter may come back with its disk. If it were removed first, the others would be
-        // needed without exception until the seat is taken.
-        match (lost, eligible.first()) {
-            (Some(lost), _) if is_even && voters.0.len() > 2 => {
-                next_voters.0.retain(|m| *m != lost);
-            }
-            (Some(_), Some(next)) => next_voters.0.push(next.clone()),
-            (None, Some(next)) if voters.0.len() < seats => next_voters.0.push(next.clone()),
-            _ => return,
-        }
-        raft.propose(Payload::Voters(next_voters), now);
-        self.process_output(now);
-    }
-
     /// Probes the other instances for a group to join.
     pub(crate) fn probe_for_group(&mut self, now: u64) {
         if now >= self.next_probe {
@@ -260,36 +192,4 @@
             self.send_form(to, FormMessage::Probe(found));
         }
     }
-
-    /// Drops silent learners, and gives seats to the current incarnations of their instances once
-    /// these hold all committed entries.
-    pub(crate) fn repair_seats(&mut self, now: u64) {
-        let Stage::Joined(joined) = &mut self.stage else {
-            return;
-        };
-        let raft = &mut joined.raft;
-        if !raft.is_leader() {
-            return;
-        }
-        let silent_learner = |(m, p): (&name::Member, &raft::Progress)| {
-            (now > p.last_contact + LEARNER_TIMEOUT && !raft.voters().contains(m))
-                .then(|| m.clone())
-        };
-        for member in raft.peers().filter_map(silent_learner).collect::<Vec<_>>() {
-            raft.drop_learner(&member);
-        }
-        if !raft.is_settled() {
-            return;
-        }
-        let commit = raft.commit();
-        let eligible = |(m, p): (&name::Member, &raft::Progress)| {
-            let is_replacement = raft.voters().seat(&m.name).is_some_and(|seat| seat != m);
-            (is_replacement && p.match_index >= commit).then(|| m.clone())
-        };
-        let eligible = raft.peers().find_map(eligible);
-        if let Some(member) = eligible {
-            let voters = raft.voters().with_incarnation(&member);
-            raft.propose(Payload::Voters(voters), now);
-        }
-    }
 }
--- a/crates/dispatch/src/machines/control_log.rs
+++ b/crates/dispatch/src/machines/control_log.rs
@@ -222,7 +222,7 @@
         self.group.set_others(others);
     }
 
-    /// Sets the other instances that were heard within [`coord::upkeep::LOST_VOTER_TIMEOUT`], if that is
+    /// Sets the other instances that were heard within [`coord::seats::LOST_VOTER_TIMEOUT`], if that is
     /// known.
     pub fn set_heard(&mut self, heard: Option<Vec<name::Name>>) {
         self.group.set_heard(heard);
@@ -331,9 +331,16 @@
         self.answer_queries(now);
     }
 
-    /// Transfers leadership to another member if this one leads.
-    pub fn transfer_leadership(&mut self, now: u64) {
-        self.group.transfer_leadership(now);
+    /// Hands over the leadership and the seat of this member, which is about to end.
+    pub fn leave(&mut self, now: u64) {
+        self.group.leave(now);
+        self.group.replace_lost_voters(MAX_VOTERS, now);
+    }
+
+    /// Whether one of these other instances may still take over the seat of this member.
+    pub fn awaits_successor<'a>(&self, others: impl Iterator<Item = &'a name::Name>) -> bool {
+        let has_seat = |other| self.raft().is_some_and(|raft| raft.voters().seat(other).is_some());
+        self.group.has_seat() && !{ others }.all(has_seat)
     }
 
     /// Runs the periodic work that is due at `now`.
--- a/crates/dispatch/src/machines/core.rs
+++ b/crates/dispatch/src/machines/core.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use coord::{group, upkeep};
+use coord::{group, seats};
 use state::{name, policy};
 
 use crate::{
@@ -331,7 +331,7 @@
         let keepers: Vec<_> = self.membership.keepers().cloned().collect();
         if let Some(control_log) = &mut self.control_log {
             control_log.set_others(keepers);
-            let heard = self.membership.heard_within(upkeep::LOST_VOTER_TIMEOUT, now.mono);
+            let heard = self.membership.heard_within(seats::LOST_VOTER_TIMEOUT, now.mono);
             control_log.set_heard(heard);
             control_log.tick(now);
             let leads = control_log.is_leader();
@@ -359,11 +359,20 @@
     pub(crate) fn drain(&mut self, now: Now) {
         self.draining = true;
         if let Some(control_log) = &mut self.control_log {
-            control_log.transfer_leadership(now.mono);
+            control_log.leave(now.mono);
         }
         self.send_heartbeats_to_all(now);
     }
 
+    /// Whether this instance drains and has a seat in the control log's group that a live keeper
+    /// without one may take over.
+    pub fn awaits_successor(&self, now: Now) -> bool {
+        let control_log = self.control_log.as_ref().filter(|_| self.draining);
+        control_log.is_some_and(|control_log| {
+            control_log.awaits_successor(self.membership.lasting_keepers(now.mono))
+        })
+    }
+
     /// Collects the effects of the schedulers, the submissions and the control log.
     pub(crate) fn settle_parts(&mut self, now: Now) {
         for zone in self.scheduled_zones() {
--- a/crates/dispatch/src/tables/membership.rs
+++ b/crates/dispatch/src/tables/membership.rs
@@ -184,6 +184,15 @@
         self.peers.iter().filter(move |(_, peer)| keeper(peer)).map(|(name, _)| name)
     }
 
+    /// The keepers except this instance that are alive and not draining.
+    pub(crate) fn lasting_keepers(&self, now: u64) -> impl Iterator<Item = &name::Name> {
+        let lasts = move |name: &&name::Name| {
+            let is_draining = self.peers.get(*name).is_some_and(Peer::is_draining);
+            self.is_alive(name, now) && !is_draining
+        };
+        self.keepers().filter(lasts)
+    }
+
     /// Live instances whose configuration is at least as new as `version`, in the order in which to
     /// ask them: first those with a direct connection, and among these keepers before entries and
     /// this zone before others. The order among equals differs from instance to instance, so that
