--- a/crates/coord/src/seats.rs
+++ b/crates/coord/src/seats.rs
@@ -97,82 +97,92 @@
     /// adds seats up to `max_seats`, one committed change at a time (Ongaro 2014, section 4.1).
     /// While a seat moves there is one voter more.
     pub fn replace_lost_voters(&mut self, max_seats: usize, now: u64) {
-        let Stage::Joined(joined) = &mut self.stage else {
-            return;
-        };
-        let raft = &mut joined.raft;
-        if !raft.is_leader() {
-            return;
-        }
-        let is_overdue = |at: u64| now > at + LOST_VOTER_TIMEOUT;
-        let (commit, voters) = (raft.commit(), raft.voters().clone());
+        let Some(raft) = self.raft().filter(|raft| raft.is_leader()) else { return };
         if !raft.is_settled() {
             if self.departures.since.is_some_and(|since| now >= since + SUCCESSOR_TIMEOUT) {
                 self.hand_over_leadership(now);
             }
             return;
         }
+        let commit = raft.commit();
+        let is_overdue = |at: u64| now > at + LOST_VOTER_TIMEOUT;
         if raft.synced() < commit && raft.leader_stored_at().is_some_and(is_overdue) {
             // Another leader can give this member's seat away.
-            raft.transfer_leadership(|_, matched| matched >= commit, now);
-            return self.process_output(now);
+            return self.transfer_leadership_if(|_, matched| matched >= commit, now);
         }
-        let departures = &self.departures;
-        let is_leaving = |m: &name::Member, p: &raft::Progress| departures.has(m, p.acked_at, now);
-        let eligible = |(m, p): &(&name::Member, &raft::Progress)| {
-            let is_eligible = now < p.last_contact + RESEAT_MAX_SILENCE
-                && p.match_index >= commit
-                && p.match_index > 0;
-            is_eligible && voters.seat(&m.name).is_none() && !is_leaving(m, p)
-        };
-        let eligible: Vec<_> = raft.peers().filter(eligible).map(|(m, _)| m.clone()).collect();
-        let progress_of =
-            |m: &name::Member| raft.peers().find(|(peer, _)| *peer == m).map(|(_, p)| p);
-        let is_lost = |m: &&name::Member| {
-            let is_stuck = |p: &raft::Progress| p.match_index < commit && is_overdue(p.stored_at);
-            let is_unheard = self.heard.as_ref().is_some_and(|heard| !heard.contains(&m.name));
-            let is_mute = |p: &raft::Progress| now > p.last_contact + ANSWER_TIMEOUT && is_unheard;
-            **m != self.config.me
-                && progress_of(m)
-                    .is_none_or(|p| is_overdue(p.last_contact) || is_stuck(p) || is_mute(p))
-        };
-        let departs = |m: &&name::Member| match progress_of(m) {
-            Some(p) => is_leaving(m, p),
-            None => **m == self.config.me && departures.since.is_some(),
-        };
-        let lost = voters.0.iter().find(is_lost);
-        let lost = lost.or_else(|| voters.0.iter().find(departs)).cloned();
-        let seats = (voters.0.len() + eligible.len()).min(max_seats);
+        let (vacant, successors) = (self.vacant_seat(raft, now), self.successors(raft, now));
+        let mut voters = raft.voters().clone();
+        let seats = (voters.0.len() + successors.len()).min(max_seats);
         let seats = if seats % 2 == 0 { seats - 1 } else { seats };
         let is_even = voters.0.len() % 2 == 0;
-        let mut next_voters = voters.clone();
         // A lost voter may come back with its disk, and a leaving one still answers. If it were
         // removed first, the others would be needed without exception until the seat is taken.
-        match (lost, eligible.first()) {
+        match (vacant, successors.first()) {
             // The next leader removes this member.
-            (Some(lost), next) if lost == self.config.me && (is_even || next.is_none()) => {
+            (Some(vacant), next) if vacant == self.config.me && (is_even || next.is_none()) => {
                 return self.hand_over_leadership(now);
             }
-            (Some(lost), _) if is_even && voters.0.len() > 2 => {
-                next_voters.0.retain(|m| *m != lost);
+            (Some(vacant), _) if is_even && voters.0.len() > 2 => {
+                voters.0.retain(|m| *m != vacant);
             }
-            (Some(_), Some(next)) => next_voters.0.push(next.clone()),
-            (None, Some(next)) if voters.0.len() < seats => next_voters.0.push(next.clone()),
+            (Some(_), Some(next)) => voters.0.push(next.clone()),
+            (None, Some(next)) if voters.0.len() < seats => voters.0.push(next.clone()),
             _ => return,
         }
-        raft.propose(Payload::Voters(next_voters), now);
+        if let Stage::Joined(joined) = &mut self.stage {
+            joined.raft.propose(Payload::Voters(voters), now);
+        }
         self.process_output(now);
     }
 
+    /// The voter whose seat another member should take: one that is lost, or else one that leaves.
+    fn vacant_seat(&self, raft: &raft::Raft, now: u64) -> Option<name::Member> {
+        let (me, commit) = (&self.config.me, raft.commit());
+        let is_overdue = |at: u64| now > at + LOST_VOTER_TIMEOUT;
+        let progress_of =
+            |m: &name::Member| raft.peers().find(|(peer, _)| *peer == m).map(|(_, p)| p);
+        let is_lost = |m: &&name::Member| {
+            let is_stuck = |p: &raft::Progress| p.match_index < commit && is_overdue(p.stored_at);
+            let is_unheard = self.heard.as_ref().is_some_and(|heard| !heard.contains(&m.name));
+            let is_mute = |p: &raft::Progress| now > p.last_contact + ANSWER_TIMEOUT && is_unheard;
+            *m != me
+                && progress_of(m)
+                    .is_none_or(|p| is_overdue(p.last_contact) || is_stuck(p) || is_mute(p))
+        };
+        let is_leaving = |m: &&name::Member| match progress_of(m) {
+            Some(p) => self.departures.has(m, p.acked_at, now),
+            None => *m == me && self.departures.since.is_some(),
+        };
+        let voters = &raft.voters().0;
+        voters.iter().find(is_lost).or_else(|| voters.iter().find(is_leaving)).cloned()
+    }
+
+    /// The members without a seat that may take one.
+    fn successors(&self, raft: &raft::Raft, now: u64) -> Vec<name::Member> {
+        let commit = raft.commit();
+        let is_eligible = |(m, p): &(&name::Member, &raft::Progress)| {
+            let is_current = now < p.last_contact + RESEAT_MAX_SILENCE
+                && p.match_index >= commit
+                && p.match_index > 0;
+            is_current
+                && raft.voters().seat(&m.name).is_none()
+                && !self.departures.has(m, p.acked_at, now)
+        };
+        raft.peers().filter(is_eligible).map(|(m, _)| m.clone()).collect()
+    }
+
     /// Transfers the leadership of this member, which leaves, to a voter that does not.
     fn hand_over_leadership(&mut self, now: u64) {
-        let Stage::Joined(joined) = &mut self.stage else {
-            return;
-        };
-        let raft = &mut joined.raft;
+        let Some(raft) = self.raft() else { return };
         let leaving = raft.peers().filter(|(m, p)| self.departures.has(m, p.acked_at, now));
         let leaving: Vec<_> = leaving.map(|(m, _)| m.name.clone()).collect();
-        raft.transfer_leadership(|name, _| !leaving.contains(name), now);
+        self.transfer_leadership_if(|name, _| !leaving.contains(name), now);
+    }
+
+    fn transfer_leadership_if(&mut self, is_eligible: impl Fn(&name::Name, u64) -> bool, now: u64) {
+        if let Stage::Joined(joined) = &mut self.stage {
+            joined.raft.transfer_leadership(is_eligible, now);
+        }
         self.process_output(now);
     }
 
