--- a/crates/apricotroute/src/node/mod.rs
+++ b/crates/apricotroute/src/node/mod.rs
@@ -26,9 +26,9 @@
 const ENTRY_DELAY: time::Duration = time::Duration::from_millis(2_600);
 /// How long a keeper stays up during shutdown, so that its successor has taken over.
 const KEEPER_DELAY: time::Duration = time::Duration::from_millis(900);
-/// How long a keeper stays up during shutdown at most, so that another one takes over its seat: the
-/// time in which the group elects a leader twice. With its seat the group would bear the loss of one
-/// disk less.
+/// How long a keeper stays up during shutdown at most until another one has taken over its seat among
+/// the voters: the time in which these elect a leader twice. If it kept the seat, they would bear the
+/// loss of one disk less.
 const SEAT_LIMIT: time::Duration = time::Duration::from_secs(3);
 /// Part of the grace period that is reserved for the last responses: jobs that are still open are
 /// answered when it begins.
@@ -128,7 +128,7 @@
         while start.elapsed() < seat_end && control.view().awaits_successor() {
             thread::sleep(POLL_INTERVAL);
         }
-        let is_seated = control.view().awaits_successor();
+        let keeps_seat = control.view().awaits_successor();
         control.close();
         while start.elapsed() < work_end && control.view().open_jobs() > 0 {
             thread::sleep(POLL_INTERVAL);
@@ -138,7 +138,7 @@
         // Gives the last messages to other instances time to be sent.
         thread::sleep(POLL_INTERVAL);
         slog::info!(self.log, "node: Stopped."; "open" => unfinished,
-            "unanswered" => self.connections(), "seated" => is_seated);
+            "unanswered" => self.connections(), "seat_kept" => keeps_seat);
     }
 
     /// Answers what is open, and waits until the responses are written, at most until `deadline`.
--- a/crates/apricotroute/tests/config_losses.rs
+++ b/crates/apricotroute/tests/config_losses.rs
@@ -95,20 +95,7 @@
     publish(&system, version);
     let lost = system.keepers().find(|at| *at != added).unwrap();
     let keepers: Vec<_> = system.keepers().collect();
-    system.kill_at_once(&keepers);
-    fs::remove_dir_all(system.data_folder(lost)).unwrap();
-    for at in keepers {
-        restart(&mut system, at);
-    }
-    let until = Instant::now() + RECOVERY_LIMIT;
-    let is_read = |at: usize| {
-        let (status, config) = system.read_config(at);
-        status == 200 && config["Version"] == version
-    };
-    while !system.keepers().any(is_read) {
-        assert!(Instant::now() < until, "the configuration is not read back");
-        thread::sleep(Duration::from_millis(100));
-    }
+    lose_disk(&mut system, &keepers, lost, version);
 }
 
 /// Adds a keeper in the zone of `leaving`, which then ends as planned, `run` after the start of its
@@ -128,7 +115,6 @@
 fn lose_disk(system: &mut System, killed: &[usize], lost: usize, version: u64) {
     system.kill_at_once(killed);
     fs::remove_dir_all(system.data_folder(lost)).unwrap();
-    thread::sleep(Duration::from_millis(500));
     for at in killed {
         restart(system, *at);
     }
--- a/crates/coord/src/group.rs
+++ b/crates/coord/src/group.rs
@@ -6,12 +6,13 @@
 use state::name;
 
 use crate::{
+    departures,
     entry::Payload,
     form,
     joined::Joined,
     message::{self, FormMessage, Formation, Route},
     raft::{self, Raft, Save, Timing},
-    seats, time,
+    time,
 };
 
 /// Allowed difference between two wall clocks, in milliseconds.
@@ -122,7 +123,7 @@
     /// Other instances that this one has heard lately by other messages than those of the group;
     /// `None` if that is not known.
     pub(crate) heard: Option<Vec<name::Name>>,
-    pub(crate) departures: seats::Departures,
+    pub(crate) departures: departures::Departures,
     pub(crate) next_probe: u64,
     /// Number of the last change passed to the caller to be stored.
     pub(crate) last_issued: u64,
@@ -150,7 +151,7 @@
             peer_states: collections::BTreeMap::new(),
             abandoned: smallvec::SmallVec::new(),
             heard: None,
-            departures: seats::Departures::default(),
+            departures: departures::Departures::default(),
             next_probe: 0,
             last_issued: 0,
             last_saved: 0,
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -117,6 +117,7 @@
 mod copies;
 pub mod core;
 mod delivery;
+mod departures;
 mod duty;
 mod election;
 pub mod entry;
--- a/crates/coord/src/seats.rs
+++ b/crates/coord/src/seats.rs
@@ -1,8 +1,6 @@
 //! Which members hold the seats of voters: a leader gives the seats of members that are lost, that
 //! leave or that restarted without their state to others.
 
-use std::collections;
-
 use state::name;
 
 use crate::{
@@ -21,41 +19,10 @@
 /// Maximum time since the last message of a member that takes over a seat, in microseconds: two
 /// heartbeats.
 const RESEAT_MAX_SILENCE: u64 = 500 * time::MS;
-/// Interval at which a member that leaves says so, in microseconds.
-const LEAVE_INTERVAL: u64 = 200 * time::MS;
-/// Time after its last announcement from which the messages of a member show that it has come back,
-/// in microseconds: two intervals.
-const RETURN_DELAY: u64 = 2 * LEAVE_INTERVAL;
 /// Time in which a leader that leaves seeks a successor for its seat, in microseconds. After that it
 /// hands its leadership over first.
 const SUCCESSOR_TIMEOUT: u64 = 300 * time::MS;
 
-/// The members that have announced their end, and the announcement of this one.
-#[derive(Debug, Default)]
-pub(crate) struct Departures {
-    /// When each member last announced that it leaves.
-    announced: collections::BTreeMap<name::Member, u64>,
-    /// Since when this member leaves.
-    since: Option<u64>,
-    next_announcement: u64,
-}
-
-impl Departures {
-    /// Records that a member leaves.
-    pub(crate) fn record(&mut self, member: &name::Member, now: u64) {
-        self.announced.retain(|_, at| now < *at + LOST_VOTER_TIMEOUT);
-        self.announced.insert(member.clone(), now);
-    }
-
-    /// Whether a member leaves or has left. It has come back if it has acknowledged a message that
-    /// was sent at `acked_at`, some time after its last announcement.
-    fn has(&self, member: &name::Member, acked_at: u64, now: u64) -> bool {
-        self.announced
-            .get(member)
-            .is_some_and(|at| now < at + LOST_VOTER_TIMEOUT && acked_at < at + RETURN_DELAY)
-    }
-}
-
 impl<M: Machine> Group<M> {
     /// Sets the other instances that this one has heard within [`LOST_VOTER_TIMEOUT`] by other
     /// messages than those of the group; `None` if this instance cannot tell yet. A leader that has
@@ -67,7 +34,7 @@
     /// Announces that this instance is about to end. The leader then gives its seat to a member that
     /// holds all committed entries, if there is one; a leader hands its leadership over as well.
     pub fn leave(&mut self, now: u64) {
-        self.departures.since.get_or_insert(now);
+        self.departures.begin(now);
         self.announce_departure(now);
     }
 
@@ -79,12 +46,11 @@
         })
     }
 
-    /// Tells the voters, one of which leads or will lead, that this member leaves.
+    /// Tells the voters, one of which leads or will lead, if it is due that this member leaves.
     pub(crate) fn announce_departure(&mut self, now: u64) {
-        if self.departures.since.is_none() || now < self.departures.next_announcement {
+        if !self.departures.is_due(now) {
             return;
         }
-        self.departures.next_announcement = now + LEAVE_INTERVAL;
         let Some(raft) = self.raft() else { return };
         let me = &self.config.me.name;
         let names = raft.voters().0.iter().map(|voter| voter.name.clone());
@@ -99,7 +65,7 @@
     pub fn replace_lost_voters(&mut self, max_seats: usize, now: u64) {
         let Some(raft) = self.raft().filter(|raft| raft.is_leader()) else { return };
         if !raft.is_settled() {
-            if self.departures.since.is_some_and(|since| now >= since + SUCCESSOR_TIMEOUT) {
+            if self.departures.since().is_some_and(|since| now >= since + SUCCESSOR_TIMEOUT) {
                 self.hand_over_leadership(now);
             }
             return;
@@ -151,7 +117,7 @@
         };
         let is_leaving = |m: &&name::Member| match progress_of(m) {
             Some(p) => self.departures.has(m, p.acked_at, now),
-            None => *m == me && self.departures.since.is_some(),
+            None => *m == me && self.departures.since().is_some(),
         };
         let voters = &raft.voters().0;
         voters.iter().find(is_lost).or_else(|| voters.iter().find(is_leaving)).cloned()
--- a/crates/dispatch/src/machines/control_log.rs
+++ b/crates/dispatch/src/machines/control_log.rs
@@ -338,9 +338,10 @@
     }
 
     /// Whether one of these other instances may still take over the seat of this member.
-    pub fn awaits_successor<'a>(&self, others: impl Iterator<Item = &'a name::Name>) -> bool {
-        let has_seat = |other| self.raft().is_some_and(|raft| raft.voters().seat(other).is_some());
-        self.group.has_seat() && !{ others }.all(has_seat)
+    pub fn awaits_successor<'a>(&self, mut others: impl Iterator<Item = &'a name::Name>) -> bool {
+        let lacks_seat =
+            |other| self.raft().is_some_and(|raft| raft.voters().seat(other).is_none());
+        self.group.has_seat() && others.any(lacks_seat)
     }
 
     /// Runs the periodic work that is due at `now`.
