A leaving keeper does not end while its seat moves

Cause: a leaving keeper stopped waiting as soon as no live keeper was without a seat, which is also so between the addition of its successor and its own removal. Three of four voters have to answer then.

Evidence: seats::end_while_moving, with all links cut for 300 ms at a moment of the change, finds no leader for good without the change.

Change: the keeper waits also while there is one voter more, or while its removal is not committed.

--- a/crates/coord/src/seats.rs
+++ b/crates/coord/src/seats.rs
@@ -46,6 +46,16 @@
         })
     }
 
+    /// Whether this member has a seat that one of these other instances, which have none, may take
+    /// over, or that is being taken over: while there is one voter more, this member is needed.
+    pub fn awaits_successor<'a>(&self, mut others: impl Iterator<Item = &'a name::Name>) -> bool {
+        let Some(raft) = self.raft().filter(|_| self.has_seat()) else { return false };
+        let voters = raft.voters();
+        let is_moving =
+            voters.0.len() > 2 && voters.0.len() % 2 == 0 || !voters.contains(self.me());
+        is_moving || others.any(|name| voters.seat(name).is_none())
+    }
+
     /// Tells the voters, one of which leads or will lead, if it is due that this member leaves.
     pub(crate) fn announce_departure(&mut self, now: u64) {
         if !self.departures.is_due(now) {
--- a/crates/coord/tests/seats.rs
+++ b/crates/coord/tests/seats.rs
@@ -146,6 +146,37 @@
     }
 }
 
+/// Guards against a voter that ends after its successor was added and before it is removed itself:
+/// there are four voters then, and three of them have to answer.
+#[test]
+fn end_while_moving() {
+    for leaving in 0..3 {
+        for stalled_at in 0..10 {
+            let (mut keepers, _) = group_with_spare(9);
+            let others: Vec<_> = (0..4).filter(|at| *at != leaving).collect();
+            let names = others.iter().map(|at| keepers.group(*at).unwrap().me().name.clone());
+            let names: Vec<_> = names.collect();
+            keepers.act(leaving, |group, now| group.leave(now.mono));
+            keepers.run(20 * stalled_at);
+            // No change is committed for a while, and the leader does not hear of the others.
+            for at in &others {
+                keepers.set_isolated(*at, true);
+            }
+            keepers.run(300);
+            keepers.heal();
+            let mut ticks = 0;
+            while keepers.group(leaving).unwrap().awaits_successor(names.iter()) {
+                keepers.run(20);
+                ticks += 1;
+                assert!(ticks < 300, "keeper {leaving} waits for good");
+            }
+            keepers.lose_power(leaving, 0);
+            keepers.set_isolated(leaving, true);
+            check_lost_disk(&mut keepers, &[leaving], others[1], false);
+        }
+    }
+}
+
 /// The seats of all first voters move when one after the other leaves and a new one comes.
 #[test]
 fn all_replaced() {
--- a/crates/dispatch/src/machines/control_log.rs
+++ b/crates/dispatch/src/machines/control_log.rs
@@ -337,11 +337,10 @@
         self.group.replace_lost_voters(MAX_VOTERS, now);
     }
 
-    /// Whether one of these other instances may still take over the seat of this member.
-    pub fn awaits_successor<'a>(&self, mut others: impl Iterator<Item = &'a name::Name>) -> bool {
-        let lacks_seat =
-            |other| self.raft().is_some_and(|raft| raft.voters().seat(other).is_none());
-        self.group.has_seat() && others.any(lacks_seat)
+    /// Whether one of these other instances may still take over the seat of this member, or is doing
+    /// so.
+    pub fn awaits_successor<'a>(&self, others: impl Iterator<Item = &'a name::Name>) -> bool {
+        self.group.awaits_successor(others)
     }
 
     /// Runs the periodic work that is due at `now`.
